--- /dev/null
+++ b/packages/base/include/cicadalb/base/EnumTable.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string_view>
+
+/// @file
+/// Tables that join the values of an enum class to their names.
+
+namespace cicadalb {
+
+template <typename Enum>
+struct EnumName {
+    Enum value;
+    std::string_view name;
+};
+
+/// @brief Name of @p value in @p table, or "unknown".
+template <typename Enum, std::size_t size>
+constexpr std::string_view nameIn(const std::array<EnumName<Enum>, size>& table, Enum value) noexcept
+{
+    const auto found = std::find_if(table.begin(), table.end(), [value](const auto& row) { return row.value == value; });
+    return found == table.end() ? std::string_view("unknown") : found->name;
+}
+
+/// @brief Value called @p name in @p table, if any.
+template <typename Enum, std::size_t size>
+constexpr std::optional<Enum> valueIn(const std::array<EnumName<Enum>, size>& table, std::string_view name) noexcept
+{
+    const auto found = std::find_if(table.begin(), table.end(), [name](const auto& row) { return row.name == name; });
+    return found == table.end() ? std::nullopt : std::optional<Enum>(found->value);
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/base/include/cicadalb/base/Error.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/outcome/result.hpp>
+#include <boost/outcome/success_failure.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// @file
+/// Errors as values. Every error has a stable number, a message and the place that it speaks of.
+
+namespace cicadalb {
+
+/// @brief Stable error numbers. A number is never reused; each package has its own hundred.
+enum class ErrorCode : std::uint16_t {
+    // 1xx: settings and the operators' tables
+    FileUnreadable = 101,
+    SyntaxInvalid = 102,
+    NameUnknown = 103,
+    ValueInvalid = 104,
+    ValueMissing = 105,
+    NameRemoved = 106,
+    TableEmptied = 107,
+    ReferenceBroken = 108,
+    // 2xx: the platform's services and HTTP exchanges
+    NotSent = 201,
+    OutcomeUnknown = 202,
+    Conflict = 203,
+    AnswerInvalid = 204,
+    DeadlineExceeded = 205,
+    Unavailable = 206,
+    Cancelled = 207,
+    LeaseLost = 208,
+    // 3xx: membership
+    DatagramInvalid = 301,
+    HostUnknown = 302,
+    // 4xx: routing
+    RouteUnknown = 401,
+    CallerUnknown = 402,
+    CallerNotAllowed = 403,
+    NoTargetAvailable = 404,
+    Overloaded = 405,
+    RetryBudgetSpent = 406,
+    KeyReused = 407,
+    KeyOutcomeUnknown = 408,
+    RequestInvalid = 409,
+    HostStopping = 410,
+    // 5xx: rollout
+    StepUnknown = 501,
+    StepConflict = 502,
+    CursorInvalid = 503,
+    SampleUnlabelled = 504,
+    VersionStale = 505,
+    FenceRejected = 506,
+    TrainerUnknown = 507,
+    // 6xx: links between hosts
+    PeerUnreachable = 601,
+    PeerUnauthenticated = 602,
+    MessageInvalid = 603,
+};
+
+/// @brief Name of @p code in kebab case, as in problem documents and logs.
+std::string_view name(ErrorCode code) noexcept;
+
+/// @brief An error: what went wrong and where.
+struct Error {
+    ErrorCode code;
+    std::string message;
+    /// The file and key, address, or request part that the error speaks of; may be empty.
+    std::string where;
+};
+
+/// @brief One line for people: "error 104 value-invalid at routes.toml:3: ...".
+std::string describe(const Error&);
+
+/// @brief Either a value or an Error. value() on an error is a broken invariant and stops the process.
+template <typename T>
+using Result = BOOST_OUTCOME_V2_NAMESPACE::result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+
+/// @brief Makes a failed Result of any type.
+inline auto failure(ErrorCode code, std::string message, std::string where = {})
+{
+    return BOOST_OUTCOME_V2_NAMESPACE::failure(Error { code, std::move(message), std::move(where) });
+}
+
+/// @brief Makes a successful Result<void>.
+inline auto success() { return BOOST_OUTCOME_V2_NAMESPACE::success(); }
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// @file
+/// Numbered log events. docs/EVENTS.md is their catalogue; a test keeps both in step.
+
+namespace cicadalb {
+
+/// @brief Stable event numbers, a hundred for each package.
+enum class Event : std::uint16_t {
+    // 1xx: configuration
+    ConfigurationAccepted = 101,
+    ConfigurationRefused = 102,
+    // 2xx: platform
+    PlatformUnavailable = 201,
+    PlatformAvailable = 202,
+    LeaseLost = 203,
+    // 3xx: membership
+    HostJoined = 301,
+    HostSuspected = 302,
+    HostLeft = 303,
+    // 4xx: routing
+    RequestRefused = 401,
+    RequestOutcomeUnknown = 402,
+    RequestRetried = 403,
+    // 5xx: rollout
+    StepSubmitted = 501,
+    StepFinished = 502,
+    SampleDiscarded = 503,
+    WeightSwapFailed = 504,
+    WeightsInForce = 505,
+    // 6xx: process and links
+    ProcessStarted = 601,
+    ProcessStopping = 602,
+    ProcessStopped = 603,
+    PeerLinkOpened = 604,
+    PeerLinkLost = 605,
+    RequestMalformed = 606,
+};
+
+enum class Level : std::uint8_t { Debug,
+    Info,
+    Warning,
+    Error };
+
+/// @brief One row of the event catalogue.
+struct EventDescription {
+    Event event;
+    std::string_view name;
+    Level level;
+};
+
+/// @brief The catalogue, in rising number.
+const std::vector<EventDescription>& eventCatalogue();
+
+/// @brief A named value of a log line. Never a secret or a token.
+struct Field {
+    std::string_view name;
+    std::string value;
+};
+
+/// @brief How log lines are written.
+enum class LogFormat : std::uint8_t { Text,
+    Json };
+
+/// @brief Sets up log4cxx to write to standard error.
+void configureLogging(LogFormat, Level minimum);
+
+/// @brief Writes one event with its number, name and @p fields. Thread-safe.
+void logEvent(Event, const std::vector<Field>& fields = {});
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/base/tests/unit-base.cpp
@@ -0,0 +1,35 @@
+#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/Error.h"
+#include "cicadalb/base/Event.h"
+#include "cicadalb/base/Hash.h"
+#include "cicadalb/base/Identifier.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+
+TEST_CASE("manual clock, advanced, moves by exactly that much")
+{
+    ManualClock clock;
+    const auto before = clock.now();
+    clock.advance(std::chrono::seconds(3));
+    CHECK(clock.now() - before == std::chrono::seconds(3));
+}
+
+TEST_CASE("error, described, names number, place and message")
+{
+    CHECK(describe(Error { ErrorCode::ValueInvalid, "must be positive", "host.toml: threads" })
+        == "error 104 value-invalid at host.toml: threads: must be positive");
+}
+
+TEST_CASE("hmac, of a known text, matches the value of RFC 4231 case 2")
+{
+    CHECK(hmacHex("Jefe", "what do ya want for nothing?") == "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+}
+
+TEST_CASE("event catalogue, read in order, rises in number")
+{
+    const auto& catalogue = eventCatalogue();
+    for (std::size_t i = 1; i < catalogue.size(); ++i)
+        CHECK(catalogue[i - 1].event < catalogue[i].event);
+}
--- /dev/null
+++ b/packages/platform/src/HttpClient.cpp
@@ -0,0 +1,266 @@
+#include "cicadalb/platform/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <mutex>
+#include <optional>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+    /// Largest header of an answer, in bytes.
+    constexpr std::uint32_t maximumHeaderBytes = 64U << 10U;
+    /// Size of the parts in which a streamed body is read.
+    constexpr std::size_t streamPartBytes = std::size_t { 16 } << 10U;
+
+    struct Connection {
+        explicit Connection(const asio::any_io_executor& executor)
+            : stream(executor)
+        {
+        }
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        TimePoint lastUsed;
+        /// Bytes of the present request that were handed to the socket.
+        std::size_t bytesWritten = 0;
+    };
+
+    using ConnectionPointer = std::unique_ptr<Connection>;
+
+    auto token(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+    http::request<http::string_body> toBeast(HttpRequest& request, const Endpoint& endpoint)
+    {
+        http::request<http::string_body> message;
+        message.method_string(request.method);
+        message.target(request.target);
+        message.version(11);
+        message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
+        for (const auto& [name, value] : request.fields)
+            message.insert(name, value);
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        return message;
+    }
+
+    HttpResponse headOf(const http::response_parser<http::buffer_body>& parser)
+    {
+        HttpResponse head;
+        head.status = parser.get().result_int();
+        for (const auto& field : parser.get())
+            head.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        return head;
+    }
+
+    /// Whether an idle connection was closed or written to by its server meanwhile.
+    bool isReusable(Connection& connection)
+    {
+        beast::error_code error;
+        auto& socket = connection.stream.socket();
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+} // namespace
+
+std::string_view HttpResponse::field(std::string_view name) const noexcept
+{
+    for (const auto& [key, value] : fields) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+void HttpCancellation::cancel()
+{
+    m_cancelled = true;
+    if (m_close)
+        m_close();
+}
+
+struct HttpClient::State {
+    asio::any_io_executor executor;
+    Endpoint endpoint;
+    HttpClientOptions options;
+    std::mutex mutex;
+    std::deque<ConnectionPointer> idle;
+
+    ConnectionPointer takeIdle()
+    {
+        const std::lock_guard lock(mutex);
+        const auto oldest = std::chrono::steady_clock::now() - options.idleTimeout;
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (connection->lastUsed >= oldest && isReusable(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void keep(ConnectionPointer connection)
+    {
+        connection->stream.expires_never();
+        connection->lastUsed = std::chrono::steady_clock::now();
+        const std::lock_guard lock(mutex);
+        if (idle.size() < options.maximumIdleConnections)
+            idle.push_back(std::move(connection));
+    }
+
+    Task<Result<ConnectionPointer>> connect(TimePoint deadline)
+    {
+        beast::error_code error;
+        const auto address = asio::ip::make_address(endpoint.address, error);
+        if (error)
+            co_return failure(ErrorCode::NotSent, "not an IP number", endpoint.address);
+        auto connection = std::make_unique<Connection>(executor);
+        connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
+        co_await connection->stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port), token(error));
+        if (error)
+            co_return failure(ErrorCode::NotSent, "cannot connect: " + error.message(), place());
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        co_return std::move(connection);
+    }
+
+    std::string place() const { return endpoint.address + ":" + std::to_string(endpoint.port); }
+
+    /// Error of an exchange that broke after its connection was ready.
+    Error brokenExchange(const Connection& connection, const beast::error_code& error, const HttpCancellation* cancellation) const
+    {
+        if (cancellation && cancellation->isCancelled())
+            return Error { ErrorCode::Cancelled, "abandoned by the caller", place() };
+        if (connection.bytesWritten == 0)
+            return Error { ErrorCode::NotSent, error.message(), place() };
+        return Error { ErrorCode::OutcomeUnknown, error.message(), place() };
+    }
+
+    Task<beast::error_code> write(Connection& connection, http::request<http::string_body>& message)
+    {
+        beast::error_code error;
+        http::request_serializer<http::string_body> serializer(message);
+        connection.bytesWritten = 0;
+        while (!serializer.is_done() && !error)
+            connection.bytesWritten += co_await http::async_write_some(connection.stream, serializer, token(error));
+        co_return error;
+    }
+
+    /// Reads one body part into @p buffer; the length is 0 at the end of the answer.
+    static Task<std::size_t> readPart(Connection& connection, http::response_parser<http::buffer_body>& parser, std::string& buffer, beast::error_code& error)
+    {
+        parser.get().body().data = buffer.data();
+        parser.get().body().size = buffer.size();
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, token(error));
+        if (error == http::error::need_buffer)
+            error = {};
+        co_return buffer.size() - parser.get().body().size;
+    }
+};
+
+HttpClient::HttpClient(asio::any_io_executor executor, Endpoint endpoint, HttpClientOptions options)
+    : m_state(std::make_shared<State>())
+{
+    m_state->executor = std::move(executor);
+    m_state->endpoint = std::move(endpoint);
+    m_state->options = options;
+}
+
+HttpClient::~HttpClient() = default;
+
+const Endpoint& HttpClient::endpoint() const noexcept { return m_state->endpoint; }
+
+std::size_t HttpClient::idleConnections() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->idle.size();
+}
+
+Task<Result<HttpResponse>> HttpClient::send(HttpRequest request, TimePoint deadline, std::shared_ptr<HttpCancellation> cancellation)
+{
+    std::string body;
+    bool isTooLarge = false;
+    HttpStreamHandler handler;
+    handler.onPart = [&body, &isTooLarge, limit = m_state->options.maximumBodyBytes](std::string_view part) {
+        isTooLarge = body.size() + part.size() > limit;
+        if (!isTooLarge)
+            body.append(part);
+        return !isTooLarge;
+    };
+    auto response = co_await stream(std::move(request), deadline, std::move(handler), std::move(cancellation));
+    if (isTooLarge)
+        co_return failure(ErrorCode::AnswerInvalid, "answer is larger than the limit", m_state->place());
+    if (response)
+        response.value().body = std::move(body);
+    co_return response;
+}
+
+Task<Result<HttpResponse>> HttpClient::stream(HttpRequest request, TimePoint deadline, HttpStreamHandler handler, std::shared_ptr<HttpCancellation> cancellation)
+{
+    const auto state = m_state;
+    if (cancellation && cancellation->isCancelled())
+        co_return failure(ErrorCode::NotSent, "abandoned before it was sent", state->place());
+    auto connection = state->takeIdle();
+    if (!connection) {
+        auto connected = co_await state->connect(deadline);
+        if (!connected)
+            co_return failure(connected.error().code, connected.error().message, connected.error().where);
+        connection = std::move(connected.value());
+    }
+    if (cancellation && cancellation->isCancelled())
+        co_return failure(ErrorCode::NotSent, "abandoned before it was sent", state->place());
+    if (cancellation)
+        cancellation->m_close = [stream = &connection->stream] { stream->cancel(); };
+    struct ClearOnExit {
+        HttpCancellation* cancellation;
+        ~ClearOnExit()
+        {
+            if (cancellation)
+                cancellation->m_close = nullptr;
+        }
+    } clearOnExit { cancellation.get() };
+
+    connection->stream.expires_at(deadline);
+    auto message = toBeast(request, state->endpoint);
+    const bool isHeadRequest = message.method() == http::verb::head;
+    beast::error_code error = co_await state->write(*connection, message);
+    if (error)
+        co_return state->brokenExchange(*connection, error, cancellation.get());
+
+    http::response_parser<http::buffer_body> parser;
+    parser.header_limit(maximumHeaderBytes);
+    parser.body_limit(boost::none);
+    parser.skip(isHeadRequest);
+    co_await http::async_read_header(connection->stream, connection->buffer, parser, token(error));
+    if (error)
+        co_return state->brokenExchange(*connection, error, cancellation.get());
+    const auto head = headOf(parser);
+    if (handler.onHead && !handler.onHead(head))
+        co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
+
+    std::string buffer(streamPartBytes, '\0');
+    while (!parser.is_done()) {
+        const auto length = co_await State::readPart(*connection, parser, buffer, error);
+        if (error)
+            co_return state->brokenExchange(*connection, error, cancellation.get());
+        if (length > 0 && handler.onPart && !handler.onPart(std::string_view(buffer.data(), length)))
+            co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
+    }
+    if (parser.keep_alive() && connection->buffer.size() == 0 && !(cancellation && cancellation->isCancelled()))
+        state->keep(std::move(connection));
+    co_return head;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/include/cicadalb/rollout/EngineClient.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/Error.h"
+#include "cicadalb/base/Identifier.h"
+#include "cicadalb/base/Task.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// @file
+/// What the rollout package asks of model engines. The transport package implements it; tests use fakes.
+
+namespace cicadalb {
+
+struct GenerationRequest {
+    /// Unique for each attempt.
+    RequestId id;
+    std::string prompt;
+    /// Samples with the same key share a prompt prefix.
+    std::string prefixKey;
+    unsigned maximumTokens = 256;
+    /// 0 is the most urgent.
+    unsigned priority = 1;
+};
+
+/// @brief A whole generation in the engine's own words.
+struct Generation {
+    std::string text;
+    unsigned tokens = 0;
+    /// Versions that produced tokens, rising, each once. Empty if the engine left any token unlabelled.
+    std::vector<WeightVersion> versions;
+};
+
+/// @brief A running generation's progress: tokens so far and the version of the latest chunk (0: unlabelled).
+struct GenerationProgress {
+    unsigned tokens = 0;
+    WeightVersion version = 0;
+};
+
+/// @brief Lets the owner cancel a generation.
+class GenerationHandle {
+public:
+    virtual ~GenerationHandle() = default;
+    virtual void cancel() = 0;
+};
+
+struct WeightOrder {
+    std::string model;
+    WeightVersion version = 0;
+    FencingNumber fence = 0;
+};
+
+struct EngineStatus {
+    WeightVersion version = 0;
+    unsigned running = 0;
+    unsigned queued = 0;
+    FencingNumber fence = 0;
+    bool isLeaving = false;
+};
+
+/// @brief Calls to engines. Failures as HttpClient's: NotSent, OutcomeUnknown, Cancelled; FenceRejected for an old order.
+class EngineClient {
+public:
+    virtual ~EngineClient() = default;
+
+    /// @brief Runs one generation to its end. @p onStart gives the handle to cancel it; @p onProgress may be empty.
+    virtual Task<Result<Generation>> generate(TargetId, GenerationRequest, TimePoint deadline,
+        std::function<void(std::shared_ptr<GenerationHandle>)> onStart,
+        std::function<void(const GenerationProgress&)> onProgress)
+        = 0;
+    virtual Task<Result<void>> loadWeights(TargetId, WeightOrder, TimePoint deadline) = 0;
+    virtual Task<Result<EngineStatus>> status(TargetId, TimePoint deadline) = 0;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/src/Placeholder.cpp
@@ -0,0 +1,1 @@
+// Placeholder translation unit until the package's first source lands.
