--- a/packages/config/include/cicadalb/config/AcceptedConfiguration.h
+++ b/packages/config/include/cicadalb/config/AcceptedConfiguration.h
@@ -2,11 +2,34 @@
 
 #include "cicadalb/config/Tables.h"
 
+#include <optional>
+
 /// @file
 /// The record that is in force: both tables under one number.
 
 namespace cicadalb {
 
+/// @brief What kind of entry a name in the tables stands for.
+enum class EntryKind : std::uint8_t { Route,
+    Pool,
+    Caller,
+    Trainer };
+
+std::string_view name(EntryKind) noexcept;
+std::optional<EntryKind> entryKind(std::string_view name) noexcept;
+
+/// @brief A name that an operator removes on purpose.
+struct RetiredName {
+    EntryKind kind = EntryKind::Route;
+    std::string name;
+    bool operator==(const RetiredName&) const = default;
+};
+
+/// @brief Text as in commands and records: "route NAME".
+std::string toText(const RetiredName&);
+/// @brief Reads "route NAME", "pool NAME", "caller NAME" or "trainer NAME". Errors: ValueInvalid.
+Result<RetiredName> retiredNameFromText(std::string_view text);
+
 /// @brief A configuration that has been accepted. Hosts run only these, by rising number.
 struct AcceptedConfiguration {
     ConfigurationNumber number = 0;
@@ -16,8 +39,10 @@
     std::string author;
     /// Seconds since the epoch.
     std::int64_t acceptedAt = 0;
-    /// Names retired with this configuration, as "route NAME" or "pool NAME".
-    std::vector<std::string> retired;
+    /// Names retired with this configuration.
+    std::vector<RetiredName> retired;
+    /// Unique to the attempt that wrote the record: after a lost answer its writer knows its own record by it.
+    std::string mark;
     Tables tables;
 };
 
@@ -27,7 +52,7 @@
 /// @brief JSON text of the record as kept in the key-value service (the parsed tables are left out).
 std::string toJson(const AcceptedConfiguration&);
 
-/// @brief Reads a record and parses its tables.
+/// @brief Reads a record and parses its tables. Errors: AnswerInvalid, or the first error of the tables.
 Result<AcceptedConfiguration> acceptedConfigurationFromJson(std::string_view json);
 
 } // namespace cicadalb
--- /dev/null
+++ b/packages/config/include/cicadalb/config/Secret.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <utility>
+
+/// @file
+/// A shared secret in memory.
+
+namespace cicadalb {
+
+/// @brief Text that must not reach a log, dump or error: it cannot be streamed or converted.
+class Secret {
+public:
+    Secret() = default;
+    explicit Secret(std::string text)
+        : m_text(std::move(text))
+    {
+    }
+
+    bool isEmpty() const noexcept { return m_text.empty(); }
+    /// @brief The text itself, for proofs only.
+    const std::string& reveal() const noexcept { return m_text; }
+
+    friend std::ostream& operator<<(std::ostream&, const Secret&) = delete;
+
+private:
+    std::string m_text;
+};
+
+} // namespace cicadalb
--- a/packages/config/include/cicadalb/config/Tables.h
+++ b/packages/config/include/cicadalb/config/Tables.h
@@ -2,6 +2,7 @@
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Identifier.h"
+#include "cicadalb/config/Outcome.h"
 
 #include <chrono>
 #include <cstdint>
@@ -104,11 +105,14 @@
     bool operator==(const Tables&) const = default;
 };
 
+/// Names of the two files in the messages of parseTables.
+inline constexpr std::string_view routesFileName = "routes.toml";
+inline constexpr std::string_view poolsFileName = "pools.toml";
+
 /// @brief Reads and checks both tables.
 /// @param routesText TOML of the routes table; @param poolsText TOML of the pools table
-/// @return the tables, or every problem found, each with file and line and the nearest known name
-/// Complexity: linear in the size of the text, plus a name lookup for each reference.
-BOOST_OUTCOME_V2_NAMESPACE::result<Tables, std::vector<Error>, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>
-parseTables(std::string_view routesText, std::string_view poolsText);
+/// @return the tables, or every problem found, each with file, line and column and the nearest known name
+/// Complexity: linear in the size of the text, plus a name lookup for each reference; a wrong name is compared to all known ones.
+CheckedResult<Tables> parseTables(std::string_view routesText, std::string_view poolsText);
 
 } // namespace cicadalb
--- /dev/null
+++ b/packages/config/src/Settings.cpp
@@ -0,0 +1,288 @@
+#include "cicadalb/config/Settings.h"
+
+#include "TomlReader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr auto logFormatNames = std::to_array<EnumName<LogFormat>>({
+        { LogFormat::Text, "text" },
+        { LogFormat::Json, "json" },
+    });
+
+    constexpr auto levelNames = std::to_array<EnumName<Level>>({
+        { Level::Debug, "debug" },
+        { Level::Info, "info" },
+        { Level::Warning, "warning" },
+        { Level::Error, "error" },
+    });
+
+} // namespace
+
+static const auto& enumTable(LogFormat) { return logFormatNames; }
+static const auto& enumTable(Level) { return levelNames; }
+
+namespace {
+
+    using detail::Between;
+    using detail::Fields;
+    using detail::Presence;
+    using detail::Problem;
+    using detail::TomlReader;
+
+    constexpr std::size_t minimumSecretLength = 16;
+    constexpr std::uintmax_t maximumFileBytes = 1U << 20U;
+    constexpr double smallestWeight = 0.001;
+    constexpr double maximumWeight = 1000.0;
+    constexpr double maximumThreads = 1024.0;
+    constexpr double maximumPort = 65535.0;
+    constexpr double minimumHeaderBytes = 1024.0;
+    constexpr double maximumHeaderBytes = 1048576.0;
+    constexpr double maximumBodyBytes = 1073741824.0;
+    constexpr double maximumCount = 1000000.0;
+    constexpr double maximumMilliseconds = 86400000.0;
+
+    Problem problemOf(const Error& error)
+    {
+        return error.message;
+    }
+
+} // namespace
+
+/// A text "IP:PORT".
+static Problem decode(const toml::node& node, SocketAddress& value)
+{
+    std::string text;
+    if (auto problem = detail::decode(node, text); !problem.empty())
+        return problem;
+    auto address = socketAddressFromText(text);
+    if (!address)
+        return problemOf(address.error());
+    value = std::move(address.value());
+    return {};
+}
+
+/// A text "ID@IP:PORT".
+static Problem decode(const toml::node& node, MembershipSeed& value)
+{
+    std::string text;
+    if (auto problem = detail::decode(node, text); !problem.empty())
+        return problem;
+    const auto at = text.find('@');
+    if (at == std::string::npos)
+        return "is '" + text + "' but must be ID@IP:PORT";
+    auto address = socketAddressFromText(std::string_view(text).substr(at + 1));
+    if (!address)
+        return problemOf(address.error());
+    value = { HostId(text.substr(0, at)), std::move(address.value()) };
+    return detail::checkName(value.id.value());
+}
+
+namespace {
+
+    const Fields<HostSettings>& hostFields()
+    {
+        static const Fields<HostSettings> fields {
+            { "id", &HostSettings::id, Presence::Required, detail::checkIdentifier<HostTag> },
+            { "failure-domain", &HostSettings::failureDomain, Presence::Required, detail::checkIdentifier<FailureDomainTag> },
+            { "weight", &HostSettings::weight, Presence::Optional, Between { smallestWeight, maximumWeight } },
+            { "threads", &HostSettings::threads, Presence::Optional, Between { 0, maximumThreads } },
+        };
+        return fields;
+    }
+
+    /// A section that says where to listen. Port 0 asks the system for a free one.
+    const Fields<SocketAddress>& listenFields()
+    {
+        static const Fields<SocketAddress> fields {
+            { "address", &SocketAddress::address, Presence::Optional, detail::checkIpNumber },
+            { "port", &SocketAddress::port, Presence::Optional, Between { 0, maximumPort } },
+        };
+        return fields;
+    }
+
+    const Fields<PeerSettings>& peerFields()
+    {
+        static const Fields<PeerSettings> fields {
+            { "secret-file", &PeerSettings::secretFile, Presence::Required, detail::checkNotEmpty },
+            { "seeds", &PeerSettings::seeds, Presence::Optional },
+        };
+        return fields;
+    }
+
+    const Fields<PlatformSettings>& platformFields()
+    {
+        static const Fields<PlatformSettings> fields {
+            { "key-value", &PlatformSettings::keyValue, Presence::Required },
+            { "host-list", &PlatformSettings::hostList, Presence::Required },
+            { "weight-store", &PlatformSettings::weightStore, Presence::Required },
+        };
+        return fields;
+    }
+
+    const Fields<LimitSettings>& limitFields()
+    {
+        static const Fields<LimitSettings> fields {
+            { "header-bytes", &LimitSettings::headerBytes, Presence::Optional, Between { minimumHeaderBytes, maximumHeaderBytes } },
+            { "body-bytes", &LimitSettings::bodyBytes, Presence::Optional, Between { 0, maximumBodyBytes } },
+            { "header-timeout-ms", &LimitSettings::headerTimeout, Presence::Optional, Between { 1, maximumMilliseconds } },
+            { "body-timeout-ms", &LimitSettings::bodyTimeout, Presence::Optional, Between { 1, maximumMilliseconds } },
+            { "connections", &LimitSettings::connections, Presence::Optional, Between { 1, maximumCount } },
+            { "in-flight", &LimitSettings::inFlight, Presence::Optional, Between { 1, maximumCount } },
+        };
+        return fields;
+    }
+
+    const Fields<LogSettings>& logFields()
+    {
+        static const Fields<LogSettings> fields {
+            { "format", &LogSettings::format, Presence::Optional },
+            { "level", &LogSettings::level, Presence::Optional },
+        };
+        return fields;
+    }
+
+    const Fields<ShutdownSettings>& shutdownFields()
+    {
+        static const Fields<ShutdownSettings> fields {
+            { "unready-ms", &ShutdownSettings::unready, Presence::Optional, Between { 0, maximumMilliseconds } },
+            { "grace-ms", &ShutdownSettings::grace, Presence::Optional, Between { 0, maximumMilliseconds } },
+        };
+        return fields;
+    }
+
+    /// Reads one section; a missing one is read as empty, so that its required keys are reported.
+    template <typename Section>
+    void readSection(TomlReader& reader, const toml::table& root, std::string_view name, const Fields<Section>& fields, Section& section, const std::vector<std::string_view>& alsoKnown = {})
+    {
+        static const toml::table absent;
+        const auto* node = root.get(name);
+        const auto* table = node ? node->as_table() : &absent;
+        if (!table)
+            return reader.report(ErrorCode::ValueInvalid, std::string(name) + " must be a table", *node);
+        detail::readFields(reader, *table, name, fields, section, alsoKnown);
+    }
+
+    const std::vector<std::string_view>& sectionNames()
+    {
+        static const std::vector<std::string_view> names { "host", "listen", "admin", "peers", "membership", "platform", "limits", "log", "shutdown" };
+        return names;
+    }
+
+    void readListenKeys(TomlReader& reader, const toml::table& root, SocketAddress& listen)
+    {
+        readSection(reader, root, "peers", listenFields(), listen, { "secret-file", "seeds" });
+    }
+
+    void readSections(TomlReader& reader, const toml::table& root, Settings& settings)
+    {
+        readSection(reader, root, "host", hostFields(), settings.host);
+        readSection(reader, root, "listen", listenFields(), settings.listen);
+        readSection(reader, root, "admin", listenFields(), settings.admin);
+        readListenKeys(reader, root, settings.peers.listen);
+        readSection(reader, root, "peers", peerFields(), settings.peers, { "address", "port" });
+        readSection(reader, root, "membership", listenFields(), settings.membership);
+        readSection(reader, root, "platform", platformFields(), settings.platform);
+        readSection(reader, root, "limits", limitFields(), settings.limits);
+        readSection(reader, root, "log", logFields(), settings.log);
+        readSection(reader, root, "shutdown", shutdownFields(), settings.shutdown);
+        detail::reportUnknownKeys(reader, root, "settings", sectionNames());
+    }
+
+    void readSecret(TomlReader& reader, const toml::table& root, const std::string& folder, Settings& settings)
+    {
+        if (settings.peers.secretFile.empty())
+            return;
+        const auto path = std::filesystem::path(folder) / settings.peers.secretFile;
+        auto secret = readSecretFile(path.string());
+        if (secret)
+            settings.secret = std::move(secret.value());
+        else
+            reader.report(secret.error().code, "peers.secret-file: " + secret.error().message, *root["peers"]["secret-file"].node());
+    }
+
+} // namespace
+
+std::string toText(const SocketAddress& socketAddress)
+{
+    const bool isVersion6 = socketAddress.address.find(':') != std::string::npos;
+    const auto host = isVersion6 ? "[" + socketAddress.address + "]" : socketAddress.address;
+    return host + ":" + std::to_string(socketAddress.port);
+}
+
+Result<SocketAddress> socketAddressFromText(std::string_view text)
+{
+    const auto problem = "is '" + std::string(text) + "' but must be IP:PORT";
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return failure(ErrorCode::ValueInvalid, problem);
+    auto host = text.substr(0, colon);
+    const auto digits = text.substr(colon + 1);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    SocketAddress result { std::string(host), 0 };
+    const auto* end = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), end, result.port);
+    const bool isPort = !digits.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+    if (!isPort || !detail::checkIpNumber(result.address).empty())
+        return failure(ErrorCode::ValueInvalid, problem);
+    return result;
+}
+
+Result<std::string> readTextFile(const std::string& path)
+{
+    std::error_code error;
+    const auto size = std::filesystem::file_size(path, error);
+    std::ifstream file(path, std::ios::binary);
+    if (error || !file)
+        return failure(ErrorCode::FileUnreadable, "cannot be read", path);
+    if (size > maximumFileBytes)
+        return failure(ErrorCode::FileUnreadable, "is larger than a megabyte", path);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+Result<Secret> readSecretFile(const std::string& path)
+{
+    auto text = readTextFile(path);
+    if (!text)
+        return failure(ErrorCode::FileUnreadable, "the secret file " + path + " " + text.error().message, path);
+    auto& secret = text.value();
+    while (!secret.empty() && (secret.back() == '\n' || secret.back() == '\r'))
+        secret.pop_back();
+    if (secret.size() < minimumSecretLength)
+        return failure(ErrorCode::ValueInvalid, "the secret must have at least " + std::to_string(minimumSecretLength) + " characters", path);
+    return Secret(std::move(secret));
+}
+
+CheckedResult<Settings> parseSettings(std::string_view text, const std::string& fileName, const std::string& folder)
+{
+    TomlReader reader { fileName };
+    const auto root = reader.parse(text);
+    Settings settings;
+    if (reader.errors().empty()) {
+        readSections(reader, root, settings);
+        readSecret(reader, root, folder, settings);
+    }
+    if (!reader.errors().empty())
+        return std::move(reader.errors());
+    return settings;
+}
+
+CheckedResult<Settings> loadSettings(const std::string& path)
+{
+    const auto text = readTextFile(path);
+    if (!text)
+        return Errors { text.error() };
+    const auto folder = std::filesystem::path(path).parent_path().string();
+    return parseSettings(text.value(), path, folder);
+}
+
+} // namespace cicadalb
