--- a/packages/base/include/cicadalb/base/Error.h
+++ b/packages/base/include/cicadalb/base/Error.h
@@ -23,6 +23,10 @@
     NameRemoved = 106,
     TableEmptied = 107,
     ReferenceBroken = 108,
+    CapacityLost = 109,
+    BaseOutdated = 110,
+    RecordTooLarge = 111,
+    ProofInvalid = 112,
     // 2xx: the platform's services and HTTP exchanges
     NotSent = 201,
     OutcomeUnknown = 202,
--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -16,6 +16,7 @@
     // 1xx: configuration
     ConfigurationAccepted = 101,
     ConfigurationRefused = 102,
+    ConfigurationContradicted = 103,
     // 2xx: platform
     PlatformUnavailable = 201,
     PlatformAvailable = 202,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -48,6 +48,7 @@
     static const std::vector<EventDescription> catalogue {
         { Event::ConfigurationAccepted, "configuration-accepted", Level::Info },
         { Event::ConfigurationRefused, "configuration-refused", Level::Warning },
+        { Event::ConfigurationContradicted, "configuration-contradicted", Level::Error },
         { Event::PlatformUnavailable, "platform-unavailable", Level::Warning },
         { Event::PlatformAvailable, "platform-available", Level::Info },
         { Event::LeaseLost, "lease-lost", Level::Warning },
--- a/packages/config/src/AcceptedConfiguration.cpp
+++ b/packages/config/src/AcceptedConfiguration.cpp
@@ -14,8 +14,22 @@
         { EntryKind::Pool, "pool" },
         { EntryKind::Caller, "caller" },
         { EntryKind::Trainer, "trainer" },
+        { EntryKind::Target, "target" },
     });
 
+    /// Slots of the history.
+    constexpr ConfigurationNumber historySlots = 32;
+
+    std::vector<std::string> marks(const json& record)
+    {
+        std::vector<std::string> marks;
+        for (const auto& mark : record.value("earlier-marks", json::array())) {
+            if (mark.is_string())
+                marks.push_back(mark.get<std::string>());
+        }
+        return marks;
+    }
+
     Result<std::vector<RetiredName>> retiredNames(const json& record)
     {
         std::vector<RetiredName> names;
@@ -45,11 +59,16 @@
 {
     const auto space = text.find(' ');
     const auto kind = entryKind(text.substr(0, space));
-    if (!kind || space == std::string_view::npos || space + 1 == text.size())
+    if (!kind || kind == EntryKind::Target || space == std::string_view::npos || space + 1 == text.size())
         return failure(ErrorCode::ValueInvalid, "'" + std::string(text) + "' is not 'route NAME', 'pool NAME', 'caller NAME' or 'trainer NAME'");
     return RetiredName { *kind, std::string(text.substr(space + 1)) };
 }
 
+std::string configurationHistoryKey(ConfigurationNumber number)
+{
+    return std::string(configurationHistoryPrefix) + std::to_string(number % historySlots);
+}
+
 std::string toJson(const AcceptedConfiguration& configuration)
 {
     auto retired = json::array();
@@ -63,6 +82,7 @@
         { "accepted-at", configuration.acceptedAt },
         { "retired", retired },
         { "mark", configuration.mark },
+        { "earlier-marks", configuration.earlierMarks },
     };
     return record.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -84,6 +104,7 @@
     if (!retired)
         return retired.as_failure();
     configuration.retired = std::move(retired.value());
+    configuration.earlierMarks = marks(record);
     auto tables = parseTables(configuration.routesText, configuration.poolsText);
     if (!tables) {
         const auto& first = tables.error().front();
--- /dev/null
+++ b/packages/config/src/TablesDifference.cpp
@@ -0,0 +1,187 @@
+#include "cicadalb/config/TablesDifference.h"
+
+#include "cicadalb/base/EnumTable.h"
+
+#include <functional>
+#include <map>
+#include <sstream>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr auto changeKindNames = std::to_array<EnumName<ChangeKind>>({
+        { ChangeKind::Added, "added" },
+        { ChangeKind::Removed, "removed" },
+        { ChangeKind::Changed, "changed" },
+    });
+
+    std::string text(const std::string& value) { return value; }
+    std::string text(bool value) { return value ? "true" : "false"; }
+    std::string text(std::chrono::milliseconds value) { return std::to_string(value.count()); }
+
+    template <typename Tag>
+    std::string text(const Identifier<Tag>& value) { return value.value(); }
+
+    template <typename Number>
+    requires std::is_arithmetic_v<Number>
+        std::string text(Number value)
+    {
+        std::ostringstream stream;
+        stream << value;
+        return stream.str();
+    }
+
+    template <typename Enum>
+    requires std::is_enum_v<Enum>
+        std::string text(Enum value) { return std::string(name(value)); }
+
+    template <typename T>
+    std::string text(const std::vector<T>& values)
+    {
+        std::string list = "[";
+        for (const auto& value : values)
+            list += (list.size() > 1 ? " " : "") + text(value);
+        return list + "]";
+    }
+
+    /// A member of an entry and how a difference names it.
+    template <typename Entry>
+    class Member {
+    public:
+        template <typename T>
+        Member(std::string_view key, T Entry::*member)
+            : m_describe([key, member](const Entry& from, const Entry& to) -> std::string {
+                if (from.*member == to.*member)
+                    return {};
+                return std::string(key) + ": " + text(from.*member) + " -> " + text(to.*member);
+            })
+        {
+        }
+
+        std::string describe(const Entry& from, const Entry& to) const { return m_describe(from, to); }
+
+    private:
+        std::function<std::string(const Entry&, const Entry&)> m_describe;
+    };
+
+    template <typename Entry>
+    using Members = std::vector<Member<Entry>>;
+
+    const Members<Route> routeMembers {
+        { "path", &Route::path },
+        { "methods", &Route::methods },
+        { "pool", &Route::pool },
+        { "callers", &Route::callers },
+        { "trainers", &Route::trainers },
+        { "repeatable", &Route::repeatable },
+        { "priority", &Route::priority },
+        { "timeout-ms", &Route::timeout },
+        { "retry-percent", &Route::retryPercent },
+    };
+
+    const Members<Trainer> trainerMembers {
+        { "share", &Trainer::share },
+        { "staleness-bound", &Trainer::stalenessBound },
+        { "staleness-weight", &Trainer::stalenessWeight },
+    };
+
+    const Members<Pool> poolMembers {
+        { "kind", &Pool::kind },
+        { "model", &Pool::model },
+        { "fence-check", &Pool::fenceCheck },
+        { "serving-share", &Pool::servingShare },
+        { "maximum-in-flight", &Pool::maximumInFlight },
+    };
+
+    const Members<Target> targetMembers {
+        { "address", &Target::address },
+        { "port", &Target::port },
+        { "failure-domain", &Target::failureDomain },
+        { "draining", &Target::draining },
+    };
+
+    const Members<Caller> callerMembers;
+
+    void append(std::string& list, const std::string& item)
+    {
+        if (!item.empty())
+            list += (list.empty() ? "" : ", ") + item;
+    }
+
+    template <typename Entry>
+    std::string changes(const Members<Entry>& members, const Entry& from, const Entry& to)
+    {
+        std::string detail;
+        for (const auto& member : members)
+            append(detail, member.describe(from, to));
+        if constexpr (requires { from.tokenSha256; }) {
+            if (from.tokenSha256 != to.tokenSha256)
+                append(detail, "token replaced");
+        }
+        return detail;
+    }
+
+    template <typename Entry>
+    using EntryMap = std::map<std::string, const Entry*>;
+
+    template <typename Entry>
+    EntryMap<Entry> byName(const std::vector<Entry>& entries)
+    {
+        EntryMap<Entry> map;
+        for (const auto& entry : entries)
+            map.emplace(entry.name.value(), &entry);
+        return map;
+    }
+
+    /// Targets by "POOL/ID".
+    EntryMap<Target> targetsByName(const Tables& tables)
+    {
+        EntryMap<Target> map;
+        for (const auto& pool : tables.pools) {
+            for (const auto& target : pool.targets)
+                map.emplace(pool.name.value() + "/" + target.id.value(), &target);
+        }
+        return map;
+    }
+
+    template <typename Entry>
+    void compare(EntryKind kind, const EntryMap<Entry>& from, const EntryMap<Entry>& to, const Members<Entry>& members, std::vector<Difference>& differences)
+    {
+        for (const auto& [name, entry] : from) {
+            const auto found = to.find(name);
+            if (found == to.end())
+                differences.push_back({ ChangeKind::Removed, kind, name, {} });
+            else if (auto detail = changes(members, *entry, *found->second); !detail.empty())
+                differences.push_back({ ChangeKind::Changed, kind, name, std::move(detail) });
+        }
+        for (const auto& [name, entry] : to) {
+            if (!from.contains(name))
+                differences.push_back({ ChangeKind::Added, kind, name, {} });
+        }
+    }
+
+} // namespace
+
+std::string_view name(ChangeKind kind) noexcept { return nameIn(changeKindNames, kind); }
+
+std::string describe(const Difference& difference)
+{
+    auto line = std::string(name(difference.change)) + " ";
+    line += name(difference.kind);
+    line += " " + difference.name;
+    return difference.detail.empty() ? line : line + " (" + difference.detail + ")";
+}
+
+std::vector<Difference> differences(const Tables& from, const Tables& to)
+{
+    std::vector<Difference> result;
+    compare(EntryKind::Route, byName(from.routes), byName(to.routes), routeMembers, result);
+    compare(EntryKind::Pool, byName(from.pools), byName(to.pools), poolMembers, result);
+    compare(EntryKind::Caller, byName(from.callers), byName(to.callers), callerMembers, result);
+    compare(EntryKind::Trainer, byName(from.trainers), byName(to.trainers), trainerMembers, result);
+    compare(EntryKind::Target, targetsByName(from), targetsByName(to), targetMembers, result);
+    return result;
+}
+
+} // namespace cicadalb
--- a/packages/config/src/TomlReader.h
+++ b/packages/config/src/TomlReader.h
@@ -7,6 +7,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <limits>
@@ -46,9 +47,8 @@
 template <typename Enum, std::size_t size>
 std::vector<std::string_view> namesIn(const std::array<EnumName<Enum>, size>& table)
 {
-    std::vector<std::string_view> names;
-    for (const auto& row : table)
-        names.push_back(row.name);
+    std::vector<std::string_view> names(size);
+    std::transform(table.begin(), table.end(), names.begin(), [](const auto& row) { return row.name; });
     return names;
 }
 
@@ -96,6 +96,8 @@
     const auto* array = node.as_array();
     if (!array)
         return "must be a list";
+    if (array->empty())
+        return "must not be empty: leave the key out instead";
     for (const auto& element : *array) {
         T value {};
         if (auto problem = decode(element, value); !problem.empty())
@@ -183,7 +185,7 @@
     return checkName(identifier.value());
 }
 
-/// @brief Reports every key of @p table that is neither one of @p known nor one of @p alsoKnown.
+/// @brief Reports every key of @p table that is none of @p known.
 void reportUnknownKeys(TomlReader&, const toml::table&, std::string_view place, const std::vector<std::string_view>& known);
 
 /// @brief Sets the members that @p fields name from @p table, and reports missing, wrong and unknown keys.
@@ -194,7 +196,7 @@
     auto known = subtables;
     for (const auto& field : fields) {
         known.push_back(field.name());
-        const auto label = std::string(place) + "." + std::string(field.name());
+        auto label = std::string(place) + "." + std::string(field.name());
         const auto* node = table.get(field.name());
         if (!node) {
             if (field.isRequired())
@@ -202,7 +204,7 @@
             continue;
         }
         if (auto problem = field.read(*node, object); !problem.empty())
-            reader.report(ErrorCode::ValueInvalid, label + " " + problem, *node);
+            reader.report(ErrorCode::ValueInvalid, label.append(" ").append(problem), *node);
     }
     reportUnknownKeys(reader, table, place, known);
 }
--- a/packages/config/tests/unit-tables.cpp
+++ b/packages/config/tests/unit-tables.cpp
@@ -122,6 +122,12 @@
     CHECK(problems() == std::vector<std::string> { "error 107 table-emptied at routes.toml:1:1: the table has no routes", "error 107 table-emptied at pools.toml:1:1: the table has no pools" });
 }
 
+TEST_CASE_METHOD(TablesFixture, "list of callers, emptied, is refused instead of admitting every caller")
+{
+    replace(routes, "[\"clerks\"]", "[]");
+    checkOnlyProblem("error 104 value-invalid at routes.toml:10:11: routes.invoices.callers must not be empty: leave the key out instead");
+}
+
 TEST_CASE_METHOD(TablesFixture, "pool, without targets, is refused")
 {
     pools.erase(pools.find("[[pools.draft-model"));
@@ -149,13 +155,14 @@
 
 TEST_CASE_METHOD(TablesFixture, "accepted configuration, written and read, is the same")
 {
-    AcceptedConfiguration before { 7, routes, pools, "asha", 1234, { { EntryKind::Pool, "old" } }, "mark-1", {} };
+    AcceptedConfiguration before { 7, routes, pools, "asha", 1234, { { EntryKind::Pool, "old" } }, "mark-1", { "mark-0" }, {} };
     const auto after = acceptedConfigurationFromJson(toJson(before));
     REQUIRE(after);
     CHECK(after.value().number == before.number);
     CHECK(after.value().routesText == before.routesText);
     CHECK(after.value().retired == before.retired);
     CHECK(after.value().mark == before.mark);
+    CHECK(after.value().earlierMarks == before.earlierMarks);
     CHECK(after.value().tables.routes.size() == 2);
 }
 
