--- a/packages/routing/include/cicadalb/routing/RouteMatcher.h
+++ b/packages/routing/include/cicadalb/routing/RouteMatcher.h
@@ -3,7 +3,9 @@
 #include "cicadalb/config/Tables.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 /// @file
@@ -24,8 +26,10 @@
 public:
     explicit RouteMatcher(std::shared_ptr<const Tables>);
 
-    /// @brief The route with the longest path prefix (whole segments) whose methods include the request's.
-    /// Errors: RouteUnknown, CallerNotAllowed. Complexity: linear in the path's segments.
+    /// @brief The route with the longest path prefix (whole segments) whose methods include the request's. Among routes of one path
+    /// the first that the caller may use wins; a shorter prefix is never a way round a longer one's callers.
+    /// Errors: RequestInvalid (a path with "." or ".." segments, or not absolute), RouteUnknown, CallerNotAllowed.
+    /// Complexity: linear in the path's segments.
     Result<const Route*> match(const RouteQuery&) const;
 
     /// @brief The caller whose token this is. Errors: CallerUnknown.
@@ -40,6 +44,11 @@
 
 private:
     std::shared_ptr<const Tables> m_tables;
+    /// Routes by path without a trailing slash, in the order of the table.
+    std::unordered_map<std::string, std::vector<const Route*>> m_routesByPath;
+    std::unordered_map<std::string, CallerName> m_callersByToken;
+    std::unordered_map<std::string, TrainerName> m_trainersByToken;
+    std::unordered_map<PoolName, const Pool*> m_pools;
 };
 
 } // namespace cicadalb
--- a/packages/routing/include/cicadalb/routing/RunState.h
+++ b/packages/routing/include/cicadalb/routing/RunState.h
@@ -25,7 +25,8 @@
 
 std::string_view name(RunState) noexcept;
 
-/// @brief Run state of one request over all its attempts.
+/// @brief Run state of one request over all its attempts, one at a time. A result that comes while no attempt runs has no effect, so
+/// that a late one cannot undo what is known.
 class RequestRun {
 public:
     explicit RequestRun(bool isRepeatable) noexcept
--- a/packages/routing/src/RunState.cpp
+++ b/packages/routing/src/RunState.cpp
@@ -39,16 +39,22 @@
 
 void RequestRun::attemptNotRun()
 {
+    if (m_state != RunState::Sent)
+        return;
     m_state = m_mayHaveRun ? RunState::Unknown : RunState::NotSent;
 }
 
 void RequestRun::attemptAnswered()
 {
+    if (m_state != RunState::Sent)
+        return;
     m_state = RunState::Answered;
 }
 
 void RequestRun::attemptLost()
 {
+    if (m_state != RunState::Sent)
+        return;
     m_mayHaveRun = true;
     m_state = RunState::Unknown;
 }
--- /dev/null
+++ b/packages/routing/tests/unit-run-state.cpp
@@ -0,0 +1,72 @@
+#include "cicadalb/routing/RunState.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+
+using namespace cicadalb;
+
+namespace {
+
+/// @brief A result of an attempt, and whether it leaves open that the request ran.
+struct AttemptResult {
+    void (RequestRun::*apply)();
+    bool mayHaveRun;
+};
+
+constexpr std::array<AttemptResult, 3> attemptResults = { {
+    { &RequestRun::attemptNotRun, false },
+    { &RequestRun::attemptAnswered, true },
+    { &RequestRun::attemptLost, true },
+} };
+
+} // namespace
+
+TEST_CASE("request run, after any attempts and late results, never says not run nor runs again unduly")
+{
+    CHECK(rc::check("run state property", [](bool isRepeatable) {
+        RequestRun run(isRepeatable);
+        bool mayHaveRun = false;
+        bool isAnswered = false;
+        const auto steps = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 4));
+        for (const auto step : steps) {
+            const bool isRunning = run.state() == RunState::Sent;
+            if (step == 3) {
+                if (!isRunning && run.mayAttempt()) {
+                    RC_ASSERT(isRepeatable || !mayHaveRun);
+                    run.beginAttempt();
+                }
+            } else {
+                (run.*attemptResults.at(step).apply)();
+                mayHaveRun = mayHaveRun || (isRunning && attemptResults.at(step).mayHaveRun);
+                isAnswered = isAnswered || (isRunning && step == 1);
+            }
+            RC_ASSERT(run.isKnownNotRun() == (!mayHaveRun && run.state() != RunState::Sent));
+            RC_ASSERT(isAnswered == (run.state() == RunState::Answered));
+            RC_ASSERT(!run.mayAttempt() || isRepeatable || !mayHaveRun);
+            RC_ASSERT(!(isAnswered && run.mayAttempt()));
+        }
+    }));
+}
+
+TEST_CASE("request run, lost and then not run on a second target, stays unknown")
+{
+    RequestRun run(true);
+    run.beginAttempt();
+    run.attemptLost();
+    run.beginAttempt();
+    run.attemptNotRun();
+    CHECK(run.state() == RunState::Unknown);
+    CHECK(run.attempts() == 2);
+    CHECK(name(run.state()) == "unknown");
+}
+
+TEST_CASE("request run, of a request that is not idempotent and was lost, may not be attempted again")
+{
+    RequestRun run(false);
+    run.beginAttempt();
+    CHECK_FALSE(run.isKnownNotRun());
+    run.attemptLost();
+    CHECK_FALSE(run.mayAttempt());
+}
