--- a/cmake/CicadalbPackage.cmake
+++ b/cmake/CicadalbPackage.cmake
@@ -2,7 +2,9 @@
 
 add_library(cicadalb_options INTERFACE)
 target_compile_options(cicadalb_options INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor -Woverloaded-virtual -Werror)
+    -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wnon-virtual-dtor -Woverloaded-virtual -Werror
+    # GCC 12 reports the coroutine frame allocator of Asio, which is a pair.
+    -Wno-mismatched-new-delete)
 target_compile_definitions(cicadalb_options INTERFACE
     BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_BOOST_COROUTINE)
 target_link_libraries(cicadalb_options INTERFACE Boost::headers Threads::Threads)
--- a/packages/platform/include/cicadalb/platform/HttpClient.h
+++ b/packages/platform/include/cicadalb/platform/HttpClient.h
@@ -52,10 +52,10 @@
     std::size_t maximumBodyBytes = std::size_t { 16 } << 20U;
 };
 
-/// @brief Receives parts of an answer as they come. A handler that returns false abandons the answer and its connection.
+/// @brief Receives parts of an answer as they come; the next part is read when the handler is done. A handler that returns false abandons the answer and its connection.
 struct HttpStreamHandler {
-    std::function<bool(const HttpResponse& head)> onHead;
-    std::function<bool(std::string_view part)> onPart;
+    std::function<Task<bool>(const HttpResponse& head)> onHead;
+    std::function<Task<bool>(std::string_view part)> onPart;
 };
 
 /// @brief Lets another coroutine abandon a running exchange. The exchange then ends with Cancelled and closes its connection.
@@ -73,6 +73,7 @@
 /// @brief Client for one server. Thread-safe; the pool has its own lock.
 /// Failures of an exchange say what is known of the request: NotSent (no byte of it was written), OutcomeUnknown (it may have run:
 /// the connection broke or the deadline passed after the first byte, or the answer was cut short), Cancelled, AnswerInvalid.
+/// An answer with neither a length nor chunks cannot be told from a cut one and counts as lost.
 /// A connection that carried anything but one whole answer is closed, never pooled.
 class HttpClient {
 public:
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -193,11 +193,11 @@
     std::string body;
     bool isTooLarge = false;
     HttpStreamHandler handler;
-    handler.onPart = [&body, &isTooLarge, limit = m_state->options.maximumBodyBytes](std::string_view part) {
+    handler.onPart = [&body, &isTooLarge, limit = m_state->options.maximumBodyBytes](std::string_view part) -> Task<bool> {
         isTooLarge = body.size() + part.size() > limit;
         if (!isTooLarge)
             body.append(part);
-        return !isTooLarge;
+        co_return !isTooLarge;
     };
     auto response = co_await stream(std::move(request), deadline, std::move(handler), std::move(cancellation));
     if (isTooLarge)
@@ -247,15 +247,23 @@
     if (error)
         co_return state->brokenExchange(*connection, error, cancellation.get());
     const auto head = headOf(parser);
-    if (handler.onHead && !handler.onHead(head))
-        co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
+    if (parser.need_eof())
+        co_return failure(ErrorCode::OutcomeUnknown, "the answer states no length", state->place());
+    if (handler.onHead) {
+        const bool goesOn = co_await handler.onHead(head);
+        if (!goesOn)
+            co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
+    }
 
     std::string buffer(streamPartBytes, '\0');
     while (!parser.is_done()) {
         const auto length = co_await State::readPart(*connection, parser, buffer, error);
         if (error)
             co_return state->brokenExchange(*connection, error, cancellation.get());
-        if (length > 0 && handler.onPart && !handler.onPart(std::string_view(buffer.data(), length)))
+        if (length == 0 || !handler.onPart)
+            continue;
+        const bool goesOn = co_await handler.onPart(std::string_view(buffer.data(), length));
+        if (!goesOn)
             co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
     }
     if (parser.keep_alive() && connection->buffer.size() == 0 && !(cancellation && cancellation->isCancelled()))
--- /dev/null
+++ b/packages/transport/include/cicadalb/transport/RequestDispatcher.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "cicadalb/transport/HttpListener.h"
+#include "cicadalb/transport/Metrics.h"
+#include "cicadalb/transport/RoutingTable.h"
+#include "cicadalb/transport/TargetClients.h"
+
+#include <atomic>
+#include <memory>
+
+/// @file
+/// The life of a caller's request: caller, route, admission, attempts, answer.
+
+namespace cicadalb {
+
+struct RequestContext;
+struct AttemptResult;
+class TargetCall;
+
+struct DispatcherOptions {
+    HostId host;
+    Incarnation incarnation = 0;
+    std::size_t maximumInFlight = 2000;
+};
+
+/// @brief Serves callers' requests. Thread-safe.
+class RequestDispatcher {
+public:
+    RequestDispatcher(DispatcherOptions, RoutingTable&, TargetClients&, Metrics&, const Clock&);
+    ~RequestDispatcher();
+    RequestDispatcher(const RequestDispatcher&) = delete;
+    RequestDispatcher& operator=(const RequestDispatcher&) = delete;
+
+    Task<void> serve(ServerRequest&, ServerResponder&);
+
+    std::size_t inFlight() const noexcept { return m_inFlight; }
+
+private:
+    RequestId requestIdFor(const ServerRequest&);
+    Task<void> serveRouted(RequestContext&);
+    Task<void> attemptUntilAnswered(RequestContext&, TargetCall&);
+    Task<void> refuse(ServerRequest&, ServerResponder&, const RequestId&, const Error&, Duration retryAfter);
+    std::unique_ptr<TargetCall> callFor(const RequestContext&);
+
+    DispatcherOptions m_options;
+    RoutingTable& m_routing;
+    TargetClients& m_clients;
+    Metrics& m_metrics;
+    const Clock& m_clock;
+    std::atomic<std::uint64_t> m_nextRequest { 1 };
+    std::atomic<std::size_t> m_inFlight { 0 };
+};
+
+/// @brief The bearer token of a request, or an empty text.
+std::string_view bearerToken(const ServerRequest&) noexcept;
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/include/cicadalb/transport/TargetClients.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/transport/WorkerPool.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+/// @file
+/// Pooled HTTP connections to targets.
+
+namespace cicadalb {
+
+/// @brief One client for each pair of worker and endpoint. A client belongs to its worker's thread; each worker's map has its own lock.
+class TargetClients {
+public:
+    explicit TargetClients(WorkerPool&);
+
+    std::shared_ptr<HttpClient> client(std::size_t worker, const Endpoint&);
+    boost::asio::io_context& context(std::size_t worker) { return m_workers.context(worker); }
+
+private:
+    struct EndpointOrder {
+        bool operator()(const Endpoint& left, const Endpoint& right) const noexcept;
+    };
+    struct Shard {
+        std::mutex mutex;
+        std::map<Endpoint, std::shared_ptr<HttpClient>, EndpointOrder> clients;
+    };
+
+    WorkerPool& m_workers;
+    std::vector<std::unique_ptr<Shard>> m_shards;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -0,0 +1,141 @@
+#include "cicadalb/transport/EngineHttpClient.h"
+
+#include "EngineProtocol.h"
+#include "ForwardCall.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusConflict = 409;
+    constexpr unsigned statusServiceUnavailable = 503;
+    constexpr auto cancelTimeout = std::chrono::seconds(2);
+
+    /// Tells an engine to stop a generation; its answer does not matter.
+    Task<void> sendCancel(std::shared_ptr<HttpClient> client, RequestId id)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + cancelTimeout;
+        co_await client->send(cancelRequest(id), deadline);
+    }
+
+    /// Closes the exchange and tells the engine, both on the worker's event loop.
+    class HttpGenerationHandle final : public GenerationHandle {
+    public:
+        HttpGenerationHandle(asio::any_io_executor executor, std::shared_ptr<HttpCancellation> cancellation, std::shared_ptr<HttpClient> client, RequestId id)
+            : m_executor(std::move(executor))
+            , m_cancellation(std::move(cancellation))
+            , m_client(std::move(client))
+            , m_id(std::move(id))
+        {
+        }
+
+        void cancel() override
+        {
+            asio::dispatch(m_executor, [executor = m_executor, cancellation = m_cancellation, client = m_client, id = m_id] {
+                cancellation->cancel();
+                asio::co_spawn(executor, sendCancel(client, id), asio::detached);
+            });
+        }
+
+    private:
+        asio::any_io_executor m_executor;
+        std::shared_ptr<HttpCancellation> m_cancellation;
+        std::shared_ptr<HttpClient> m_client;
+        RequestId m_id;
+    };
+
+    Error engineRefusal(const HttpResponse& head, const TargetId& target)
+    {
+        if (head.status == statusServiceUnavailable && head.field(notRunField) == "true")
+            return Error { ErrorCode::NotSent, "the engine refused the request without running it", target.value() };
+        return Error { ErrorCode::OutcomeUnknown, "the engine answered with status " + std::to_string(head.status), target.value() };
+    }
+
+} // namespace
+
+EngineHttpClient::EngineHttpClient(TargetClients& clients, std::size_t worker, EngineDirectory directory)
+    : m_clients(clients)
+    , m_worker(worker)
+    , m_directory(std::move(directory))
+{
+}
+
+Result<std::shared_ptr<HttpClient>> EngineHttpClient::clientOf(const TargetId& target)
+{
+    const auto endpoint = m_directory(target);
+    if (!endpoint)
+        return failure(ErrorCode::NotSent, "not in the configuration", target.value());
+    return m_clients.client(m_worker, *endpoint);
+}
+
+Task<Result<Generation>> EngineHttpClient::generate(TargetId target, GenerationRequest request, TimePoint deadline,
+    std::function<void(std::shared_ptr<GenerationHandle>)> onStart,
+    std::function<void(const GenerationProgress&)> onProgress)
+{
+    const auto found = clientOf(target);
+    if (!found)
+        co_return found.as_failure();
+    const auto client = found.value();
+    const auto executor = m_clients.context(m_worker).get_executor();
+    const auto cancellation = std::make_shared<HttpCancellation>();
+    if (onStart)
+        onStart(std::make_shared<HttpGenerationHandle>(executor, cancellation, client, request.id));
+
+    GenerationReader reader;
+    bool isReadable = true;
+    HttpStreamHandler handler;
+    handler.onPart = [&reader, &isReadable, &onProgress](std::string_view part) -> Task<bool> {
+        isReadable = isReadable && reader.take(part);
+        if (isReadable && onProgress)
+            onProgress(reader.progress());
+        co_return true;
+    };
+    auto exchange = co_await client->stream(generateRequest(request), deadline, std::move(handler), cancellation);
+    if (!exchange)
+        co_return exchange.as_failure();
+    if (exchange.value().status != statusOk) {
+        auto refusal = engineRefusal(exchange.value(), target);
+        co_return failure(refusal.code, refusal.message, refusal.where);
+    }
+    if (!isReadable || !reader.isWhole())
+        co_return failure(ErrorCode::OutcomeUnknown, "the generation is not whole", target.value());
+    co_return reader.generation();
+}
+
+Task<Result<void>> EngineHttpClient::loadWeights(TargetId target, WeightOrder order, TimePoint deadline)
+{
+    const auto found = clientOf(target);
+    if (!found)
+        co_return found.as_failure();
+    const auto client = found.value();
+    auto exchange = co_await client->send(weightOrderRequest(order), deadline);
+    if (!exchange)
+        co_return exchange.as_failure();
+    const auto status = exchange.value().status;
+    if (status == statusConflict)
+        co_return failure(ErrorCode::FenceRejected, "the engine has seen a newer fencing number", target.value());
+    if (status != statusOk)
+        co_return failure(ErrorCode::OutcomeUnknown, "the engine answered with status " + std::to_string(status), target.value());
+    co_return success();
+}
+
+Task<Result<EngineStatus>> EngineHttpClient::status(TargetId target, TimePoint deadline)
+{
+    const auto found = clientOf(target);
+    if (!found)
+        co_return found.as_failure();
+    const auto client = found.value();
+    auto exchange = co_await client->send(loadRequest(), deadline);
+    if (!exchange)
+        co_return exchange.as_failure();
+    co_return engineStatusFromJson(exchange.value().body);
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/GenerateCall.cpp
@@ -0,0 +1,160 @@
+#include "GenerateCall.h"
+
+#include "EngineProtocol.h"
+#include "ForwardCall.h"
+#include "Problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusServiceUnavailable = 503;
+    constexpr unsigned maximumTokensLimit = 1U << 20U;
+    constexpr std::string_view streamType = "application/x-ndjson";
+
+    std::string joinVersions(const std::vector<WeightVersion>& versions)
+    {
+        std::string text;
+        for (const auto version : versions) {
+            if (!text.empty())
+                text += ',';
+            text += std::to_string(version);
+        }
+        return text;
+    }
+
+    HttpResponse headFor(const RequestContext& context, std::string_view contentType)
+    {
+        HttpResponse head;
+        head.status = statusOk;
+        head.fields.emplace_back("Content-Type", contentType);
+        head.fields.emplace_back(requestIdField, context.id.value());
+        head.fields.emplace_back(runStateField, name(RunState::Answered));
+        return head;
+    }
+
+    /// Follows a generation's stream; passes its lines on if the caller wants them.
+    class GenerationRelay {
+    public:
+        GenerationRelay(const RequestContext& context, bool isStreamed)
+            : m_context(context)
+            , m_isStreamed(isStreamed)
+        {
+        }
+
+        HttpStreamHandler handler()
+        {
+            HttpStreamHandler handler;
+            handler.onHead = [this](const HttpResponse& head) -> Task<bool> {
+                m_status = head.status;
+                m_saysNotRun = head.status == statusServiceUnavailable && head.field(notRunField) == "true";
+                co_return true;
+            };
+            handler.onPart = [this](std::string_view part) { return takePart(part); };
+            return handler;
+        }
+
+        bool saysNotRun() const noexcept { return m_saysNotRun; }
+        bool isWhole() const noexcept { return m_status == statusOk && m_isReadable && m_reader.isWhole(); }
+
+        Task<bool> finish()
+        {
+            const auto generation = m_reader.generation();
+            const auto versions = joinVersions(generation.versions);
+            if (m_isStreamed) {
+                HttpFields trailer { { std::string(weightVersionsField), versions } };
+                return m_context.responder.endStream(std::move(trailer));
+            }
+            auto response = headFor(m_context, "application/json");
+            response.fields.emplace_back(weightVersionsField, versions);
+            response.body = nlohmann::json { { "text", generation.text }, { "tokens", generation.tokens }, { "weight-versions", generation.versions } }.dump();
+            return m_context.responder.send(std::move(response));
+        }
+
+    private:
+        Task<bool> takePart(std::string_view part)
+        {
+            if (m_status != statusOk)
+                co_return true;
+            m_isReadable = m_isReadable && m_reader.take(part);
+            if (!m_isReadable || !m_isStreamed)
+                co_return m_isReadable;
+            if (!m_context.responder.hasBegun()) {
+                auto head = headFor(m_context, streamType);
+                head.fields.emplace_back("Trailer", weightVersionsField);
+                const bool hasBegun = co_await m_context.responder.beginStream(std::move(head));
+                if (!hasBegun)
+                    co_return false;
+            }
+            co_return co_await m_context.responder.writePart(part);
+        }
+
+        const RequestContext& m_context;
+        GenerationReader m_reader;
+        bool m_isStreamed;
+        bool m_isReadable = true;
+        bool m_saysNotRun = false;
+        unsigned m_status = 0;
+    };
+
+} // namespace
+
+Result<GenerationRequest> generationRequestFrom(const ServerRequest& request, const RequestId& id, Priority priority)
+{
+    const auto document = nlohmann::json::parse(request.body, nullptr, false);
+    if (!document.is_object())
+        return failure(ErrorCode::RequestInvalid, "not a JSON object", "body");
+    const auto prompt = document.find("prompt");
+    if (prompt == document.end() || !prompt->is_string())
+        return failure(ErrorCode::RequestInvalid, "a text is required", "body: prompt");
+    GenerationRequest generation;
+    generation.id = id;
+    generation.prompt = prompt->get<std::string>();
+    generation.priority = static_cast<unsigned>(priority);
+    const auto prefixKey = document.find("prefix-key");
+    if (prefixKey != document.end() && prefixKey->is_string())
+        generation.prefixKey = prefixKey->get<std::string>();
+    const auto maximumTokens = document.find("maximum-tokens");
+    if (maximumTokens == document.end())
+        return generation;
+    if (!maximumTokens->is_number_unsigned() || maximumTokens->get<std::uint64_t>() > maximumTokensLimit)
+        return failure(ErrorCode::RequestInvalid, "must be a whole number up to " + std::to_string(maximumTokensLimit), "body: maximum-tokens");
+    generation.maximumTokens = maximumTokens->get<unsigned>();
+    return generation;
+}
+
+Result<void> GenerateCall::check(const RequestContext& context)
+{
+    auto generation = generationRequestFrom(context.request, context.id, context.route.priority);
+    if (!generation)
+        return generation.as_failure();
+    m_request = std::move(generation.value());
+    return success();
+}
+
+Task<AttemptResult> GenerateCall::attempt(const RequestContext& context, const Target& target)
+{
+    AttemptResult result;
+    const auto client = m_clients.client(context.request.worker, Endpoint { target.address, target.port });
+    GenerationRelay relay(context, context.request.field("Accept").find(streamType) != std::string_view::npos);
+    auto exchange = co_await client->stream(generateRequest(m_request), context.deadline, relay.handler());
+    if (!exchange) {
+        result.kind = completionOf(exchange.error().code);
+        result.error = exchange.error();
+        co_return result;
+    }
+    if (relay.saysNotRun() || !relay.isWhole()) {
+        result.kind = relay.saysNotRun() ? CompletionKind::NotRun : CompletionKind::Lost;
+        result.error = Error { ErrorCode::OutcomeUnknown, "the engine gave no whole generation", target.id.value() };
+        co_return result;
+    }
+    const bool isDelivered = co_await relay.finish();
+    result.kind = isDelivered ? CompletionKind::Succeeded : CompletionKind::Abandoned;
+    result.status = statusOk;
+    co_return result;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/GenerateCall.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "RequestContext.h"
+
+#include "cicadalb/rollout/EngineClient.h"
+#include "cicadalb/transport/TargetClients.h"
+
+/// @file
+/// Runs a caller's generation on a model engine.
+
+namespace cicadalb {
+
+/// @brief Answers with one JSON document, or with the engine's lines as they come if the caller accepts application/x-ndjson.
+class GenerateCall final : public TargetCall {
+public:
+    explicit GenerateCall(TargetClients& clients)
+        : m_clients(clients)
+    {
+    }
+    Result<void> check(const RequestContext&) override;
+    Task<AttemptResult> attempt(const RequestContext&, const Target&) override;
+
+private:
+    TargetClients& m_clients;
+    GenerationRequest m_request;
+};
+
+/// @brief Reads a caller's generation request. Errors: RequestInvalid.
+Result<GenerationRequest> generationRequestFrom(const ServerRequest&, const RequestId&, Priority);
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/HttpListener.cpp
@@ -0,0 +1,392 @@
+#include "cicadalb/transport/HttpListener.h"
+
+#include "Problem.h"
+
+#include "cicadalb/base/Event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+    /// How long a connection may wait for a request once the listener stops.
+    constexpr auto stoppingIdleTimeout = std::chrono::milliseconds(200);
+
+    auto token(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
+
+    using RequestParser = http::request_parser<http::string_body>;
+
+    ServerRequest toServerRequest(RequestParser& parser, std::size_t worker)
+    {
+        auto& message = parser.get();
+        ServerRequest request;
+        request.method = std::string(message.method_string());
+        const std::string_view target(message.target().data(), message.target().size());
+        const auto mark = target.find('?');
+        request.path = std::string(target.substr(0, mark));
+        if (mark != std::string_view::npos)
+            request.query = std::string(target.substr(mark + 1));
+        request.fields.reserve(8);
+        for (const auto& field : message)
+            request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        request.body = std::move(message.body());
+        request.worker = worker;
+        request.receivedAt = std::chrono::steady_clock::now();
+        return request;
+    }
+
+    /// Status for a request that could not be read.
+    unsigned statusOf(const beast::error_code& error)
+    {
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == http::error::header_limit)
+            return 431;
+        if (error == beast::error::timeout)
+            return 408;
+        return 400;
+    }
+
+    /// State of a listener that its sessions see.
+    struct ListenerCounters {
+        /// No new connections, and no wait for requests on the present ones.
+        std::atomic<bool> isStopping { false };
+        /// Each connection ends after its present answer.
+        std::atomic<bool> isDraining { false };
+        std::atomic<std::size_t> inFlight { 0 };
+        std::atomic<std::size_t> connections { 0 };
+    };
+
+    /// One connection of a caller.
+    class Session final : public ServerResponder {
+    public:
+        Session(asio::ip::tcp::socket socket, const HttpListenerOptions& options, const ListenerCounters& counters, std::size_t worker)
+            : m_stream(std::move(socket))
+            , m_options(options)
+            , m_worker(worker)
+            , m_isStopping(&counters.isStopping)
+            , m_isDraining(&counters.isDraining)
+        {
+        }
+
+        /// Ends the connection if no byte of another request has come.
+        void closeIfIdle()
+        {
+            beast::error_code error;
+            if (m_isBetweenRequests && m_stream.socket().available(error) == 0)
+                m_stream.cancel();
+        }
+
+        /// Serves requests until the connection ends.
+        Task<void> run(const ServerHandler& handler, ListenerCounters& counters)
+        {
+            beast::error_code error;
+            m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+            bool goesOn = true;
+            while (goesOn)
+                goesOn = co_await serveOne(handler, counters);
+            m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        }
+
+        Task<bool> send(HttpResponse response) override
+        {
+            http::response<http::string_body> message { http::int_to_status(response.status), 11 };
+            message.result(response.status);
+            for (const auto& [name, value] : response.fields)
+                message.insert(name, value);
+            message.body() = std::move(response.body);
+            if (m_isHeadRequest)
+                message.content_length(message.body().size());
+            else
+                message.prepare_payload();
+            message.keep_alive(mayKeepAlive());
+            m_hasBegun = true;
+            http::response_serializer<http::string_body> serializer(message);
+            m_stream.expires_after(m_options.writeTimeout);
+            beast::error_code error;
+            if (m_isHeadRequest)
+                co_await http::async_write_header(m_stream, serializer, token(error));
+            else
+                co_await http::async_write(m_stream, serializer, token(error));
+            m_isAnswered = !error;
+            co_return m_isAnswered;
+        }
+
+        Task<bool> beginStream(HttpResponse head) override
+        {
+            http::response<http::empty_body> message;
+            message.version(11);
+            message.result(head.status);
+            for (const auto& [name, value] : head.fields)
+                message.insert(name, value);
+            message.chunked(true);
+            message.keep_alive(mayKeepAlive());
+            m_hasBegun = true;
+            http::response_serializer<http::empty_body> serializer(message);
+            m_stream.expires_after(m_options.writeTimeout);
+            beast::error_code error;
+            co_await http::async_write_header(m_stream, serializer, token(error));
+            co_return !error;
+        }
+
+        Task<bool> writePart(std::string_view part) override
+        {
+            m_stream.expires_after(m_options.writeTimeout);
+            beast::error_code error;
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(part)), token(error));
+            co_return !error;
+        }
+
+        Task<bool> endStream(HttpFields trailer) override
+        {
+            http::fields fields;
+            for (const auto& [name, value] : trailer)
+                fields.insert(name, value);
+            m_stream.expires_after(m_options.writeTimeout);
+            beast::error_code error;
+            co_await asio::async_write(m_stream, http::make_chunk_last(fields), token(error));
+            m_isAnswered = !error;
+            co_return m_isAnswered;
+        }
+
+        bool hasBegun() const noexcept override { return m_hasBegun; }
+
+    private:
+        bool mayKeepAlive() const noexcept { return m_requestKeepsAlive && !*m_isDraining; }
+
+        /// Waits for the first byte of a request.
+        Task<bool> waitForRequest()
+        {
+            if (m_buffer.size() > 0)
+                co_return true;
+            m_isBetweenRequests = true;
+            m_stream.expires_after(*m_isStopping ? stoppingIdleTimeout : m_options.idleTimeout);
+            beast::error_code error;
+            const auto length = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), token(error));
+            m_isBetweenRequests = false;
+            m_buffer.commit(length);
+            co_return !error;
+        }
+
+        Task<beast::error_code> readRequest(RequestParser& parser)
+        {
+            beast::error_code error;
+            m_stream.expires_after(m_options.headerTimeout);
+            co_await http::async_read_header(m_stream, m_buffer, parser, token(error));
+            if (error)
+                co_return error;
+            m_stream.expires_after(m_options.bodyTimeout);
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+                http::response<http::empty_body> proceed { http::status::continue_, 11 };
+                co_await http::async_write(m_stream, proceed, token(error));
+            }
+            if (!error)
+                co_await http::async_read(m_stream, m_buffer, parser, token(error));
+            co_return error;
+        }
+
+        /// @return whether the connection may carry another request
+        Task<bool> serveOne(const ServerHandler& handler, ListenerCounters& counters)
+        {
+            m_hasBegun = false;
+            m_isAnswered = false;
+            m_isHeadRequest = false;
+            m_requestKeepsAlive = false;
+            const bool hasRequest = co_await waitForRequest();
+            if (!hasRequest)
+                co_return false;
+            struct Counted {
+                std::atomic<std::size_t>& count;
+                explicit Counted(std::atomic<std::size_t>& counter)
+                    : count(counter)
+                {
+                    ++count;
+                }
+                Counted(const Counted&) = delete;
+                Counted& operator=(const Counted&) = delete;
+                ~Counted() { --count; }
+            } counted(counters.inFlight);
+
+            RequestParser parser;
+            parser.header_limit(m_options.maximumHeaderBytes);
+            parser.body_limit(m_options.maximumBodyBytes);
+            const auto error = co_await readRequest(parser);
+            if (error) {
+                co_await refuseMalformed(error);
+                co_return false;
+            }
+            m_requestKeepsAlive = parser.get().keep_alive();
+            m_isHeadRequest = parser.get().method() == http::verb::head;
+            auto request = toServerRequest(parser, m_worker);
+            m_stream.expires_never();
+            co_await handler(request, *this);
+            co_return m_isAnswered&& mayKeepAlive();
+        }
+
+        Task<void> refuseMalformed(beast::error_code error)
+        {
+            logEvent(Event::RequestMalformed, { { "cause", error.message() } });
+            ProblemDetails details;
+            details.status = statusOf(error);
+            auto response = problemResponse(Error { ErrorCode::RequestInvalid, error.message(), "request" }, details);
+            co_await send(std::move(response));
+        }
+
+        static constexpr std::size_t firstReadBytes = 4096;
+
+        beast::tcp_stream m_stream;
+        beast::flat_buffer m_buffer;
+        const HttpListenerOptions& m_options;
+        std::size_t m_worker;
+        const std::atomic<bool>* m_isStopping;
+        const std::atomic<bool>* m_isDraining;
+        bool m_isBetweenRequests = true;
+        bool m_requestKeepsAlive = false;
+        bool m_isHeadRequest = false;
+        bool m_hasBegun = false;
+        bool m_isAnswered = false;
+    };
+
+} // namespace
+
+std::string_view ServerRequest::field(std::string_view name) const noexcept
+{
+    for (const auto& [key, value] : fields) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+class HttpListener::Implementation : public std::enable_shared_from_this<HttpListener::Implementation> {
+public:
+    Implementation(WorkerPool& workers, HttpListenerOptions options, ServerHandler handler)
+        : m_workers(workers)
+        , m_options(std::move(options))
+        , m_handler(std::move(handler))
+        , m_acceptor(workers.context(0))
+        , m_shards(workers.size())
+    {
+    }
+
+    Result<void> start()
+    {
+        beast::error_code error;
+        const auto address = asio::ip::make_address(m_options.address, error);
+        const asio::ip::tcp::endpoint endpoint(address, m_options.port);
+        if (!error)
+            m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return failure(ErrorCode::Unavailable, error.message(), m_options.address + ":" + std::to_string(m_options.port));
+        m_port = m_acceptor.local_endpoint().port();
+        asio::co_spawn(m_workers.context(0), accept(shared_from_this()), asio::detached);
+        return success();
+    }
+
+    void beginDraining() { m_counters.isDraining = true; }
+
+    void stopAccepting()
+    {
+        m_counters.isDraining = true;
+        m_counters.isStopping = true;
+        asio::post(m_workers.context(0), [self = shared_from_this()] {
+            beast::error_code error;
+            self->m_acceptor.close(error);
+        });
+        for (std::size_t i = 0; i < m_shards.size(); ++i)
+            asio::post(m_workers.context(i), [self = shared_from_this(), i] { self->closeIdle(i); });
+    }
+
+    std::uint16_t port() const noexcept { return m_port; }
+    std::size_t requestsInFlight() const noexcept { return m_counters.inFlight; }
+    std::size_t connections() const noexcept { return m_counters.connections; }
+
+private:
+    /// Sessions of one worker; touched on its thread alone.
+    struct Shard {
+        std::set<std::shared_ptr<Session>> sessions;
+    };
+
+    static Task<void> accept(std::shared_ptr<Implementation> self)
+    {
+        std::size_t next = 0;
+        while (!self->m_counters.isStopping) {
+            beast::error_code error;
+            const auto worker = next++ % self->m_workers.size();
+            auto socket = co_await self->m_acceptor.async_accept(self->m_workers.context(worker), token(error));
+            if (!self->m_acceptor.is_open())
+                co_return;
+            if (error) {
+                asio::steady_timer timer(self->m_workers.context(0), acceptRetryDelay);
+                co_await timer.async_wait(token(error));
+                continue;
+            }
+            if (self->m_counters.connections >= self->m_options.maximumConnections)
+                continue;
+            ++self->m_counters.connections;
+            auto session = std::make_shared<Session>(std::move(socket), self->m_options, self->m_counters, worker);
+            asio::co_spawn(self->m_workers.context(worker), serve(self, std::move(session), worker), asio::detached);
+        }
+    }
+
+    static Task<void> serve(std::shared_ptr<Implementation> self, std::shared_ptr<Session> session, std::size_t worker)
+    {
+        self->m_shards[worker].sessions.insert(session);
+        co_await session->run(self->m_handler, self->m_counters);
+        self->m_shards[worker].sessions.erase(session);
+        --self->m_counters.connections;
+    }
+
+    void closeIdle(std::size_t worker)
+    {
+        for (const auto& session : m_shards[worker].sessions)
+            session->closeIfIdle();
+    }
+
+    WorkerPool& m_workers;
+    HttpListenerOptions m_options;
+    ServerHandler m_handler;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<Shard> m_shards;
+    std::uint16_t m_port = 0;
+    ListenerCounters m_counters;
+};
+
+HttpListener::HttpListener(WorkerPool& workers, HttpListenerOptions options, ServerHandler handler)
+    : m_implementation(std::make_shared<Implementation>(workers, std::move(options), std::move(handler)))
+{
+}
+
+HttpListener::~HttpListener() = default;
+Result<void> HttpListener::start() { return m_implementation->start(); }
+std::uint16_t HttpListener::port() const noexcept { return m_implementation->port(); }
+void HttpListener::beginDraining() { m_implementation->beginDraining(); }
+void HttpListener::stopAccepting() { m_implementation->stopAccepting(); }
+std::size_t HttpListener::requestsInFlight() const noexcept { return m_implementation->requestsInFlight(); }
+std::size_t HttpListener::connections() const noexcept { return m_implementation->connections(); }
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/RequestContext.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/Identifier.h"
+#include "cicadalb/config/Tables.h"
+#include "cicadalb/routing/RunState.h"
+#include "cicadalb/transport/HttpListener.h"
+#include "cicadalb/transport/PoolGate.h"
+#include "cicadalb/transport/RoutingTable.h"
+
+#include <memory>
+
+/// @file
+/// What is known of a request while it is served.
+
+namespace cicadalb {
+
+/// @brief One caller's request with its route. Lives as long as its serving coroutine.
+struct RequestContext {
+    ServerRequest& request;
+    ServerResponder& responder;
+    std::shared_ptr<const RoutingSnapshot> snapshot;
+    const Route& route;
+    std::shared_ptr<PoolGate> gate;
+    CallerName caller;
+    RequestId id;
+    TimePoint deadline;
+};
+
+/// @brief How one attempt on a target ended.
+struct AttemptResult {
+    CompletionKind kind = CompletionKind::Succeeded;
+    /// Status told to the caller, if an answer was passed on.
+    unsigned status = 0;
+    /// Set unless the answer was passed on.
+    Error error { ErrorCode::OutcomeUnknown, {}, {} };
+    /// Body of an answer that was passed on whole and is small enough to keep.
+    std::string body;
+};
+
+/// @brief Carries out attempts of one request on targets; a strategy for each kind of target.
+class TargetCall {
+public:
+    virtual ~TargetCall() = default;
+    /// @brief Checks the request before it is admitted. Errors: RequestInvalid.
+    virtual Result<void> check(const RequestContext&) = 0;
+    /// @brief One attempt. On success the answer has been passed on to the caller.
+    virtual Task<AttemptResult> attempt(const RequestContext&, const Target&) = 0;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -0,0 +1,227 @@
+#include "cicadalb/transport/RequestDispatcher.h"
+
+#include "ForwardCall.h"
+#include "GenerateCall.h"
+#include "Problem.h"
+#include "RequestContext.h"
+
+#include "cicadalb/base/Event.h"
+
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr std::size_t maximumRequestIdLength = 128;
+    constexpr unsigned maximumAttempts = 3;
+    constexpr auto overloadRetryAfter = std::chrono::seconds(1);
+
+    bool isRequestIdCharacter(char character) noexcept
+    {
+        return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_' || character == '.';
+    }
+
+    bool isValidRequestId(std::string_view text) noexcept
+    {
+        return !text.empty() && text.size() <= maximumRequestIdLength && std::all_of(text.begin(), text.end(), isRequestIdCharacter);
+    }
+
+    /// Time that the caller is ready to wait: "Prefer: wait=SECONDS" (RFC 7240), or nothing.
+    std::optional<std::chrono::seconds> waitPreference(const ServerRequest& request)
+    {
+        constexpr std::string_view key = "wait=";
+        const auto field = request.field("Prefer");
+        const auto begin = field.find(key);
+        if (begin == std::string_view::npos)
+            return std::nullopt;
+        const auto digits = field.substr(begin + key.size());
+        const auto length = std::min(digits.find_first_not_of("0123456789"), digits.size());
+        unsigned seconds = 0;
+        if (!boost::conversion::try_lexical_convert(digits.substr(0, length), seconds))
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
+    TimePoint deadlineFor(const ServerRequest& request, const Route& route)
+    {
+        Duration patience = route.timeout;
+        if (const auto wait = waitPreference(request))
+            patience = std::min<Duration>(patience, *wait);
+        return request.receivedAt + patience;
+    }
+
+    /// Counts a request for as long as it lives.
+    class InFlight {
+    public:
+        explicit InFlight(std::atomic<std::size_t>& count)
+            : m_count(count)
+            , m_present(++count)
+        {
+        }
+        InFlight(const InFlight&) = delete;
+        InFlight& operator=(const InFlight&) = delete;
+        ~InFlight() { --m_count; }
+        std::size_t present() const noexcept { return m_present; }
+
+    private:
+        std::atomic<std::size_t>& m_count;
+        std::size_t m_present;
+    };
+
+    /// Moves the run state on after an attempt.
+    void record(RequestRun& run, CompletionKind kind)
+    {
+        switch (kind) {
+        case CompletionKind::Succeeded:
+        case CompletionKind::ServerError:
+            return run.attemptAnswered();
+        case CompletionKind::NotRun:
+            return run.attemptNotRun();
+        case CompletionKind::Lost:
+        case CompletionKind::Abandoned:
+            return run.attemptLost();
+        }
+    }
+
+    Error admissionError(const Admission& admission, const Pool& pool)
+    {
+        const auto message = admission.reason == ErrorCode::NoTargetAvailable ? "no target can take the request" : "all targets are busy";
+        return Error { admission.reason, message, "pool " + pool.name.value() };
+    }
+
+} // namespace
+
+std::string_view bearerToken(const ServerRequest& request) noexcept
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto field = request.field("Authorization");
+    return field.substr(0, scheme.size()) == scheme ? field.substr(scheme.size()) : std::string_view();
+}
+
+RequestDispatcher::RequestDispatcher(DispatcherOptions options, RoutingTable& routing, TargetClients& clients, Metrics& metrics, const Clock& clock)
+    : m_options(std::move(options))
+    , m_routing(routing)
+    , m_clients(clients)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+RequestDispatcher::~RequestDispatcher() = default;
+
+RequestId RequestDispatcher::requestIdFor(const ServerRequest& request)
+{
+    const auto given = request.field(requestIdField);
+    if (isValidRequestId(given))
+        return RequestId(std::string(given));
+    const auto number = m_nextRequest++;
+    return RequestId(m_options.host.value() + "-" + std::to_string(m_options.incarnation) + "-" + std::to_string(number));
+}
+
+Task<void> RequestDispatcher::serve(ServerRequest& request, ServerResponder& responder)
+{
+    const auto id = requestIdFor(request);
+    const InFlight counted(m_inFlight);
+    if (counted.present() > m_options.maximumInFlight) {
+        co_await refuse(request, responder, id, Error { ErrorCode::Overloaded, "too many requests in flight", "host" }, overloadRetryAfter);
+        co_return;
+    }
+    const auto snapshot = m_routing.snapshot();
+    if (!snapshot) {
+        co_await refuse(request, responder, id, Error { ErrorCode::Unavailable, "no configuration has been accepted yet", "host" }, overloadRetryAfter);
+        co_return;
+    }
+    const auto caller = snapshot->matcher.callerByToken(bearerToken(request));
+    if (!caller) {
+        co_await refuse(request, responder, id, caller.error(), {});
+        co_return;
+    }
+    const auto route = snapshot->matcher.match(RouteQuery { request.method, request.path, caller.value() });
+    if (!route) {
+        co_await refuse(request, responder, id, route.error(), {});
+        co_return;
+    }
+    const auto gate = snapshot->gate(route.value()->pool);
+    RequestContext context { request, responder, snapshot, *route.value(), gate, caller.value(), id, deadlineFor(request, *route.value()) };
+    co_await serveRouted(context);
+}
+
+Task<void> RequestDispatcher::serveRouted(RequestContext& context)
+{
+    const auto call = callFor(context);
+    const auto checked = call->check(context);
+    if (!checked) {
+        co_await refuse(context.request, context.responder, context.id, checked.error(), {});
+        co_return;
+    }
+    co_await attemptUntilAnswered(context, *call);
+}
+
+std::unique_ptr<TargetCall> RequestDispatcher::callFor(const RequestContext& context)
+{
+    if (context.gate->pool().kind == TargetKind::ModelEngine)
+        return std::make_unique<GenerateCall>(m_clients);
+    return std::make_unique<ForwardCall>(m_clients);
+}
+
+Task<void> RequestDispatcher::attemptUntilAnswered(RequestContext& context, TargetCall& call)
+{
+    RequestRun run(context.route.repeatable);
+    Demand demand { context.route.priority, context.deadline, std::nullopt, {} };
+    ProblemDetails details;
+    details.requestId = context.id.value();
+    Error error { ErrorCode::NoTargetAvailable, {}, {} };
+    unsigned status = 0;
+    while (run.mayAttempt() && run.attempts() < maximumAttempts) {
+        const auto admission = co_await context.gate->admit(demand);
+        if (admission.kind != AdmissionKind::Admitted) {
+            error = admissionError(admission, context.gate->pool());
+            details.retryAfter = admission.retryAfter;
+            break;
+        }
+        const auto target = context.gate->target(admission.target);
+        const auto begin = m_clock.now();
+        run.beginAttempt();
+        m_metrics.countAttempt(context.route.name);
+        AttemptResult result { CompletionKind::NotRun, 0, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() }, {} };
+        if (target)
+            result = co_await call.attempt(context, *target);
+        context.gate->finished(admission.target, Completion { result.kind, m_clock.now() - begin });
+        record(run, result.kind);
+        demand.excluded.push_back(admission.target);
+        error = result.error;
+        status = result.status;
+        if (run.state() == RunState::Answered || context.responder.hasBegun() || m_clock.now() >= context.deadline)
+            break;
+    }
+    if (run.state() != RunState::Answered && !context.responder.hasBegun()) {
+        if (m_clock.now() >= context.deadline)
+            error.code = ErrorCode::DeadlineExceeded;
+        details.runState = run.state();
+        if (run.isKnownNotRun() && details.retryAfter == Duration::zero())
+            details.retryAfter = overloadRetryAfter;
+        const auto response = problemResponse(error, details);
+        status = response.status;
+        logEvent(run.isKnownNotRun() ? Event::RequestRefused : Event::RequestOutcomeUnknown,
+            { { "request", context.id.value() }, { "route", context.route.name.value() }, { "cause", describe(error) } });
+        co_await context.responder.send(response);
+    }
+    m_metrics.countRequest(RequestOutcome { context.route.name, status, run.state(), m_clock.now() - context.request.receivedAt });
+}
+
+Task<void> RequestDispatcher::refuse(ServerRequest& request, ServerResponder& responder, const RequestId& id, const Error& error, Duration retryAfter)
+{
+    ProblemDetails details;
+    details.retryAfter = retryAfter;
+    details.requestId = id.value();
+    const auto response = problemResponse(error, details);
+    logEvent(Event::RequestRefused, { { "request", id.value() }, { "cause", describe(error) } });
+    m_metrics.countRequest(RequestOutcome { RouteName("none"), response.status, RunState::NotSent, m_clock.now() - request.receivedAt });
+    co_await responder.send(response);
+}
+
+} // namespace cicadalb
