--- /dev/null
+++ b/packages/platform/include/cicadalb/platform/HttpKeyValueService.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/platform/KeyValueService.h"
+
+#include <memory>
+
+/// @file
+/// The key-value service over HTTP with JSON.
+
+namespace cicadalb {
+
+class JsonClient;
+
+/// @brief Client of the key-value service. Thread-safe. A call ends within two seconds; a watch within its patience and two seconds.
+class HttpKeyValueService final : public KeyValueService {
+public:
+    HttpKeyValueService(boost::asio::any_io_executor, Endpoint, HttpClientOptions = {});
+    ~HttpKeyValueService() override;
+    HttpKeyValueService(const HttpKeyValueService&) = delete;
+    HttpKeyValueService& operator=(const HttpKeyValueService&) = delete;
+
+    Task<Result<std::optional<KeyValueEntry>>> read(std::string key) override;
+    Task<Result<std::vector<KeyValueEntry>>> list(std::string prefix) override;
+    Task<Result<Revision>> compareAndSwap(CompareAndSwap) override;
+    Task<Result<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) override;
+    Task<Result<void>> renewLease(LeaseId) override;
+    Task<Result<void>> releaseLease(LeaseId) override;
+    Task<Result<WatchResult>> watch(std::string prefix, Revision after, std::chrono::milliseconds patience) override;
+
+private:
+    std::unique_ptr<JsonClient> m_client;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/platform/src/HttpKeyValueService.cpp
@@ -0,0 +1,153 @@
+#include "cicadalb/platform/HttpKeyValueService.h"
+
+#include "JsonClient.h"
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusConflict = 409;
+
+    std::optional<KeyValueEntry> entryFrom(const nlohmann::json& json)
+    {
+        auto key = textIn(json, "key");
+        auto value = textIn(json, "value");
+        const auto revision = numberIn(json, "revision");
+        if (!key || !value || !revision)
+            return std::nullopt;
+        return KeyValueEntry { std::move(*key), std::move(*value), *revision };
+    }
+
+    std::optional<std::vector<KeyValueEntry>> entriesFrom(const nlohmann::json& json)
+    {
+        const auto* array = arrayIn(json, "entries");
+        if (!array)
+            return std::nullopt;
+        std::vector<KeyValueEntry> entries;
+        for (const auto& element : *array) {
+            auto entry = entryFrom(element);
+            if (!entry)
+                return std::nullopt;
+            entries.push_back(std::move(*entry));
+        }
+        return entries;
+    }
+
+    std::string leasePath(LeaseId lease) { return "/leases/" + std::to_string(lease); }
+
+    /// A write whose answer cannot be read may have taken effect.
+    Error unreadableWrite(const JsonAnswer& answer, std::string place)
+    {
+        return Error { ErrorCode::OutcomeUnknown, "unreadable answer with status " + std::to_string(answer.status), std::move(place) };
+    }
+
+    Error unreadableRead(std::string place) { return Error { ErrorCode::AnswerInvalid, "unreadable answer", std::move(place) }; }
+
+    auto failed(Error error) { return failure(error.code, std::move(error.message), std::move(error.where)); }
+
+} // namespace
+
+HttpKeyValueService::HttpKeyValueService(boost::asio::any_io_executor executor, Endpoint endpoint, HttpClientOptions options)
+    : m_client(std::make_unique<JsonClient>(std::move(executor), std::move(endpoint), options))
+{
+}
+
+HttpKeyValueService::~HttpKeyValueService() = default;
+
+Task<Result<std::optional<KeyValueEntry>>> HttpKeyValueService::read(std::string key)
+{
+    std::string target = "/kv/" + encodeKey(key);
+    auto answer = co_await m_client->read(std::move(target), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    if (answer.value().status == statusNotFound)
+        co_return std::optional<KeyValueEntry>();
+    auto entry = entryFrom(answer.value().body);
+    if (!entry)
+        co_return failed(unreadableRead(m_client->place()));
+    co_return std::move(entry);
+}
+
+Task<Result<std::vector<KeyValueEntry>>> HttpKeyValueService::list(std::string prefix)
+{
+    std::string target = "/kv?prefix=" + encodeKey(prefix);
+    auto answer = co_await m_client->read(std::move(target), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    auto entries = entriesFrom(answer.value().body);
+    if (!entries)
+        co_return failed(unreadableRead(m_client->place()));
+    co_return std::move(*entries);
+}
+
+Task<Result<Revision>> HttpKeyValueService::compareAndSwap(CompareAndSwap swap)
+{
+    std::string target = "/kv/" + encodeKey(swap.key);
+    nlohmann::json body { { "value", std::move(swap.value) }, { "expected", swap.expected }, { "lease", swap.lease } };
+    auto answer = co_await m_client->exchange("PUT", std::move(target), std::move(body), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    if (answer.value().status == statusConflict)
+        co_return failure(ErrorCode::Conflict, "the revision differs", swap.key);
+    if (answer.value().status == statusNotFound)
+        co_return failure(ErrorCode::LeaseLost, "the lease has lapsed", swap.key);
+    const auto revision = numberIn(answer.value().body, "revision");
+    if (answer.value().status != statusOk || !revision)
+        co_return failed(unreadableWrite(answer.value(), m_client->place()));
+    co_return *revision;
+}
+
+Task<Result<LeaseId>> HttpKeyValueService::grantLease(std::chrono::milliseconds timeToLive)
+{
+    nlohmann::json body { { "ttl-ms", timeToLive.count() } };
+    auto answer = co_await m_client->exchange("POST", "/leases", std::move(body), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    const auto lease = numberIn(answer.value().body, "lease");
+    if (answer.value().status != statusOk || !lease)
+        co_return failed(unreadableWrite(answer.value(), m_client->place()));
+    co_return *lease;
+}
+
+Task<Result<void>> HttpKeyValueService::renewLease(LeaseId lease)
+{
+    std::string target = leasePath(lease) + "/renew";
+    auto answer = co_await m_client->exchange("POST", std::move(target), nlohmann::json::object(), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    if (answer.value().status == statusNotFound)
+        co_return failure(ErrorCode::LeaseLost, "the lease has lapsed", std::to_string(lease));
+    if (answer.value().status != statusOk)
+        co_return failed(unreadableWrite(answer.value(), m_client->place()));
+    co_return success();
+}
+
+Task<Result<void>> HttpKeyValueService::releaseLease(LeaseId lease)
+{
+    std::string target = leasePath(lease);
+    auto answer = co_await m_client->exchange("DELETE", std::move(target), nullptr, callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    const auto status = answer.value().status;
+    if (status >= 300 && status != statusNotFound)
+        co_return failed(unreadableWrite(answer.value(), m_client->place()));
+    co_return success();
+}
+
+Task<Result<WatchResult>> HttpKeyValueService::watch(std::string prefix, Revision after, std::chrono::milliseconds patience)
+{
+    std::string target = "/watch?prefix=" + encodeKey(prefix) + "&after=" + std::to_string(after);
+    target += "&wait-ms=" + std::to_string(patience.count());
+    auto answer = co_await m_client->read(std::move(target), patience + callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    auto entries = entriesFrom(answer.value().body);
+    const auto revision = numberIn(answer.value().body, "revision");
+    if (!entries || !revision)
+        co_return failed(unreadableRead(m_client->place()));
+    co_return WatchResult { std::move(*entries), *revision };
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/platform/src/HttpWeightStore.cpp
@@ -0,0 +1,28 @@
+#include "cicadalb/platform/HttpWeightStore.h"
+
+#include "JsonClient.h"
+
+namespace cicadalb {
+
+HttpWeightStore::HttpWeightStore(boost::asio::any_io_executor executor, Endpoint endpoint, HttpClientOptions options)
+    : m_client(std::make_unique<JsonClient>(std::move(executor), std::move(endpoint), options))
+{
+}
+
+HttpWeightStore::~HttpWeightStore() = default;
+
+Task<Result<WeightVersion>> HttpWeightStore::latestVersion(std::string model)
+{
+    std::string target = "/weights/" + encodeKey(model);
+    auto answer = co_await m_client->read(std::move(target), callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    if (answer.value().status == 404)
+        co_return failure(ErrorCode::NameUnknown, "no such model in the weight store", model);
+    const auto version = numberIn(answer.value().body, "version");
+    if (!version)
+        co_return failure(ErrorCode::AnswerInvalid, "unreadable answer", m_client->place());
+    co_return *version;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/platform/tests/support/cicadalb/platform/FakeKeyValueService.h
@@ -0,0 +1,267 @@
+#pragma once
+
+#include "cicadalb/platform/KeyValueService.h"
+
+#include "cicadalb/base/Clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+/// @file
+/// The key-value service in memory, on a paused clock, with faults on demand. For one thread.
+
+namespace cicadalb {
+
+/// @brief What goes wrong with one call.
+enum class CallFault : std::uint8_t { None,
+    /// Refused, nothing happened.
+    Unavailable,
+    /// Never sent.
+    NotSent,
+    /// It took effect, the answer was lost.
+    AnswerLost,
+    /// It was lost on its way; the client cannot tell this from AnswerLost.
+    RequestLost };
+
+enum class CallKind : std::uint8_t { Read,
+    Write,
+    Lease,
+    Watch };
+
+struct CallCounts {
+    std::size_t reads = 0;
+    std::size_t writes = 0;
+    std::size_t leases = 0;
+    std::size_t watches = 0;
+
+    std::size_t total() const { return reads + writes + leases + watches; }
+};
+
+class FakeKeyValueService final : public KeyValueService {
+public:
+    FakeKeyValueService(boost::asio::any_io_executor executor, ManualClock& clock)
+        : m_executor(std::move(executor))
+        , m_clock(clock)
+    {
+    }
+
+    /// Decides the fault of each call; none by default.
+    std::function<CallFault(CallKind)> faultOf = [](CallKind) { return CallFault::None; };
+    /// Time by which each answer is late.
+    Duration delay { 0 };
+
+    const CallCounts& counts() const { return m_counts; }
+    const std::map<std::string, KeyValueEntry>& entries() const { return m_entries; }
+
+    /// @brief Advances the clock, drops what lapsed and wakes the calls that are due. Run the executor afterwards.
+    void advance(Duration by)
+    {
+        m_clock.advance(by);
+        dropLapsedLeases();
+        wake();
+    }
+
+    /// @brief Writes past the interface, as another client would.
+    Revision put(std::string key, std::string value) { return store(std::move(key), std::move(value), 0); }
+
+    Task<Result<std::optional<KeyValueEntry>>> read(std::string key) override
+    {
+        const auto fault = begin(CallKind::Read, m_counts.reads);
+        co_await waitFor(delay);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end())
+            co_return std::optional<KeyValueEntry>();
+        co_return std::optional<KeyValueEntry>(found->second);
+    }
+
+    Task<Result<std::vector<KeyValueEntry>>> list(std::string prefix) override
+    {
+        const auto fault = begin(CallKind::Read, m_counts.reads);
+        co_await waitFor(delay);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        co_return changedAfter(prefix, 0);
+    }
+
+    Task<Result<Revision>> compareAndSwap(CompareAndSwap swap) override
+    {
+        const auto fault = begin(CallKind::Write, m_counts.writes);
+        if (const auto error = refusal(fault))
+            co_return failure(*error, "fault");
+        auto result = apply(std::move(swap));
+        co_await waitFor(delay);
+        if (fault == CallFault::AnswerLost)
+            co_return failure(ErrorCode::OutcomeUnknown, "answer lost");
+        co_return std::move(result);
+    }
+
+    Task<Result<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) override
+    {
+        const auto fault = begin(CallKind::Lease, m_counts.leases);
+        if (const auto error = refusal(fault))
+            co_return failure(*error, "fault");
+        const LeaseId lease = ++m_lastLease;
+        m_leases[lease] = Lease { timeToLive, m_clock.now() + timeToLive };
+        co_await waitFor(delay);
+        if (fault == CallFault::AnswerLost)
+            co_return failure(ErrorCode::OutcomeUnknown, "answer lost");
+        co_return lease;
+    }
+
+    Task<Result<void>> renewLease(LeaseId lease) override
+    {
+        const auto fault = begin(CallKind::Lease, m_counts.leases);
+        if (const auto error = refusal(fault))
+            co_return failure(*error, "fault");
+        dropLapsedLeases();
+        const auto found = m_leases.find(lease);
+        if (found != m_leases.end())
+            found->second.expiry = m_clock.now() + found->second.timeToLive;
+        const bool isHeld = found != m_leases.end();
+        co_await waitFor(delay);
+        if (fault == CallFault::AnswerLost)
+            co_return failure(ErrorCode::OutcomeUnknown, "answer lost");
+        if (!isHeld)
+            co_return failure(ErrorCode::LeaseLost, "lapsed");
+        co_return success();
+    }
+
+    Task<Result<void>> releaseLease(LeaseId lease) override
+    {
+        const auto fault = begin(CallKind::Lease, m_counts.leases);
+        if (const auto error = refusal(fault))
+            co_return failure(*error, "fault");
+        drop(lease);
+        co_return success();
+    }
+
+    Task<Result<WatchResult>> watch(std::string prefix, Revision after, std::chrono::milliseconds patience) override
+    {
+        const auto fault = begin(CallKind::Watch, m_counts.watches);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        const auto deadline = m_clock.now() + patience;
+        while (m_clock.now() < deadline && changedAfter(prefix, after).empty())
+            co_await untilWoken();
+        co_return WatchResult { changedAfter(prefix, after), std::max(after, m_revision) };
+    }
+
+private:
+    struct Lease {
+        std::chrono::milliseconds timeToLive {};
+        TimePoint expiry;
+    };
+
+    CallFault begin(CallKind kind, std::size_t& counter)
+    {
+        ++counter;
+        dropLapsedLeases();
+        return faultOf(kind);
+    }
+
+    static std::optional<ErrorCode> refusal(CallFault fault)
+    {
+        if (fault == CallFault::Unavailable)
+            return ErrorCode::Unavailable;
+        if (fault == CallFault::NotSent)
+            return ErrorCode::NotSent;
+        if (fault == CallFault::RequestLost)
+            return ErrorCode::OutcomeUnknown;
+        return std::nullopt;
+    }
+
+    Result<Revision> apply(CompareAndSwap swap)
+    {
+        const auto found = m_entries.find(swap.key);
+        const Revision present = found == m_entries.end() ? 0 : found->second.revision;
+        if (present != swap.expected)
+            return failure(ErrorCode::Conflict, "the revision differs", swap.key);
+        if (swap.lease != 0 && !m_leases.contains(swap.lease))
+            return failure(ErrorCode::LeaseLost, "lapsed", swap.key);
+        return store(std::move(swap.key), std::move(swap.value), swap.lease);
+    }
+
+    Revision store(std::string key, std::string value, LeaseId lease)
+    {
+        ++m_revision;
+        m_holders[key] = lease;
+        m_entries[key] = KeyValueEntry { key, std::move(value), m_revision };
+        wake();
+        return m_revision;
+    }
+
+    std::vector<KeyValueEntry> changedAfter(const std::string& prefix, Revision after) const
+    {
+        std::vector<KeyValueEntry> changed;
+        for (const auto& [key, entry] : m_entries) {
+            if (key.starts_with(prefix) && entry.revision > after)
+                changed.push_back(entry);
+        }
+        return changed;
+    }
+
+    void drop(LeaseId lease)
+    {
+        m_leases.erase(lease);
+        std::erase_if(m_entries, [&](const auto& row) { return m_holders[row.first] == lease; });
+    }
+
+    void dropLapsedLeases()
+    {
+        std::vector<LeaseId> lapsed;
+        for (const auto& [id, lease] : m_leases) {
+            if (lease.expiry <= m_clock.now())
+                lapsed.push_back(id);
+        }
+        for (const auto id : lapsed)
+            drop(id);
+    }
+
+    void wake()
+    {
+        for (auto* timer : m_waiting)
+            timer->cancel();
+    }
+
+    Task<void> waitFor(Duration time)
+    {
+        if (time > Duration::zero())
+            co_await waitPast(m_clock.now() + time);
+    }
+
+    Task<void> waitPast(TimePoint due)
+    {
+        while (m_clock.now() < due)
+            co_await untilWoken();
+    }
+
+    /// Returns at the next wake().
+    Task<void> untilWoken()
+    {
+        boost::asio::steady_timer timer(m_executor, TimePoint::max());
+        m_waiting.push_back(&timer);
+        boost::system::error_code error;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        std::erase(m_waiting, &timer);
+    }
+
+    boost::asio::any_io_executor m_executor;
+    ManualClock& m_clock;
+    std::map<std::string, KeyValueEntry> m_entries;
+    std::map<std::string, LeaseId> m_holders;
+    std::map<LeaseId, Lease> m_leases;
+    std::vector<boost::asio::steady_timer*> m_waiting;
+    CallCounts m_counts;
+    Revision m_revision = 0;
+    LeaseId m_lastLease = 0;
+};
+
+} // namespace cicadalb
