--- a/apps/cicadactl/main.cpp
+++ b/apps/cicadactl/main.cpp
@@ -1,1 +1,8 @@
-int main() { return 0; }
+#include "CommandLine.h"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    return cicadalb::runCommandLine(argc, argv, std::cout, std::cerr);
+}
--- a/packages/config/include/cicadalb/config/ConfigurationApply.h
+++ b/packages/config/include/cicadalb/config/ConfigurationApply.h
@@ -45,6 +45,8 @@
 
     void recordRead(const std::optional<StoredRecord>&);
     void readFailed(const Error&);
+    /// @brief The present record could not be kept in the history; the record itself was not written.
+    void historyFailed(const Error&);
     void written();
     void writeFailed(const Error&);
 
--- a/packages/config/src/ConfigurationApply.cpp
+++ b/packages/config/src/ConfigurationApply.cpp
@@ -37,6 +37,12 @@
     countFailure(error);
 }
 
+void ConfigurationApply::historyFailed(const Error& error)
+{
+    m_step = ApplyStep::Read;
+    countFailure(error);
+}
+
 void ConfigurationApply::written()
 {
     m_step = ApplyStep::Accepted;
--- /dev/null
+++ b/packages/config/src/OperatorProof.cpp
@@ -0,0 +1,87 @@
+#include "cicadalb/config/OperatorProof.h"
+
+#include "cicadalb/base/Hash.h"
+
+#include <charconv>
+#include <optional>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr std::size_t maximumNonceLength = 64;
+    /// Nonces kept at the same time; more calls within the window are refused.
+    constexpr std::size_t maximumNonces = 4096;
+
+    struct Proof {
+        std::int64_t unixSeconds = 0;
+        std::string nonce;
+        std::string_view digest;
+    };
+
+    std::string digestOf(const Secret& secret, const OperatorCall& call, std::int64_t unixSeconds, const std::string& nonce)
+    {
+        auto text = std::string(call.method) + " ";
+        text += call.path;
+        text += " " + std::to_string(unixSeconds) + " " + nonce;
+        return hmacHex(secret.reveal(), text);
+    }
+
+    std::optional<Proof> parse(std::string_view header)
+    {
+        const auto first = header.find(':');
+        const auto second = first == std::string_view::npos ? first : header.find(':', first + 1);
+        if (second == std::string_view::npos)
+            return std::nullopt;
+        Proof proof;
+        const auto* end = header.data() + first;
+        const auto parsed = std::from_chars(header.data(), end, proof.unixSeconds);
+        proof.nonce = std::string(header.substr(first + 1, second - first - 1));
+        proof.digest = header.substr(second + 1);
+        const bool isWellFormed = parsed.ec == std::errc() && parsed.ptr == end && !proof.nonce.empty() && proof.nonce.size() <= maximumNonceLength;
+        return isWellFormed ? std::optional(proof) : std::nullopt;
+    }
+
+    /// Whether two times are at most the window apart; free of overflow for any numbers.
+    bool isWithinWindow(std::int64_t unixSeconds, std::int64_t nowSeconds)
+    {
+        return unixSeconds >= nowSeconds - operatorProofWindowSeconds && unixSeconds <= nowSeconds + operatorProofWindowSeconds;
+    }
+
+} // namespace
+
+std::string makeOperatorProof(const Secret& secret, const OperatorCall& call, std::int64_t unixSeconds, const std::string& nonce)
+{
+    return std::to_string(unixSeconds) + ":" + nonce + ":" + digestOf(secret, call, unixSeconds, nonce);
+}
+
+OperatorProofChecker::OperatorProofChecker(Secret secret)
+    : m_secret(std::move(secret))
+{
+}
+
+Result<void> OperatorProofChecker::check(const OperatorCall& call, std::string_view header, std::int64_t nowSeconds)
+{
+    const auto proof = parse(header);
+    if (!proof)
+        return failure(ErrorCode::ProofInvalid, "the operator's proof is missing or malformed");
+    if (m_secret.isEmpty() || !equalConstantTime(proof->digest, digestOf(m_secret, call, proof->unixSeconds, proof->nonce)))
+        return failure(ErrorCode::ProofInvalid, "the operator's proof does not match");
+    if (!isWithinWindow(proof->unixSeconds, nowSeconds))
+        return failure(ErrorCode::ProofInvalid, "the operator's clock is more than " + std::to_string(operatorProofWindowSeconds) + " s off");
+    return rememberNonce(proof->nonce, proof->unixSeconds, nowSeconds);
+}
+
+Result<void> OperatorProofChecker::rememberNonce(std::string nonce, std::int64_t unixSeconds, std::int64_t nowSeconds)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_nonces, [nowSeconds](const auto& entry) { return !isWithinWindow(entry.second, nowSeconds); });
+    if (m_nonces.contains(nonce))
+        return failure(ErrorCode::ProofInvalid, "the operator's proof was used before");
+    if (m_nonces.size() >= maximumNonces)
+        return failure(ErrorCode::ProofInvalid, "too many operators' calls at once");
+    m_nonces.emplace(std::move(nonce), unixSeconds);
+    return success();
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/config/src/RefusedEdits.cpp
@@ -0,0 +1,76 @@
+#include "cicadalb/config/RefusedEdits.h"
+
+#include "JsonReader.h"
+
+#include <algorithm>
+
+namespace cicadalb {
+
+namespace {
+
+    using nlohmann::json;
+
+    json toValue(const RefusedEdit& edit)
+    {
+        json value { { "at", edit.at }, { "author", edit.author }, { "reasons", edit.reasons } };
+        if (edit.base)
+            value["base"] = *edit.base;
+        return value;
+    }
+
+    RefusedEdit fromValue(const json& value)
+    {
+        RefusedEdit edit;
+        detail::readMember(value, "at", edit.at);
+        detail::readMember(value, "author", edit.author);
+        if (ConfigurationNumber base = 0; detail::readMember(value, "base", base))
+            edit.base = base;
+        for (const auto& reason : value.value("reasons", json::array())) {
+            if (reason.is_string())
+                edit.reasons.push_back(reason.get<std::string>());
+        }
+        return edit;
+    }
+
+} // namespace
+
+RefusedEdit refusedEdit(std::int64_t at, std::string author, std::optional<ConfigurationNumber> base, const Errors& errors)
+{
+    RefusedEdit edit { at, std::move(author), base, {} };
+    for (const auto& error : errors) {
+        if (edit.reasons.size() == maximumRefusalReasons)
+            break;
+        edit.reasons.push_back(describe(error).substr(0, maximumRefusalReasonBytes));
+    }
+    return edit;
+}
+
+RefusedEdits RefusedEdits::fromJson(std::string_view text)
+{
+    RefusedEdits list;
+    const auto values = json::parse(text, nullptr, false);
+    if (!values.is_array())
+        return list;
+    for (const auto& value : values) {
+        if (value.is_object() && list.m_edits.size() < maximumRefusedEdits)
+            list.m_edits.push_back(fromValue(value));
+    }
+    return list;
+}
+
+std::string RefusedEdits::toJson() const
+{
+    auto values = json::array();
+    for (const auto& edit : m_edits)
+        values.push_back(toValue(edit));
+    return values.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void RefusedEdits::add(RefusedEdit edit)
+{
+    m_edits.insert(m_edits.begin(), std::move(edit));
+    if (m_edits.size() > maximumRefusedEdits)
+        m_edits.resize(maximumRefusedEdits);
+}
+
+} // namespace cicadalb
--- a/packages/config/src/Tables.cpp
+++ b/packages/config/src/Tables.cpp
@@ -61,8 +61,8 @@
     {
         if (text.empty() || text.front() != '/')
             return "is '" + text + "' but must start with '/'";
-        const bool isPlain = text.find_first_of("?# ") == std::string::npos;
-        return isPlain ? "" : "is '" + text + "' but must be a path without query, fragment or spaces";
+        const bool isPlain = text.find_first_of("?# %\\") == std::string::npos && (text + "/").find("/./") == std::string::npos && (text + "/").find("/../") == std::string::npos;
+        return isPlain ? "" : "is '" + text + "' but must be a path without query, fragment, spaces, escapes or dot segments";
     }
 
     Problem checkMethods(const std::vector<std::string>& methods)
@@ -146,7 +146,7 @@
         for (const auto& [key, value] : *table) {
             const auto place = std::string(section) + "." + std::string(key.str());
             if (auto problem = detail::checkName(std::string(key.str())); !problem.empty())
-                reader.report(ErrorCode::ValueInvalid, "the name of " + place + " " + problem, key.source());
+                reader.report(ErrorCode::ValueInvalid, problem.insert(0, "the name of " + place + " "), key.source());
             if (const auto* entry = value.as_table())
                 readOne(std::string(key.str()), place, *entry);
             else
@@ -212,7 +212,7 @@
         readEntries(routesReader, routesRoot, "callers", callerFields(), tables.callers);
         readEntries(routesReader, routesRoot, "trainers", trainerFields(), tables.trainers);
         readEntries(routesReader, routesRoot, "routes", routeFields(), tables.routes);
-        detail::reportUnknownKeys(routesReader, routesRoot, routesFileName, { "callers", "trainers", "routes" });
+        detail::reportUnknownKeys(routesReader, routesRoot, routesFileName, { "callers", "trainers", "routes", "based-on" });
         readPools(poolsReader, poolsRoot, tables.pools);
         detail::reportUnknownKeys(poolsReader, poolsRoot, poolsFileName, { "pools" });
         detail::checkTables(tables, { routesReader, routesRoot }, { poolsReader, poolsRoot });
--- a/packages/config/src/TablesCheck.cpp
+++ b/packages/config/src/TablesCheck.cpp
@@ -12,9 +12,8 @@
     template <typename Entries>
     std::vector<std::string_view> namesOf(const Entries& entries)
     {
-        std::vector<std::string_view> names;
-        for (const auto& entry : entries)
-            names.push_back(entry.name.value());
+        std::vector<std::string_view> names(entries.size());
+        std::transform(entries.begin(), entries.end(), names.begin(), [](const auto& entry) { return std::string_view(entry.name.value()); });
         return names;
     }
 
