--- a/apps/cicadalb/main.cpp
+++ b/apps/cicadalb/main.cpp
@@ -1,1 +1,71 @@
-int main() { return 0; }
+#include "cicadalb/base/Event.h"
+#include "cicadalb/config/Settings.h"
+#include "cicadalb/transport/HostProcess.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
+/// @file
+/// The host process of cicadalb.
+
+namespace {
+
+enum ExitCode : int {
+    Succeeded = 0,
+    StartFailed = 1,
+    SettingsInvalid = 2,
+    RequestsCutOff = 3,
+};
+
+/// Blocks until the process is asked to end.
+void waitForStopSignal(boost::asio::io_context& context)
+{
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([](const boost::system::error_code&, int) {});
+    context.run();
+}
+
+int run(const cicadalb::Settings& settings)
+{
+    cicadalb::configureLogging(settings.log.format, settings.log.level);
+    boost::asio::io_context context;
+    cicadalb::HostProcess host(settings);
+    const auto started = host.start();
+    if (!started) {
+        std::cerr << cicadalb::describe(started.error()) << '\n';
+        return StartFailed;
+    }
+    const auto ports = host.ports();
+    std::cout << "callers " << ports.callers << " admin " << ports.admin << " peers " << ports.peers << " membership " << ports.membership << std::endl;
+    waitForStopSignal(context);
+    return host.shutDown() ? Succeeded : RequestsCutOff;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "cicadalb: rollout service between callers, trainers and targets.\n"
+                   "Exit codes: 0 graceful stop, 1 a port cannot be had, 2 settings are invalid, 3 the grace period ended with requests in flight." };
+    std::string settingsFile;
+    bool isCheckOnly = false;
+    app.add_option("--settings", settingsFile, "Settings file (TOML)")->required();
+    app.add_flag("--check", isCheckOnly, "Check the settings and exit");
+    CLI11_PARSE(app, argc, argv);
+
+    const auto settings = cicadalb::loadSettings(settingsFile);
+    if (!settings) {
+        for (const auto& error : settings.error())
+            std::cerr << cicadalb::describe(error) << '\n';
+        return SettingsInvalid;
+    }
+    if (isCheckOnly) {
+        std::cout << settingsFile << ": valid\n";
+        return Succeeded;
+    }
+    return run(settings.value());
+}
--- a/packages/rollout/include/cicadalb/rollout/EngineClient.h
+++ b/packages/rollout/include/cicadalb/rollout/EngineClient.h
@@ -60,6 +60,8 @@
     unsigned queued = 0;
     FencingNumber fence = 0;
     bool isLeaving = false;
+    /// Age of the figures when they were sent.
+    Duration age {};
 };
 
 /// @brief Calls to engines. Failures as HttpClient's: NotSent, OutcomeUnknown, Cancelled; FenceRejected for an old order.
--- /dev/null
+++ b/packages/transport/include/cicadalb/transport/TargetMonitor.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "cicadalb/platform/HostList.h"
+#include "cicadalb/transport/RoutingTable.h"
+#include "cicadalb/transport/TargetClients.h"
+
+#include <memory>
+#include <set>
+
+/// @file
+/// Keeps the gates informed: the targets' own load reports and the platform's host list.
+
+namespace cicadalb {
+
+struct TargetMonitorOptions {
+    std::chrono::milliseconds loadInterval { 250 };
+    std::chrono::milliseconds hostListInterval { 1000 };
+    std::chrono::milliseconds tickInterval { 5 };
+};
+
+/// @brief Loops on the control worker until stopped.
+class TargetMonitor : public std::enable_shared_from_this<TargetMonitor> {
+public:
+    TargetMonitor(TargetMonitorOptions, RoutingTable&, TargetClients&, std::size_t worker, HostList&);
+
+    void start();
+    void stop() { m_isStopping = true; }
+
+private:
+    Task<void> tickGates();
+    Task<void> pollLoads();
+    Task<void> pollLoad(std::shared_ptr<PoolGate>, Target);
+    Task<void> pollHostList();
+    void applyHostList(const std::vector<ListedHost>&);
+    Task<void> sleep(std::chrono::milliseconds);
+
+    TargetMonitorOptions m_options;
+    RoutingTable& m_routing;
+    TargetClients& m_clients;
+    std::size_t m_worker;
+    HostList& m_hostList;
+    std::atomic<bool> m_isStopping { false };
+    /// Targets whose load request has not ended yet.
+    std::set<TargetId> m_pending;
+    bool m_isHostListAvailable = true;
+};
+
+} // namespace cicadalb
--- a/packages/transport/src/EngineProtocol.cpp
+++ b/packages/transport/src/EngineProtocol.cpp
@@ -80,6 +80,7 @@
     status.queued = numberIn<unsigned>(document, "queued", 0);
     status.fence = numberIn<FencingNumber>(document, "fence", 0);
     status.isLeaving = boolIn(document, "leaving");
+    status.age = std::chrono::milliseconds(numberIn<unsigned>(document, "age-ms", 0));
     return status;
 }
 
--- /dev/null
+++ b/packages/transport/src/TargetMonitor.cpp
@@ -0,0 +1,126 @@
+#include "cicadalb/transport/TargetMonitor.h"
+
+#include "EngineProtocol.h"
+
+#include "cicadalb/base/Event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr auto loadTimeout = std::chrono::milliseconds(1000);
+    constexpr unsigned statusOk = 200;
+
+} // namespace
+
+TargetMonitor::TargetMonitor(TargetMonitorOptions options, RoutingTable& routing, TargetClients& clients, std::size_t worker, HostList& hostList)
+    : m_options(options)
+    , m_routing(routing)
+    , m_clients(clients)
+    , m_worker(worker)
+    , m_hostList(hostList)
+{
+}
+
+void TargetMonitor::start()
+{
+    auto& context = m_clients.context(m_worker);
+    const auto self = shared_from_this();
+    asio::co_spawn(
+        context, [self]() -> Task<void> { co_await self->tickGates(); }, asio::detached);
+    asio::co_spawn(
+        context, [self]() -> Task<void> { co_await self->pollLoads(); }, asio::detached);
+    asio::co_spawn(
+        context, [self]() -> Task<void> { co_await self->pollHostList(); }, asio::detached);
+}
+
+Task<void> TargetMonitor::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_clients.context(m_worker), duration);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+Task<void> TargetMonitor::tickGates()
+{
+    while (!m_isStopping) {
+        m_routing.forEachGate([](PoolGate& gate) { gate.tick(); });
+        co_await sleep(m_options.tickInterval);
+    }
+}
+
+Task<void> TargetMonitor::pollLoads()
+{
+    while (!m_isStopping) {
+        const auto snapshot = m_routing.snapshot();
+        const PoolGates gates = snapshot ? snapshot->gates : PoolGates {};
+        for (const auto& [name, gate] : gates) {
+            for (const auto& target : gate->pool().targets) {
+                if (!m_pending.insert(target.id).second)
+                    continue;
+                asio::co_spawn(
+                    m_clients.context(m_worker),
+                    [self = shared_from_this(), gate = gate, target]() -> Task<void> { co_await self->pollLoad(gate, target); },
+                    asio::detached);
+            }
+        }
+        co_await sleep(m_options.loadInterval);
+    }
+}
+
+Task<void> TargetMonitor::pollLoad(std::shared_ptr<PoolGate> gate, Target target)
+{
+    const auto client = m_clients.client(m_worker, Endpoint { target.address, target.port });
+    auto response = co_await client->send(loadRequest(), std::chrono::steady_clock::now() + loadTimeout);
+    m_pending.erase(target.id);
+    if (!response || response.value().status != statusOk)
+        co_return;
+    const auto status = engineStatusFromJson(response.value().body);
+    if (!status)
+        co_return;
+    LoadReport report;
+    report.running = status.value().running;
+    report.queued = status.value().queued;
+    report.age = status.value().age;
+    report.isLeaving = status.value().isLeaving;
+    gate->reportLoad(target.id, report);
+}
+
+Task<void> TargetMonitor::pollHostList()
+{
+    while (!m_isStopping) {
+        auto hosts = co_await m_hostList.hosts();
+        if (hosts)
+            applyHostList(hosts.value());
+        if (hosts.has_value() != m_isHostListAvailable) {
+            m_isHostListAvailable = hosts.has_value();
+            logEvent(m_isHostListAvailable ? Event::PlatformAvailable : Event::PlatformUnavailable, { { "service", "host-list" } });
+        }
+        co_await sleep(m_options.hostListInterval);
+    }
+}
+
+void TargetMonitor::applyHostList(const std::vector<ListedHost>& hosts)
+{
+    std::set<std::string> leaving;
+    for (const auto& host : hosts) {
+        if (host.state == HostState::Leaving)
+            leaving.insert(host.name);
+    }
+    m_routing.forEachGate([&leaving](PoolGate& gate) {
+        for (const auto& target : gate.pool().targets)
+            gate.setLeaving(target.id, leaving.count(target.id.value()) > 0);
+    });
+}
+
+} // namespace cicadalb
