--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 /// @file
@@ -90,10 +91,24 @@
     std::string_view reason;
 };
 
+/// @brief How a target is picked among those with room. All but LeastDelay have a fixed limit in flight.
+enum class PickPolicy : std::uint8_t {
+    /// Least expected time to the answer: speed, own and reported load, failure domain, affinity.
+    LeastDelay,
+    /// The one of two random targets with fewer own requests in flight.
+    TwoChoices,
+    LeastInFlight,
+    RoundRobin,
+    UniformRandom,
+};
+
+std::string_view name(PickPolicy) noexcept;
+
 struct BalancerOptions {
     FailureDomain ownFailureDomain;
     std::uint64_t seed = 0;
     std::size_t maximumQueueLength = 1024;
+    PickPolicy policy = PickPolicy::LeastDelay;
 };
 
 /// @brief One pool's admission, queue, limits and picks. Values in, values out; not thread-safe: its shard's lock guards it.
@@ -104,7 +119,7 @@
     PoolBalancer(PoolBalancer&&) noexcept;
     PoolBalancer& operator=(PoolBalancer&&) noexcept;
 
-    /// @brief Admits to a target, queues, or refuses.
+    /// @brief Admits to a target, queues, or refuses. Complexity: linear in the targets.
     Admission request(const Demand&, TimePoint now);
     /// @brief Ends a request on a target. @return the queued requests whose turn it is now
     std::vector<QueueDecision> finished(const TargetId&, const Completion&, TimePoint now);
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -1,63 +1,93 @@
 #include "AdmissionQueue.h"
 
-#include <algorithm>
-
 namespace cicadalb {
 
+namespace {
+
+    /// Events a second below which a rate says too little.
+    constexpr double smallestRate = 0.1;
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(TimePoint start)
+    : m_arrivals { RateMeter(start), RateMeter(start), RateMeter(start) }
+    , m_freedPlaces(start)
+{
+}
+
 void AdmissionQueue::push(QueuedRequest request)
 {
-    m_waiting.at(static_cast<std::size_t>(request.demand.priority)).push_back(std::move(request));
-    ++m_size;
+    m_waiting[index(request.demand.priority)].push_back(std::move(request));
 }
 
-std::size_t AdmissionQueue::nextPriority() const
+std::vector<Priority> AdmissionQueue::turns() const
 {
-    for (std::size_t priority = priorityCount; priority-- > 1;) {
-        if (!m_waiting[priority].empty() && m_turnsPassed[priority] + 1 >= turnsPerLowerPriority)
-            return priority;
+    std::vector<Priority> order;
+    for (const auto priority : priorities) {
+        if (!waiting(priority).empty())
+            order.push_back(priority);
     }
-    std::size_t priority = 0;
-    while (m_waiting[priority].empty())
-        ++priority;
-    return priority;
+    std::stable_partition(order.begin(), order.end(), [this](Priority priority) { return m_turnsPassed[index(priority)] + 1 >= turnsPerLowerPriority; });
+    return order;
 }
 
-const QueuedRequest* AdmissionQueue::next() const
+void AdmissionQueue::countTurn(Priority taken)
 {
-    return m_size == 0 ? nullptr : &m_waiting[nextPriority()].front();
+    m_turnsPassed[index(taken)] = 0;
+    for (auto lower = index(taken) + 1; lower < priorities.size(); ++lower)
+        m_turnsPassed[lower] = m_waiting[lower].empty() ? 0 : m_turnsPassed[lower] + 1;
 }
 
-QueuedRequest AdmissionQueue::pop()
+QueuedRequest AdmissionQueue::popFront(Priority priority)
 {
-    const auto priority = nextPriority();
-    auto request = std::move(m_waiting[priority].front());
-    m_waiting[priority].pop_front();
-    --m_size;
-    m_turnsPassed[priority] = 0;
-    for (std::size_t lower = priority + 1; lower < priorityCount; ++lower)
-        m_turnsPassed[lower] = m_waiting[lower].empty() ? 0 : m_turnsPassed[lower] + 1;
+    auto& waiting = m_waiting[index(priority)];
+    auto request = std::move(waiting.front());
+    waiting.pop_front();
+    countTurn(priority);
+    return request;
+}
+
+QueuedRequest AdmissionQueue::popBack(Priority priority)
+{
+    auto& waiting = m_waiting[index(priority)];
+    auto request = std::move(waiting.back());
+    waiting.pop_back();
+    countTurn(priority);
     return request;
 }
 
 bool AdmissionQueue::remove(QueueTicket ticket)
 {
-    for (auto& waiting : m_waiting) {
-        const auto found = std::find_if(waiting.begin(), waiting.end(), [ticket](const auto& request) { return request.ticket == ticket; });
-        if (found == waiting.end())
-            continue;
-        waiting.erase(found);
-        --m_size;
-        return true;
-    }
-    return false;
+    const auto removed = removeIf([ticket](const QueuedRequest& request, std::size_t) { return request.ticket == ticket; });
+    return !removed.empty();
 }
 
-std::size_t AdmissionQueue::sizeFrom(Priority priority) const noexcept
+std::size_t AdmissionQueue::size() const noexcept
 {
     std::size_t count = 0;
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i)
+    for (const auto& waiting : m_waiting)
+        count += waiting.size();
+    return count;
+}
+
+std::size_t AdmissionQueue::sizeAbove(Priority priority) const noexcept
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < index(priority); ++i)
         count += m_waiting[i].size();
     return count;
 }
 
+double AdmissionQueue::waitSeconds(Priority priority, std::size_t position, TimePoint now)
+{
+    const auto freed = m_freedPlaces.perSecond(now);
+    if (freed < smallestRate)
+        return 0;
+    double higherArrivals = 0;
+    for (std::size_t i = 0; i < index(priority); ++i)
+        higherArrivals += m_arrivals[i].perSecond(now);
+    const auto available = std::max(freed - higherArrivals, freed / turnsPerLowerPriority);
+    return static_cast<double>(sizeAbove(priority) + position + 1) / available;
+}
+
 } // namespace cicadalb
--- a/packages/routing/src/AdmissionQueue.h
+++ b/packages/routing/src/AdmissionQueue.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "RateMeter.h"
+
 #include "cicadalb/routing/PoolBalancer.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -10,7 +13,7 @@
 
 namespace cicadalb {
 
-inline constexpr std::size_t priorityCount = 3;
+inline constexpr std::array<Priority, 3> priorities = { Priority::Interactive, Priority::Normal, Priority::Training };
 
 /// @brief A waiting request.
 struct QueuedRequest {
@@ -19,34 +22,46 @@
 };
 
 /// @brief First in, first out for each priority. A lower priority gets one turn in turnsPerLowerPriority while a higher one waits, so
-/// that none starves.
+/// that none starves. Knows from the rates of arrivals and turns how long a request will wait.
 class AdmissionQueue {
 public:
     /// A waiting lower priority gets one of so many turns.
     static constexpr unsigned turnsPerLowerPriority = 8;
 
+    explicit AdmissionQueue(TimePoint start);
+
     void push(QueuedRequest request);
-    /// @brief The request whose turn it is, or null if none waits.
-    const QueuedRequest* next() const;
-    /// @brief Takes out what next() names.
-    QueuedRequest pop();
+    /// @brief Priorities that wait, in the order of their turns.
+    std::vector<Priority> turns() const;
+    const std::deque<QueuedRequest>& waiting(Priority priority) const { return m_waiting[index(priority)]; }
+    QueuedRequest popFront(Priority);
+    QueuedRequest popBack(Priority);
     /// @brief Takes out one request wherever it stands. @return false if it does not wait. Complexity: linear in the queue.
     bool remove(QueueTicket);
-    std::size_t size() const noexcept { return m_size; }
-    /// @brief Requests that wait at @p priority or above.
-    std::size_t sizeFrom(Priority) const noexcept;
-
     /// @brief Removes each request for which @p isDropped(request, position in its priority) holds. @return the removed ones
     template <typename Predicate>
     std::vector<QueuedRequest> removeIf(Predicate isDropped);
 
+    std::size_t size() const noexcept;
+    /// @brief Requests that wait above @p priority.
+    std::size_t sizeAbove(Priority) const noexcept;
+
+    /// @brief A request of @p priority was let into the pool.
+    void recordArrival(Priority priority, TimePoint now) { m_arrivals[index(priority)].record(now); }
+    /// @brief A place on a target became free.
+    void recordFreedPlace(TimePoint now) { m_freedPlaces.record(now); }
+    /// @brief Expected wait of the request at @p position of its priority; 0 while too little is known.
+    double waitSeconds(Priority, std::size_t position, TimePoint now);
+
 private:
-    std::size_t nextPriority() const;
+    static constexpr std::size_t index(Priority priority) { return static_cast<std::size_t>(priority); }
+    void countTurn(Priority);
 
-    std::array<std::deque<QueuedRequest>, priorityCount> m_waiting;
-    std::size_t m_size = 0;
+    std::array<std::deque<QueuedRequest>, priorities.size()> m_waiting;
     /// Turns taken by higher priorities while each one waited.
-    std::array<unsigned, priorityCount> m_turnsPassed {};
+    std::array<unsigned, priorities.size()> m_turnsPassed {};
+    std::array<RateMeter, priorities.size()> m_arrivals;
+    RateMeter m_freedPlaces;
 };
 
 template <typename Predicate>
@@ -54,16 +69,16 @@
 {
     std::vector<QueuedRequest> removed;
     for (auto& waiting : m_waiting) {
-        std::deque<QueuedRequest> kept;
-        for (auto& request : waiting) {
-            if (isDropped(request, kept.size()))
-                removed.push_back(std::move(request));
+        std::size_t position = 0;
+        std::erase_if(waiting, [&](const QueuedRequest& request) {
+            const bool drops = isDropped(request, position);
+            if (drops)
+                removed.push_back(request);
             else
-                kept.push_back(std::move(request));
-        }
-        waiting.swap(kept);
+                ++position;
+            return drops;
+        });
     }
-    m_size -= removed.size();
     return removed;
 }
 
--- /dev/null
+++ b/packages/routing/src/LoadView.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "cicadalb/routing/PoolBalancer.h"
+
+/// @file
+/// What a target's reports say of the work that other hosts gave it.
+
+namespace cicadalb {
+
+class LoadView {
+public:
+    /// @param ownInFlight own requests in flight on the target, averaged over the last while
+    void record(const LoadReport&, double ownInFlight, TimePoint now);
+    /// @brief Expected requests of other hosts on the target: the last report, aged towards the usual value.
+    double others(TimePoint now) const noexcept;
+    /// @brief Requests that the target serves at a time, as far as it is known; 0 if it is not.
+    double parallelism() const noexcept { return m_parallelism; }
+    /// @brief True if a recent report told of a queue on the target.
+    bool hasQueue(TimePoint now) const noexcept;
+    bool hasReports() const noexcept { return m_hasReports; }
+
+private:
+    bool m_hasReports = false;
+    bool m_hasQueue = false;
+    double m_lastOthers = 0;
+    double m_usualOthers = 0;
+    double m_parallelism = 0;
+    TimePoint m_measuredAt {};
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/routing/src/PickStrategy.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "TargetState.h"
+
+#include <vector>
+
+/// @file
+/// Strategies that choose one of the candidates of a pool.
+
+namespace cicadalb {
+
+/// @brief What a strategy sees. Indexes are those of targets.
+struct PickContext {
+    const std::vector<TargetState>& targets;
+    /// Targets that may serve, with room or without.
+    const std::vector<std::size_t>& serving;
+    /// Those of them with room; never empty.
+    const std::vector<std::size_t>& candidates;
+    const Demand& demand;
+    const FailureDomain& ownFailureDomain;
+    /// Expected wait if the request queues instead.
+    double waitSeconds;
+    TimePoint now;
+    Random& random;
+    /// Rises with each pick.
+    std::size_t turn;
+};
+
+/// @brief One row of the table of strategies.
+struct PickStrategy {
+    PickPolicy policy;
+    /// @brief Index of the chosen target, or nothing if waiting for a better one is expected to answer earlier.
+    std::optional<std::size_t> (*pick)(const PickContext&);
+    bool hasAdaptiveLimit;
+};
+
+const PickStrategy& pickStrategy(PickPolicy);
+
+/// @brief Expected seconds to the answer from a target.
+double expectedDelay(const TargetState&, const FailureDomain& own, double bestServiceSeconds, TimePoint now);
+
+/// @brief Least service time that is known among @p indexes, or 0.
+double bestServiceSeconds(const std::vector<TargetState>&, const std::vector<std::size_t>& indexes);
+
+} // namespace cicadalb
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -1,62 +1,73 @@
 #include "cicadalb/routing/PoolBalancer.h"
 
 #include "AdmissionQueue.h"
-
-#include "cicadalb/base/Random.h"
+#include "PickStrategy.h"
 
 #include <algorithm>
+#include <limits>
 #include <unordered_map>
 
 namespace cicadalb {
 
 namespace {
 
+    using Seconds = std::chrono::duration<double>;
+
     /// Bounds of the time after which a refused caller may come back.
-    constexpr std::chrono::milliseconds shortestRetryAfter { 500 };
-    constexpr std::chrono::milliseconds longestRetryAfter { 3000 };
-
-    struct TargetState {
-        Target target;
-        unsigned inFlight = 0;
-        bool isListedAsLeaving = false;
-        bool saysItIsLeaving = false;
-        bool isRemoved = false;
-    };
-
-    std::string_view ineligibility(const TargetState& state)
+    constexpr double shortestRetryAfterSeconds = 0.5;
+    constexpr double longestRetryAfterSeconds = 30;
+    /// Range of the jitter on that time, as parts of it.
+    constexpr double retryAfterSpread = 1.0;
+    /// A request queues only if it would make its deadline with its wait and service so many times as long as expected, so that it is
+    /// hardly ever refused after waiting.
+    constexpr double queueCaution = 1.5;
+    /// Share of error-answering targets above which their open circuits are ignored.
+    constexpr double largestErroringShare = 0.5;
+
+    Duration toDuration(double seconds)
     {
-        if (state.isRemoved)
-            return "removed";
-        if (state.target.draining)
-            return "draining";
-        if (state.isListedAsLeaving)
-            return "leaving by host list";
-        if (state.saysItIsLeaving)
-            return "leaving by its own word";
-        return {};
+        return std::chrono::duration_cast<Duration>(Seconds(seconds));
     }
 
 } // namespace
 
 struct PoolBalancer::State {
+    State(BalancerOptions balancerOptions, TimePoint now)
+        : options(std::move(balancerOptions))
+        , strategy(pickStrategy(options.policy))
+        , queue(now)
+    {
+        random.seed(options.seed);
+    }
+
     Pool pool;
     BalancerOptions options;
+    const PickStrategy& strategy;
     Random random;
     std::vector<TargetState> targets;
     std::unordered_map<TargetId, std::size_t> indexes;
     AdmissionQueue queue;
     QueueTicket lastTicket = 0;
+    std::size_t turn = 0;
+    /// Scratch of collect(): targets that may serve, and those of them with room.
+    std::vector<std::size_t> serving;
     std::vector<std::size_t> candidates;
 
     void applyTargets();
+    void eraseIdleRemoved();
     TargetState* find(const TargetId&);
-    void eraseIfIdle(const TargetId&);
-    bool hasEligible() const;
-    bool hasRoom(const TargetState&) const;
-    std::optional<std::size_t> pick(const Demand&);
-    Admission admit(std::size_t index);
-    Admission refuse(ErrorCode);
-    std::vector<QueueDecision> drain(TimePoint now);
+    void collect(const std::vector<TargetId>& excluded, TimePoint now);
+    void addErroring(TimePoint now);
+    bool isServed(const Demand&, TimePoint now);
+    std::optional<std::size_t> pick(const Demand&, double waitSeconds, TimePoint now);
+    double leastDelay(TimePoint now) const;
+    bool isTooLate(const Demand&, double seconds, TimePoint now) const;
+    Admission admit(std::size_t index, TimePoint now);
+    Admission enqueue(const Demand&);
+    Admission refuse(ErrorCode, double expectedSeconds);
+    Admission refuseUnserved(TimePoint now);
+    bool admitOneQueued(std::vector<QueueDecision>&, TimePoint now);
+    void refuseLate(std::vector<QueueDecision>&, TimePoint now);
 };
 
 void PoolBalancer::State::applyTargets()
@@ -67,10 +78,16 @@
         if (auto* known = find(target.id)) {
             known->target = target;
             known->isRemoved = false;
+            known->limit.setCeiling(pool.maximumInFlight);
         } else {
-            targets.push_back(TargetState { target });
+            targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit);
         }
     }
+    eraseIdleRemoved();
+}
+
+void PoolBalancer::State::eraseIdleRemoved()
+{
     std::erase_if(targets, [](const auto& state) { return state.isRemoved && state.inFlight == 0; });
     indexes.clear();
     for (std::size_t i = 0; i < targets.size(); ++i)
@@ -83,83 +100,154 @@
     return found == indexes.end() ? nullptr : &targets[found->second];
 }
 
-void PoolBalancer::State::eraseIfIdle(const TargetId& id)
+void PoolBalancer::State::collect(const std::vector<TargetId>& excluded, TimePoint now)
 {
-    const auto* state = find(id);
-    if (state && state->isRemoved && state->inFlight == 0)
-        applyTargets();
+    serving.clear();
+    candidates.clear();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const auto& state = targets[i];
+        if (!state.isEligible() || state.health.state(now) == CircuitState::Open)
+            continue;
+        if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.target.id) != excluded.end())
+            continue;
+        serving.push_back(i);
+        if (state.hasRoom(now))
+            candidates.push_back(i);
+    }
 }
 
-bool PoolBalancer::State::hasEligible() const
+/// Targets that answer with errors serve when they are too many to leave out: their errors may be the requests' own.
+void PoolBalancer::State::addErroring(TimePoint now)
 {
-    return std::any_of(targets.begin(), targets.end(), [](const auto& state) { return ineligibility(state).empty(); });
+    std::size_t eligible = 0;
+    std::vector<std::size_t> erroring;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (!targets[i].isEligible())
+            continue;
+        ++eligible;
+        if (targets[i].health.state(now) == CircuitState::Open && targets[i].health.isReachable())
+            erroring.push_back(i);
+    }
+    if (!serving.empty() && static_cast<double>(erroring.size()) <= largestErroringShare * static_cast<double>(eligible))
+        return;
+    for (const auto index : erroring) {
+        serving.push_back(index);
+        if (targets[index].inFlight < targets[index].limit.value())
+            candidates.push_back(index);
+    }
 }
 
-bool PoolBalancer::State::hasRoom(const TargetState& state) const
+bool PoolBalancer::State::isServed(const Demand& demand, TimePoint now)
 {
-    return state.inFlight < pool.maximumInFlight;
+    collect(demand.excluded, now);
+    if (serving.empty() && !demand.excluded.empty())
+        collect({}, now);
+    if (serving.size() < targets.size())
+        addErroring(now);
+    return !serving.empty();
 }
 
-std::optional<std::size_t> PoolBalancer::State::pick(const Demand& demand)
+std::optional<std::size_t> PoolBalancer::State::pick(const Demand& demand, double waitSeconds, TimePoint now)
 {
-    const auto collect = [&](bool allowExcluded) {
-        candidates.clear();
-        for (std::size_t i = 0; i < targets.size(); ++i) {
-            const auto& state = targets[i];
-            const bool isExcluded = std::find(demand.excluded.begin(), demand.excluded.end(), state.target.id) != demand.excluded.end();
-            if (ineligibility(state).empty() && hasRoom(state) && (allowExcluded || !isExcluded))
-                candidates.push_back(i);
-        }
-    };
-    collect(false);
-    if (candidates.empty() && !demand.excluded.empty())
-        collect(true);
     if (candidates.empty())
         return std::nullopt;
-    const auto first = candidates[randomIndex(random, candidates.size())];
-    const auto second = candidates[randomIndex(random, candidates.size())];
-    return targets[first].inFlight <= targets[second].inFlight ? first : second;
+    return strategy.pick({ targets, serving, candidates, demand, options.ownFailureDomain, waitSeconds, now, random, turn++ });
 }
 
-Admission PoolBalancer::State::admit(std::size_t index)
+double PoolBalancer::State::leastDelay(TimePoint now) const
 {
-    ++targets[index].inFlight;
+    const auto best = bestServiceSeconds(targets, serving);
+    auto least = std::numeric_limits<double>::infinity();
+    for (const auto index : serving)
+        least = std::min(least, expectedDelay(targets[index], options.ownFailureDomain, best, now));
+    return least;
+}
+
+bool PoolBalancer::State::isTooLate(const Demand& demand, double seconds, TimePoint now) const
+{
+    return Seconds(demand.deadline - now).count() < seconds;
+}
+
+Admission PoolBalancer::State::admit(std::size_t index, TimePoint now)
+{
+    targets[index].begin(now);
     Admission admission;
     admission.kind = AdmissionKind::Admitted;
     admission.target = targets[index].target.id;
     return admission;
 }
 
-Admission PoolBalancer::State::refuse(ErrorCode reason)
+Admission PoolBalancer::State::enqueue(const Demand& demand)
+{
+    Admission admission;
+    admission.kind = AdmissionKind::Queued;
+    admission.ticket = ++lastTicket;
+    queue.push({ admission.ticket, demand });
+    return admission;
+}
+
+Admission PoolBalancer::State::refuse(ErrorCode reason, double expectedSeconds)
 {
     Admission admission;
     admission.kind = AdmissionKind::Refused;
     admission.reason = reason;
-    const auto spread = static_cast<double>((longestRetryAfter - shortestRetryAfter).count());
-    admission.retryAfter = shortestRetryAfter + std::chrono::milliseconds(static_cast<long>(randomUnit(random) * spread));
+    const auto base = std::clamp(expectedSeconds, shortestRetryAfterSeconds, longestRetryAfterSeconds);
+    admission.retryAfter = toDuration(base * (1 + retryAfterSpread * randomUnit(random)));
     return admission;
 }
 
-std::vector<QueueDecision> PoolBalancer::State::drain(TimePoint now)
+Admission PoolBalancer::State::refuseUnserved(TimePoint now)
 {
-    std::vector<QueueDecision> decisions;
-    const bool isServed = hasEligible();
-    for (const auto& request : queue.removeIf([&](const QueuedRequest&queued, std::size_t) { return !isServed || queued.demand.deadline <= now; }))
-        decisions.push_back({ request.ticket, refuse(isServed ? ErrorCode::Overloaded : ErrorCode::NoTargetAvailable) });
-    while (const auto* next = queue.next()) {
-        const auto index = pick(next->demand);
-        if (!index)
-            break;
-        decisions.push_back({ queue.pop().ticket, admit(*index) });
+    auto seconds = longestRetryAfterSeconds;
+    for (const auto& state : targets) {
+        if (state.isEligible())
+            seconds = std::min(seconds, Seconds(state.health.openUntil() - now).count());
     }
-    return decisions;
+    return refuse(ErrorCode::NoTargetAvailable, seconds);
+}
+
+void PoolBalancer::State::refuseLate(std::vector<QueueDecision>& decisions, TimePoint now)
+{
+    if (queue.size() == 0)
+        return;
+    if (!isServed({}, now)) {
+        for (const auto& request : queue.removeIf([](const QueuedRequest&, std::size_t) { return true; }))
+            decisions.push_back({ request.ticket, refuseUnserved(now) });
+        return;
+    }
+    const auto service = leastDelay(now);
+    const auto late = queue.removeIf([&](const QueuedRequest& request, std::size_t position) {
+        return isTooLate(request.demand, service + queue.waitSeconds(request.demand.priority, position, now), now);
+    });
+    for (const auto& request : late)
+        decisions.push_back({ request.ticket, refuse(ErrorCode::Overloaded, service) });
+}
+
+/// The first of a priority goes first. If it does better to wait, the last one, which would wait longest, may take the place.
+bool PoolBalancer::State::admitOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
+{
+    for (const auto priority : queue.turns()) {
+        const auto& waiting = queue.waiting(priority);
+        if (!isServed(waiting.front().demand, now))
+            return false;
+        if (const auto index = pick(waiting.front().demand, queue.waitSeconds(priority, 0, now), now)) {
+            decisions.push_back({ queue.popFront(priority).ticket, admit(*index, now) });
+            return true;
+        }
+        const auto last = waiting.size() - 1;
+        if (last == 0 || candidates.empty() || !waiting.back().demand.excluded.empty())
+            continue;
+        if (const auto index = pick(waiting.back().demand, queue.waitSeconds(priority, last, now), now)) {
+            decisions.push_back({ queue.popBack(priority).ticket, admit(*index, now) });
+            return true;
+        }
+    }
+    return false;
 }
 
 PoolBalancer::PoolBalancer(Pool pool, BalancerOptions options, TimePoint now)
-    : m_state(std::make_unique<State>())
+    : m_state(std::make_unique<State>(std::move(options), now))
 {
-    m_state->random.seed(options.seed);
-    m_state->options = std::move(options);
     update(pool, now);
 }
 
@@ -170,31 +258,37 @@
 Admission PoolBalancer::request(const Demand& demand, TimePoint now)
 {
     auto& state = *m_state;
-    if (!state.hasEligible())
-        return state.refuse(ErrorCode::NoTargetAvailable);
+    if (!state.isServed(demand, now))
+        return state.refuseUnserved(now);
     if (demand.deadline <= now)
-        return state.refuse(ErrorCode::Overloaded);
-    if (state.queue.sizeFrom(demand.priority) == 0) {
-        if (const auto index = state.pick(demand))
-            return state.admit(*index);
+        return state.refuse(ErrorCode::Overloaded, 0);
+    const auto position = state.queue.waiting(demand.priority).size();
+    const auto wait = state.queue.waitSeconds(demand.priority, position, now);
+    if (position + state.queue.sizeAbove(demand.priority) == 0 || state.strategy.hasAdaptiveLimit) {
+        if (const auto index = state.pick(demand, wait, now)) {
+            state.queue.recordArrival(demand.priority, now);
+            return state.admit(*index, now);
+        }
     }
-    if (state.queue.size() >= state.options.maximumQueueLength)
-        return state.refuse(ErrorCode::Overloaded);
-    Admission admission;
-    admission.kind = AdmissionKind::Queued;
-    admission.ticket = ++state.lastTicket;
-    state.queue.push({ admission.ticket, demand });
-    return admission;
+    const auto seconds = state.leastDelay(now) + wait;
+    if (state.queue.size() >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
+        return state.refuse(ErrorCode::Overloaded, seconds);
+    state.queue.recordArrival(demand.priority, now);
+    return state.enqueue(demand);
 }
 
-std::vector<QueueDecision> PoolBalancer::finished(const TargetId& id, const Completion&, TimePoint now)
+std::vector<QueueDecision> PoolBalancer::finished(const TargetId& id, const Completion& completion, TimePoint now)
 {
     auto& state = *m_state;
-    auto* target = state.find(id);
-    if (target && target->inFlight > 0)
-        --target->inFlight;
-    state.eraseIfIdle(id);
-    return state.drain(now);
+    if (auto* target = state.find(id)) {
+        target->end(completion, now, state.random);
+        if (target->isRemoved && target->inFlight == 0)
+            state.eraseIdleRemoved();
+    }
+    state.queue.recordFreedPlace(now);
+    std::vector<QueueDecision> decisions;
+    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    return decisions;
 }
 
 bool PoolBalancer::withdraw(QueueTicket ticket, TimePoint)
@@ -204,7 +298,11 @@
 
 std::vector<QueueDecision> PoolBalancer::tick(TimePoint now)
 {
-    return m_state->drain(now);
+    auto& state = *m_state;
+    std::vector<QueueDecision> decisions;
+    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    state.refuseLate(decisions, now);
+    return decisions;
 }
 
 void PoolBalancer::update(const Pool& pool, TimePoint)
@@ -213,10 +311,10 @@
     m_state->applyTargets();
 }
 
-void PoolBalancer::reportLoad(const TargetId& id, const LoadReport& report, TimePoint)
+void PoolBalancer::reportLoad(const TargetId& id, const LoadReport& report, TimePoint now)
 {
     if (auto* target = m_state->find(id))
-        target->saysItIsLeaving = report.isLeaving;
+        target->recordReport(report, now);
 }
 
 void PoolBalancer::setLeaving(const TargetId& id, bool isLeaving, TimePoint)
@@ -230,13 +328,11 @@
     return m_state->queue.size();
 }
 
-std::vector<TargetView> PoolBalancer::targets(TimePoint) const
+std::vector<TargetView> PoolBalancer::targets(TimePoint now) const
 {
     std::vector<TargetView> views;
-    for (const auto& state : m_state->targets) {
-        const auto reason = ineligibility(state);
-        views.push_back({ state.target.id, state.inFlight, static_cast<double>(m_state->pool.maximumInFlight), {}, reason.empty(), reason });
-    }
+    for (const auto& state : m_state->targets)
+        views.push_back(state.view(now));
     return views;
 }
 
--- /dev/null
+++ b/packages/routing/src/TargetState.cpp
@@ -0,0 +1,109 @@
+#include "TargetState.h"
+
+#include "cicadalb/base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadalb {
+
+namespace {
+
+    /// Time constant of the average of own requests in flight, about the age of a report.
+    constexpr double averagingSeconds = 0.3;
+    /// A latency so many times its baseline counts as congestion.
+    constexpr double congestedRatio = 1.6;
+
+} // namespace
+
+TargetState::TargetState(Target configured, unsigned ceiling, bool hasAdaptiveLimit)
+    : target(std::move(configured))
+    , seed(placementHash(target.id.value()))
+    , limit(ceiling, hasAdaptiveLimit)
+    , m_hasAdaptiveLimit(hasAdaptiveLimit)
+{
+}
+
+std::string_view TargetState::ineligibility() const noexcept
+{
+    if (isRemoved)
+        return "removed";
+    if (target.draining)
+        return "draining";
+    if (isListedAsLeaving)
+        return "leaving by host list";
+    if (saysItIsLeaving)
+        return "leaving by its own word";
+    return {};
+}
+
+void TargetState::averageInFlight(TimePoint now)
+{
+    const auto elapsed = std::chrono::duration<double>(now - m_averagedAt).count();
+    m_averageInFlight += (1 - std::exp(-elapsed / averagingSeconds)) * (inFlight - m_averageInFlight);
+    m_averagedAt = now;
+}
+
+void TargetState::begin(TimePoint now)
+{
+    averageInFlight(now);
+    ++inFlight;
+}
+
+void TargetState::end(const Completion& completion, TimePoint now, Random& random)
+{
+    averageInFlight(now);
+    const auto inFlightBefore = inFlight;
+    if (inFlight > 0)
+        --inFlight;
+    health.record(completion.kind, now, random);
+    if (completion.kind == CompletionKind::Lost && m_hasAdaptiveLimit)
+        limit.recordCongested(completion.latency, now);
+    if (completion.kind != CompletionKind::Succeeded)
+        return;
+    speed.record(completion.latency, crowding(now), now);
+    if (!m_hasAdaptiveLimit)
+        return;
+    const bool isSlowed = speed.baselineSeconds() > 0 && speed.latencySeconds() > congestedRatio * speed.baselineSeconds();
+    if (isSlowed || load.hasQueue(now))
+        limit.recordCongested(completion.latency, now);
+    else
+        limit.recordUncongested(inFlightBefore);
+}
+
+void TargetState::recordReport(const LoadReport& report, TimePoint now)
+{
+    averageInFlight(now);
+    saysItIsLeaving = report.isLeaving;
+    load.record(report, m_averageInFlight, now);
+}
+
+double TargetState::allowedInFlight(TimePoint now) const noexcept
+{
+    const auto state = health.state(now);
+    if (state == CircuitState::Open)
+        return 0;
+    return std::max(1.0, std::floor(limit.value() * health.allowedShare(now)));
+}
+
+double TargetState::crowding(TimePoint now) const noexcept
+{
+    const auto places = load.hasReports() ? load.parallelism() : limit.value();
+    return std::max(1.0, (expectedLoad(now) + 1) / std::max(places, 1.0));
+}
+
+TargetView TargetState::view(TimePoint now) const
+{
+    TargetView made;
+    made.target = target.id;
+    made.inFlight = inFlight;
+    made.limit = limit.value();
+    made.serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(speed.serviceSeconds()));
+    made.reason = ineligibility();
+    if (made.reason.empty() && health.state(now) == CircuitState::Open)
+        made.reason = "circuit open";
+    made.isEligible = made.reason.empty();
+    return made;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/routing/tests/unit-target-health.cpp
@@ -0,0 +1,77 @@
+#include "TargetHealth.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct TargetHealthFixture {
+    void record(CompletionKind kind, unsigned times = 1)
+    {
+        for (unsigned i = 0; i < times; ++i)
+            health.record(kind, clock.now(), random);
+    }
+
+    CircuitState state() const { return health.state(clock.now()); }
+
+    ManualClock clock;
+    Random random { 7 };
+    TargetHealth health;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(TargetHealthFixture, "circuit, after failures in a row, opens and lets a probe through later")
+{
+    record(CompletionKind::Lost, TargetHealth::failuresToOpen - 1);
+    CHECK(state() == CircuitState::Closed);
+    record(CompletionKind::Lost);
+    CHECK(state() == CircuitState::Open);
+    CHECK(health.allowedShare(clock.now()) == 0);
+    clock.advance(health.openUntil() - clock.now());
+    CHECK(state() == CircuitState::HalfOpen);
+}
+
+TEST_CASE_METHOD(TargetHealthFixture, "circuit, with a failed probe, opens for longer")
+{
+    record(CompletionKind::NotRun, TargetHealth::failuresToOpen);
+    const auto first = health.openUntil() - clock.now();
+    clock.advance(first);
+    record(CompletionKind::NotRun);
+    CHECK(state() == CircuitState::Open);
+    CHECK(health.openUntil() - clock.now() > first);
+}
+
+TEST_CASE_METHOD(TargetHealthFixture, "circuit, with a successful probe, starts slowly and closes")
+{
+    record(CompletionKind::ServerError, TargetHealth::failuresToOpen);
+    clock.advance(health.openUntil() - clock.now());
+    record(CompletionKind::Succeeded);
+    CHECK(state() == CircuitState::SlowStart);
+    CHECK(health.allowedShare(clock.now()) == Approx(0.1));
+    clock.advance(TargetHealth::slowStartTime / 2);
+    CHECK(health.allowedShare(clock.now()) == Approx(0.55));
+    clock.advance(TargetHealth::slowStartTime / 2);
+    CHECK(state() == CircuitState::Closed);
+}
+
+TEST_CASE_METHOD(TargetHealthFixture, "circuit, with most but not all requests failing, opens")
+{
+    for (int i = 0; i < 20; ++i) {
+        record(CompletionKind::ServerError, 3);
+        record(CompletionKind::Succeeded);
+    }
+    CHECK(state() == CircuitState::Open);
+}
+
+TEST_CASE_METHOD(TargetHealthFixture, "circuit, with abandoned requests and few failures, stays closed")
+{
+    for (int i = 0; i < 100; ++i) {
+        record(CompletionKind::Abandoned, 5);
+        record(CompletionKind::ServerError, 2);
+        record(CompletionKind::Succeeded, 4);
+    }
+    CHECK(state() == CircuitState::Closed);
+}
