--- /dev/null
+++ b/packages/transport/src/GateEngineSelector.cpp
@@ -0,0 +1,42 @@
+#include "GateEngineSelector.h"
+
+#include <cmath>
+
+namespace cicadalb {
+
+std::shared_ptr<PoolGate> GateEngineSelector::gate(const PoolName& pool) const
+{
+    const auto snapshot = m_routing.snapshot();
+    return snapshot ? snapshot->gate(pool) : nullptr;
+}
+
+Task<Result<TargetId>> GateEngineSelector::acquire(PoolName pool, Demand demand)
+{
+    const auto poolGate = gate(pool);
+    if (!poolGate)
+        co_return failure(ErrorCode::NoTargetAvailable, "the pool is not in the configuration", pool.value());
+    const auto admission = co_await poolGate->admit(std::move(demand));
+    if (admission.kind != AdmissionKind::Admitted)
+        co_return failure(admission.reason, "no engine can take the generation now", pool.value());
+    co_return admission.target;
+}
+
+void GateEngineSelector::release(const PoolName& pool, const TargetId& target, const Completion& completion)
+{
+    const auto poolGate = gate(pool);
+    if (poolGate)
+        poolGate->finished(target, completion);
+}
+
+std::size_t GateEngineSelector::capacity(const PoolName& pool) const
+{
+    const auto poolGate = gate(pool);
+    if (!poolGate)
+        return 0;
+    double capacity = 0;
+    for (const auto& view : poolGate->targets())
+        capacity += view.isEligible ? view.limit : 0;
+    return static_cast<std::size_t>(std::ceil(capacity));
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/PeerClient.cpp
@@ -0,0 +1,64 @@
+#include "PeerClient.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    Task<PeerAnswer> exchange(PeerLinks& links, HostId host, PeerRequest request, std::uint32_t timeout)
+    {
+        const auto initiate = [&links, &host, &request, timeout](auto handler) {
+            const auto executor = asio::get_associated_executor(handler);
+            const auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            links.request(host.value(), std::move(request), timeout, [executor, shared](PeerAnswer answer) {
+                asio::post(executor, [shared, answer = std::move(answer)]() mutable { (*shared)(std::move(answer)); });
+            });
+        };
+        auto answer = co_await asio::async_initiate<const asio::use_awaitable_t<>, void(PeerAnswer)>(initiate, asio::use_awaitable);
+        co_return answer;
+    }
+
+    Result<nlohmann::json> readAnswer(const PeerAnswer& answer, const HostId& host)
+    {
+        const auto place = "host " + host.value();
+        if (answer.outcome == PeerOutcome::NotSent)
+            return failure(ErrorCode::PeerUnreachable, answer.message, place);
+        if (answer.outcome == PeerOutcome::Unknown)
+            return failure(ErrorCode::OutcomeUnknown, answer.message, place);
+        if (answer.error != 0)
+            return failure(static_cast<ErrorCode>(answer.error), answer.message, place);
+        auto document = nlohmann::json::from_cbor(answer.body, true, false);
+        if (document.is_discarded())
+            return failure(ErrorCode::MessageInvalid, "the answer is not CBOR", place);
+        return document;
+    }
+
+} // namespace
+
+Task<Result<nlohmann::json>> PeerClient::ask(HostId host, PeerRequestKind kind, nlohmann::json body, std::chrono::milliseconds timeout)
+{
+    PeerRequest request { kind, nlohmann::json::to_cbor(body) };
+    const auto answer = co_await exchange(m_links, host, std::move(request), static_cast<std::uint32_t>(timeout.count()));
+    co_return readAnswer(answer, host);
+}
+
+PeerAnswer toPeerAnswer(const Result<nlohmann::json>& result)
+{
+    PeerAnswer answer;
+    answer.outcome = PeerOutcome::Answered;
+    if (result) {
+        answer.body = nlohmann::json::to_cbor(result.value());
+        return answer;
+    }
+    answer.error = static_cast<std::uint16_t>(result.error().code);
+    answer.message = result.error().message;
+    return answer;
+}
+
+} // namespace cicadalb
