--- /dev/null
+++ b/testing/plainservice/main.cpp
@@ -0,0 +1,219 @@
+#include "common/Arguments.h"
+#include "common/StandInServer.h"
+
+#include "cicadalb/base/Random.h"
+
+#include <cmath>
+#include <map>
+
+/// @file
+/// Stand-in for a plain service such as a ledger: counts the runs of each request.
+
+namespace cicadalb::standin {
+
+namespace {
+
+    struct Options {
+        double serviceMilliseconds = 2;
+        /// Service time is divided by this.
+        double speed = 1;
+        unsigned slots = 16;
+        std::uint64_t seed = 1;
+    };
+
+    /// Counts of coming requests that meet each fault, and lasting states.
+    struct Faults {
+        unsigned closeBeforeReading = 0;
+        unsigned closeAfterReading = 0;
+        unsigned closeAfterRunning = 0;
+        unsigned halfAnswers = 0;
+        unsigned errors = 0;
+        unsigned refusals = 0;
+        unsigned wrongLengths = 0;
+        /// Requests that run and then wait until "hang-requests" is set again.
+        unsigned hangs = 0;
+        bool isLeaving = false;
+    };
+
+    struct FaultName {
+        const char* name;
+        unsigned Faults::*count;
+    };
+
+    constexpr FaultName faultNames[] = {
+        { "close-before-reading", &Faults::closeBeforeReading },
+        { "close-after-reading", &Faults::closeAfterReading },
+        { "close-after-running", &Faults::closeAfterRunning },
+        { "half-answers", &Faults::halfAnswers },
+        { "errors", &Faults::errors },
+        { "refuse", &Faults::refusals },
+        { "wrong-lengths", &Faults::wrongLengths },
+        { "hang-requests", &Faults::hangs },
+    };
+
+    class PlainServiceStandIn {
+    public:
+        PlainServiceStandIn(boost::asio::io_context& context, std::uint16_t port, const Options& options)
+            : m_server(context, port)
+            , m_options(options)
+            , m_random(options.seed)
+            , m_changed(context.get_executor())
+        {
+            m_server.route("GET", "/load", [this](Exchange& exchange) { return load(exchange); });
+            m_server.route("", "/", [this](Exchange& exchange) { return handle(exchange); });
+            m_server.onBytes([this](std::string_view bytes) { return refusesBytes(bytes); });
+            m_server.onControl([this](const Json& words) { applyControl(words); });
+            m_server.onCounters([this] { return counters(); });
+        }
+
+        void run() { m_server.run(); }
+
+    private:
+        bool refusesBytes(std::string_view bytes)
+        {
+            const auto line = bytes.substr(0, bytes.find('\r'));
+            const bool isOther = line.find(" /control") != std::string_view::npos || line.find(" /load") != std::string_view::npos;
+            return !isOther && takeOne(m_faults.closeBeforeReading);
+        }
+
+        Task<void> handle(Exchange& exchange)
+        {
+            if (takeOne(m_faults.closeAfterReading)) {
+                exchange.close();
+                co_return;
+            }
+            if (takeOne(m_faults.refusals)) {
+                const std::vector<HeaderField> fields { { "X-Not-Run", "true" } };
+                co_await exchange.refuse(503, "refused", fields);
+                co_return;
+            }
+            const auto answer = runOnce(exchange);
+            co_await serve();
+            while (takeOne(m_faults.hangs))
+                co_await m_changed.wait(std::chrono::hours(1));
+            co_await respond(exchange, answer);
+        }
+
+        /// The effect of the request.
+        Json runOnce(const Exchange& exchange)
+        {
+            const auto key = keyOf(exchange);
+            const auto runs = ++m_runsByKey[key];
+            ++m_runs;
+            Json answer { { "key", key }, { "runs", runs }, { "path", exchange.path() } };
+            const auto position = exchange.path().find("/invoices");
+            if (position == std::string::npos)
+                return answer;
+            if (exchange.request().method_string() == "POST") {
+                const auto invoice = exchange.body();
+                m_invoices[invoice.value("id", key)] = invoice;
+                answer["posted"] = invoice.value("id", key);
+                return answer;
+            }
+            const auto id = exchange.path().substr(exchange.path().rfind('/') + 1);
+            const auto found = m_invoices.find(id);
+            answer["invoice"] = found == m_invoices.end() ? Json() : found->second;
+            return answer;
+        }
+
+        static std::string keyOf(const Exchange& exchange)
+        {
+            auto key = exchange.header("Idempotency-Key");
+            return key.empty() ? exchange.header("X-Request-Id") : key;
+        }
+
+        /// Waits for a slot and for the service time, which varies by a factor of two to each side.
+        Task<void> serve()
+        {
+            ++m_queued;
+            while (m_running >= m_options.slots)
+                co_await m_changed.wait(std::chrono::hours(1));
+            --m_queued;
+            ++m_running;
+            const double factor = std::exp2(2 * randomUnit(m_random) - 1);
+            const std::chrono::duration<double, std::milli> time(m_options.serviceMilliseconds / m_options.speed * factor);
+            co_await sleepFor(std::chrono::duration_cast<std::chrono::steady_clock::duration>(time));
+            --m_running;
+            m_changed.notifyAll();
+        }
+
+        Task<void> respond(Exchange& exchange, const Json& answer)
+        {
+            const auto text = answer.dump();
+            if (takeOne(m_faults.closeAfterRunning)) {
+                exchange.close();
+                co_return;
+            }
+            if (takeOne(m_faults.errors)) {
+                co_await exchange.respond(500, answer);
+                co_return;
+            }
+            if (takeOne(m_faults.halfAnswers)) {
+                co_await exchange.writeRaw(head(text.size()) + text.substr(0, text.size() / 2));
+                exchange.close();
+                co_return;
+            }
+            if (takeOne(m_faults.wrongLengths)) {
+                co_await exchange.writeRaw(head(text.size() / 2) + text);
+                co_return;
+            }
+            co_await exchange.respondText(200, text, "application/json");
+        }
+
+        static std::string head(std::size_t length)
+        {
+            return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+        }
+
+        Task<void> load(Exchange& exchange)
+        {
+            const Json answer { { "running", m_running }, { "queued", m_queued }, { "leaving", m_faults.isLeaving } };
+            co_await exchange.respond(200, answer);
+        }
+
+        void applyControl(const Json& words)
+        {
+            for (const auto& fault : faultNames)
+                assignIfPresent(words, fault.name, m_faults.*fault.count);
+            assignIfPresent(words, "leaving", m_faults.isLeaving);
+            assignIfPresent(words, "service-ms", m_options.serviceMilliseconds);
+            assignIfPresent(words, "speed", m_options.speed);
+            m_changed.notifyAll();
+        }
+
+        Json counters() const
+        {
+            return { { "runs", m_runs }, { "runs-by-key", m_runsByKey }, { "invoices", m_invoices.size() },
+                { "running", m_running }, { "queued", m_queued } };
+        }
+
+        StandInServer m_server;
+        Options m_options;
+        Faults m_faults;
+        Random m_random;
+        std::map<std::string, unsigned> m_runsByKey;
+        std::map<std::string, Json> m_invoices;
+        std::uint64_t m_runs = 0;
+        unsigned m_running = 0;
+        unsigned m_queued = 0;
+        Signal m_changed;
+    };
+
+} // namespace
+
+} // namespace cicadalb::standin
+
+int main(int count, char** words)
+{
+    using namespace cicadalb::standin;
+    Options options;
+    Arguments arguments("Stand-in for a plain service");
+    arguments.option("--service-ms", options.serviceMilliseconds, "Median service time");
+    arguments.option("--speed", options.speed, "Factor that shortens the service time");
+    arguments.option("--slots", options.slots, "Requests that run at once");
+    arguments.option("--seed", options.seed, "Seed of the service times");
+    arguments.parse(count, words);
+    boost::asio::io_context context(1);
+    PlainServiceStandIn standIn(context, arguments.port, options);
+    standIn.run();
+}
