--- a/testing/engine/main.cpp
+++ b/testing/engine/main.cpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <map>
 #include <set>
+#include <tuple>
 
 /// @file
 /// Stand-in for a model engine: streams labelled chunks, swaps weights, reports load late.
@@ -77,7 +78,7 @@
     struct Place {
         unsigned priority = 1;
         std::uint64_t arrival = 0;
-        auto operator<=>(const Place&) const = default;
+        bool operator<(const Place& other) const { return std::tie(priority, arrival) < std::tie(other.priority, other.arrival); }
     };
 
     class EngineStandIn {
@@ -130,7 +131,7 @@
         {
             const Place place { priority, ++m_arrivals };
             m_queue.insert(place);
-            while ((m_running >= m_options.slots || *m_queue.begin() != place) && !m_cancelled.contains(id))
+            while ((m_running >= m_options.slots || m_queue.begin()->arrival != place.arrival) && !m_cancelled.contains(id))
                 co_await m_changed.wait(std::chrono::hours(1));
             m_queue.erase(place);
             m_changed.notifyAll();
