Steps from submission to pull: coordinator, service, cursor rule and trainer client

The trainer's cursor (number and bitmap) carries the delivery state; a coordinator hands over only samples outside the bitmap and judges staleness at the pull; the client accepts a batch only for its present cursor. Generations run within the pool's capacity, shared by weight.

--- /dev/null
+++ b/packages/client/src/TrainerClient.cpp
@@ -0,0 +1,163 @@
+#include "cicadalb/client/TrainerClient.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <string_view>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr unsigned firstErrorStatus = 400;
+    constexpr unsigned firstServerErrorStatus = 500;
+    constexpr unsigned tooManyRequestsStatus = 429;
+
+    std::string stepPath(const StepKey& key)
+    {
+        return "/v1/trainers/" + key.trainer.value() + "/steps/" + std::to_string(key.step);
+    }
+
+    /// The number of a problem document, or OutcomeUnknown if the body is none.
+    Error problem(const HttpResponse& response)
+    {
+        const auto json = nlohmann::json::parse(response.body, nullptr, false);
+        Error error { ErrorCode::AnswerInvalid, "status " + std::to_string(response.status), "" };
+        if (!json.is_object())
+            return error;
+        if (json.contains("code") && json["code"].is_number_unsigned())
+            error.code = static_cast<ErrorCode>(json["code"].get<std::uint16_t>());
+        if (json.contains("detail") && json["detail"].is_string())
+            error.message = json["detail"].get<std::string>();
+        return error;
+    }
+
+    /// Another host, or the same one later, may answer.
+    bool isWorthAnotherTry(unsigned status)
+    {
+        return status >= firstServerErrorStatus || status == tooManyRequestsStatus;
+    }
+
+} // namespace
+
+TrainerClient::TrainerClient(boost::asio::any_io_executor executor, TrainerClientOptions options, const Clock& clock, std::uint64_t seed)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_clock(clock)
+    , m_random(seed)
+{
+    for (const auto& host : m_options.hosts)
+        m_hosts.push_back(std::make_unique<HttpClient>(m_executor, host));
+    if (!m_hosts.empty())
+        m_nextHost = randomIndex(m_random, m_hosts.size());
+}
+
+Task<void> TrainerClient::pause(TimePoint deadline)
+{
+    boost::asio::steady_timer timer(m_executor);
+    boost::system::error_code ignored;
+    timer.expires_after(std::min<Duration>(m_options.retryPause, std::max(deadline - m_clock.now(), Duration::zero())));
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+Task<Result<HttpResponse>> TrainerClient::exchangeOnce(HttpRequest request, std::chrono::milliseconds wait, TimePoint deadline)
+{
+    auto& host = *m_hosts[m_nextHost];
+    const auto exchangeDeadline = std::min(deadline, m_clock.now() + wait + m_options.exchangeTimeout);
+    auto response = co_await host.send(std::move(request), exchangeDeadline);
+    if (!response || isWorthAnotherTry(response.value().status))
+        m_nextHost = (m_nextHost + 1) % m_hosts.size();
+    co_return response;
+}
+
+Task<Result<HttpResponse>> TrainerClient::exchange(HttpRequest request, std::chrono::milliseconds wait, TimePoint deadline)
+{
+    request.fields.emplace_back("Authorization", "Bearer " + m_options.bearerToken);
+    request.fields.emplace_back("Content-Type", "application/json");
+    for (std::size_t tries = 1; m_clock.now() < deadline && !m_hosts.empty(); ++tries) {
+        auto response = co_await exchangeOnce(request, wait, deadline);
+        if (response && response.value().status < firstErrorStatus)
+            co_return response;
+        if (response && !isWorthAnotherTry(response.value().status)) {
+            const auto error = problem(response.value());
+            co_return failure(error.code, error.message, error.where);
+        }
+        if (tries % m_hosts.size() == 0)
+            co_await pause(deadline);
+    }
+    co_return failure(ErrorCode::DeadlineExceeded, "no entry host answered in time", request.target);
+}
+
+Task<Result<SubmitReceipt>> TrainerClient::submit(StepSpec spec, TimePoint deadline)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = stepPath(spec.key);
+    request.body = toJson(spec);
+    auto response = co_await exchange(std::move(request), std::chrono::milliseconds(0), deadline);
+    if (!response)
+        co_return response.as_failure();
+    co_return submitReceiptFromJson(response.value().body);
+}
+
+Task<Result<std::vector<Sample>>> TrainerClient::submitAgain(StepSpec spec, TimePoint deadline)
+{
+    auto receipt = co_await submit(std::move(spec), deadline);
+    if (!receipt)
+        co_return receipt.as_failure();
+    co_return std::vector<Sample> {};
+}
+
+Task<Result<std::vector<Sample>>> TrainerClient::pull(const StepSpec& spec, StepReceiver& receiver, TimePoint deadline)
+{
+    PullRequest pullRequest { receiver.cursor(), m_options.samplesPerPull, m_options.patience };
+    HttpRequest request;
+    request.method = "POST";
+    request.target = stepPath(spec.key) + "/pull";
+    request.body = toJson(pullRequest);
+    auto response = co_await exchange(std::move(request), m_options.patience, deadline);
+    if (!response && response.error().code == ErrorCode::StepUnknown)
+        co_return co_await submitAgain(spec, deadline);
+    if (!response)
+        co_return response.as_failure();
+    auto batch = batchFromJson(response.value().body);
+    if (!batch)
+        co_return batch.as_failure();
+    co_return receiver.accept(std::move(batch.value()));
+}
+
+Task<Result<void>> TrainerClient::receiveStep(StepSpec spec, WeightVersion version, SampleHandler handler, TimePoint deadline)
+{
+    auto receipt = co_await submit(spec, deadline);
+    if (!receipt)
+        co_return receipt.as_failure();
+    StepReceiver receiver(spec, version, m_random());
+    while (!receiver.isComplete()) {
+        auto samples = co_await pull(spec, receiver, deadline);
+        if (!samples)
+            co_return samples.as_failure();
+        receiver.setWeightVersion(handler(std::move(samples.value())));
+    }
+    // Shows the coordinator that the step is received, so that it frees its state.
+    auto last = co_await pull(spec, receiver, deadline);
+    static_cast<void>(last);
+    co_return success();
+}
+
+Task<Result<void>> TrainerClient::announceWeights(WeightAnnouncement announcement, TimePoint deadline)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/weights";
+    request.body = toJson(announcement);
+    auto response = co_await exchange(std::move(request), std::chrono::milliseconds(0), deadline);
+    if (!response)
+        co_return response.as_failure();
+    co_return success();
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/include/cicadalb/rollout/EngineSelector.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cicadalb/base/Error.h"
+#include "cicadalb/base/Task.h"
+#include "cicadalb/routing/PoolBalancer.h"
+
+/// @file
+/// Choice of engine for one generation. The transport package implements it over PoolBalancer; tests use fakes.
+
+namespace cicadalb {
+
+class EngineSelector {
+public:
+    virtual ~EngineSelector() = default;
+
+    /// @brief Waits for a slot on an engine of @p pool. Errors: NoTargetAvailable, Overloaded. Each success is followed by one release().
+    virtual Task<Result<TargetId>> acquire(PoolName pool, Demand) = 0;
+    /// @brief Ends a generation on an engine. Thread-safe.
+    virtual void release(const PoolName& pool, const TargetId&, const Completion&) = 0;
+    /// @brief Generations that this host may run at once on @p pool. Thread-safe.
+    virtual std::size_t capacity(const PoolName& pool) const = 0;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/include/cicadalb/rollout/Step.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "cicadalb/base/Identifier.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// @file
+/// A trainer's unit of work: a step of groups of samples.
+
+namespace cicadalb {
+
+using StepNumber = std::uint64_t;
+/// @brief Flat index of a sample in its step: groups in order, samples of a group in order.
+using SampleIndex = std::uint32_t;
+/// @brief Names one state of a trainer's cursor; see StepCursor.
+using CursorNumber = std::uint64_t;
+
+/// @brief Largest number of samples of a step (a cursor's bitmap of 256 bytes).
+inline constexpr std::size_t maximumSamplesPerStep = 2048;
+
+/// @brief Samples that share one prompt.
+struct SampleGroup {
+    std::string prompt;
+    /// Groups with the same key share a prompt prefix; empty: the prompt itself is the key.
+    std::string prefixKey;
+    unsigned samples = 1;
+    bool operator==(const SampleGroup&) const = default;
+};
+
+/// @brief Names a step.
+struct StepKey {
+    TrainerName trainer;
+    StepNumber step = 0;
+    auto operator<=>(const StepKey&) const = default;
+};
+
+/// @brief What a trainer submits. The same key with another body is a conflict.
+struct StepSpec {
+    StepKey key;
+    std::vector<SampleGroup> groups;
+    unsigned maximumTokens = 256;
+    /// 0 is the most urgent.
+    unsigned priority = 1;
+    /// From submission.
+    std::chrono::milliseconds deadline { 360000 };
+    /// Largest allowed difference between the trainer's weight version and a sample's oldest version.
+    WeightVersion stalenessBound = 1;
+    bool operator==(const StepSpec&) const = default;
+
+    /// @brief Number of samples of all groups. Complexity: linear in the number of groups.
+    std::size_t sampleCount() const noexcept;
+};
+
+/// @brief Names a sample within its step.
+struct SampleId {
+    std::uint32_t group = 0;
+    std::uint32_t index = 0;
+    auto operator<=>(const SampleId&) const = default;
+};
+
+/// @brief One delivered generation.
+struct Sample {
+    SampleId id;
+    /// Flat index in the step.
+    SampleIndex position = 0;
+    std::string text;
+    unsigned tokens = 0;
+    /// Weight versions that produced the tokens, rising, each once; never empty.
+    std::vector<WeightVersion> versions;
+    bool operator==(const Sample&) const = default;
+};
+
+/// @brief Samples handed to a trainer for one state of its cursor.
+struct Batch {
+    StepNumber step = 0;
+    /// Number of the cursor that the batch answers.
+    CursorNumber base = 0;
+    std::vector<Sample> samples;
+    /// True if the cursor and this batch together hold the whole step.
+    bool isDone = false;
+    bool operator==(const Batch&) const = default;
+};
+
+/// @brief Converts between flat positions and sample names of one step.
+class SampleLayout {
+public:
+    explicit SampleLayout(const StepSpec&);
+
+    std::size_t size() const noexcept { return m_ids.size(); }
+    const SampleId& idOf(SampleIndex position) const { return m_ids[position]; }
+
+private:
+    std::vector<SampleId> m_ids;
+};
+
+/// @brief True if a sample whose oldest version is @p oldest is beyond @p bound for a trainer at @p present.
+constexpr bool isStale(WeightVersion oldest, WeightVersion present, WeightVersion bound) noexcept
+{
+    return present > oldest && present - oldest > bound;
+}
+
+} // namespace cicadalb
--- a/packages/rollout/src/Placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder translation unit until the package's first source lands.
--- /dev/null
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -0,0 +1,296 @@
+#include "cicadalb/rollout/StepCoordinator.h"
+
+#include "cicadalb/base/Hash.h"
+
+#include <algorithm>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr auto causeNames = std::to_array<EnumName<DiscardCause>>({
+        { DiscardCause::Stale, "stale" },
+        { DiscardCause::BecomingStale, "becoming-stale" },
+        { DiscardCause::Unlabelled, "unlabelled" },
+        { DiscardCause::Failed, "failed" },
+        { DiscardCause::Superseded, "superseded" },
+    });
+
+    /// Longest doubling of the retry backoff.
+    constexpr unsigned maximumBackoffDoublings = 16;
+
+    /// Cursor numbers of one life of a trainer rise by one from a random start.
+    constexpr CursorNumber numbersOfOneLife = CursorNumber { 1 } << 32U;
+
+    bool isOlderOfSameLife(CursorNumber number, CursorNumber latest)
+    {
+        return number < latest && latest - number < numbersOfOneLife;
+    }
+
+    bool isLabelled(const Generation& generation)
+    {
+        return !generation.versions.empty()
+            && std::is_sorted(generation.versions.begin(), generation.versions.end())
+            && generation.versions.front() != 0;
+    }
+
+} // namespace
+
+std::string_view name(DiscardCause cause) noexcept
+{
+    return nameIn(causeNames, cause);
+}
+
+StepCoordinator::StepCoordinator(StepSpec spec, StepOptions options, TimePoint submittedAt)
+    : m_spec(std::move(spec))
+    , m_options(options)
+    , m_layout(m_spec)
+    , m_submittedAt(submittedAt)
+    , m_lastPull(submittedAt)
+    , m_received(m_layout.size())
+    , m_samples(m_layout.size())
+{
+}
+
+Result<void> StepCoordinator::resubmit(const StepSpec& spec) const
+{
+    if (spec == m_spec)
+        return success();
+    return failure(ErrorCode::StepConflict, "the step was submitted before with another body", "step " + std::to_string(m_spec.key.step));
+}
+
+bool StepCoordinator::isWaiting(SampleIndex position, TimePoint now) const
+{
+    const auto& sample = m_samples[position];
+    return !m_received[position] && !sample.ready && sample.running == 0 && sample.notBefore <= now;
+}
+
+Dispatch StepCoordinator::makeDispatch(SampleIndex position, TimePoint now)
+{
+    const auto attempt = m_nextAttempt++;
+    auto& sample = m_samples[position];
+    ++sample.running;
+    Attempt state;
+    state.position = position;
+    state.startedAt = now;
+    m_attempts.emplace(attempt, state);
+
+    const auto& group = m_spec.groups[m_layout.idOf(position).group];
+    Dispatch dispatch;
+    dispatch.attempt = attempt;
+    dispatch.request.id = RequestId(m_spec.key.trainer.value() + "/" + std::to_string(m_spec.key.step) + "/" + std::to_string(position)
+        + "/" + std::to_string(m_options.incarnation) + "/" + std::to_string(attempt));
+    dispatch.request.prompt = group.prompt;
+    dispatch.request.prefixKey = group.prefixKey.empty() ? group.prompt : group.prefixKey;
+    dispatch.request.maximumTokens = m_spec.maximumTokens;
+    dispatch.request.priority = m_spec.priority;
+    dispatch.affinity = placementHash(dispatch.request.prefixKey);
+    dispatch.excluded.assign(sample.failedOn.begin(), sample.failedOn.end());
+    return dispatch;
+}
+
+std::vector<Dispatch> StepCoordinator::nextDispatches(std::size_t capacity, TimePoint now)
+{
+    std::vector<Dispatch> dispatches;
+    for (SampleIndex position = 0; position < m_samples.size() && dispatches.size() < capacity; ++position) {
+        if (isWaiting(position, now))
+            dispatches.push_back(makeDispatch(position, now));
+    }
+    return dispatches;
+}
+
+void StepCoordinator::onStarted(AttemptId id, const TargetId& engine, TimePoint now)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return;
+    found->second.engine = engine;
+    found->second.startedAt = now;
+}
+
+bool StepCoordinator::onProgress(AttemptId id, const GenerationProgress& progress, TimePoint)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return false;
+    auto& attempt = found->second;
+    attempt.tokens = std::max(attempt.tokens, progress.tokens);
+    if (attempt.abandoned)
+        return false;
+    if (progress.tokens > 0 && progress.version == 0)
+        attempt.abandoned = DiscardCause::Unlabelled;
+    else if (progress.version != 0)
+        attempt.versions.insert(progress.version);
+    if (!attempt.versions.empty() && wouldBeStale(*attempt.versions.begin()))
+        attempt.abandoned = DiscardCause::BecomingStale;
+    return !attempt.abandoned;
+}
+
+void StepCoordinator::onResult(AttemptId id, const Result<Generation>& result, TimePoint now)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return;
+    auto attempt = std::move(found->second);
+    m_attempts.erase(found);
+    --m_samples[attempt.position].running;
+    if (result)
+        attempt.tokens = result.value().tokens;
+
+    if (m_received[attempt.position] || m_samples[attempt.position].ready)
+        return discard(DiscardCause::Superseded, attempt.tokens);
+    if (attempt.abandoned)
+        return discard(*attempt.abandoned, attempt.tokens);
+    if (!result)
+        return fail(attempt, DiscardCause::Failed, now);
+    if (!isLabelled(result.value()))
+        return fail(attempt, DiscardCause::Unlabelled, now);
+    keep(attempt, result.value());
+}
+
+void StepCoordinator::keep(const Attempt& attempt, const Generation& generation)
+{
+    auto versions = attempt.versions;
+    versions.insert(generation.versions.begin(), generation.versions.end());
+    if (wouldBeStale(*versions.begin()))
+        return discard(DiscardCause::Stale, generation.tokens);
+
+    Sample sample;
+    sample.id = m_layout.idOf(attempt.position);
+    sample.position = attempt.position;
+    sample.text = generation.text;
+    sample.tokens = generation.tokens;
+    sample.versions.assign(versions.begin(), versions.end());
+    m_samples[attempt.position].ready = std::move(sample);
+    m_tokensKept += generation.tokens;
+    abandonOthers(attempt.position);
+}
+
+void StepCoordinator::fail(const Attempt& attempt, DiscardCause cause, TimePoint now)
+{
+    discard(cause, attempt.tokens);
+    auto& sample = m_samples[attempt.position];
+    const auto doublings = std::min(sample.failures, maximumBackoffDoublings);
+    const auto backoff = m_options.retryBackoff * (std::int64_t { 1 } << doublings);
+    ++sample.failures;
+    sample.notBefore = now + std::min(backoff, m_options.maximumRetryBackoff);
+    sample.failedOn.clear();
+    if (!attempt.engine.isEmpty())
+        sample.failedOn.insert(attempt.engine);
+}
+
+void StepCoordinator::discard(DiscardCause cause, unsigned tokens)
+{
+    ++m_discarded[static_cast<std::size_t>(cause)];
+    m_tokensDiscarded += tokens;
+}
+
+void StepCoordinator::abandon(Attempt& attempt, AttemptId id, DiscardCause cause)
+{
+    if (attempt.abandoned)
+        return;
+    attempt.abandoned = cause;
+    m_cancellations.push_back(id);
+}
+
+void StepCoordinator::abandonOthers(SampleIndex position)
+{
+    for (auto& [id, attempt] : m_attempts) {
+        if (attempt.position == position)
+            abandon(attempt, id, DiscardCause::Superseded);
+    }
+}
+
+void StepCoordinator::abandonStale()
+{
+    for (auto& [id, attempt] : m_attempts) {
+        if (!attempt.versions.empty() && wouldBeStale(*attempt.versions.begin()))
+            abandon(attempt, id, DiscardCause::BecomingStale);
+    }
+}
+
+bool StepCoordinator::isWanted(AttemptId id) const
+{
+    const auto found = m_attempts.find(id);
+    return found != m_attempts.end() && !found->second.abandoned;
+}
+
+std::vector<AttemptId> StepCoordinator::takeCancellations()
+{
+    return std::exchange(m_cancellations, {});
+}
+
+void StepCoordinator::discardStaleReady()
+{
+    for (auto& sample : m_samples) {
+        if (!sample.ready || !wouldBeStale(sample.ready->versions.front()))
+            continue;
+        m_tokensKept -= sample.ready->tokens;
+        discard(DiscardCause::Stale, sample.ready->tokens);
+        sample.ready.reset();
+    }
+}
+
+void StepCoordinator::learnReceived(const StepCursor& cursor)
+{
+    m_cursorNumber = cursor.number;
+    m_received = cursor.received;
+    for (auto position = m_received.find_first(); position != SampleBitmap::npos; position = m_received.find_next(position)) {
+        abandonOthers(static_cast<SampleIndex>(position));
+        m_samples[position].ready.reset();
+    }
+}
+
+Result<Batch> StepCoordinator::pull(const StepCursor& cursor, std::size_t maximum, TimePoint now)
+{
+    if (cursor.step != m_spec.key.step || cursor.received.size() != m_layout.size())
+        return failure(ErrorCode::CursorInvalid, "the cursor does not fit the step", "cursor");
+    m_lastPull = now;
+    m_weightVersion = std::max(m_weightVersion, cursor.weightVersion);
+    if (!isOlderOfSameLife(cursor.number, m_cursorNumber))
+        learnReceived(cursor);
+    abandonStale();
+    discardStaleReady();
+
+    Batch batch;
+    batch.step = cursor.step;
+    batch.base = cursor.number;
+    for (SampleIndex position = 0; position < m_samples.size() && batch.samples.size() < maximum; ++position) {
+        if (m_samples[position].ready && !cursor.received[position])
+            batch.samples.push_back(*m_samples[position].ready);
+    }
+    batch.isDone = cursor.received.count() + batch.samples.size() == m_layout.size();
+    return batch;
+}
+
+StepProgress StepCoordinator::progress(TimePoint now) const
+{
+    StepProgress progress;
+    progress.key = m_spec.key;
+    progress.samples = m_layout.size();
+    progress.received = m_received.count();
+    for (SampleIndex position = 0; position < m_samples.size(); ++position) {
+        const auto& sample = m_samples[position];
+        if (m_received[position])
+            continue;
+        if (sample.ready)
+            ++progress.ready;
+        else if (sample.running > 0)
+            ++progress.running;
+        else
+            ++progress.waiting;
+    }
+    progress.discarded = m_discarded;
+    progress.tokensKept = m_tokensKept;
+    progress.tokensDiscarded = m_tokensDiscarded;
+    progress.isLate = !isReceived() && now > deadline();
+    if (progress.waiting > 0)
+        progress.reason = "samples wait for an engine";
+    else if (progress.running > 0)
+        progress.reason = "generations are running";
+    else if (progress.ready > 0)
+        progress.reason = "samples wait for the trainer's pull";
+    return progress;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/tests/unit-step-service.cpp
@@ -0,0 +1,117 @@
+#include "cicadalb/rollout/StepService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+
+using namespace cicadalb;
+
+namespace {
+
+/// Engines that answer at once, or keep a generation until it is cancelled.
+struct FakeEngines final : EngineClient {
+    Task<Result<Generation>> generate(TargetId, GenerationRequest request, TimePoint, std::function<void(std::shared_ptr<GenerationHandle>)>,
+        std::function<void(const GenerationProgress&)>) override
+    {
+        ++generations;
+        co_return Generation { request.prompt, 5, versions };
+    }
+    Task<Result<void>> loadWeights(TargetId, WeightOrder, TimePoint) override { co_return success(); }
+    Task<Result<EngineStatus>> status(TargetId, TimePoint) override { co_return EngineStatus {}; }
+
+    std::size_t generations = 0;
+    std::vector<WeightVersion> versions { 7 };
+};
+
+struct FakeSelector final : EngineSelector {
+    Task<Result<TargetId>> acquire(PoolName, Demand) override
+    {
+        ++inUse;
+        mostInUse = std::max(mostInUse, inUse);
+        co_return TargetId("e1");
+    }
+    void release(const PoolName&, const TargetId&, const Completion&) override { --inUse; }
+    std::size_t capacity(const PoolName&) const override { return 2; }
+
+    std::size_t inUse = 0;
+    std::size_t mostInUse = 0;
+};
+
+struct StepServiceFixture {
+    boost::asio::io_context context;
+    FakeEngines engines;
+    FakeSelector selector;
+    ManualClock clock;
+    StepService service { context.get_executor(), engines, selector, clock };
+    StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 3 }, { "b", "", 2 } } };
+    PullRequest request { { 4, 1, SampleBitmap(5), 7 }, 64, std::chrono::milliseconds(0) };
+
+    Result<Batch> pull()
+    {
+        spawnPull();
+        context.restart();
+        context.run();
+        return *answer;
+    }
+
+    void spawnPull() { boost::asio::co_spawn(context, storePull(), boost::asio::detached); }
+    Task<void> storePull()
+    {
+        auto batch = co_await service.pull(spec.key, request);
+        answer.emplace(std::move(batch));
+    }
+
+    std::optional<Result<Batch>> answer;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(StepServiceFixture, "service, given a step, generates it within the pool's capacity and hands it over")
+{
+    REQUIRE(service.submit(spec, { PoolName("draft-model") }));
+    context.run();
+    const auto batch = pull();
+    REQUIRE(batch);
+    CHECK(batch.value().samples.size() == 5);
+    CHECK(batch.value().isDone);
+    CHECK(engines.generations == 5);
+    CHECK(selector.mostInUse <= 2);
+    CHECK(selector.inUse == 0);
+}
+
+TEST_CASE_METHOD(StepServiceFixture, "service, given the same step again, starts nothing twice")
+{
+    REQUIRE(service.submit(spec, { PoolName("draft-model") }));
+    const auto again = service.submit(spec, { PoolName("draft-model") });
+    REQUIRE(again);
+    CHECK_FALSE(again.value().isNew);
+    context.run();
+    CHECK(engines.generations == 5);
+}
+
+TEST_CASE_METHOD(StepServiceFixture, "pull, of a step not submitted here, asks for it")
+{
+    CHECK(pull().error().code == ErrorCode::StepUnknown);
+}
+
+TEST_CASE_METHOD(StepServiceFixture, "pull, waiting for samples, answers when one is there")
+{
+    request.patience = std::chrono::minutes(10);
+    REQUIRE(service.submit(spec, { PoolName("draft-model") }));
+    const auto batch = pull();
+    REQUIRE(batch);
+    CHECK_FALSE(batch.value().samples.empty());
+}
+
+TEST_CASE_METHOD(StepServiceFixture, "service, stopped, refuses steps and pulls")
+{
+    REQUIRE(service.submit(spec, { PoolName("draft-model") }));
+    service.stop();
+    CHECK(pull().error().code == ErrorCode::HostStopping);
+    CHECK(service.submit(spec, { PoolName("draft-model") }).error().code == ErrorCode::HostStopping);
+}
