--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -1,11 +1,18 @@
 #include "cicadalb/transport/HostProcess.h"
 
 #include "AdminEndpoints.h"
+#include "GateEngineSelector.h"
+#include "PeerClient.h"
+#include "StepEndpoints.h"
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/AcceptedConfiguration.h"
 #include "cicadalb/platform/HttpHostList.h"
 #include "cicadalb/platform/HttpKeyValueService.h"
+#include "cicadalb/rollout/StepService.h"
+#include "cicadalb/transport/EngineHttpClient.h"
+#include "cicadalb/transport/MembershipPort.h"
+#include "cicadalb/transport/PeerLink.h"
 #include "cicadalb/transport/RequestDispatcher.h"
 #include "cicadalb/transport/TargetMonitor.h"
 
@@ -57,6 +64,35 @@
         return options;
     }
 
+    PeerLinkSettings linkSettings(const Settings& settings, Incarnation incarnation)
+    {
+        PeerLinkSettings links;
+        links.hostId = settings.host.id.value();
+        links.incarnation = incarnation;
+        links.listenAddress = settings.peers.listen.address;
+        links.listenPort = settings.peers.listen.port;
+        links.secret = settings.secret.reveal();
+        return links;
+    }
+
+    MembershipPortSettings membershipSettings(const Settings& settings, Incarnation incarnation, std::uint16_t peerPort, std::uint16_t adminPort)
+    {
+        MembershipPortSettings membership;
+        membership.self.id = settings.host.id;
+        membership.self.incarnation = incarnation;
+        membership.self.details.failureDomain = settings.host.failureDomain;
+        membership.self.details.weight = settings.host.weight;
+        membership.self.details.address = settings.membership.address;
+        membership.self.details.membershipPort = settings.membership.port;
+        membership.self.details.peerPort = peerPort;
+        membership.self.details.adminPort = adminPort;
+        membership.secret = settings.secret.reveal();
+        membership.randomSeed = incarnation;
+        for (const auto& seed : settings.peers.seeds)
+            membership.seeds.push_back(MemberEndpoint { seed.address.address, seed.address.port });
+        return membership;
+    }
+
     /// Milliseconds since the epoch: rises from one start of a process to the next.
     Incarnation newIncarnation()
     {
@@ -80,8 +116,15 @@
         , m_routing(BalancerOptions { m_settings.host.failureDomain, m_incarnation }, m_clock)
         , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_metrics, m_clock)
         , m_monitor(std::make_shared<TargetMonitor>(TargetMonitorOptions {}, m_routing, m_controlClients, 0, m_hostList))
+        , m_engines(m_controlClients, 0, [this](const TargetId& target) { return engineEndpoint(target); })
+        , m_selector(m_routing)
+        , m_steps(m_control.context(0).get_executor(), m_engines, m_selector, m_clock)
+        , m_links(linkSettings(m_settings, m_incarnation), [this](const auto&, auto request, auto reply) { servePeer(std::move(request), std::move(reply)); })
+        , m_peers(m_links)
+        , m_stepEndpoints(
+              m_settings.host.id, m_control.context(0).get_executor(), m_steps, m_routing, [this] { return assignment(); }, m_peers)
         , m_admin(adminSources())
-        , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return m_dispatcher.serve(request, responder); })
+        , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return serveCaller(request, responder); })
         , m_adminListener(m_control, adminOptions(m_settings), [this](auto& request, auto& responder) { return m_admin.serve(request, responder); })
     {
     }
@@ -89,27 +132,29 @@
     ~Implementation()
     {
         m_monitor->stop();
+        m_steps.stop();
+        m_links.stop();
+        if (m_membership)
+            m_membership->stop();
         m_workers.stop();
         m_control.stop();
     }
 
     Result<void> start()
     {
-        auto started = m_adminListener.start();
-        if (started)
-            started = m_callerListener.start();
+        auto started = startListening();
         if (!started)
             return started;
         m_monitor->start();
-        asio::co_spawn(
-            m_control.context(0), [this]() -> Task<void> { co_await pollConfiguration(); }, asio::detached);
+        spawn(pollConfiguration());
+        spawn(m_steps.run());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
 
     HostPorts ports() const
     {
-        return HostPorts { m_callerListener.port(), m_adminListener.port(), 0, 0 };
+        return HostPorts { m_callerListener.port(), m_adminListener.port(), m_links.port(), m_membership->port() };
     }
 
     bool shutDown()
@@ -128,6 +173,85 @@
     }
 
 private:
+    Result<void> startListening()
+    {
+        auto started = m_adminListener.start();
+        if (started)
+            started = m_callerListener.start();
+        std::string error;
+        if (started && !m_links.start(error))
+            started = failure(ErrorCode::Unavailable, error, toText(m_settings.peers.listen));
+        if (!started)
+            return started;
+        m_membership = std::make_unique<MembershipPort>(m_control.context(0).get_executor(),
+            membershipSettings(m_settings, m_incarnation, m_links.port(), m_adminListener.port()));
+        m_membership->onChange([this](const Member& member) { memberChanged(member); });
+        return m_membership->start();
+    }
+
+    void spawn(Task<void> task)
+    {
+        asio::co_spawn(m_control.context(0), std::move(task), asio::detached);
+    }
+
+    void memberChanged(const Member& member)
+    {
+        if (member.isPresent())
+            m_links.setPeer(member.id.value(), member.details.address, member.details.peerPort);
+        else
+            m_links.removePeer(member.id.value());
+    }
+
+    std::shared_ptr<const Assignment> assignment() const { return m_membership->view()->assignment; }
+
+    std::optional<Endpoint> engineEndpoint(const TargetId& id) const
+    {
+        std::optional<Endpoint> endpoint;
+        m_routing.forEachGate([&id, &endpoint](PoolGate& gate) {
+            if (const auto target = gate.target(id))
+                endpoint = Endpoint { target->address, target->port };
+        });
+        return endpoint;
+    }
+
+    Task<void> serveCaller(ServerRequest& request, ServerResponder& responder)
+    {
+        if (StepEndpoints::handles(request))
+            return m_stepEndpoints.serve(request, responder);
+        return m_dispatcher.serve(request, responder);
+    }
+
+    /// Called on the links' thread; the work moves to the control thread.
+    void servePeer(PeerRequest request, PeerReply reply)
+    {
+        spawn(answerPeer(std::move(request), std::move(reply)));
+    }
+
+    Task<void> answerPeer(PeerRequest request, PeerReply reply)
+    {
+        auto result = co_await performForPeer(std::move(request));
+        reply(toPeerAnswer(result));
+    }
+
+    Task<Result<nlohmann::json>> performForPeer(PeerRequest request)
+    {
+        auto body = nlohmann::json::from_cbor(request.body, true, false);
+        if (body.is_discarded())
+            co_return failure(ErrorCode::MessageInvalid, "the request is not CBOR", "link");
+        switch (request.kind) {
+        case PeerRequestKind::SubmitStep:
+        case PeerRequestKind::PullBatch:
+            co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(body));
+        case PeerRequestKind::State:
+            co_return state();
+        case PeerRequestKind::ClaimKey:
+        case PeerRequestKind::FetchConfiguration:
+        case PeerRequestKind::OfferConfiguration:
+            break;
+        }
+        co_return failure(ErrorCode::MessageInvalid, "this kind of request is not served", "link");
+    }
+
     AdminSources adminSources()
     {
         AdminSources sources;
@@ -154,9 +278,26 @@
             { "in-flight", m_dispatcher.inFlight() },
             { "connections", m_callerListener.connections() },
             { "pools", pools },
+            { "members", memberStates() },
+            { "links", nlohmann::json::parse(m_links.state(), nullptr, false) },
         };
     }
 
+    nlohmann::json memberStates() const
+    {
+        nlohmann::json members = nlohmann::json::array();
+        for (const auto& member : m_membership->view()->members) {
+            members.push_back({
+                { "host", member.id.value() },
+                { "state", name(member.state) },
+                { "incarnation", member.incarnation },
+                { "failure-domain", member.details.failureDomain.value() },
+                { "configuration", member.configuration },
+            });
+        }
+        return members;
+    }
+
     static nlohmann::json poolState(const PoolGate& gate)
     {
         nlohmann::json targets = nlohmann::json::array();
@@ -201,6 +342,14 @@
     RoutingTable m_routing;
     RequestDispatcher m_dispatcher;
     std::shared_ptr<TargetMonitor> m_monitor;
+    EngineHttpClient m_engines;
+    GateEngineSelector m_selector;
+    StepService m_steps;
+    PeerLinks m_links;
+    PeerClient m_peers;
+    StepEndpoints m_stepEndpoints;
+    /// Set by start().
+    std::unique_ptr<MembershipPort> m_membership;
     AdminEndpoints m_admin;
     HttpListener m_callerListener;
     HttpListener m_adminListener;
--- a/packages/transport/src/StepEndpoints.cpp
+++ b/packages/transport/src/StepEndpoints.cpp
@@ -1,14 +1,13 @@
 #include "StepEndpoints.h"
 
 #include "Problem.h"
+#include "RunOn.h"
 
 #include "cicadalb/rollout/StepJson.h"
 #include "cicadalb/transport/RequestDispatcher.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 namespace cicadalb {
@@ -123,7 +122,7 @@
     const auto assignment = m_assignment();
     const auto* coordinator = assignment->hostOf(coordinatorKey(request.key));
     if (!coordinator || coordinator->id == m_self) {
-        auto result = co_await asio::co_spawn(m_control, performHere(std::move(request)), asio::use_awaitable);
+        auto result = co_await runOn(m_control, performHere(std::move(request)));
         co_return result;
     }
     auto answer = co_await m_peers.ask(coordinator->id, peerKind(request.operation), toMessage(request), forwardTimeout);
