Routing: a limit that follows the slowdown, waiting judged against faster targets only

Cause: one report of a queue shrank the limit once for each completion of the next two seconds, and the head of the queue waited for any freed place instead of a faster one's, while the tail passed it.

--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -47,15 +47,6 @@
     return request;
 }
 
-QueuedRequest AdmissionQueue::popBack(Priority priority)
-{
-    auto& waiting = m_waiting[index(priority)];
-    auto request = std::move(waiting.back());
-    waiting.pop_back();
-    countTurn(priority);
-    return request;
-}
-
 bool AdmissionQueue::remove(QueueTicket ticket)
 {
     const auto removed = removeIf([ticket](const QueuedRequest& request, std::size_t) { return request.ticket == ticket; });
--- a/packages/routing/src/AdmissionQueue.h
+++ b/packages/routing/src/AdmissionQueue.h
@@ -35,7 +35,6 @@
     std::vector<Priority> turns() const;
     const std::deque<QueuedRequest>& waiting(Priority priority) const { return m_waiting[index(priority)]; }
     QueuedRequest popFront(Priority);
-    QueuedRequest popBack(Priority);
     /// @brief Takes out one request wherever it stands. @return false if it does not wait. Complexity: linear in the queue.
     bool remove(QueueTicket);
     /// @brief Removes each request for which @p isDropped(request, position in its priority) holds. @return the removed ones
--- a/packages/routing/src/ConcurrencyLimit.cpp
+++ b/packages/routing/src/ConcurrencyLimit.cpp
@@ -7,7 +7,12 @@
 namespace {
 
     constexpr double initialLimit = 8;
-    constexpr double decreaseFactor = 0.9;
+    /// Slowdown up to which the limit does not shrink.
+    constexpr double toleratedSlowdown = 1.5;
+    constexpr double smallestGradient = 0.5;
+    /// Requests by which the limit grows for each round of it.
+    constexpr double allowance = 0.5;
+    constexpr double lossFactor = 0.9;
     /// Part of the limit that has to be in use for it to grow.
     constexpr double usedPart = 0.75;
 
@@ -25,18 +30,19 @@
     m_limit = std::min(m_limit, m_ceiling);
 }
 
-void ConcurrencyLimit::recordUncongested(unsigned inFlight)
+void ConcurrencyLimit::recordCompletion(unsigned inFlight, double slowdown)
 {
-    if (inFlight >= usedPart * m_limit)
-        m_limit = std::min(m_limit + 1 / m_limit, m_ceiling);
+    const auto gradient = std::clamp(toleratedSlowdown / slowdown, smallestGradient, 1.0);
+    const auto wanted = m_limit * gradient + allowance;
+    if (wanted > m_limit && inFlight < usedPart * m_limit)
+        return;
+    // Each of the limit's completions contributes its part, so that one round makes one step.
+    m_limit = std::clamp(m_limit + (wanted - m_limit) / m_limit, 1.0, m_ceiling);
 }
 
-void ConcurrencyLimit::recordCongested(Duration latency, TimePoint now)
+void ConcurrencyLimit::recordLoss()
 {
-    if (now - m_lastDecrease < latency)
-        return;
-    m_lastDecrease = now;
-    m_limit = std::max(m_limit * decreaseFactor, 1.0);
+    m_limit = std::max(m_limit * lossFactor, 1.0);
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/ConcurrencyLimit.h
+++ b/packages/routing/src/ConcurrencyLimit.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "cicadalb/base/Clock.h"
-
 /// @file
 /// Limit of own requests in flight on one target.
 
 namespace cicadalb {
 
-/// @brief Additive increase while the limit is used, multiplicative decrease on congestion, at most once in a latency.
+/// @brief Follows the ratio of the measured latency to the service time: shrinks in proportion while the ratio is above the tolerated one,
+/// and grows by a constant while the limit is used.
 class ConcurrencyLimit {
 public:
     /// @param ceiling largest limit; the limit never goes below 1
@@ -16,15 +15,15 @@
 
     void setCeiling(unsigned ceiling);
     /// @brief A request ended while @p inFlight (it included) ran.
-    void recordUncongested(unsigned inFlight);
-    /// @param latency decreases closer together than this count as one
-    void recordCongested(Duration latency, TimePoint now);
+    /// @param slowdown latency over service time without queueing, about 1 without congestion
+    void recordCompletion(unsigned inFlight, double slowdown);
+    /// @brief A request got no answer.
+    void recordLoss();
     double value() const noexcept { return m_limit; }
 
 private:
     double m_ceiling;
     double m_limit;
-    TimePoint m_lastDecrease {};
 };
 
 } // namespace cicadalb
--- a/packages/routing/src/LoadView.cpp
+++ b/packages/routing/src/LoadView.cpp
@@ -10,8 +10,6 @@
     constexpr double parallelismGain = 0.3;
     /// Age at which a report counts half.
     constexpr std::chrono::duration<double> halfAge { 0.5 };
-    /// A queue told by an older report is forgotten.
-    constexpr std::chrono::seconds queueMemory { 2 };
 
 } // namespace
 
@@ -20,8 +18,7 @@
     const double running = report.running;
     m_lastOthers = std::max(0.0, running + report.queued - ownInFlight);
     m_usualOthers = m_hasReports ? m_usualOthers + usualGain * (m_lastOthers - m_usualOthers) : m_lastOthers;
-    m_hasQueue = report.queued > 0;
-    if (m_hasQueue && m_parallelism > 0)
+    if (report.queued > 0 && m_parallelism > 0)
         m_parallelism += parallelismGain * (running - m_parallelism);
     else
         m_parallelism = std::max(m_parallelism, running);
@@ -36,9 +33,4 @@
     return trust * m_lastOthers + (1 - trust) * m_usualOthers;
 }
 
-bool LoadView::hasQueue(TimePoint now) const noexcept
-{
-    return m_hasQueue && now - m_measuredAt < queueMemory;
-}
-
 } // namespace cicadalb
--- a/packages/routing/src/LoadView.h
+++ b/packages/routing/src/LoadView.h
@@ -15,13 +15,10 @@
     double others(TimePoint now) const noexcept;
     /// @brief Requests that the target serves at a time, as far as it is known; 0 if it is not.
     double parallelism() const noexcept { return m_parallelism; }
-    /// @brief True if a recent report told of a queue on the target.
-    bool hasQueue(TimePoint now) const noexcept;
     bool hasReports() const noexcept { return m_hasReports; }
 
 private:
     bool m_hasReports = false;
-    bool m_hasQueue = false;
     double m_lastOthers = 0;
     double m_usualOthers = 0;
     double m_parallelism = 0;
--- a/packages/routing/src/PickStrategy.cpp
+++ b/packages/routing/src/PickStrategy.cpp
@@ -121,6 +121,21 @@
         return std::nullopt;
     }
 
+    /// Expected seconds until one of the faster targets without room has answered the request, if it waits for that.
+    double delayByWaiting(const PickContext& context, const DelayScan& scan, double bestService)
+    {
+        double freedPerSecond = 0;
+        for (const auto index : context.serving) {
+            const auto& target = context.targets[index];
+            const auto latency = target.speed.latencySeconds();
+            if (latency <= 0 || target.hasRoom(context.now))
+                continue;
+            if (expectedDelay(target, context.ownFailureDomain, bestService, context.now) < scan.bestDelay)
+                freedPerSecond += target.inFlight / latency;
+        }
+        return scan.leastDelay + static_cast<double>(context.waiting + 1) / freedPerSecond;
+    }
+
     std::optional<std::size_t> pickLeastDelay(const PickContext& context)
     {
         const auto bestService = bestServiceSeconds(context.targets, context.serving);
@@ -129,7 +144,7 @@
             if (const auto affine = pickAffine(context, bestService, scan.leastDelay))
                 return affine;
         }
-        if (scan.bestDelay > scan.leastDelay + context.waitSeconds)
+        if (scan.bestDelay > scan.leastDelay && scan.bestDelay > delayByWaiting(context, scan, bestService))
             return std::nullopt;
         return scan.best;
     }
--- a/packages/routing/src/PickStrategy.h
+++ b/packages/routing/src/PickStrategy.h
@@ -18,8 +18,8 @@
     const std::vector<std::size_t>& candidates;
     const Demand& demand;
     const FailureDomain& ownFailureDomain;
-    /// Expected wait if the request queues instead.
-    double waitSeconds;
+    /// Requests of its priority and above that wait besides this one.
+    std::size_t waiting;
     TimePoint now;
     Random& random;
     /// Rises with each pick.
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -59,7 +59,7 @@
     void collect(const std::vector<TargetId>& excluded, TimePoint now);
     void addErroring(TimePoint now);
     bool isServed(const Demand&, TimePoint now);
-    std::optional<std::size_t> pick(const Demand&, double waitSeconds, TimePoint now);
+    std::optional<std::size_t> pick(const Demand&, std::size_t waiting, TimePoint now);
     double leastDelay(TimePoint now) const;
     bool isTooLate(const Demand&, double seconds, TimePoint now) const;
     Admission admit(std::size_t index, TimePoint now);
@@ -147,11 +147,11 @@
     return !serving.empty();
 }
 
-std::optional<std::size_t> PoolBalancer::State::pick(const Demand& demand, double waitSeconds, TimePoint now)
+std::optional<std::size_t> PoolBalancer::State::pick(const Demand& demand, std::size_t waiting, TimePoint now)
 {
     if (candidates.empty())
         return std::nullopt;
-    return strategy.pick({ targets, serving, candidates, demand, options.ownFailureDomain, waitSeconds, now, random, turn++ });
+    return strategy.pick({ targets, serving, candidates, demand, options.ownFailureDomain, waiting, now, random, turn++ });
 }
 
 double PoolBalancer::State::leastDelay(TimePoint now) const
@@ -223,24 +223,17 @@
         decisions.push_back({ request.ticket, refuse(ErrorCode::Overloaded, service) });
 }
 
-/// The first of a priority goes first. If it does better to wait, the last one, which would wait longest, may take the place.
+/// A slow target is left to a lower priority while the whole priority does better to wait for faster ones.
 bool PoolBalancer::State::admitOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
 {
     for (const auto priority : queue.turns()) {
         const auto& waiting = queue.waiting(priority);
         if (!isServed(waiting.front().demand, now))
             return false;
-        if (const auto index = pick(waiting.front().demand, queue.waitSeconds(priority, 0, now), now)) {
+        if (const auto index = pick(waiting.front().demand, queue.sizeAbove(priority) + waiting.size() - 1, now)) {
             decisions.push_back({ queue.popFront(priority).ticket, admit(*index, now) });
             return true;
         }
-        const auto last = waiting.size() - 1;
-        if (last == 0 || candidates.empty() || !waiting.back().demand.excluded.empty())
-            continue;
-        if (const auto index = pick(waiting.back().demand, queue.waitSeconds(priority, last, now), now)) {
-            decisions.push_back({ queue.popBack(priority).ticket, admit(*index, now) });
-            return true;
-        }
     }
     return false;
 }
@@ -263,14 +256,15 @@
     if (demand.deadline <= now)
         return state.refuse(ErrorCode::Overloaded, 0);
     const auto position = state.queue.waiting(demand.priority).size();
-    const auto wait = state.queue.waitSeconds(demand.priority, position, now);
-    if (position + state.queue.sizeAbove(demand.priority) == 0 || state.strategy.hasAdaptiveLimit) {
-        if (const auto index = state.pick(demand, wait, now)) {
+    const auto ahead = position + state.queue.sizeAbove(demand.priority);
+    // With others ahead, it takes only a place that they do better to leave.
+    if (ahead == 0 || state.strategy.hasAdaptiveLimit) {
+        if (const auto index = state.pick(demand, ahead, now)) {
             state.queue.recordArrival(demand.priority, now);
             return state.admit(*index, now);
         }
     }
-    const auto seconds = state.leastDelay(now) + wait;
+    const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, now);
     if (state.queue.size() >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
         return state.refuse(ErrorCode::Overloaded, seconds);
     state.queue.recordArrival(demand.priority, now);
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -11,8 +11,8 @@
 
     /// Time constant of the average of own requests in flight, about the age of a report.
     constexpr double averagingSeconds = 0.3;
-    /// A latency so many times its baseline counts as congestion.
-    constexpr double congestedRatio = 1.6;
+    /// The lowest average of latencies over a while lies below their mean by about this factor.
+    constexpr double baselineBias = 0.75;
 
 } // namespace
 
@@ -57,18 +57,20 @@
     if (inFlight > 0)
         --inFlight;
     health.record(completion.kind, now, random);
-    if (completion.kind == CompletionKind::Lost && m_hasAdaptiveLimit)
-        limit.recordCongested(completion.latency, now);
-    if (completion.kind != CompletionKind::Succeeded)
-        return;
-    speed.record(completion.latency, crowding(now), now);
+    if (completion.kind == CompletionKind::Succeeded)
+        speed.record(completion.latency, crowding(now), now);
     if (!m_hasAdaptiveLimit)
         return;
-    const bool isSlowed = speed.baselineSeconds() > 0 && speed.latencySeconds() > congestedRatio * speed.baselineSeconds();
-    if (isSlowed || load.hasQueue(now))
-        limit.recordCongested(completion.latency, now);
-    else
-        limit.recordUncongested(inFlightBefore);
+    if (completion.kind == CompletionKind::Succeeded)
+        limit.recordCompletion(inFlightBefore, slowdown());
+    else if (completion.kind == CompletionKind::Lost)
+        limit.recordLoss();
+}
+
+double TargetState::slowdown() const noexcept
+{
+    const auto unloaded = load.hasReports() ? speed.serviceSeconds() : speed.baselineSeconds() / baselineBias;
+    return unloaded > 0 ? speed.latencySeconds() / unloaded : 1;
 }
 
 void TargetState::recordReport(const LoadReport& report, TimePoint now)
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -48,6 +48,8 @@
 
 private:
     void averageInFlight(TimePoint now);
+    /// Latency over service time without queueing.
+    double slowdown() const noexcept;
 
     bool m_hasAdaptiveLimit;
     double m_averageInFlight = 0;
