--- a/packages/rollout/include/cicadalb/rollout/Step.h
+++ b/packages/rollout/include/cicadalb/rollout/Step.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /// @file
@@ -35,7 +36,8 @@
 struct StepKey {
     TrainerName trainer;
     StepNumber step = 0;
-    auto operator<=>(const StepKey&) const = default;
+    bool operator==(const StepKey&) const = default;
+    bool operator<(const StepKey& other) const { return std::tie(trainer, step) < std::tie(other.trainer, other.step); }
 };
 
 /// @brief What a trainer submits. The same key with another body is a conflict.
@@ -59,7 +61,7 @@
 struct SampleId {
     std::uint32_t group = 0;
     std::uint32_t index = 0;
-    auto operator<=>(const SampleId&) const = default;
+    bool operator==(const SampleId&) const = default;
 };
 
 /// @brief One delivered generation.
