Membership: settle within five seconds after any order of faults

Cause, found by the property over random faults and the paused clock: (1) contacts with dead seeds spent the limit on state exchanges, so a restarted host did not ask the hosts that pinged it; (2) after a pause the time of a suspicion was moved past now; (3) a resumed host took old reports of losses for leftovers of a cut and probed first; (4) a seed unknown to a joined host was contacted every 20 s only; (5) ten hosts cut off from thirty probed too few of them in time. CBOR lengths beyond all containers throw even where exceptions are off, now refused.

--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -5,6 +5,7 @@
 #include "cicadalb/membership/Assignment.h"
 #include "cicadalb/membership/MembershipMessage.h"
 
+#include <compare>
 #include <deque>
 #include <functional>
 #include <unordered_map>
@@ -31,13 +32,16 @@
     std::chrono::milliseconds pauseThreshold { 1000 };
     /// Time between two probes of lost hosts, and of seeds while alone.
     std::chrono::milliseconds reconnectInterval { 1000 };
-    /// Time between two looks at a seed that is not a known member.
-    std::chrono::milliseconds seedInterval { 20000 };
+    /// Time between two contacts with a seed that is not a known member.
+    std::chrono::milliseconds seedInterval { 1500 };
     /// Smallest time between two exchanges of state that one host asks for.
     std::chrono::milliseconds syncInterval { 3000 };
+    std::chrono::milliseconds syncIntervalAlone { 300 };
     /// Time for which lost hosts are kept and probed, and departures remembered.
     std::chrono::minutes retention { 60 };
     std::size_t indirectProbes = 3;
+    /// Probes added to each interval while several hosts are suspect.
+    std::size_t additionalProbes = 12;
     std::size_t gossipFanout = 3;
     std::size_t maximumDatagramBytes = 1200;
     /// Budget of all that is sent but probes and their answers.
@@ -49,7 +53,7 @@
 struct MemberEndpoint {
     std::string address;
     std::uint16_t port = 0;
-    bool operator==(const MemberEndpoint&) const = default;
+    auto operator<=>(const MemberEndpoint&) const = default;
 };
 
 struct OutgoingDatagram {
@@ -147,8 +151,9 @@
         TimePoint sentAt;
     };
 
-    void resumeAfterPause(Duration gap);
-    void startProbe(TimePoint now);
+    void passTime(TimePoint now);
+    void resumeAfterPause(Duration gap, TimePoint now);
+    void startProbes(TimePoint now);
     std::optional<Index> nextProbed();
     void checkProbes(TimePoint now);
     void askForIndirectProbes(const Probe&, TimePoint now);
@@ -156,6 +161,7 @@
     void expireSuspicions(TimePoint now);
     void gossip(TimePoint now);
     void reconnect(TimePoint now);
+    std::vector<MemberEndpoint> unknownSeeds() const;
     void contactSeeds(TimePoint now);
     void forgetOldMembers(TimePoint now);
 
@@ -169,6 +175,7 @@
     void relayPing(const MembershipMessage&, const MemberEndpoint& from, TimePoint now);
     void answerSync(const MembershipMessage&, const MemberEndpoint& from, TimePoint now);
     void compareDigests(const MembershipMessage&, const MemberEndpoint& from, TimePoint now);
+    void sendSyncRequest(const MemberEndpoint& to, TimePoint now);
     void requestSync(const MemberEndpoint& to, TimePoint now);
 
     void setState(Index, MemberState, Incarnation, TimePoint now);
@@ -205,8 +212,11 @@
     std::uint64_t m_lastSequence = 0;
     unsigned m_digestMismatches = 0;
     double m_tokens;
+    /// Time of the last tick or datagram.
     TimePoint m_lastTick;
     TimePoint m_lastHeard;
+    /// After a pause the reports of others are newer than this host's own view.
+    TimePoint m_trustsReportsUntil;
     TimePoint m_nextProbe;
     TimePoint m_nextReconnect;
     TimePoint m_nextSeedContact;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -16,6 +16,8 @@
     /// Hosts to which a departure is told at once.
     constexpr std::size_t departureFanout = 8;
     constexpr std::size_t seedsAtOnce = 3;
+    /// Hosts that a host asks for their view when it was paused.
+    constexpr std::size_t syncsAfterPause = 3;
     constexpr std::chrono::minutes forgetInterval { 1 };
 
     std::chrono::milliseconds toMilliseconds(Duration duration)
@@ -74,21 +76,12 @@
 
 void Membership::tick(TimePoint now)
 {
-    if (m_lastTick == TimePoint()) {
-        m_lastTick = now;
-        m_lastHeard = now;
-        m_nextSync = now;
-    }
-    const auto gap = now - m_lastTick;
-    if (gap > m_settings.pauseThreshold)
-        resumeAfterPause(gap);
-    m_tokens = std::min(m_settings.burstBytes, m_tokens + m_settings.bytesPerSecond * std::chrono::duration<double>(gap).count());
-    m_lastTick = now;
+    passTime(now);
     checkProbes(now);
     expireSuspicions(now);
     if (now >= m_nextProbe) {
         m_nextProbe = now + m_settings.probeInterval;
-        startProbe(now);
+        startProbes(now);
         gossip(now);
     }
     if (now >= m_nextReconnect) {
@@ -99,8 +92,23 @@
     forgetOldMembers(now);
 }
 
+void Membership::passTime(TimePoint now)
+{
+    if (m_lastTick == TimePoint()) {
+        m_lastTick = now;
+        m_lastHeard = now;
+        m_nextSync = now;
+    }
+    const auto gap = now - m_lastTick;
+    m_lastTick = now;
+    m_tokens = std::min(m_settings.burstBytes, m_tokens + m_settings.bytesPerSecond * std::chrono::duration<double>(gap).count());
+    if (gap > m_settings.pauseThreshold)
+        resumeAfterPause(gap, now);
+}
+
 void Membership::receive(const MemberEndpoint& from, std::span<const std::uint8_t> payload, TimePoint now)
 {
+    passTime(now);
     ++m_counters.datagramsReceived;
     const auto decoded = decodeMembershipMessage(payload);
     if (!decoded) {
@@ -171,23 +179,32 @@
     return digest;
 }
 
-void Membership::resumeAfterPause(Duration gap)
+void Membership::resumeAfterPause(Duration gap, TimePoint now)
 {
+    m_trustsReportsUntil = now + m_settings.reportFreshness;
     m_probes.clear();
     m_relays.clear();
     m_lastHeard += gap;
     for (const auto index : m_suspects)
         m_entries[index].suspectSince += gap;
+    for (std::size_t i = 0; i < syncsAfterPause; ++i) {
+        if (const auto index = randomPresent())
+            sendSyncRequest(endpointOf(*index), now);
+    }
 }
 
-void Membership::startProbe(TimePoint now)
+void Membership::startProbes(TimePoint now)
 {
-    const auto index = nextProbed();
-    if (!index)
-        return;
-    const auto sequence = ++m_lastSequence;
-    m_probes.push_back(Probe { *index, sequence, now, false });
-    ping(*index, sequence, now);
+    // Several suspects at once point to a lost failure domain or a cut: the other hosts are looked at sooner.
+    const std::size_t additional = m_suspects.empty() ? 0 : std::min(m_suspects.size() - 1, m_settings.additionalProbes);
+    for (std::size_t i = 0; i < 1 + additional; ++i) {
+        const auto index = nextProbed();
+        if (!index)
+            return;
+        const auto sequence = ++m_lastSequence;
+        m_probes.push_back(Probe { *index, sequence, now, false });
+        ping(*index, sequence, now);
+    }
 }
 
 std::optional<Membership::Index> Membership::nextProbed()
@@ -312,19 +329,28 @@
         return;
     const bool isAlone = m_presentCount <= 1;
     m_nextSeedContact = now + jittered(isAlone ? m_settings.reconnectInterval : m_settings.seedInterval, 0.5, m_random);
-    const std::size_t contacts = isAlone ? std::min(seedsAtOnce, m_seeds.size()) : 1;
+    auto unknown = unknownSeeds();
+    const std::size_t contacts = std::min(isAlone ? seedsAtOnce : 1, unknown.size());
     for (std::size_t i = 0; i < contacts; ++i) {
-        const auto& seed = m_seeds[randomIndex(m_random, m_seeds.size())];
-        const auto isKnown = [&](const Entry& entry) {
-            return entry.member.isPresent() && entry.member.details.address == seed.address && entry.member.details.membershipPort == seed.port;
-        };
-        if (std::none_of(m_entries.begin(), m_entries.end(), isKnown)) {
-            m_nextSync = now;
-            requestSync(seed, now);
-        }
+        std::swap(unknown[i], unknown[i + randomIndex(m_random, unknown.size() - i)]);
+        sendSyncRequest(unknown[i], now);
     }
 }
 
+std::vector<MemberEndpoint> Membership::unknownSeeds() const
+{
+    std::vector<MemberEndpoint> known;
+    for (Index i = 0; i < m_entries.size(); ++i) {
+        if (m_entries[i].member.isPresent())
+            known.push_back(endpointOf(i));
+    }
+    std::sort(known.begin(), known.end());
+    std::vector<MemberEndpoint> unknown;
+    std::copy_if(m_seeds.begin(), m_seeds.end(), std::back_inserter(unknown),
+        [&](const MemberEndpoint& seed) { return !std::binary_search(known.begin(), known.end(), seed); });
+    return unknown;
+}
+
 void Membership::forgetOldMembers(TimePoint now)
 {
     if (now < m_nextForget)
@@ -427,7 +453,8 @@
     auto& entry = m_entries[index];
     if (entry.member.state != MemberState::Alive)
         return;
-    if (update.age > m_settings.suspicionTimeout + m_settings.reportFreshness) {
+    const bool isOldReport = update.age > m_settings.suspicionTimeout + m_settings.reportFreshness;
+    if (isOldReport && now >= m_trustsReportsUntil) {
         if (m_verifications.size() < maximumVerifications)
             m_verifications.push_back(index);
         return;
@@ -555,7 +582,13 @@
 {
     if (now < m_nextSync || self().state == MemberState::Left)
         return;
-    m_nextSync = now + jittered(m_settings.syncInterval, 0.5, m_random);
+    const auto interval = m_presentCount <= 1 ? m_settings.syncIntervalAlone : m_settings.syncInterval;
+    m_nextSync = now + jittered(interval, 0.5, m_random);
+    sendSyncRequest(to, now);
+}
+
+void Membership::sendSyncRequest(const MemberEndpoint& to, TimePoint now)
+{
     ++m_counters.syncsAsked;
     m_digestMismatches = 0;
     auto request = message(MembershipMessageKind::SyncRequest);
--- a/packages/membership/src/MembershipMessage.cpp
+++ b/packages/membership/src/MembershipMessage.cpp
@@ -100,6 +100,16 @@
         bool m_isValid;
     };
 
+    json parseCbor(std::span<const std::uint8_t> payload)
+    {
+        try {
+            return json::from_cbor(payload.begin(), payload.end(), true, false);
+        } catch (const json::out_of_range&) {
+            // Thrown for a length that exceeds every container, also where exceptions are off.
+            return json(json::value_t::discarded);
+        }
+    }
+
     std::optional<MemberUpdate> updateFrom(const json& array)
     {
         ArrayReader reader(array);
@@ -181,7 +191,7 @@
 
 Result<MembershipMessage> decodeMembershipMessage(std::span<const std::uint8_t> payload)
 {
-    const auto array = json::from_cbor(payload.begin(), payload.end(), true, false);
+    const auto array = parseCbor(payload);
     if (!array.is_array() || array.size() != MessageParts)
         return failure(ErrorCode::DatagramInvalid, "not an array of the known size");
     ArrayReader reader(array);
--- /dev/null
+++ b/packages/membership/tests/unit-membership.cpp
@@ -0,0 +1,268 @@
+#include "cicadalb/membership/FakeFleet.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+#include <ostream>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time within which views agree again.
+constexpr std::chrono::milliseconds settlingTime { 5000 };
+
+struct EightHostsFixture {
+    FakeFleet fleet { 8, 1 };
+
+    EightHostsFixture()
+    {
+        fleet.startAll();
+        fleet.advance(3000ms);
+        REQUIRE(fleet.isSettled());
+    }
+
+    MemberState stateAt(std::size_t viewer, std::size_t of) const { return fleet.at(viewer).find(FakeFleet::idOf(of))->state; }
+};
+
+enum class Fault : std::uint8_t { Kill,
+    Restart,
+    Freeze,
+    Resume,
+    Leave,
+    CutOneWay,
+    Heal,
+    Lose,
+    Split };
+
+struct FaultStep {
+    Fault fault;
+    std::size_t host;
+    std::size_t other;
+    std::chrono::milliseconds pause;
+};
+
+void showValue(const FaultStep& step, std::ostream& stream)
+{
+    constexpr std::array<const char*, 9> names { "kill", "restart", "freeze", "resume", "leave", "cut", "heal", "lose", "split" };
+    stream << names.at(static_cast<std::size_t>(step.fault)) << ' ' << step.host << ' ' << step.other << " then " << step.pause.count() << " ms";
+}
+
+/// What every running host thinks of every other.
+std::string viewsOf(const FakeFleet& fleet)
+{
+    std::string text;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        text += "\n" + FakeFleet::idOf(i).value() + (fleet.isRunning(i) ? ":" : " is not running");
+        if (!fleet.isRunning(i))
+            continue;
+        for (const auto& member : fleet.at(i).members())
+            text += " " + member.id.value() + "@" + std::to_string(member.incarnation) + "=" + std::string(name(member.state));
+    }
+    return text;
+}
+
+void apply(FakeFleet& fleet, const FaultStep& step)
+{
+    switch (step.fault) {
+    case Fault::Kill:
+        fleet.kill(step.host);
+        return;
+    case Fault::Restart:
+        fleet.start(step.host);
+        return;
+    case Fault::Freeze:
+        fleet.freeze(step.host);
+        return;
+    case Fault::Resume:
+        fleet.resume(step.host);
+        return;
+    case Fault::Leave:
+        if (fleet.isRunning(step.host) && !fleet.isFrozen(step.host))
+            fleet.at(step.host).leave(fleet.now());
+        fleet.advance(100ms);
+        fleet.kill(step.host);
+        return;
+    case Fault::CutOneWay:
+        fleet.cut(step.host, step.other);
+        return;
+    case Fault::Heal:
+        fleet.healAll();
+        fleet.merge();
+        fleet.lossRate = 0;
+        return;
+    case Fault::Lose:
+        fleet.lossRate = 0.3;
+        return;
+    case Fault::Split:
+        fleet.split(step.other);
+        return;
+    }
+}
+
+rc::Gen<FaultStep> anyStep(std::size_t hosts)
+{
+    return rc::gen::construct<FaultStep>(
+        rc::gen::element(Fault::Kill, Fault::Restart, Fault::Freeze, Fault::Resume, Fault::Leave, Fault::CutOneWay, Fault::Heal, Fault::Lose, Fault::Split),
+        rc::gen::inRange<std::size_t>(0, hosts), rc::gen::inRange<std::size_t>(0, hosts),
+        rc::gen::element(50ms, 400ms, 1200ms, 2500ms, 7000ms));
+}
+
+} // namespace
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a killed host, is lost on all hosts within five seconds")
+{
+    fleet.kill(5);
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+    CHECK(stateAt(0, 5) == MemberState::Lost);
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a host that leaves, is gone without a suspicion")
+{
+    fleet.at(5).leave(fleet.now());
+    fleet.advance(500ms);
+    fleet.kill(5);
+    CHECK(fleet.isSettled());
+    CHECK(stateAt(0, 5) == MemberState::Left);
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a host back at the same address, is taken in with its higher incarnation")
+{
+    const auto before = fleet.at(5).self().incarnation;
+    fleet.kill(5);
+    fleet.advance(300ms);
+    fleet.start(5);
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+    CHECK(fleet.at(0).find(FakeFleet::idOf(5))->incarnation > before);
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a link cut in one direction, costs no host its place")
+{
+    const auto versionBefore = fleet.at(0).version();
+    fleet.cut(2, 3);
+    fleet.cut(4, 2);
+    fleet.advance(30000ms);
+    CHECK(fleet.isSettled());
+    CHECK(fleet.at(0).version() == versionBefore);
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a host frozen and resumed, refutes and is taken in again")
+{
+    fleet.freeze(6);
+    fleet.advance(10000ms);
+    CHECK(stateAt(0, 6) == MemberState::Lost);
+    fleet.resume(6);
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a tenth of all datagrams lost, no host is lost")
+{
+    const auto versionBefore = fleet.at(0).version();
+    fleet.lossRate = 0.1;
+    fleet.advance(60000ms);
+    CHECK(fleet.at(0).presentCount() == fleet.size());
+    CHECK(fleet.at(0).version() == versionBefore);
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, a host deaf for a while, costs the others no place and no refutation")
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.cut(i, 0);
+    fleet.cut(0, 1);
+    fleet.advance(10000ms);
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        CHECK(fleet.at(i).presentCount() == fleet.size() - 1);
+        CHECK(fleet.at(i).counters().refutations == 0);
+    }
+    fleet.healAll();
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+}
+
+TEST_CASE_METHOD(EightHostsFixture, "membership, all others dead, are lost on the last host and found again by its seeds")
+{
+    for (std::size_t i = 1; i < fleet.size(); ++i)
+        fleet.kill(i);
+    fleet.advance(settlingTime);
+    CHECK(fleet.at(0).presentCount() == 1);
+    fleet.start(0);
+    fleet.advance(settlingTime);
+    for (std::size_t i = 1; i < fleet.size(); ++i)
+        fleet.start(i);
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+}
+
+TEST_CASE("membership, any order of faults, settles within five seconds after they stop")
+{
+    constexpr std::size_t hosts = 6;
+    CHECK(rc::check("views agree", [] {
+        const auto steps = *rc::gen::container<std::vector<FaultStep>>(anyStep(hosts));
+        FakeFleet fleet(hosts, *rc::gen::arbitrary<std::uint64_t>());
+        fleet.startAll();
+        for (const auto& step : steps) {
+            apply(fleet, step);
+            fleet.advance(step.pause);
+        }
+        apply(fleet, FaultStep { Fault::Heal, 0, 0, 0ms });
+        for (std::size_t i = 0; i < hosts; ++i) {
+            if (fleet.isFrozen(i))
+                fleet.resume(i);
+        }
+        fleet.advanceUntil(settlingTime, [&] { return fleet.isSettled(); });
+        RC_LOG(viewsOf(fleet));
+        RC_ASSERT(fleet.isSettled());
+    }));
+}
+
+TEST_CASE("membership, two halves that lose each other for a minute, settle apart and together within five seconds")
+{
+    FakeFleet fleet(40, 3, 4);
+    fleet.startAll();
+    fleet.advance(5000ms);
+    REQUIRE(fleet.isSettled());
+    fleet.split(10);
+    fleet.advance(settlingTime);
+    CHECK(fleet.at(0).presentCount() == 10);
+    CHECK(fleet.at(39).presentCount() == 30);
+    fleet.advance(55000ms);
+    fleet.merge();
+    fleet.advance(settlingTime);
+    CHECK(fleet.isSettled());
+}
+
+TEST_CASE("membership message, any payload, is read or refused")
+{
+    CHECK(rc::check("decode", [](const std::vector<std::uint8_t>& payload) {
+        const auto decoded = decodeMembershipMessage(payload);
+        RC_ASSERT(decoded || decoded.error().code == ErrorCode::DatagramInvalid);
+    }));
+}
+
+TEST_CASE("membership message, a length beyond all containers, is refused")
+{
+    const std::vector<std::uint8_t> payload { 187, 4, 0, 0, 0, 0, 0, 0, 0 };
+    CHECK(!decodeMembershipMessage(payload));
+}
+
+TEST_CASE("membership message, encoded and read, keeps its updates")
+{
+    MembershipMessage message;
+    message.kind = MembershipMessageKind::PingRequest;
+    message.sender = HostId("a");
+    message.pingAddress = "10.0.0.2";
+    message.pingPort = 9;
+    message.updates.push_back(MemberUpdate { HostId("b"), 4, MemberState::Suspect, 70ms, {} });
+    message.updates.push_back(MemberUpdate { HostId("c"), 5, MemberState::Alive, 0ms, MemberDetails { FailureDomain("d"), 0.5, "10.0.0.3", 1, 2, 3 } });
+    const auto payload = encode(message);
+    const auto read = decodeMembershipMessage(payload);
+    REQUIRE(read);
+    CHECK(read.value().pingPort == 9);
+    CHECK(read.value().updates.at(0).age == 70ms);
+    CHECK(read.value().updates.at(1).details == message.updates.at(1).details);
+}
