Routing: pick by marginal delay, limits that follow the demand of each host

Cause: the pick by the request's own delay saturated the fastest targets (95 percent load, tenfold: p50 146 ms, least in flight 27 ms), and limits of equal size for hosts of unequal size refused interactive requests at the large ones. Ruled out: too low limits alone (the queue stood at targets with room).

--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -11,7 +11,6 @@
 
 AdmissionQueue::AdmissionQueue(TimePoint start)
     : m_arrivals { RateMeter(start), RateMeter(start), RateMeter(start) }
-    , m_freedPlaces(start)
 {
 }
 
@@ -69,15 +68,14 @@
     return count;
 }
 
-double AdmissionQueue::waitSeconds(Priority priority, std::size_t position, TimePoint now)
+double AdmissionQueue::waitSeconds(Priority priority, std::size_t position, double freedPerSecond, TimePoint now)
 {
-    const auto freed = m_freedPlaces.perSecond(now);
-    if (freed < smallestRate)
+    if (freedPerSecond < smallestRate)
         return 0;
     double higherArrivals = 0;
     for (std::size_t i = 0; i < index(priority); ++i)
         higherArrivals += m_arrivals[i].perSecond(now);
-    const auto available = std::max(freed - higherArrivals, freed / turnsPerLowerPriority);
+    const auto available = std::max(freedPerSecond - higherArrivals, freedPerSecond / turnsPerLowerPriority);
     return static_cast<double>(sizeAbove(priority) + position + 1) / available;
 }
 
--- a/packages/routing/src/AdmissionQueue.h
+++ b/packages/routing/src/AdmissionQueue.h
@@ -47,10 +47,9 @@
 
     /// @brief A request of @p priority was let into the pool.
     void recordArrival(Priority priority, TimePoint now) { m_arrivals[index(priority)].record(now); }
-    /// @brief A place on a target became free.
-    void recordFreedPlace(TimePoint now) { m_freedPlaces.record(now); }
     /// @brief Expected wait of the request at @p position of its priority; 0 while too little is known.
-    double waitSeconds(Priority, std::size_t position, TimePoint now);
+    /// @param freedPerSecond places on targets that become free a second
+    double waitSeconds(Priority, std::size_t position, double freedPerSecond, TimePoint now);
 
 private:
     static constexpr std::size_t index(Priority priority) { return static_cast<std::size_t>(priority); }
@@ -60,7 +59,6 @@
     /// Turns taken by higher priorities while each one waited.
     std::array<unsigned, priorities.size()> m_turnsPassed {};
     std::array<RateMeter, priorities.size()> m_arrivals;
-    RateMeter m_freedPlaces;
 };
 
 template <typename Predicate>
--- a/packages/routing/src/ConcurrencyLimit.cpp
+++ b/packages/routing/src/ConcurrencyLimit.cpp
@@ -1,6 +1,7 @@
 #include "ConcurrencyLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cicadalb {
 
@@ -12,6 +13,7 @@
     constexpr double smallestGradient = 0.5;
     /// Requests by which the limit grows for each round of it.
     constexpr double allowance = 0.5;
+    constexpr double largestPressure = 16;
     constexpr double lossFactor = 0.9;
     /// Part of the limit that has to be in use for it to grow.
     constexpr double usedPart = 0.75;
@@ -30,11 +32,11 @@
     m_limit = std::min(m_limit, m_ceiling);
 }
 
-void ConcurrencyLimit::recordCompletion(unsigned inFlight, double slowdown)
+void ConcurrencyLimit::recordCompletion(unsigned inFlight, double slowdown, double pressure)
 {
     const auto gradient = std::clamp(toleratedSlowdown / slowdown, smallestGradient, 1.0);
-    const auto wanted = m_limit * gradient + allowance;
-    if (wanted > m_limit && inFlight < usedPart * m_limit)
+    const auto wanted = m_limit * gradient + allowance * std::clamp(pressure * pressure, 1.0, largestPressure);
+    if (wanted > m_limit && inFlight < usedPart * std::floor(m_limit))
         return;
     // Each of the limit's completions contributes its part, so that one round makes one step.
     m_limit = std::clamp(m_limit + (wanted - m_limit) / m_limit, 1.0, m_ceiling);
--- a/packages/routing/src/ConcurrencyLimit.h
+++ b/packages/routing/src/ConcurrencyLimit.h
@@ -16,7 +16,8 @@
     void setCeiling(unsigned ceiling);
     /// @brief A request ended while @p inFlight (it included) ran.
     /// @param slowdown latency over service time without queueing, about 1 without congestion
-    void recordCompletion(unsigned inFlight, double slowdown);
+    /// @param pressure requests that arrive at this host for each that is served; hosts under more pressure get more of the target
+    void recordCompletion(unsigned inFlight, double slowdown, double pressure);
     /// @brief A request got no answer.
     void recordLoss();
     double value() const noexcept { return m_limit; }
--- a/packages/routing/src/PickStrategy.cpp
+++ b/packages/routing/src/PickStrategy.cpp
@@ -19,8 +19,6 @@
         { PickPolicy::UniformRandom, "random" },
     });
 
-    /// Factor on the delay of a target in another failure domain, on top of the latency that is measured anyway.
-    constexpr double foreignDomainFactor = 1.02;
     /// A target with the wanted affinity may be so many times slower than the best one.
     constexpr double affinityPatience = 2;
 
@@ -61,90 +59,107 @@
     }
 
     /// The two targets that an affinity hash prefers, by rendezvous.
-    std::pair<std::optional<std::size_t>, std::optional<std::size_t>> affineTargets(const PickContext& context)
-    {
-        std::optional<std::size_t> first;
-        std::optional<std::size_t> second;
+    struct AffineTargets {
+        std::size_t first = 0;
+        std::size_t second = 0;
         std::uint64_t firstScore = 0;
         std::uint64_t secondScore = 0;
-        const auto affinity = *context.demand.affinity;
-        for (const auto index : context.serving) {
-            const auto score = placementHash({ reinterpret_cast<const char*>(&affinity), sizeof affinity }, context.targets[index].seed);
-            if (!first || score > firstScore) {
+
+        void offer(std::size_t index, std::uint64_t score)
+        {
+            if (score > firstScore) {
                 second = std::exchange(first, index);
                 secondScore = std::exchange(firstScore, score);
-            } else if (!second || score > secondScore) {
+            } else if (score > secondScore) {
                 second = index;
                 secondScore = score;
             }
         }
-        return { first, second };
+    };
+
+    AffineTargets affineTargets(const PickContext& context)
+    {
+        AffineTargets targets;
+        const auto affinity = *context.demand.affinity;
+        for (const auto* indexes : { &context.candidates, &context.full }) {
+            for (const auto index : *indexes)
+                targets.offer(index, placementHash({ reinterpret_cast<const char*>(&affinity), sizeof affinity }, context.targets[index].seed));
+        }
+        return targets;
     }
 
-    /// Candidates and their delays, as pickLeastDelay needs them.
+    /// Delays of the targets, as pickLeastDelay compares them. Costs are marginal delays: the delay that one more request causes to all.
     struct DelayScan {
+        double bestService = 0;
         std::optional<std::size_t> best;
-        double bestDelay = std::numeric_limits<double>::infinity();
-        /// Least delay of all serving targets, also of those without room.
-        double leastDelay = std::numeric_limits<double>::infinity();
+        double bestCost = std::numeric_limits<double>::infinity();
+        /// Least delay of the targets without room, and what it would be without crowding.
+        double fullDelay = std::numeric_limits<double>::infinity();
+        double fullService = 0;
     };
 
-    DelayScan scanDelays(const PickContext& context, double bestService)
+    DelayScan scanDelays(const PickContext& context)
     {
         DelayScan scan;
-        const auto size = context.serving.size();
+        scan.bestService = bestServiceSeconds(context.targets, context.candidates);
+        scan.bestService = bestServiceSeconds(context.targets, context.full, scan.bestService);
+        const auto size = context.candidates.size();
         const auto start = randomIndex(context.random, size);
         for (std::size_t i = 0; i < size; ++i) {
-            const auto index = context.serving[start + i < size ? start + i : start + i - size];
-            const auto& target = context.targets[index];
-            const auto delay = expectedDelay(target, context.ownFailureDomain, bestService, context.now);
-            scan.leastDelay = std::min(scan.leastDelay, delay);
-            if (delay < scan.bestDelay && target.hasRoom(context.now)) {
-                scan.bestDelay = delay;
+            const auto index = context.candidates[start + i < size ? start + i : start + i - size];
+            const auto cost = context.targets[index].expectedDelay(scan.bestService, context.now).cost();
+            if (cost < scan.bestCost) {
+                scan.bestCost = cost;
                 scan.best = index;
             }
         }
+        for (const auto index : context.full) {
+            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            if (delay.total() < scan.fullDelay) {
+                scan.fullDelay = delay.total();
+                scan.fullService = delay.serviceSeconds;
+            }
+        }
         return scan;
     }
 
-    std::optional<std::size_t> pickAffine(const PickContext& context, double bestService, double leastDelay)
+    std::optional<std::size_t> pickAffine(const PickContext& context, const DelayScan& scan)
     {
         const auto secondsLeft = std::chrono::duration<double>(context.demand.deadline - context.now).count();
-        const auto [first, second] = affineTargets(context);
-        for (const auto index : { first, second }) {
-            if (!index || !context.targets[*index].hasRoom(context.now))
+        const auto affine = affineTargets(context);
+        for (const auto index : { affine.first, affine.second }) {
+            if (std::find(context.candidates.begin(), context.candidates.end(), index) == context.candidates.end())
                 continue;
-            const auto delay = expectedDelay(context.targets[*index], context.ownFailureDomain, bestService, context.now);
-            if (delay <= affinityPatience * leastDelay && delay <= secondsLeft)
+            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            if (delay.cost() <= affinityPatience * scan.bestCost && delay.total() <= secondsLeft)
                 return index;
         }
         return std::nullopt;
     }
 
-    /// Expected seconds until one of the faster targets without room has answered the request, if it waits for that.
-    double delayByWaiting(const PickContext& context, const DelayScan& scan, double bestService)
+    /// Marginal delay if the request waits for a faster target without room.
+    double costOfWaiting(const PickContext& context, const DelayScan& scan)
     {
         double freedPerSecond = 0;
-        for (const auto index : context.serving) {
+        for (const auto index : context.full) {
             const auto& target = context.targets[index];
-            const auto latency = target.speed.latencySeconds();
-            if (latency <= 0 || target.hasRoom(context.now))
+            if (!target.speed.isKnown())
                 continue;
-            if (expectedDelay(target, context.ownFailureDomain, bestService, context.now) < scan.bestDelay)
-                freedPerSecond += target.inFlight / latency;
+            if (target.expectedDelay(scan.bestService, context.now).cost() < scan.bestCost)
+                freedPerSecond += target.inFlight / target.speed.latencySeconds();
         }
-        return scan.leastDelay + static_cast<double>(context.waiting + 1) / freedPerSecond;
+        const auto total = scan.fullDelay + static_cast<double>(context.waiting + 1) / freedPerSecond;
+        return total * total / scan.fullService;
     }
 
     std::optional<std::size_t> pickLeastDelay(const PickContext& context)
     {
-        const auto bestService = bestServiceSeconds(context.targets, context.serving);
-        const auto scan = scanDelays(context, bestService);
+        const auto scan = scanDelays(context);
         if (context.demand.affinity) {
-            if (const auto affine = pickAffine(context, bestService, scan.leastDelay))
+            if (const auto affine = pickAffine(context, scan))
                 return affine;
         }
-        if (scan.bestDelay > scan.leastDelay && scan.bestDelay > delayByWaiting(context, scan, bestService))
+        if (scan.fullDelay < scan.bestCost && costOfWaiting(context, scan) < scan.bestCost)
             return std::nullopt;
         return scan.best;
     }
@@ -169,15 +184,8 @@
     return *std::find_if(strategies.begin(), strategies.end(), [policy](const auto& row) { return row.policy == policy; });
 }
 
-double expectedDelay(const TargetState& target, const FailureDomain& own, double bestServiceSeconds, TimePoint now)
-{
-    const auto service = target.speed.isKnown() ? target.speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
-    return service * target.crowding(now) * (target.target.failureDomain == own ? 1 : foreignDomainFactor);
-}
-
-double bestServiceSeconds(const std::vector<TargetState>& targets, const std::vector<std::size_t>& indexes)
+double bestServiceSeconds(const std::vector<TargetState>& targets, const std::vector<std::size_t>& indexes, double best)
 {
-    double best = 0;
     for (const auto index : indexes) {
         const auto& speed = targets[index].speed;
         if (speed.isKnown() && (best == 0 || speed.serviceSeconds() < best))
--- a/packages/routing/src/PickStrategy.h
+++ b/packages/routing/src/PickStrategy.h
@@ -12,12 +12,11 @@
 /// @brief What a strategy sees. Indexes are those of targets.
 struct PickContext {
     const std::vector<TargetState>& targets;
-    /// Targets that may serve, with room or without.
-    const std::vector<std::size_t>& serving;
-    /// Those of them with room; never empty.
+    /// Targets with room; never empty.
     const std::vector<std::size_t>& candidates;
+    /// Targets that may serve but have no room now.
+    const std::vector<std::size_t>& full;
     const Demand& demand;
-    const FailureDomain& ownFailureDomain;
     /// Requests of its priority and above that wait besides this one.
     std::size_t waiting;
     TimePoint now;
@@ -36,10 +35,7 @@
 
 const PickStrategy& pickStrategy(PickPolicy);
 
-/// @brief Expected seconds to the answer from a target.
-double expectedDelay(const TargetState&, const FailureDomain& own, double bestServiceSeconds, TimePoint now);
-
-/// @brief Least service time that is known among @p indexes, or 0.
-double bestServiceSeconds(const std::vector<TargetState>&, const std::vector<std::size_t>& indexes);
+/// @brief Least service time that is known among @p indexes, or @p best if that is less and not 0.
+double bestServiceSeconds(const std::vector<TargetState>&, const std::vector<std::size_t>& indexes, double best = 0);
 
 } // namespace cicadalb
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -36,6 +36,8 @@
         : options(std::move(balancerOptions))
         , strategy(pickStrategy(options.policy))
         , queue(now)
+        , demands(now)
+        , freedPlaces(now)
     {
         random.seed(options.seed);
     }
@@ -49,9 +51,11 @@
     AdmissionQueue queue;
     QueueTicket lastTicket = 0;
     std::size_t turn = 0;
-    /// Scratch of collect(): targets that may serve, and those of them with room.
-    std::vector<std::size_t> serving;
+    /// Results of collect(): targets with room, and others that may serve.
     std::vector<std::size_t> candidates;
+    std::vector<std::size_t> full;
+    RateMeter demands;
+    RateMeter freedPlaces;
 
     void applyTargets();
     void eraseIdleRemoved();
@@ -59,8 +63,11 @@
     void collect(const std::vector<TargetId>& excluded, TimePoint now);
     void addErroring(TimePoint now);
     bool isServed(const Demand&, TimePoint now);
+    std::size_t servingCount() const { return candidates.size() + full.size(); }
     std::optional<std::size_t> pick(const Demand&, std::size_t waiting, TimePoint now);
     double leastDelay(TimePoint now) const;
+    /// Requests that arrive for each that is served.
+    double pressure(TimePoint now) { return demands.perSecond(now) / freedPlaces.perSecond(now); }
     bool isTooLate(const Demand&, double seconds, TimePoint now) const;
     Admission admit(std::size_t index, TimePoint now);
     Admission enqueue(const Demand&);
@@ -79,8 +86,9 @@
             known->target = target;
             known->isRemoved = false;
             known->limit.setCeiling(pool.maximumInFlight);
+            known->isNear = target.failureDomain == options.ownFailureDomain;
         } else {
-            targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit);
+            targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit).isNear = target.failureDomain == options.ownFailureDomain;
         }
     }
     eraseIdleRemoved();
@@ -102,17 +110,19 @@
 
 void PoolBalancer::State::collect(const std::vector<TargetId>& excluded, TimePoint now)
 {
-    serving.clear();
     candidates.clear();
+    full.clear();
     for (std::size_t i = 0; i < targets.size(); ++i) {
         const auto& state = targets[i];
-        if (!state.isEligible() || state.health.state(now) == CircuitState::Open)
+        if (!state.isEligible())
             continue;
         if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.target.id) != excluded.end())
             continue;
-        serving.push_back(i);
-        if (state.hasRoom(now))
+        const auto allowed = state.allowedInFlight(now);
+        if (state.inFlight < allowed)
             candidates.push_back(i);
+        else if (allowed > 0)
+            full.push_back(i);
     }
 }
 
@@ -128,38 +138,37 @@
         if (targets[i].health.state(now) == CircuitState::Open && targets[i].health.isReachable())
             erroring.push_back(i);
     }
-    if (!serving.empty() && static_cast<double>(erroring.size()) <= largestErroringShare * static_cast<double>(eligible))
+    if (servingCount() > 0 && static_cast<double>(erroring.size()) <= largestErroringShare * static_cast<double>(eligible))
         return;
-    for (const auto index : erroring) {
-        serving.push_back(index);
-        if (targets[index].inFlight < targets[index].limit.value())
-            candidates.push_back(index);
-    }
+    for (const auto index : erroring)
+        (targets[index].inFlight < targets[index].limit.value() ? candidates : full).push_back(index);
 }
 
 bool PoolBalancer::State::isServed(const Demand& demand, TimePoint now)
 {
     collect(demand.excluded, now);
-    if (serving.empty() && !demand.excluded.empty())
+    if (servingCount() == 0 && !demand.excluded.empty())
         collect({}, now);
-    if (serving.size() < targets.size())
+    if (servingCount() < targets.size())
         addErroring(now);
-    return !serving.empty();
+    return servingCount() > 0;
 }
 
 std::optional<std::size_t> PoolBalancer::State::pick(const Demand& demand, std::size_t waiting, TimePoint now)
 {
     if (candidates.empty())
         return std::nullopt;
-    return strategy.pick({ targets, serving, candidates, demand, options.ownFailureDomain, waiting, now, random, turn++ });
+    return strategy.pick({ targets, candidates, full, demand, waiting, now, random, turn++ });
 }
 
 double PoolBalancer::State::leastDelay(TimePoint now) const
 {
-    const auto best = bestServiceSeconds(targets, serving);
+    const auto best = bestServiceSeconds(targets, full, bestServiceSeconds(targets, candidates));
     auto least = std::numeric_limits<double>::infinity();
-    for (const auto index : serving)
-        least = std::min(least, expectedDelay(targets[index], options.ownFailureDomain, best, now));
+    for (const auto* group : { &candidates, &full }) {
+        for (const auto index : *group)
+            least = std::min(least, targets[index].expectedDelay(best, now).total());
+    }
     return least;
 }
 
@@ -217,7 +226,7 @@
     }
     const auto service = leastDelay(now);
     const auto late = queue.removeIf([&](const QueuedRequest& request, std::size_t position) {
-        return isTooLate(request.demand, service + queue.waitSeconds(request.demand.priority, position, now), now);
+        return isTooLate(request.demand, service + queue.waitSeconds(request.demand.priority, position, freedPlaces.perSecond(now), now), now);
     });
     for (const auto& request : late)
         decisions.push_back({ request.ticket, refuse(ErrorCode::Overloaded, service) });
@@ -251,6 +260,7 @@
 Admission PoolBalancer::request(const Demand& demand, TimePoint now)
 {
     auto& state = *m_state;
+    state.demands.record(now);
     if (!state.isServed(demand, now))
         return state.refuseUnserved(now);
     if (demand.deadline <= now)
@@ -264,7 +274,7 @@
             return state.admit(*index, now);
         }
     }
-    const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, now);
+    const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
     if (state.queue.size() >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
         return state.refuse(ErrorCode::Overloaded, seconds);
     state.queue.recordArrival(demand.priority, now);
@@ -274,12 +284,12 @@
 std::vector<QueueDecision> PoolBalancer::finished(const TargetId& id, const Completion& completion, TimePoint now)
 {
     auto& state = *m_state;
+    state.freedPlaces.record(now);
     if (auto* target = state.find(id)) {
-        target->end(completion, now, state.random);
+        target->end(completion, state.pressure(now), now, state.random);
         if (target->isRemoved && target->inFlight == 0)
             state.eraseIdleRemoved();
     }
-    state.queue.recordFreedPlace(now);
     std::vector<QueueDecision> decisions;
     while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
     return decisions;
--- a/packages/routing/src/SpeedEstimate.cpp
+++ b/packages/routing/src/SpeedEstimate.cpp
@@ -12,8 +12,8 @@
     constexpr unsigned clippedFrom = 8;
     constexpr std::chrono::seconds baselineWindow { 15 };
     /// Without samples the estimate stays for the first time, then moves towards the best one at the second time's pace.
-    constexpr double trustedSeconds = 10;
-    constexpr double forgettingSeconds = 30;
+    constexpr std::chrono::seconds trustedTime { 10 };
+    constexpr double forgettingSeconds = 3;
 
     double seconds(Duration duration)
     {
@@ -58,10 +58,10 @@
 
 double SpeedEstimate::agedServiceSeconds(double best, TimePoint now) const noexcept
 {
-    const auto idle = seconds(now - m_lastSample) - trustedSeconds;
-    if (idle <= 0 || m_serviceSeconds <= best)
+    if (now - m_lastSample <= trustedTime)
         return m_serviceSeconds;
-    return best + (m_serviceSeconds - best) * forgettingSeconds / (forgettingSeconds + idle * 10);
+    const auto idle = seconds(now - m_lastSample - trustedTime);
+    return best + (m_serviceSeconds - best) * forgettingSeconds / (forgettingSeconds + idle);
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -11,6 +11,8 @@
 
     /// Time constant of the average of own requests in flight, about the age of a report.
     constexpr double averagingSeconds = 0.3;
+    /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
+    constexpr double farFactor = 1.02;
     /// The lowest average of latencies over a while lies below their mean by about this factor.
     constexpr double baselineBias = 0.75;
 
@@ -50,7 +52,7 @@
     ++inFlight;
 }
 
-void TargetState::end(const Completion& completion, TimePoint now, Random& random)
+void TargetState::end(const Completion& completion, double pressure, TimePoint now, Random& random)
 {
     averageInFlight(now);
     const auto inFlightBefore = inFlight;
@@ -62,7 +64,7 @@
     if (!m_hasAdaptiveLimit)
         return;
     if (completion.kind == CompletionKind::Succeeded)
-        limit.recordCompletion(inFlightBefore, slowdown());
+        limit.recordCompletion(inFlightBefore, slowdown(), pressure);
     else if (completion.kind == CompletionKind::Lost)
         limit.recordLoss();
 }
@@ -80,18 +82,31 @@
     load.record(report, m_averageInFlight, now);
 }
 
-double TargetState::allowedInFlight(TimePoint now) const noexcept
+unsigned TargetState::allowedInFlight(TimePoint now) const noexcept
 {
     const auto state = health.state(now);
+    if (state == CircuitState::Closed)
+        return static_cast<unsigned>(limit.value());
     if (state == CircuitState::Open)
         return 0;
-    return std::max(1.0, std::floor(limit.value() * health.allowedShare(now)));
+    return std::max(1U, static_cast<unsigned>(limit.value() * health.allowedShare(now)));
 }
 
+/// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
+/// expected before all places are taken.
 double TargetState::crowding(TimePoint now) const noexcept
 {
-    const auto places = load.hasReports() ? load.parallelism() : limit.value();
-    return std::max(1.0, (expectedLoad(now) + 1) / std::max(places, 1.0));
+    const auto others = load.others(now);
+    const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
+    const auto excess = inFlight + others + 1 - places;
+    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
+    return 1 + queued / places;
+}
+
+ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+{
+    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
+    return { isNear ? service : service * farFactor, crowding(now) };
 }
 
 TargetView TargetState::view(TimePoint now) const
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -12,6 +12,18 @@
 
 namespace cicadalb {
 
+/// @brief Expected time to a target's answer.
+struct ExpectedDelay {
+    double serviceSeconds = 0;
+    /// Requests for each place of the target, 1 without queueing.
+    double crowding = 1;
+
+    double total() const noexcept { return serviceSeconds * crowding; }
+    /// @brief Marginal delay: what one more request adds to the delays of all. It weighs a queue more than the request's own delay does, so
+    /// that slower targets share the work before the fastest ones are saturated.
+    double cost() const noexcept { return serviceSeconds * crowding * crowding; }
+};
+
 class TargetState {
 public:
     /// @param ceiling largest limit in flight; the limit stays there unless it adapts
@@ -22,15 +34,18 @@
     bool isEligible() const noexcept { return ineligibility().empty(); }
 
     void begin(TimePoint now);
-    void end(const Completion&, TimePoint now, Random&);
+    /// @param pressure requests that arrive for each that is served
+    void end(const Completion&, double pressure, TimePoint now, Random&);
     void recordReport(const LoadReport&, TimePoint now);
     /// @brief Own requests that may be in flight now.
-    double allowedInFlight(TimePoint now) const noexcept;
+    unsigned allowedInFlight(TimePoint now) const noexcept;
     bool hasRoom(TimePoint now) const noexcept { return inFlight < allowedInFlight(now); }
     /// @brief Expected requests on the target, those of other hosts included.
     double expectedLoad(TimePoint now) const noexcept { return inFlight + load.others(now); }
     /// @brief Requests for each place of the target if one more came, at least 1.
     double crowding(TimePoint now) const noexcept;
+    /// @param bestServiceSeconds service time of the fastest target, which stands for one that is not known
+    ExpectedDelay expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept;
 
     TargetView view(TimePoint now) const;
 
@@ -41,6 +56,8 @@
     bool isListedAsLeaving = false;
     bool saysItIsLeaving = false;
     bool isRemoved = false;
+    /// Whether it is in this host's own failure domain.
+    bool isNear = true;
     SpeedEstimate speed;
     ConcurrencyLimit limit;
     LoadView load;
