--- a/packages/client/tests/unit-exactly-once.cpp
+++ b/packages/client/tests/unit-exactly-once.cpp
@@ -128,7 +128,7 @@
     {
         if (!host.coordinator)
             return;
-        for (const auto& dispatch : host.coordinator->nextDispatches(count, m_clock.now()))
+        for (const auto& dispatch : host.coordinator->nextDispatches(count, {}, m_clock.now()))
             host.running.push_back({ dispatch.attempt, m_engineVersion });
     }
 
--- a/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
+++ b/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
@@ -4,6 +4,7 @@
 #include "cicadalb/base/EnumTable.h"
 #include "cicadalb/base/Error.h"
 #include "cicadalb/rollout/EngineClient.h"
+#include "cicadalb/rollout/EngineObservations.h"
 #include "cicadalb/rollout/Step.h"
 #include "cicadalb/rollout/StepCursor.h"
 
@@ -49,14 +50,20 @@
     /// First pause after a failed attempt; doubles with each further failure of the sample.
     std::chrono::milliseconds retryBackoff { 100 };
     std::chrono::milliseconds maximumRetryBackoff { 5000 };
+    /// A step waits so long for its first pull, which tells what the trainer has and its weight version.
+    std::chrono::milliseconds firstPullGrace { 1000 };
+    /// 0 weighs idle time alone, 1 staleness alone: how long a sample waits for an engine with the trainer's weights.
+    double stalenessWeight = 0.5;
+    /// Largest share of tokens spent on second runs; 0 switches them off.
+    double duplicatedShare = 0.04;
 };
 
 /// @brief One generation to start.
 struct Dispatch {
     AttemptId attempt = 0;
     GenerationRequest request;
-    /// Hash of the prefix that wants the same engine.
-    std::uint64_t affinity = 0;
+    /// Hash of the prefix that wants the same engine; none if that could make the sample late.
+    std::optional<std::uint64_t> affinity;
     /// Engines that must not run it.
     std::vector<TargetId> excluded;
 };
@@ -75,6 +82,9 @@
     std::array<std::size_t, discardCauseCount> discarded {};
     std::size_t tokensKept = 0;
     std::size_t tokensDiscarded = 0;
+    /// Tokens of runs that lost against another run of their sample.
+    std::size_t tokensDuplicated = 0;
+    std::size_t secondRuns = 0;
     bool isLate = false;
     /// Why the step is not whole yet; empty if it is.
     std::string reason;
@@ -90,9 +100,13 @@
     /// @brief A repeated submission. Errors: StepConflict if the body differs.
     Result<void> resubmit(const StepSpec&) const;
 
-    /// @brief Attempts to start now, at most @p capacity. Each ends with one onResult().
+    /// @brief First attempts to start now, at most @p capacity. Each ends with one onResult().
     /// Complexity: linear in the step's samples.
-    std::vector<Dispatch> nextDispatches(std::size_t capacity, TimePoint now);
+    std::vector<Dispatch> nextDispatches(std::size_t capacity, const EngineObservations&, TimePoint now);
+
+    /// @brief The second run that shortens the step most within the budget of duplicated tokens, if any. To be asked for when no first
+    /// attempt waits. Ends with one onResult(). Complexity: linear in the running attempts.
+    std::optional<Dispatch> nextSecondRun(const EngineObservations&, TimePoint now);
 
     /// @brief An attempt was given to an engine.
     void onStarted(AttemptId, const TargetId&, TimePoint now);
@@ -123,6 +137,7 @@
         unsigned running = 0;
         unsigned failures = 0;
         TimePoint notBefore {};
+        TimePoint waitingSince {};
         std::set<TargetId> failedOn;
     };
 
@@ -131,6 +146,9 @@
         TargetId engine;
         TimePoint startedAt {};
         unsigned tokens = 0;
+        TimePoint lastProgress {};
+        /// Expected tokens of the losing run while a second run goes on.
+        double reservedTokens = 0;
         /// Versions seen in chunks so far.
         std::set<WeightVersion> versions;
         /// Set once the attempt is of no more use.
@@ -138,14 +156,21 @@
     };
 
     Dispatch makeDispatch(SampleIndex, TimePoint now);
+    std::optional<std::vector<TargetId>> enginesTooOld(const SampleState&, const EngineObservations&, TimePoint now) const;
+    Duration freshnessPatience() const;
+    WeightVersion oldestAllowed() const noexcept;
+    bool hasBudgetFor(double tokens) const;
+    double medianTokens() const;
+    bool isBehind(TimePoint now) const;
     void abandon(Attempt&, AttemptId, DiscardCause);
     void abandonOthers(SampleIndex);
     void abandonStale();
     void discard(DiscardCause, unsigned tokens);
-    void discardStaleReady();
+    void release(const Attempt&, TimePoint now);
+    void discardStaleReady(TimePoint now);
     /// Takes the cursor's word on what the trainer has, also if that is less than an earlier life of it had.
     void learnReceived(const StepCursor&);
-    void keep(const Attempt&, const Generation&);
+    void keep(const Attempt&, const Generation&, TimePoint now);
     void fail(const Attempt&, DiscardCause, TimePoint now);
     bool isWaiting(SampleIndex, TimePoint now) const;
     bool wouldBeStale(WeightVersion oldest) const noexcept { return isStale(oldest, m_weightVersion, m_spec.stalenessBound); }
@@ -167,6 +192,13 @@
     std::array<std::size_t, discardCauseCount> m_discarded {};
     std::size_t m_tokensKept = 0;
     std::size_t m_tokensDiscarded = 0;
+    std::size_t m_tokensDuplicated = 0;
+    std::size_t m_secondRuns = 0;
+    bool m_wasPulled = false;
+    /// Lengths of kept generations, sorted.
+    std::vector<unsigned> m_lengths;
+    /// Sum of the kept generations' run times.
+    Duration m_keptRunTime {};
 };
 
 } // namespace cicadalb
--- a/packages/rollout/include/cicadalb/rollout/StepService.h
+++ b/packages/rollout/include/cicadalb/rollout/StepService.h
@@ -54,6 +54,9 @@
     /// Errors: StepUnknown (submit it again), CursorInvalid, HostStopping.
     Task<Result<Batch>> pull(StepKey, PullRequest);
 
+    /// @brief An engine's own report of its weights, which may lag; what its generations are labelled with takes precedence.
+    void reportWeights(const PoolName&, const TargetId&, WeightVersion);
+
     /// @brief Starts what can be started now and drops abandoned steps. run() calls it; tests call it themselves.
     void tick();
     /// @brief Calls tick() until stop().
--- a/packages/rollout/src/StepCoordinator.cpp
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -1,5 +1,6 @@
 #include "cicadalb/rollout/StepCoordinator.h"
 
+#include "SecondRun.h"
 #include "cicadalb/base/Hash.h"
 
 #include <algorithm>
@@ -16,6 +17,11 @@
         { DiscardCause::Superseded, "superseded" },
     });
 
+    /// Part of the deadline after which samples that still wait go to any engine, cached prefix or not.
+    constexpr double behindShare = 0.5;
+    /// Expected part of the maximum length before any generation has ended.
+    constexpr double firstLengthShare = 0.25;
+
     /// Longest doubling of the retry backoff.
     constexpr unsigned maximumBackoffDoublings = 16;
 
@@ -50,6 +56,8 @@
     , m_received(m_layout.size())
     , m_samples(m_layout.size())
 {
+    for (auto& sample : m_samples)
+        sample.waitingSince = submittedAt;
 }
 
 Result<void> StepCoordinator::resubmit(const StepSpec& spec) const
@@ -73,6 +81,7 @@
     Attempt state;
     state.position = position;
     state.startedAt = now;
+    state.lastProgress = now;
     m_attempts.emplace(attempt, state);
 
     const auto& group = m_spec.groups[m_layout.idOf(position).group];
@@ -84,21 +93,107 @@
     dispatch.request.prefixKey = group.prefixKey.empty() ? group.prompt : group.prefixKey;
     dispatch.request.maximumTokens = m_spec.maximumTokens;
     dispatch.request.priority = m_spec.priority;
-    dispatch.affinity = placementHash(dispatch.request.prefixKey);
+    if (sample.running == 1 && sample.failures == 0 && !isBehind(now))
+        dispatch.affinity = placementHash(dispatch.request.prefixKey);
     dispatch.excluded.assign(sample.failedOn.begin(), sample.failedOn.end());
     return dispatch;
 }
 
-std::vector<Dispatch> StepCoordinator::nextDispatches(std::size_t capacity, TimePoint now)
+bool StepCoordinator::isBehind(TimePoint now) const
+{
+    return now - m_submittedAt > std::chrono::duration_cast<Duration>(behindShare * m_spec.deadline);
+}
+
+WeightVersion StepCoordinator::oldestAllowed() const noexcept
+{
+    return m_weightVersion - std::min(m_weightVersion, m_spec.stalenessBound);
+}
+
+/// The time that a sample may lose for weights as new as the trainer's: the longer, the more the trainer weighs staleness.
+Duration StepCoordinator::freshnessPatience() const
+{
+    if (m_options.stalenessWeight >= 1)
+        return Duration::max();
+    if (m_lengths.empty())
+        return Duration::zero();
+    const auto typicalRun = m_keptRunTime / static_cast<Duration::rep>(m_lengths.size());
+    const auto factor = m_options.stalenessWeight / (1 - m_options.stalenessWeight);
+    return std::chrono::duration_cast<Duration>(factor * typicalRun);
+}
+
+/// Engines whose weights are too old for the sample, or nothing if it had better wait for another.
+std::optional<std::vector<TargetId>> StepCoordinator::enginesTooOld(const SampleState& sample, const EngineObservations& engines, TimePoint now) const
+{
+    const bool isPatient = now - sample.waitingSince < freshnessPatience();
+    const auto oldest = isPatient ? m_weightVersion : oldestAllowed();
+    if (!engines.mayHold(oldest, now))
+        return std::nullopt;
+    return engines.enginesOlderThan(oldest, now);
+}
+
+std::vector<Dispatch> StepCoordinator::nextDispatches(std::size_t capacity, const EngineObservations& engines, TimePoint now)
 {
     std::vector<Dispatch> dispatches;
+    if (!m_wasPulled && now - m_submittedAt < m_options.firstPullGrace)
+        return dispatches;
     for (SampleIndex position = 0; position < m_samples.size() && dispatches.size() < capacity; ++position) {
-        if (isWaiting(position, now))
-            dispatches.push_back(makeDispatch(position, now));
+        if (!isWaiting(position, now))
+            continue;
+        const auto tooOld = enginesTooOld(m_samples[position], engines, now);
+        if (!tooOld)
+            continue;
+        auto dispatch = makeDispatch(position, now);
+        dispatch.excluded.insert(dispatch.excluded.end(), tooOld->begin(), tooOld->end());
+        dispatches.push_back(std::move(dispatch));
     }
     return dispatches;
 }
 
+double StepCoordinator::medianTokens() const
+{
+    return m_lengths.empty() ? firstLengthShare * m_spec.maximumTokens : m_lengths[m_lengths.size() / 2];
+}
+
+bool StepCoordinator::hasBudgetFor(double tokens) const
+{
+    double spent = static_cast<double>(m_tokensDuplicated) + tokens;
+    double total = static_cast<double>(m_tokensKept);
+    for (const auto& [id, attempt] : m_attempts) {
+        spent += attempt.reservedTokens;
+        total += attempt.tokens;
+    }
+    return spent <= m_options.duplicatedShare * total;
+}
+
+std::optional<Dispatch> StepCoordinator::nextSecondRun(const EngineObservations& engines, TimePoint now)
+{
+    const LengthEstimate lengths { medianTokens(), m_spec.maximumTokens };
+    const Attempt* best = nullptr;
+    SecondRunEstimate bestEstimate;
+    for (const auto& [id, attempt] : m_attempts) {
+        if (attempt.abandoned || attempt.engine.isEmpty() || m_samples[attempt.position].running != 1)
+            continue;
+        const auto estimate = estimateSecondRun({ attempt.tokens, now - attempt.startedAt, now - attempt.lastProgress }, lengths, engines.bestSpeed(attempt.engine));
+        const bool isBetter = !best || estimate.remainingSeconds > bestEstimate.remainingSeconds;
+        if (estimate.isWorthwhile && isBetter && hasBudgetFor(estimate.duplicatedTokens)) {
+            best = &attempt;
+            bestEstimate = estimate;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    const auto firstEngine = best->engine;
+    auto dispatch = makeDispatch(best->position, now);
+    m_attempts.at(dispatch.attempt).reservedTokens = bestEstimate.duplicatedTokens;
+    ++m_secondRuns;
+    const auto slow = engines.enginesSlowerThan(bestEstimate.neededSpeed);
+    const auto old = engines.enginesOlderThan(oldestAllowed(), now);
+    dispatch.excluded = { firstEngine };
+    dispatch.excluded.insert(dispatch.excluded.end(), slow.begin(), slow.end());
+    dispatch.excluded.insert(dispatch.excluded.end(), old.begin(), old.end());
+    return dispatch;
+}
+
 void StepCoordinator::onStarted(AttemptId id, const TargetId& engine, TimePoint now)
 {
     const auto found = m_attempts.find(id);
@@ -106,14 +201,17 @@
         return;
     found->second.engine = engine;
     found->second.startedAt = now;
+    found->second.lastProgress = now;
 }
 
-bool StepCoordinator::onProgress(AttemptId id, const GenerationProgress& progress, TimePoint)
+bool StepCoordinator::onProgress(AttemptId id, const GenerationProgress& progress, TimePoint now)
 {
     const auto found = m_attempts.find(id);
     if (found == m_attempts.end())
         return false;
     auto& attempt = found->second;
+    if (progress.tokens > attempt.tokens)
+        attempt.lastProgress = now;
     attempt.tokens = std::max(attempt.tokens, progress.tokens);
     if (attempt.abandoned)
         return false;
@@ -133,9 +231,9 @@
         return;
     auto attempt = std::move(found->second);
     m_attempts.erase(found);
-    --m_samples[attempt.position].running;
     if (result)
         attempt.tokens = result.value().tokens;
+    release(attempt, now);
 
     if (m_received[attempt.position] || m_samples[attempt.position].ready)
         return discard(DiscardCause::Superseded, attempt.tokens);
@@ -145,10 +243,18 @@
         return fail(attempt, DiscardCause::Failed, now);
     if (!isLabelled(result.value()))
         return fail(attempt, DiscardCause::Unlabelled, now);
-    keep(attempt, result.value());
+    keep(attempt, result.value(), now);
+}
+
+void StepCoordinator::release(const Attempt& attempt, TimePoint now)
+{
+    auto& sample = m_samples[attempt.position];
+    --sample.running;
+    if (sample.running == 0)
+        sample.waitingSince = now;
 }
 
-void StepCoordinator::keep(const Attempt& attempt, const Generation& generation)
+void StepCoordinator::keep(const Attempt& attempt, const Generation& generation, TimePoint now)
 {
     auto versions = attempt.versions;
     versions.insert(generation.versions.begin(), generation.versions.end());
@@ -163,6 +269,8 @@
     sample.versions.assign(versions.begin(), versions.end());
     m_samples[attempt.position].ready = std::move(sample);
     m_tokensKept += generation.tokens;
+    m_lengths.insert(std::upper_bound(m_lengths.begin(), m_lengths.end(), generation.tokens), generation.tokens);
+    m_keptRunTime += now - attempt.startedAt;
     abandonOthers(attempt.position);
 }
 
@@ -183,6 +291,8 @@
 {
     ++m_discarded[static_cast<std::size_t>(cause)];
     m_tokensDiscarded += tokens;
+    if (cause == DiscardCause::Superseded)
+        m_tokensDuplicated += tokens;
 }
 
 void StepCoordinator::abandon(Attempt& attempt, AttemptId id, DiscardCause cause)
@@ -220,7 +330,7 @@
     return std::exchange(m_cancellations, {});
 }
 
-void StepCoordinator::discardStaleReady()
+void StepCoordinator::discardStaleReady(TimePoint now)
 {
     for (auto& sample : m_samples) {
         if (!sample.ready || !wouldBeStale(sample.ready->versions.front()))
@@ -228,6 +338,7 @@
         m_tokensKept -= sample.ready->tokens;
         discard(DiscardCause::Stale, sample.ready->tokens);
         sample.ready.reset();
+        sample.waitingSince = now;
     }
 }
 
@@ -246,11 +357,12 @@
     if (cursor.step != m_spec.key.step || cursor.received.size() != m_layout.size())
         return failure(ErrorCode::CursorInvalid, "the cursor does not fit the step", "cursor");
     m_lastPull = now;
+    m_wasPulled = true;
     m_weightVersion = std::max(m_weightVersion, cursor.weightVersion);
     if (!isOlderOfSameLife(cursor.number, m_cursorNumber))
         learnReceived(cursor);
     abandonStale();
-    discardStaleReady();
+    discardStaleReady(now);
 
     Batch batch;
     batch.step = cursor.step;
@@ -283,6 +395,8 @@
     progress.discarded = m_discarded;
     progress.tokensKept = m_tokensKept;
     progress.tokensDiscarded = m_tokensDiscarded;
+    progress.tokensDuplicated = m_tokensDuplicated;
+    progress.secondRuns = m_secondRuns;
     progress.isLate = !isReceived() && now > deadline();
     if (progress.waiting > 0)
         progress.reason = "samples wait for an engine";
--- a/packages/rollout/src/StepService.cpp
+++ b/packages/rollout/src/StepService.cpp
@@ -22,6 +22,19 @@
 
     constexpr std::size_t shardCount = 16;
 
+    std::optional<Dispatch> firstAttempt(StepCoordinator& coordinator, const EngineObservations& engines, TimePoint now)
+    {
+        auto dispatches = coordinator.nextDispatches(1, engines, now);
+        if (dispatches.empty())
+            return std::nullopt;
+        return std::move(dispatches.front());
+    }
+
+    std::optional<Dispatch> secondRun(StepCoordinator& coordinator, const EngineObservations& engines, TimePoint now)
+    {
+        return coordinator.nextSecondRun(engines, now);
+    }
+
     CompletionKind completionKind(const Result<Generation>& result)
     {
         if (result)
@@ -54,6 +67,7 @@
 
     Result<SubmitReceipt> submit(StepSpec, StepTerms);
     Task<Result<Batch>> pull(StepKey, PullRequest);
+    void reportWeights(const PoolName&, const TargetId&, WeightVersion);
     void tick();
     Task<void> run();
     void stop();
@@ -100,13 +114,17 @@
     PullAttempt tryPull(const StepKey&, const PullRequest&, bool mayWait);
     void startGenerations();
     std::vector<Candidate> candidates() const;
-    std::optional<Dispatch> takeDispatch(const Candidate&);
+    using Take = std::optional<Dispatch> (*)(StepCoordinator&, const EngineObservations&, TimePoint);
+    void startFrom(std::vector<Candidate>, Take);
+    std::optional<Dispatch> takeDispatch(const Candidate&, Take);
     void spawn(const Candidate&, Dispatch);
     Task<void> generate(StepKey, PoolName, Dispatch);
     Task<Result<Generation>> runOnEngine(StepKey, PoolName, Dispatch, TargetId);
     void started(const StepKey&, AttemptId, const TargetId&);
     void hasHandle(const StepKey&, AttemptId, std::shared_ptr<GenerationHandle>);
     void progressed(const StepKey&, AttemptId, const GenerationProgress&);
+    void observe(const PoolName&, const TargetId&, const GenerationProgress&);
+    void observeSpeed(const PoolName&, const TargetId&, unsigned tokens, Duration);
     void finished(const StepKey&, const PoolName&, AttemptId, const Result<Generation>&);
     void dropAbandoned();
     void freeSlot(const PoolName&, const TrainerName&);
@@ -127,6 +145,9 @@
     /// Taken before a shard's lock, never after it.
     std::mutex m_poolsMutex;
     std::map<PoolName, PoolUse> m_pools;
+    /// Taken last.
+    std::mutex m_enginesMutex;
+    std::map<PoolName, EngineObservations> m_observations;
 };
 
 StepService::Implementation::Shard& StepService::Implementation::shardOf(const StepKey& key)
@@ -151,8 +172,10 @@
             receipt.isNew = false;
             return receipt;
         }
+        auto options = m_options.step;
+        options.stalenessWeight = terms.stalenessWeight;
         shard.steps.emplace(std::piecewise_construct, std::forward_as_tuple(key),
-            std::forward_as_tuple(std::move(spec), std::move(terms), m_options.step, m_clock.now()));
+            std::forward_as_tuple(std::move(spec), std::move(terms), options, m_clock.now()));
     }
     logEvent(Event::StepSubmitted, { { "trainer", key.trainer.value() }, { "step", std::to_string(key.step) }, { "samples", std::to_string(receipt.samples) } });
     startGenerations();
@@ -218,7 +241,14 @@
     if (m_isStopping)
         return;
     const std::lock_guard lock(m_poolsMutex);
-    auto open = candidates();
+    const auto steps = candidates();
+    startFrom(steps, firstAttempt);
+    // Only places that no waiting sample of any trainer could use.
+    startFrom(steps, secondRun);
+}
+
+void StepService::Implementation::startFrom(std::vector<Candidate> open, Take take)
+{
     while (!open.empty()) {
         // The trainer with the least use of the pool for its share comes first; of one trainer, the oldest step.
         const auto weightedUse = [this](const Candidate& candidate) {
@@ -229,7 +259,7 @@
             [&](const auto& left, const auto& right) { return weightedUse(left) < weightedUse(right); });
         auto& use = m_pools[next->pool];
         const bool isFull = use.running >= m_selector.capacity(next->pool);
-        auto dispatch = isFull ? std::nullopt : takeDispatch(*next);
+        auto dispatch = isFull ? std::nullopt : takeDispatch(*next, take);
         if (!dispatch) {
             open.erase(next);
             continue;
@@ -240,17 +270,15 @@
     }
 }
 
-std::optional<Dispatch> StepService::Implementation::takeDispatch(const Candidate& candidate)
+std::optional<Dispatch> StepService::Implementation::takeDispatch(const Candidate& candidate, Take take)
 {
     auto& shard = shardOf(candidate.key);
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.steps.find(candidate.key);
     if (found == shard.steps.end())
         return std::nullopt;
-    auto dispatches = found->second.coordinator.nextDispatches(1, m_clock.now());
-    if (dispatches.empty())
-        return std::nullopt;
-    return std::move(dispatches.front());
+    const std::lock_guard enginesLock(m_enginesMutex);
+    return take(found->second.coordinator, m_observations[candidate.pool], m_clock.now());
 }
 
 void StepService::Implementation::spawn(const Candidate& candidate, Dispatch dispatch)
@@ -293,14 +321,39 @@
     std::function<void(std::shared_ptr<GenerationHandle>)> onStart = [self, key, attempt](std::shared_ptr<GenerationHandle> handle) {
         self->hasHandle(key, attempt, std::move(handle));
     };
-    std::function<void(const GenerationProgress&)> onProgress = [self, key, attempt](const GenerationProgress& progress) {
+    std::function<void(const GenerationProgress&)> onProgress = [self, key, pool, target, attempt](const GenerationProgress& progress) {
+        self->observe(pool, target, progress);
         self->progressed(key, attempt, progress);
     };
     auto result = co_await m_engines.generate(target, std::move(dispatch.request), begin + m_options.attemptTimeout, std::move(onStart), std::move(onProgress));
+    if (result)
+        observeSpeed(pool, target, result.value().tokens, m_clock.now() - begin);
     m_selector.release(pool, target, { completionKind(result), m_clock.now() - begin });
     co_return result;
 }
 
+void StepService::Implementation::observe(const PoolName& pool, const TargetId& engine, const GenerationProgress& progress)
+{
+    if (progress.version == 0)
+        return;
+    const std::lock_guard lock(m_enginesMutex);
+    m_observations[pool].recordChunk(engine, progress.version, m_clock.now());
+}
+
+void StepService::Implementation::reportWeights(const PoolName& pool, const TargetId& engine, WeightVersion version)
+{
+    const std::lock_guard lock(m_enginesMutex);
+    m_observations[pool].recordReport(engine, version, m_clock.now());
+}
+
+void StepService::Implementation::observeSpeed(const PoolName& pool, const TargetId& engine, unsigned tokens, Duration elapsed)
+{
+    if (tokens == 0 || elapsed <= Duration::zero())
+        return;
+    const std::lock_guard lock(m_enginesMutex);
+    m_observations[pool].recordSpeed(engine, tokens / std::chrono::duration<double>(elapsed).count());
+}
+
 void StepService::Implementation::started(const StepKey& key, AttemptId attempt, const TargetId& target)
 {
     auto& shard = shardOf(key);
@@ -491,6 +544,11 @@
     return m_implementation->pull(std::move(key), std::move(request));
 }
 
+void StepService::reportWeights(const PoolName& pool, const TargetId& engine, WeightVersion version)
+{
+    m_implementation->reportWeights(pool, engine, version);
+}
+
 void StepService::tick()
 {
     m_implementation->tick();
--- a/packages/rollout/tests/unit-step-coordinator.cpp
+++ b/packages/rollout/tests/unit-step-coordinator.cpp
@@ -9,10 +9,17 @@
 struct StepCoordinatorFixture {
     StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 2 }, { "b", "", 2 } } };
     ManualClock clock;
-    StepCoordinator coordinator { spec, {}, clock.now() };
+    StepCoordinator coordinator { spec, options(), clock.now() };
+    EngineObservations engines;
     StepCursor cursor { 4, 100, SampleBitmap(4), 7 };
 
-    std::vector<Dispatch> start(std::size_t count) { return coordinator.nextDispatches(count, clock.now()); }
+    static StepOptions options()
+    {
+        StepOptions options;
+        options.firstPullGrace = std::chrono::milliseconds(0);
+        return options;
+    }
+    std::vector<Dispatch> start(std::size_t count) { return coordinator.nextDispatches(count, engines, clock.now()); }
     void finish(const Dispatch& dispatch, std::vector<WeightVersion> versions = { 7 })
     {
         coordinator.onStarted(dispatch.attempt, TargetId("e1"), clock.now());
--- a/packages/rollout/tests/unit-step-service.cpp
+++ b/packages/rollout/tests/unit-step-service.cpp
@@ -47,10 +47,17 @@
     FakeEngines engines;
     FakeSelector selector;
     ManualClock clock;
-    StepService service { context.get_executor(), engines, selector, clock };
+    StepService service { context.get_executor(), engines, selector, clock, options() };
     StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 3 }, { "b", "", 2 } } };
     PullRequest request { { 4, 1, SampleBitmap(5), 7 }, 64, std::chrono::milliseconds(0) };
 
+    static StepServiceOptions options()
+    {
+        StepServiceOptions options;
+        options.step.firstPullGrace = std::chrono::milliseconds(0);
+        return options;
+    }
+
     Result<Batch> pull()
     {
         spawnPull();
--- a/packages/transport/src/PeerClient.cpp
+++ b/packages/transport/src/PeerClient.cpp
@@ -1,7 +1,7 @@
 #include "PeerClient.h"
 
-#include <boost/asio/async_result.hpp>
 #include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
