--- a/cmake/CicadalbPackage.cmake
+++ b/cmake/CicadalbPackage.cmake
@@ -29,6 +29,7 @@
     endif()
     add_executable(test_${name} ${tests})
     target_include_directories(test_${name} PRIVATE src tests)
+    target_compile_definitions(test_${name} PRIVATE CICADALB_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(test_${name} PRIVATE cicadalb_${name} cicadalb_test_main rapidcheck)
     catch_discover_tests(test_${name} TEST_PREFIX "${name}: " EXTRA_ARGS -w NoTests
         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 120)
--- a/packages/transport/include/cicadalb/transport/RoutingTable.h
+++ b/packages/transport/include/cicadalb/transport/RoutingTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cicadalb/config/AcceptedConfiguration.h"
+#include "cicadalb/routing/RetryBudget.h"
 #include "cicadalb/routing/RouteMatcher.h"
 #include "cicadalb/transport/PoolGate.h"
 
@@ -14,13 +15,31 @@
 
 namespace cicadalb {
 
+/// @brief A route's retry budget under its own lock. Thread-safe.
+class SharedRetryBudget {
+public:
+    explicit SharedRetryBudget(unsigned percent)
+        : m_budget(percent)
+    {
+    }
+    void recordRequest();
+    bool tryRetry();
+    void setPercent(unsigned percent);
+
+private:
+    std::mutex m_mutex;
+    RetryBudget m_budget;
+};
+
+using RetryBudgets = std::map<RouteName, std::shared_ptr<SharedRetryBudget>>;
 using PoolGates = std::map<PoolName, std::shared_ptr<PoolGate>>;
 
-/// @brief One accepted configuration with the gates of its pools. Immutable but for the gates.
+/// @brief One accepted configuration with the gates of its pools. Immutable but for the gates and retry budgets.
 struct RoutingSnapshot {
     ConfigurationNumber number = 0;
     RouteMatcher matcher;
     PoolGates gates;
+    RetryBudgets retryBudgets;
 
     std::shared_ptr<PoolGate> gate(const PoolName&) const;
 };
@@ -40,6 +59,9 @@
     void forEachGate(const std::function<void(PoolGate&)>& visit) const;
 
 private:
+    PoolGates gatesFor(const Tables&) const;
+    RetryBudgets retryBudgetsFor(const Tables&) const;
+
     BalancerOptions m_balancerOptions;
     const Clock& m_clock;
     mutable std::mutex m_mutex;
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -7,6 +7,7 @@
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/AcceptedConfiguration.h"
+#include "cicadalb/config/OperatorProof.h"
 #include "cicadalb/platform/HttpHostList.h"
 #include "cicadalb/platform/HttpKeyValueService.h"
 #include "cicadalb/rollout/StepService.h"
@@ -123,6 +124,7 @@
         , m_peers(m_links)
         , m_stepEndpoints(
               m_settings.host.id, m_control.context(0).get_executor(), m_steps, m_routing, [this] { return assignment(); }, m_peers)
+        , m_proofs(m_settings.secret)
         , m_admin(adminSources())
         , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return serveCaller(request, responder); })
         , m_adminListener(m_control, adminOptions(m_settings), [this](auto& request, auto& responder) { return m_admin.serve(request, responder); })
@@ -258,10 +260,17 @@
         sources.isReady = [this] { return isReady(); };
         sources.metricsText = [this] { return m_metrics.text(); };
         sources.state = [this] { return state(); };
-        sources.hasProof = [](const ServerRequest&) { return true; };
+        sources.hasProof = [this](const ServerRequest& request) { return hasProof(request); };
         return sources;
     }
 
+    bool hasProof(const ServerRequest& request)
+    {
+        const auto path = request.query.empty() ? request.path : request.path + "?" + request.query;
+        const auto now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+        return m_proofs.check(OperatorCall { request.method, path }, request.field(operatorProofHeader), now).has_value();
+    }
+
     bool isReady() const { return !m_isStopping && m_routing.snapshot() != nullptr; }
 
     nlohmann::json state() const
@@ -350,6 +359,7 @@
     StepEndpoints m_stepEndpoints;
     /// Set by start().
     std::unique_ptr<MembershipPort> m_membership;
+    OperatorProofChecker m_proofs;
     AdminEndpoints m_admin;
     HttpListener m_callerListener;
     HttpListener m_adminListener;
--- a/packages/transport/src/RequestDispatcher.cpp
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -176,7 +176,11 @@
     details.requestId = context.id.value();
     Error error { ErrorCode::NoTargetAvailable, {}, {} };
     unsigned status = 0;
+    const auto budget = context.snapshot->retryBudgets.at(context.route.name);
+    budget->recordRequest();
     while (run.mayAttempt() && run.attempts() < maximumAttempts) {
+        if (run.attempts() > 0 && !budget->tryRetry())
+            break;
         const auto admission = co_await context.gate->admit(demand);
         if (admission.kind != AdmissionKind::Admitted) {
             error = admissionError(admission, context.gate->pool());
--- a/packages/transport/src/RoutingTable.cpp
+++ b/packages/transport/src/RoutingTable.cpp
@@ -2,6 +2,24 @@
 
 namespace cicadalb {
 
+void SharedRetryBudget::recordRequest()
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.recordRequest();
+}
+
+bool SharedRetryBudget::tryRetry()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_budget.tryRetry();
+}
+
+void SharedRetryBudget::setPercent(unsigned percent)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budget.setPercent(percent);
+}
+
 std::shared_ptr<PoolGate> RoutingSnapshot::gate(const PoolName& name) const
 {
     const auto found = gates.find(name);
@@ -19,8 +37,16 @@
     const std::lock_guard lock(m_mutex);
     if (m_snapshot && configuration.number <= m_snapshot->number)
         return false;
+    const auto tables = std::make_shared<const Tables>(configuration.tables);
+    m_snapshot = std::make_shared<const RoutingSnapshot>(
+        RoutingSnapshot { configuration.number, RouteMatcher(tables), gatesFor(*tables), retryBudgetsFor(*tables) });
+    return true;
+}
+
+PoolGates RoutingTable::gatesFor(const Tables& tables) const
+{
     PoolGates gates;
-    for (const auto& pool : configuration.tables.pools) {
+    for (const auto& pool : tables.pools) {
         auto gate = m_snapshot ? m_snapshot->gate(pool.name) : nullptr;
         if (gate)
             gate->update(pool);
@@ -28,9 +54,23 @@
             gate = std::make_shared<PoolGate>(pool, m_balancerOptions, m_clock);
         gates.emplace(pool.name, std::move(gate));
     }
-    auto tables = std::make_shared<const Tables>(configuration.tables);
-    m_snapshot = std::make_shared<const RoutingSnapshot>(RoutingSnapshot { configuration.number, RouteMatcher(std::move(tables)), std::move(gates) });
-    return true;
+    return gates;
+}
+
+RetryBudgets RoutingTable::retryBudgetsFor(const Tables& tables) const
+{
+    RetryBudgets budgets;
+    for (const auto& route : tables.routes) {
+        std::shared_ptr<SharedRetryBudget> budget;
+        if (m_snapshot && m_snapshot->retryBudgets.count(route.name) > 0)
+            budget = m_snapshot->retryBudgets.at(route.name);
+        if (budget)
+            budget->setPercent(route.retryPercent);
+        else
+            budget = std::make_shared<SharedRetryBudget>(route.retryPercent);
+        budgets.emplace(route.name, std::move(budget));
+    }
+    return budgets;
 }
 
 std::shared_ptr<const RoutingSnapshot> RoutingTable::snapshot() const
