--- /dev/null
+++ b/packages/config/tests/unit-acceptance.cpp
@@ -0,0 +1,211 @@
+#include "cicadalb/config/ConfigurationApply.h"
+#include "cicadalb/config/RefusedEdits.h"
+#include "cicadalb/config/TableEdit.h"
+#include "cicadalb/config/TablesDifference.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+
+namespace {
+
+struct AcceptanceFixture {
+    TableTexts texts { R"(# clerks first
+[callers.clerks]
+token-sha256 = "1111111111111111111111111111111111111111111111111111111111111111"
+[routes.invoices]
+path = "/invoices"
+pool = "ledger-app"
+# asked for by the auditors
+[routes.lookup]
+path = "/lookups"
+pool = "ledger-app"
+)",
+        R"([pools.ledger-app]
+kind = "plain-service"
+[[pools.ledger-app.targets]]
+id = "ledger-1" # the old one
+address = "10.0.0.1"
+port = 1
+failure-domain = "salt-lake"
+[[pools.ledger-app.targets]]
+id = "ledger-2"
+address = "10.0.0.2"
+port = 1
+failure-domain = "howrah"
+draining = false # since May
+)" };
+
+    ConfigurationEdit edit(std::optional<ConfigurationNumber> base, std::string mark) const
+    {
+        ConfigurationEdit edit;
+        edit.routesText = texts.routes;
+        edit.poolsText = texts.pools;
+        edit.author = "asha";
+        edit.base = base;
+        edit.mark = std::move(mark);
+        return edit;
+    }
+
+    AcceptedConfiguration first() const
+    {
+        return ConfigurationAuthority(std::nullopt).accept(edit(std::nullopt, "first")).value();
+    }
+
+    /// Error codes of an edit of the first record.
+    std::vector<ErrorCode> refusals(const ConfigurationEdit& edit) const
+    {
+        const auto result = ConfigurationAuthority(first()).accept(edit);
+        std::vector<ErrorCode> codes;
+        for (const auto& error : result ? Errors() : result.error())
+            codes.push_back(error.code);
+        return codes;
+    }
+
+    static void replace(std::string& text, const std::string& from, const std::string& to)
+    {
+        const auto place = text.find(from);
+        REQUIRE(place != std::string::npos);
+        text.replace(place, from.size(), to);
+    }
+};
+
+using Codes = std::vector<ErrorCode>;
+
+} // namespace
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, based on the present number, becomes the next record")
+{
+    auto next = edit(1, "second");
+    replace(next.routesText, "/lookups", "/look-ups");
+    const auto result = ConfigurationAuthority(first()).accept(next);
+    REQUIRE(result);
+    CHECK(result.value().number == 2);
+    CHECK(result.value().earlierMarks == std::vector<std::string> { "first" });
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, that renames a route, is refused with the new name")
+{
+    auto next = edit(1, "second");
+    replace(next.routesText, "[routes.lookup]", "[routes.look-up]");
+    const auto result = ConfigurationAuthority(first()).accept(next);
+    REQUIRE_FALSE(result);
+    REQUIRE(result.error().size() == 1);
+    CHECK(result.error().front().code == ErrorCode::NameRemoved);
+    CHECK(result.error().front().message.find("did you rename it to 'look-up'?") != std::string::npos);
+    CHECK(result.error().front().message.find("--retire \"route lookup\"") != std::string::npos);
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, that loses a name, is accepted only if it retires exactly that name")
+{
+    auto next = edit(1, "second");
+    next.routesText = withoutEntry(texts, { EntryKind::Route, "lookup" }).value().routes;
+    CHECK(refusals(next) == Codes { ErrorCode::NameRemoved });
+    next.retired = { { EntryKind::Route, "lokup" } };
+    CHECK(refusals(next) == Codes { ErrorCode::NameRemoved, ErrorCode::NameUnknown });
+    next.retired = { { EntryKind::Route, "lookup" }, { EntryKind::Route, "invoices" } };
+    CHECK(refusals(next) == Codes { ErrorCode::ValueInvalid });
+    next.retired = { { EntryKind::Route, "lookup" } };
+    CHECK(refusals(next).empty());
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, based on another or no number, is refused and told who won and what differs")
+{
+    auto next = edit(std::nullopt, "second");
+    replace(next.routesText, "/lookups", "/look-ups");
+    CHECK(refusals(next) == Codes { ErrorCode::BaseOutdated });
+    next.base = 7;
+    const auto result = ConfigurationAuthority(first()).accept(next);
+    REQUIRE_FALSE(result);
+    CHECK(result.error().front().message.find("number 1 by 'asha' is in force; your edit would change: changed route lookup (path: /lookups -> /look-ups)") != std::string::npos);
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, that takes all targets from service, is refused unless that is allowed")
+{
+    auto next = edit(1, "second");
+    replace(next.poolsText, "draining = false", "draining = true");
+    CHECK(refusals(next).empty());
+    replace(next.poolsText, "id = \"ledger-1\"", "draining = true\nid = \"ledger-1\"");
+    CHECK(refusals(next) == Codes { ErrorCode::CapacityLost });
+    next.allowCapacityLoss = true;
+    CHECK(refusals(next).empty());
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "edit, whose record is over a megabyte, is refused")
+{
+    auto next = edit(1, "second");
+    next.poolsText += "#" + std::string(maximumRecordBytes, 'x');
+    CHECK(refusals(next) == Codes { ErrorCode::RecordTooLarge });
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "write, whose answer was lost, is known as accepted by its mark also after later records")
+{
+    ConfigurationApply apply(edit(std::nullopt, "mine"), 3);
+    apply.recordRead(std::nullopt);
+    REQUIRE(apply.step() == ApplyStep::Write);
+    const auto mine = apply.next();
+    apply.writeFailed({ ErrorCode::OutcomeUnknown, "lost", {} });
+    auto later = edit(1, "theirs");
+    replace(later.routesText, "/lookups", "/look-ups");
+    apply.recordRead(StoredRecord { toJson(ConfigurationAuthority(mine).accept(later).value()), 9 });
+    CHECK(apply.step() == ApplyStep::Accepted);
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "service, down for all tries, leads to refused before a write and unknown after one")
+{
+    ConfigurationApply before(edit(std::nullopt, "mine"), 0);
+    before.readFailed({ ErrorCode::Unavailable, "down", {} });
+    CHECK(before.step() == ApplyStep::Refused);
+    ConfigurationApply after(edit(std::nullopt, "mine"), 0);
+    after.recordRead(std::nullopt);
+    after.writeFailed({ ErrorCode::OutcomeUnknown, "lost", {} });
+    CHECK(after.step() == ApplyStep::Unknown);
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "texts in force, applied again without a base, change nothing")
+{
+    ConfigurationApply apply(edit(std::nullopt, "again"), 0);
+    apply.recordRead(StoredRecord { toJson(first()), 5 });
+    CHECK(apply.step() == ApplyStep::Accepted);
+    CHECK(apply.next().mark == "first");
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "target, drained and undone in the text, keeps comments and changes only the flag")
+{
+    const auto drained = withDraining(texts, TargetId("ledger-2"), true).value();
+    CHECK(drained.pools.find("draining = true # since May") != std::string::npos);
+    CHECK(withDraining(drained, TargetId("ledger-2"), false).value() == texts);
+    const auto other = withDraining(texts, TargetId("ledger-1"), true).value();
+    CHECK(other.pools.find("id = \"ledger-1\" # the old one") != std::string::npos);
+    CHECK(parseTables(other.routes, other.pools).value().pools[0].targets[0].draining);
+    const auto unknown = withDraining(texts, TargetId("leger-1"), true);
+    CHECK(unknown.error().message == "there is no target 'leger-1'; did you mean 'ledger-1'?");
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "entry, removed from the text, takes no other entry with it")
+{
+    const auto edited = withoutEntry(texts, { EntryKind::Route, "invoices" }).value();
+    CHECK(describe(differences(parseTables(texts.routes, texts.pools).value(), parseTables(edited.routes, edited.pools).value()).front()) == "removed route invoices");
+    CHECK(edited.routes.find("# clerks first") == 0);
+}
+
+TEST_CASE_METHOD(AcceptanceFixture, "base, written into a text and taken out, leaves the text as it was")
+{
+    const auto marked = withBasedOn(texts.routes, 41);
+    CHECK(basedOn(marked) == 41U);
+    CHECK(basedOn(withBasedOn(marked, 42)) == 42U);
+    CHECK(withoutBasedOn(marked) == texts.routes);
+    CHECK(parseTables(marked, texts.pools));
+}
+
+TEST_CASE("refused edits, more than the bound, keep the newest")
+{
+    RefusedEdits list;
+    for (int at = 0; at < 20; ++at)
+        list.add(refusedEdit(at, "asha", 1, { { ErrorCode::NameRemoved, std::string(2000, 'x'), {} } }));
+    const auto read = RefusedEdits::fromJson(list.toJson());
+    CHECK(read.edits() == list.edits());
+    CHECK(read.edits().size() == maximumRefusedEdits);
+    CHECK(read.edits().front().at == 19);
+    CHECK(read.edits().front().reasons.front().size() == maximumRefusalReasonBytes);
+}
