Routing: a full queue of one priority does not refuse another; inline the pick's inner loop

Cause: at 200 percent load training filled the queue's common length and interactive requests were refused (24 percent at threefold spread).

--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -107,6 +107,7 @@
 struct BalancerOptions {
     FailureDomain ownFailureDomain;
     std::uint64_t seed = 0;
+    /// Most requests that wait at each priority.
     std::size_t maximumQueueLength = 1024;
     PickPolicy policy = PickPolicy::LeastDelay;
 };
--- a/packages/routing/src/LoadView.cpp
+++ b/packages/routing/src/LoadView.cpp
@@ -8,8 +8,6 @@
 
     constexpr double usualGain = 0.1;
     constexpr double parallelismGain = 0.3;
-    /// Age at which a report counts half.
-    constexpr std::chrono::duration<double> halfAge { 0.5 };
 
 } // namespace
 
@@ -26,11 +24,4 @@
     m_hasReports = true;
 }
 
-double LoadView::others(TimePoint now) const noexcept
-{
-    const std::chrono::duration<double> age = now - m_measuredAt;
-    const auto trust = halfAge / (halfAge + age);
-    return trust * m_lastOthers + (1 - trust) * m_usualOthers;
-}
-
 } // namespace cicadalb
--- a/packages/routing/src/LoadView.h
+++ b/packages/routing/src/LoadView.h
@@ -18,6 +18,9 @@
     bool hasReports() const noexcept { return m_hasReports; }
 
 private:
+    /// Age at which a report counts half.
+    static constexpr std::chrono::duration<double> halfAge { 0.5 };
+
     bool m_hasReports = false;
     double m_lastOthers = 0;
     double m_usualOthers = 0;
@@ -25,4 +28,11 @@
     TimePoint m_measuredAt {};
 };
 
+inline double LoadView::others(TimePoint now) const noexcept
+{
+    const std::chrono::duration<double> age = now - m_measuredAt;
+    const auto trust = halfAge / (halfAge + age);
+    return trust * m_lastOthers + (1 - trust) * m_usualOthers;
+}
+
 } // namespace cicadalb
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -275,7 +275,7 @@
         }
     }
     const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
-    if (state.queue.size() >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
+    if (position >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
         return state.refuse(ErrorCode::Overloaded, seconds);
     state.queue.recordArrival(demand.priority, now);
     return state.enqueue(demand);
--- a/packages/routing/src/TargetHealth.cpp
+++ b/packages/routing/src/TargetHealth.cpp
@@ -57,13 +57,6 @@
     ++m_openCount;
 }
 
-CircuitState TargetHealth::state(TimePoint now) const noexcept
-{
-    if (m_isOpen)
-        return now < m_openUntil ? CircuitState::Open : CircuitState::HalfOpen;
-    return now < m_slowStartUntil ? CircuitState::SlowStart : CircuitState::Closed;
-}
-
 double TargetHealth::allowedShare(TimePoint now) const noexcept
 {
     switch (state(now)) {
--- a/packages/routing/src/TargetHealth.h
+++ b/packages/routing/src/TargetHealth.h
@@ -45,4 +45,11 @@
     TimePoint m_slowStartUntil {};
 };
 
+inline CircuitState TargetHealth::state(TimePoint now) const noexcept
+{
+    if (m_isOpen)
+        return now < m_openUntil ? CircuitState::Open : CircuitState::HalfOpen;
+    return now < m_slowStartUntil ? CircuitState::SlowStart : CircuitState::Closed;
+}
+
 } // namespace cicadalb
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -11,8 +11,6 @@
 
     /// Time constant of the average of own requests in flight, about the age of a report.
     constexpr double averagingSeconds = 0.3;
-    /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
-    constexpr double farFactor = 1.02;
     /// The lowest average of latencies over a while lies below their mean by about this factor.
     constexpr double baselineBias = 0.75;
 
@@ -26,19 +24,6 @@
 {
 }
 
-std::string_view TargetState::ineligibility() const noexcept
-{
-    if (isRemoved)
-        return "removed";
-    if (target.draining)
-        return "draining";
-    if (isListedAsLeaving)
-        return "leaving by host list";
-    if (saysItIsLeaving)
-        return "leaving by its own word";
-    return {};
-}
-
 void TargetState::averageInFlight(TimePoint now)
 {
     const auto elapsed = std::chrono::duration<double>(now - m_averagedAt).count();
@@ -82,33 +67,6 @@
     load.record(report, m_averageInFlight, now);
 }
 
-unsigned TargetState::allowedInFlight(TimePoint now) const noexcept
-{
-    const auto state = health.state(now);
-    if (state == CircuitState::Closed)
-        return static_cast<unsigned>(limit.value());
-    if (state == CircuitState::Open)
-        return 0;
-    return std::max(1U, static_cast<unsigned>(limit.value() * health.allowedShare(now)));
-}
-
-/// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
-/// expected before all places are taken.
-double TargetState::crowding(TimePoint now) const noexcept
-{
-    const auto others = load.others(now);
-    const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
-    const auto excess = inFlight + others + 1 - places;
-    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
-    return 1 + queued / places;
-}
-
-ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
-{
-    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding(now) };
-}
-
 TargetView TargetState::view(TimePoint now) const
 {
     TargetView made;
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -5,6 +5,8 @@
 #include "SpeedEstimate.h"
 #include "TargetHealth.h"
 
+#include <algorithm>
+#include <cmath>
 #include <string_view>
 
 /// @file
@@ -64,6 +66,9 @@
     TargetHealth health;
 
 private:
+    /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
+    static constexpr double farFactor = 1.02;
+
     void averageInFlight(TimePoint now);
     /// Latency over service time without queueing.
     double slowdown() const noexcept;
@@ -73,4 +78,44 @@
     TimePoint m_averagedAt {};
 };
 
+inline std::string_view TargetState::ineligibility() const noexcept
+{
+    if (isRemoved)
+        return "removed";
+    if (target.draining)
+        return "draining";
+    if (isListedAsLeaving)
+        return "leaving by host list";
+    if (saysItIsLeaving)
+        return "leaving by its own word";
+    return {};
+}
+
+inline unsigned TargetState::allowedInFlight(TimePoint now) const noexcept
+{
+    const auto state = health.state(now);
+    if (state == CircuitState::Closed)
+        return static_cast<unsigned>(limit.value());
+    if (state == CircuitState::Open)
+        return 0;
+    return std::max(1U, static_cast<unsigned>(limit.value() * health.allowedShare(now)));
+}
+
+/// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
+/// expected before all places are taken.
+inline double TargetState::crowding(TimePoint now) const noexcept
+{
+    const auto others = load.others(now);
+    const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
+    const auto excess = inFlight + others + 1 - places;
+    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
+    return 1 + queued / places;
+}
+
+inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+{
+    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
+    return { isNear ? service : service * farFactor, crowding(now) };
+}
+
 } // namespace cicadalb
