Routing: average rates over four seconds

Cause: a waiting training request's share of the freed places is a small difference of two large rates; averaged over one second it jumped, and admitted requests were refused after up to 5 s. Ruled out: a more cautious admission (factor 2 instead of 1.5) changes nothing more.

--- a/packages/routing/src/RateMeter.h
+++ b/packages/routing/src/RateMeter.h
@@ -5,7 +5,7 @@
 #include <cmath>
 
 /// @file
-/// Rate of events, averaged over about a second.
+/// Rate of events, averaged over the last seconds.
 
 namespace cicadalb {
 
@@ -32,7 +32,7 @@
     }
 
 private:
-    static constexpr double averagingSeconds = 1;
+    static constexpr double averagingSeconds = 4;
 
     static double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
