--- /dev/null
+++ b/packages/rollout/include/cicadalb/rollout/WeightRolloutService.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/Task.h"
+#include "cicadalb/rollout/EngineClient.h"
+#include "cicadalb/rollout/LoadBudget.h"
+#include "cicadalb/rollout/RolloutLease.h"
+#include "cicadalb/rollout/WeightRollout.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <vector>
+
+/// @file
+/// Carries out the weight rollout of one pool.
+
+namespace cicadalb {
+
+/// @brief Polls engines, sends orders while the lease is held and notes their ends. Thread-safe: one lock guards its state.
+class WeightRolloutService {
+public:
+    /// The references outlive the service and its executor's work.
+    WeightRolloutService(boost::asio::any_io_executor, EngineClient&, const RolloutLease&, std::shared_ptr<LoadBudget>, const Clock&, WeightRolloutOptions);
+    ~WeightRolloutService();
+    WeightRolloutService(const WeightRolloutService&) = delete;
+    WeightRolloutService& operator=(const WeightRolloutService&) = delete;
+
+    /// @brief The version that all engines shall hold. @see WeightRegistry
+    void want(WeightVersion);
+    void setEngines(const std::vector<TargetId>&);
+    /// @brief Runs until stop().
+    Task<void> run();
+    void stop();
+    std::vector<SwapView> engines() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/rollout/src/WeightRolloutService.cpp
@@ -0,0 +1,211 @@
+#include "cicadalb/rollout/WeightRolloutService.h"
+
+#include "Wakeup.h"
+#include "cicadalb/base/Event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+
+namespace cicadalb {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration stepInterval = 100ms;
+    constexpr Duration statusInterval = 1s;
+    constexpr Duration statusTimeout = 1s;
+
+} // namespace
+
+class WeightRolloutService::Implementation : public std::enable_shared_from_this<WeightRolloutService::Implementation> {
+public:
+    Implementation(boost::asio::any_io_executor executor, EngineClient& client, const RolloutLease& lease, std::shared_ptr<LoadBudget> budget,
+        const Clock& clock, WeightRolloutOptions options)
+        : m_executor(std::move(executor))
+        , m_client(client)
+        , m_lease(lease)
+        , m_budget(std::move(budget))
+        , m_clock(clock)
+        , m_model(options.model)
+        , m_rollout(std::move(options))
+    {
+    }
+
+    void want(WeightVersion version)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rollout.want(version);
+    }
+
+    void setEngines(const std::vector<TargetId>& engines)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rollout.setEngines(engines);
+    }
+
+    std::vector<SwapView> engines() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_rollout.engines();
+    }
+
+    Task<void> run();
+    void stop() { m_isStopping = true; }
+
+private:
+    void pollEngines();
+    void sendOrders();
+    void reportSettled();
+    bool mayAct() const;
+    Task<void> poll(TargetId);
+    Task<void> send(PlannedOrder);
+
+    template <typename MakeTask>
+    void spawn(MakeTask makeTask)
+    {
+        boost::asio::post(m_executor, [self = shared_from_this(), makeTask] {
+            auto task = makeTask();
+            boost::asio::co_spawn(self->m_executor, std::move(task), boost::asio::detached);
+        });
+    }
+
+    boost::asio::any_io_executor m_executor;
+    EngineClient& m_client;
+    const RolloutLease& m_lease;
+    std::shared_ptr<LoadBudget> m_budget;
+    const Clock& m_clock;
+    std::string m_model;
+    std::atomic<bool> m_isStopping = false;
+    mutable std::mutex m_mutex;
+    WeightRollout m_rollout;
+    WeightVersion m_reportedVersion = 0;
+};
+
+Task<void> WeightRolloutService::Implementation::run()
+{
+    auto self = shared_from_this();
+    TimePoint nextPoll {};
+    while (!m_isStopping) {
+        if (m_lease.term()) {
+            if (m_clock.now() >= nextPoll) {
+                pollEngines();
+                nextPoll = m_clock.now() + statusInterval;
+            }
+            sendOrders();
+            reportSettled();
+        }
+        Wakeup pause(m_executor);
+        co_await pause.wait(stepInterval);
+    }
+}
+
+void WeightRolloutService::Implementation::pollEngines()
+{
+    for (const auto& view : engines()) {
+        if (view.state != SwapState::Swapping)
+            spawn([self = shared_from_this(), engine = view.engine] { return self->poll(engine); });
+    }
+}
+
+Task<void> WeightRolloutService::Implementation::poll(TargetId engine)
+{
+    auto self = shared_from_this();
+    auto status = co_await m_client.status(engine, m_clock.now() + statusTimeout);
+    if (!status)
+        co_return;
+    const std::lock_guard lock(m_mutex);
+    m_rollout.onStatus(engine, status.value(), m_clock.now());
+}
+
+void WeightRolloutService::Implementation::sendOrders()
+{
+    const auto term = m_lease.term();
+    if (!term)
+        return;
+    std::vector<PlannedOrder> orders;
+    {
+        const std::lock_guard lock(m_mutex);
+        orders = m_rollout.nextOrders(*term, *m_budget, m_clock.now());
+    }
+    for (auto& order : orders)
+        spawn([self = shared_from_this(), order] { return self->send(order); });
+}
+
+bool WeightRolloutService::Implementation::mayAct() const
+{
+    const auto term = m_lease.term();
+    const std::lock_guard lock(m_mutex);
+    return term && m_rollout.mayAct(*term, m_clock.now());
+}
+
+Task<void> WeightRolloutService::Implementation::send(PlannedOrder planned)
+{
+    auto self = shared_from_this();
+    Result<void> result = failure(ErrorCode::LeaseLost, "too little of the lease is left");
+    // Checked again: the process may have been paused since the order was planned.
+    if (mayAct())
+        result = co_await m_client.loadWeights(planned.engine, planned.order, planned.deadline);
+    bool isSetAside = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isSetAside = m_rollout.onOrderResult(planned.engine, planned.order, result, m_clock.now());
+    }
+    if (isSetAside)
+        logEvent(Event::WeightSwapFailed, { { "engine", planned.engine.value() }, { "version", std::to_string(planned.order.version) }, { "error", describe(result.error()) } });
+}
+
+void WeightRolloutService::Implementation::reportSettled()
+{
+    WeightVersion version = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_rollout.isSettled() || m_rollout.wanted() == m_reportedVersion)
+            return;
+        version = m_reportedVersion = m_rollout.wanted();
+    }
+    logEvent(Event::WeightsInForce, { { "model", m_model }, { "version", std::to_string(version) } });
+}
+
+WeightRolloutService::WeightRolloutService(boost::asio::any_io_executor executor, EngineClient& client, const RolloutLease& lease,
+    std::shared_ptr<LoadBudget> budget, const Clock& clock, WeightRolloutOptions options)
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), client, lease, std::move(budget), clock, std::move(options)))
+{
+}
+
+WeightRolloutService::~WeightRolloutService()
+{
+    stop();
+}
+
+void WeightRolloutService::want(WeightVersion version)
+{
+    m_implementation->want(version);
+}
+
+void WeightRolloutService::setEngines(const std::vector<TargetId>& engines)
+{
+    m_implementation->setEngines(engines);
+}
+
+Task<void> WeightRolloutService::run()
+{
+    return m_implementation->run();
+}
+
+void WeightRolloutService::stop()
+{
+    m_implementation->stop();
+}
+
+std::vector<SwapView> WeightRolloutService::engines() const
+{
+    return m_implementation->engines();
+}
+
+} // namespace cicadalb
