--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -21,9 +21,9 @@
     /// Time after which other hosts are asked to probe.
     std::chrono::milliseconds directTimeout { 300 };
     /// Time after which a probed host becomes suspect.
-    std::chrono::milliseconds probeTimeout { 800 };
+    std::chrono::milliseconds probeTimeout { 700 };
     /// Time that a suspect host has to refute.
-    std::chrono::milliseconds suspicionTimeout { 1500 };
+    std::chrono::milliseconds suspicionTimeout { 1250 };
     /// A suspicion reported later than this after its timeout is checked by an own probe first.
     std::chrono::milliseconds reportFreshness { 3000 };
     /// Time without any datagram after which this host no longer takes the silence for its own fault.
@@ -35,13 +35,13 @@
     /// Time between two contacts with a seed that is not a known member.
     std::chrono::milliseconds seedInterval { 1500 };
     /// Smallest time between two exchanges of state that one host asks for.
-    std::chrono::milliseconds syncInterval { 3000 };
+    std::chrono::milliseconds syncInterval { 1500 };
     std::chrono::milliseconds syncIntervalAlone { 300 };
     /// Time for which lost hosts are kept and probed, and departures remembered.
     std::chrono::minutes retention { 60 };
     std::size_t indirectProbes = 3;
     /// Probes added to each interval while several hosts are suspect.
-    std::size_t additionalProbes = 12;
+    std::size_t additionalProbes = 16;
     std::size_t gossipFanout = 3;
     std::size_t maximumDatagramBytes = 1200;
     /// Budget of all that is sent but probes and their answers.
@@ -135,6 +135,8 @@
         bool isWithDetails = false;
         /// The suspicion arose while this host was isolated and was not told to others.
         bool isLocalSuspicion = false;
+        /// Another host takes it for lost; this host has not found it silent itself.
+        bool isReportedLost = false;
     };
 
     struct Probe {
@@ -154,6 +156,7 @@
     void passTime(TimePoint now);
     void resumeAfterPause(Duration gap, TimePoint now);
     void startProbes(TimePoint now);
+    std::size_t probesAtOnce() const;
     std::optional<Index> nextProbed();
     void checkProbes(TimePoint now);
     void askForIndirectProbes(const Probe&, TimePoint now);
@@ -185,7 +188,7 @@
     void ping(Index, std::uint64_t sequence, TimePoint now);
     void piggyback(MembershipMessage&, TimePoint now);
     void send(const MembershipMessage&, const MemberEndpoint& to);
-    std::optional<Index> randomPresent();
+    std::optional<Index> randomAlive();
     void toggleDigest(const Entry&);
     MemberEndpoint endpointOf(Index) const;
     bool isIsolated(TimePoint now) const;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -16,6 +16,8 @@
     /// Hosts to which a departure is told at once.
     constexpr std::size_t departureFanout = 8;
     constexpr std::size_t seedsAtOnce = 3;
+    /// Time to refute that a host has at least.
+    constexpr std::chrono::milliseconds smallestGrace { 500 };
     /// Hosts that a host asks for their view when it was paused.
     constexpr std::size_t syncsAfterPause = 3;
     constexpr std::chrono::minutes forgetInterval { 1 };
@@ -41,7 +43,7 @@
     /// Transmissions of one update by each host that learns it.
     unsigned transmissionsFor(std::size_t members)
     {
-        return 3 + static_cast<unsigned>(std::bit_width(members));
+        return 4 + static_cast<unsigned>(std::bit_width(members));
     }
 
 } // namespace
@@ -131,7 +133,7 @@
     setState(0, MemberState::Left, self().incarnation, now);
     enqueue(0, false);
     for (std::size_t i = 0; i < departureFanout; ++i) {
-        const auto index = randomPresent();
+        const auto index = randomAlive();
         if (!index)
             return;
         auto departure = message(MembershipMessageKind::Gossip);
@@ -188,16 +190,15 @@
     for (const auto index : m_suspects)
         m_entries[index].suspectSince += gap;
     for (std::size_t i = 0; i < syncsAfterPause; ++i) {
-        if (const auto index = randomPresent())
+        if (const auto index = randomAlive())
             sendSyncRequest(endpointOf(*index), now);
     }
 }
 
 void Membership::startProbes(TimePoint now)
 {
-    // Several suspects at once point to a lost failure domain or a cut: the other hosts are looked at sooner.
-    const std::size_t additional = m_suspects.empty() ? 0 : std::min(m_suspects.size() - 1, m_settings.additionalProbes);
-    for (std::size_t i = 0; i < 1 + additional; ++i) {
+    const auto count = probesAtOnce();
+    for (std::size_t i = 0; i < count; ++i) {
         const auto index = nextProbed();
         if (!index)
             return;
@@ -207,6 +208,14 @@
     }
 }
 
+std::size_t Membership::probesAtOnce() const
+{
+    // Several silent hosts at once point to a lost failure domain or a cut: the other hosts are looked at sooner.
+    const auto unanswered = std::count_if(m_probes.begin(), m_probes.end(), [](const Probe& probe) { return probe.isIndirect; });
+    const std::size_t silent = m_suspects.size() + static_cast<std::size_t>(unanswered);
+    return silent <= 1 ? 1 : 1 + std::min(silent, m_settings.additionalProbes);
+}
+
 std::optional<Membership::Index> Membership::nextProbed()
 {
     while (!m_verifications.empty()) {
@@ -254,7 +263,7 @@
 {
     const auto target = endpointOf(probe.index);
     for (std::size_t i = 0; i < m_settings.indirectProbes; ++i) {
-        const auto helper = randomPresent();
+        const auto helper = randomAlive();
         if (!helper || *helper == probe.index)
             continue;
         auto request = message(MembershipMessageKind::PingRequest);
@@ -272,7 +281,8 @@
     if (entry.member.state != MemberState::Alive)
         return;
     setState(index, MemberState::Suspect, entry.member.incarnation, now);
-    entry.suspectSince = now;
+    const auto age = entry.isReportedLost ? m_settings.suspicionTimeout - smallestGrace : std::chrono::milliseconds(0);
+    entry.suspectSince = now - age;
     entry.isLocalSuspicion = isIsolated(now);
     m_suspects.push_back(index);
     if (!entry.isLocalSuspicion)
@@ -295,7 +305,7 @@
     for (std::size_t i = 0; i < m_settings.gossipFanout && !m_updates.empty(); ++i) {
         // A long queue goes out in several datagrams to each host, as far as the budget allows.
         constexpr std::size_t datagramsAtOnce = 6;
-        const auto index = randomPresent();
+        const auto index = randomAlive();
         if (!index)
             return;
         std::size_t sent = 0;
@@ -455,11 +465,11 @@
         return;
     const bool isOldReport = update.age > m_settings.suspicionTimeout + m_settings.reportFreshness;
     if (isOldReport && now >= m_trustsReportsUntil) {
+        entry.isReportedLost = true;
         if (m_verifications.size() < maximumVerifications)
             m_verifications.push_back(index);
         return;
     }
-    constexpr std::chrono::milliseconds smallestGrace { 500 };
     const auto age = std::min(update.age, m_settings.suspicionTimeout - smallestGrace);
     setState(index, MemberState::Suspect, entry.member.incarnation, now);
     entry.suspectSince = now - age;
@@ -523,7 +533,11 @@
 
 void Membership::acknowledge(std::uint64_t sequence)
 {
-    std::erase_if(m_probes, [&](const Probe& probe) { return probe.sequence == sequence; });
+    const auto answered = std::find_if(m_probes.begin(), m_probes.end(), [&](const Probe& probe) { return probe.sequence == sequence; });
+    if (answered != m_probes.end()) {
+        m_entries[answered->index].isReportedLost = false;
+        m_probes.erase(answered);
+    }
     const auto relay = std::find_if(m_relays.begin(), m_relays.end(), [&](const Relay& row) { return row.sequence == sequence; });
     if (relay == m_relays.end())
         return;
@@ -659,7 +673,8 @@
     request.sequence = sequence;
     if (entry.member.state != MemberState::Alive && !entry.isLocalSuspicion)
         request.updates.push_back(updateOf(entry, false, now));
-    piggyback(request, now);
+    if (entry.member.state == MemberState::Alive)
+        piggyback(request, now);
     send(request, endpointOf(index));
 }
 
@@ -697,12 +712,12 @@
     m_datagrams.push_back(OutgoingDatagram { to, std::move(payload) });
 }
 
-std::optional<Membership::Index> Membership::randomPresent()
+std::optional<Membership::Index> Membership::randomAlive()
 {
-    constexpr unsigned attempts = 16;
+    constexpr unsigned attempts = 24;
     for (unsigned i = 0; i < attempts && m_entries.size() > 1; ++i) {
         const Index index = 1 + randomIndex(m_random, m_entries.size() - 1);
-        if (m_entries[index].member.isPresent())
+        if (m_entries[index].member.state == MemberState::Alive)
             return index;
     }
     return std::nullopt;
