--- a/benchmarks/bench_path.cpp
+++ b/benchmarks/bench_path.cpp
@@ -18,8 +18,8 @@
 using namespace cicadalb;
 
 struct PathArguments {
-    std::uint16_t directPort = 0;
-    std::uint16_t hostPort = 0;
+    std::vector<std::uint16_t> directPorts;
+    std::vector<std::uint16_t> hostPorts;
     std::string path = "/ledger/lookups/M-1";
     std::string token;
     unsigned seconds = 2;
@@ -56,7 +56,8 @@
     }
 }
 
-Sample measure(std::uint16_t port, unsigned connections, const PathArguments& arguments)
+/// Spreads the connections over @p ports.
+Sample measure(const std::vector<std::uint16_t>& ports, unsigned connections, const PathArguments& arguments)
 {
     WorkerPool workers(arguments.threads);
     std::vector<Series> series(connections);
@@ -64,7 +65,7 @@
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(arguments.seconds);
     for (unsigned i = 0; i < connections; ++i) {
         const auto executor = workers.context(i % workers.size()).get_executor();
-        running.push_back(boost::asio::co_spawn(executor, sendRequests(executor, port, arguments, end, series[i]), boost::asio::use_future));
+        running.push_back(boost::asio::co_spawn(executor, sendRequests(executor, ports[i % ports.size()], arguments, end, series[i]), boost::asio::use_future));
     }
     std::vector<double> all;
     Sample sample;
@@ -95,21 +96,21 @@
 {
     PathArguments arguments;
     CLI::App app { "Cost of one entry host on the path of a small request. scripts/bench-path starts what it needs." };
-    app.add_option("--direct", arguments.directPort, "Port of the target")->required();
-    app.add_option("--host", arguments.hostPort, "Port of the host before it")->required();
+    app.add_option("--direct", arguments.directPorts, "Port of a target; may be repeated")->required();
+    app.add_option("--host", arguments.hostPorts, "Port of the host before them")->required();
     app.add_option("--token", arguments.token, "Caller's token")->required();
     app.add_option("--path", arguments.path, "Path of the request");
     app.add_option("--seconds", arguments.seconds, "Time for each measurement");
     app.add_option("--connections", arguments.connections, "Connections at full load");
     CLI11_PARSE(app, argc, argv);
 
-    const auto directLight = measure(arguments.directPort, 1, arguments);
-    const auto hostLight = measure(arguments.hostPort, 1, arguments);
+    const auto directLight = measure(arguments.directPorts, 1, arguments);
+    const auto hostLight = measure(arguments.hostPorts, 1, arguments);
     print("path_light_direct", directLight);
     print("path_light_host", hostLight);
     std::cout << "path_light_added_p50 " << hostLight.p50Microseconds - directLight.p50Microseconds << " us\n";
-    const auto directFull = measure(arguments.directPort, arguments.connections, arguments);
-    const auto hostFull = measure(arguments.hostPort, arguments.connections, arguments);
+    const auto directFull = measure(arguments.directPorts, arguments.connections, arguments);
+    const auto hostFull = measure(arguments.hostPorts, arguments.connections, arguments);
     print("path_full_direct", directFull);
     print("path_full_host", hostFull);
     std::cout << std::setprecision(2) << "path_full_ratio " << hostFull.requestsPerSecond / directFull.requestsPerSecond << " host/direct\n";
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -1,6 +1,7 @@
 #include "cicadalb/transport/HostProcess.h"
 
 #include "AdminEndpoints.h"
+#include "ConfigurationExchange.h"
 #include "GateEngineSelector.h"
 #include "PeerClient.h"
 #include "StepEndpoints.h"
@@ -122,6 +123,8 @@
         , m_steps(m_control.context(0).get_executor(), m_engines, m_selector, m_clock)
         , m_links(linkSettings(m_settings, m_incarnation), [this](const auto&, auto request, auto reply) { servePeer(std::move(request), std::move(reply)); })
         , m_peers(m_links)
+        , m_configuration(m_control.context(0).get_executor(), m_keyValue, m_incarnation, [this](const auto& adopted) { m_routing.apply(*adopted); })
+        , m_configurationExchange(m_configuration, m_peers)
         , m_stepEndpoints(
               m_settings.host.id, m_control.context(0).get_executor(), m_steps, m_routing, [this] { return assignment(); }, m_peers)
         , m_proofs(m_settings.secret)
@@ -134,6 +137,8 @@
     ~Implementation()
     {
         m_monitor->stop();
+        m_configuration.stop();
+        m_configurationExchange.stop();
         m_steps.stop();
         m_links.stop();
         if (m_membership)
@@ -148,7 +153,8 @@
         if (!started)
             return started;
         m_monitor->start();
-        spawn(pollConfiguration());
+        spawn(m_configuration.run([this] { return shouldWatchConfiguration(); }));
+        spawn(m_configurationExchange.run(*m_membership));
         spawn(m_steps.run());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
@@ -246,8 +252,9 @@
             co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(body));
         case PeerRequestKind::State:
             co_return state();
-        case PeerRequestKind::ClaimKey:
         case PeerRequestKind::FetchConfiguration:
+            co_return m_configurationExchange.serveFetch(body);
+        case PeerRequestKind::ClaimKey:
         case PeerRequestKind::OfferConfiguration:
             break;
         }
@@ -284,6 +291,7 @@
             { "incarnation", m_incarnation },
             { "ready", isReady() },
             { "configuration", snapshot ? snapshot->number : 0 },
+            { "refused-edits", refusedEditStates() },
             { "in-flight", m_dispatcher.inFlight() },
             { "connections", m_callerListener.connections() },
             { "pools", pools },
@@ -292,6 +300,14 @@
         };
     }
 
+    nlohmann::json refusedEditStates() const
+    {
+        nlohmann::json edits = nlohmann::json::array();
+        for (const auto& edit : m_configuration.refusedEdits())
+            edits.push_back({ { "author", edit.author }, { "at", edit.at }, { "reasons", edit.reasons } });
+        return edits;
+    }
+
     nlohmann::json memberStates() const
     {
         nlohmann::json members = nlohmann::json::array();
@@ -323,18 +339,9 @@
         return { { "queue", gate.queueLength() }, { "targets", targets } };
     }
 
-    Task<void> pollConfiguration()
+    bool shouldWatchConfiguration() const
     {
-        while (!m_isStopping) {
-            auto entry = co_await m_keyValue.read(std::string(acceptedConfigurationKey));
-            if (entry && entry.value()) {
-                const auto configuration = acceptedConfigurationFromJson(entry.value()->value);
-                if (configuration && m_routing.apply(configuration.value()))
-                    logEvent(Event::ConfigurationAccepted, { { "number", std::to_string(configuration.value().number) } });
-            }
-            asio::steady_timer timer(m_control.context(0), std::chrono::milliseconds(500));
-            co_await timer.async_wait(asio::use_awaitable);
-        }
+        return isConfigurationWatcher(m_settings.host.id, m_settings.host.failureDomain, assignment()->hosts());
     }
 
     Settings m_settings;
@@ -356,6 +363,8 @@
     StepService m_steps;
     PeerLinks m_links;
     PeerClient m_peers;
+    ConfigurationWatcher m_configuration;
+    ConfigurationExchange m_configurationExchange;
     StepEndpoints m_stepEndpoints;
     /// Set by start().
     std::unique_ptr<MembershipPort> m_membership;
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -32,11 +32,14 @@
     shift 2
     "$build/testing/standin_$program" "$@" >"$work/$name.out" 2>"$work/$name.err" &
     pids+=($!)
-    printf -v "port_$name" '%s' "$(wait_line "$work/$name.out" '^listening' | cut -d' ' -f2)"
+    local line
+    line=$(wait_line "$work/$name.out" '^listening')
+    printf -v "port_$name" '%s' "$(echo "$line" | cut -d' ' -f2)"
 }
 
 start_host() { # start_host NAME FAILURE-DOMAIN SEEDS: sets callers_NAME, admin_NAME, member_NAME, pid_NAME
-    local name="$1"
+    local name="$1" seeds=""
+    [ -z "$3" ] || seeds="seeds = [$3]"
     cat >"$work/$name.toml" <<TOML
 [host]
 id = "$name"
@@ -52,7 +55,7 @@
 address = "127.0.0.1"
 port = 0
 secret-file = "$work/secret"
-seeds = [$3]
+$seeds
 [membership]
 address = "127.0.0.1"
 port = 0
