--- a/packages/transport/src/EngineHttpClient.cpp
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -22,7 +22,7 @@
     Task<void> sendCancel(std::shared_ptr<HttpClient> client, RequestId id)
     {
         const auto deadline = std::chrono::steady_clock::now() + cancelTimeout;
-        co_await client->send(cancelRequest(id), deadline);
+        (void)co_await client->send(cancelRequest(id), deadline);
     }
 
     /// Closes the exchange and tells the engine, both on the worker's event loop.
@@ -82,7 +82,7 @@
     const auto found = clientOf(target);
     if (!found)
         co_return found.as_failure();
-    const auto client = found.value();
+    const auto& client = found.value();
     const auto executor = m_clients.context(m_worker).get_executor();
     const auto cancellation = std::make_shared<HttpCancellation>();
     if (onStart)
@@ -114,7 +114,7 @@
     const auto found = clientOf(target);
     if (!found)
         co_return found.as_failure();
-    const auto client = found.value();
+    const auto& client = found.value();
     auto exchange = co_await client->send(weightOrderRequest(order), deadline);
     if (!exchange)
         co_return exchange.as_failure();
@@ -131,7 +131,7 @@
     const auto found = clientOf(target);
     if (!found)
         co_return found.as_failure();
-    const auto client = found.value();
+    const auto& client = found.value();
     auto exchange = co_await client->send(loadRequest(), deadline);
     if (!exchange)
         co_return exchange.as_failure();
--- a/packages/transport/src/MembershipPort.cpp
+++ b/packages/transport/src/MembershipPort.cpp
@@ -72,7 +72,7 @@
 public:
     Implementation(asio::any_io_executor executor, MembershipPortSettings settings)
         : m_settings(std::move(settings))
-        , m_strand(asio::make_strand(std::move(executor)))
+        , m_strand(asio::make_strand(executor))
         , m_socket(m_strand)
         , m_timer(m_strand)
     {
