--- a/apps/cicadactl/src/CommandLine.cpp
+++ b/apps/cicadactl/src/CommandLine.cpp
@@ -1,6 +1,8 @@
 #include "CommandLine.h"
 
 #include "ConfigurationCommands.h"
+#include "Explain.h"
+#include "HostCommands.h"
 
 #include "cicadalb/config/Settings.h"
 #include "cicadalb/platform/HttpKeyValueService.h"
@@ -26,10 +28,28 @@
   cicadactl show --key-value 10.0.0.9:7100 --routes routes.toml --pools pools.toml
   cicadactl apply routes.toml pools.toml --key-value 10.0.0.9:7100 --author asha
   cicadactl drain ledger-2 --key-value 10.0.0.9:7100 --author asha
+  cicadactl explain --key-value 10.0.0.9:7100 --method POST --path /ledger/invoices --caller clerks
+  cicadactl state --host 10.0.0.1:8081 --host 10.0.0.2:8081 --secret-file secret
 
 Exit codes: 0 done; 1 refused, nothing changed; 2 wrong options or unreadable file;
 3 key-value service or host out of reach, nothing changed; 4 an edit may or may not have been accepted.)";
 
+    using CommandTask = std::function<Task<CommandOutcome>(const boost::asio::any_io_executor&)>;
+
+    /// Runs a command's coroutine to its end.
+    CommandOutcome runTask(const CommandTask& task)
+    {
+        boost::asio::io_context context;
+        CommandOutcome outcome;
+        const auto run = [&]() -> Task<void> {
+            auto result = co_await task(context.get_executor());
+            outcome = std::move(result);
+        };
+        boost::asio::co_spawn(context, run, boost::asio::detached);
+        context.run();
+        return outcome;
+    }
+
     /// Commands that a parsed command line selects.
     class CommandLine {
     public:
@@ -39,6 +59,7 @@
 
     private:
         using Action = std::function<CommandOutcome()>;
+        using HostCommand = Task<CommandOutcome> (*)(boost::asio::any_io_executor, HostOptions);
         using ClientCommand = std::function<Task<CommandOutcome>(ConfigurationClient&)>;
 
         CLI::App* addCommand(const std::string& name, const std::string& help, Action);
@@ -52,8 +73,11 @@
         void addHistory();
         void addRetire();
         void addDrain();
+        void addExplain();
+        void addHostCommand(const std::string& name, const std::string& help, HostCommand);
 
         CommandOutcome withClient(const ClientCommand&) const;
+        CommandOutcome explainTables();
 
         CLI::App m_app { description, "cicadactl" };
         Action m_action;
@@ -64,6 +88,9 @@
         DiffOptions m_diff;
         RetireOptions m_retire;
         DrainOptions m_drain;
+        TableFiles m_explainFiles;
+        ExplainQuery m_explain;
+        HostOptions m_hosts;
     };
 
     CommandLine::CommandLine()
@@ -76,6 +103,9 @@
         addHistory();
         addRetire();
         addDrain();
+        addExplain();
+        addHostCommand("state", "Dump the state of host processes", stateCommand);
+        addHostCommand("steps", "List the trainers' steps that hosts coordinate", stepsCommand);
     }
 
     CLI::App* CommandLine::addCommand(const std::string& name, const std::string& help, Action action)
@@ -86,9 +116,9 @@
         return command;
     }
 
-    CLI::App* CommandLine::addClientCommand(const std::string& name, const std::string& help, ClientCommand run)
+    CLI::App* CommandLine::addClientCommand(const std::string& name, const std::string& help, ClientCommand clientCommand)
     {
-        auto* command = addCommand(name, help, [this, run = std::move(run)] { return withClient(run); });
+        auto* command = addCommand(name, help, [this, clientCommand = std::move(clientCommand)] { return withClient(clientCommand); });
         command->add_option("--key-value", m_keyValue, "IP:PORT of the key-value service")->required();
         return command;
     }
@@ -163,23 +193,55 @@
         addAuthor(*command, m_drain.author);
     }
 
+    void CommandLine::addExplain()
+    {
+        auto* command = addCommand("explain", "Say where a request or a trainer's steps go, and why", [this] { return explainTables(); });
+        auto* keyValue = command->add_option("--key-value", m_keyValue, "IP:PORT of the key-value service: explain what is in force");
+        auto* routes = command->add_option("--routes", m_explainFiles.routes, "Explain this file of the routes table instead")->excludes(keyValue);
+        auto* pools = command->add_option("--pools", m_explainFiles.pools, "With this file of the pools table");
+        routes->needs(pools);
+        pools->needs(routes);
+        auto* path = command->add_option("--path", m_explain.path, "Path of the request");
+        command->add_option("--method", m_explain.method, "Method of the request")->capture_default_str();
+        command->add_option("--caller", m_explain.caller, "Name of the caller")->needs(path);
+        command->add_option("--trainer", m_explain.trainer, "Name of a trainer, instead of a request")->excludes(path);
+    }
+
+    CommandOutcome CommandLine::explainTables()
+    {
+        if (m_explain.path.empty() == m_explain.trainer.empty())
+            return failed(ExitCode::Usage, { { ErrorCode::ValueMissing, "say --path and --caller, or --trainer", {} } });
+        if (m_explainFiles.routes.empty()) {
+            return withClient([this](ConfigurationClient& client) { return explainCommand(client, [this](const Tables& tables) { return explain(tables, m_explain); }); });
+        }
+        const auto texts = readTables(m_explainFiles);
+        if (!texts)
+            return failed(texts.error());
+        const auto tables = parseTables(texts.value().routes, texts.value().pools);
+        return tables ? explain(tables.value(), m_explain) : failed(ExitCode::Refused, tables.error());
+    }
+
+    void CommandLine::addHostCommand(const std::string& name, const std::string& help, HostCommand hostCommand)
+    {
+        auto* command = addCommand(name, help, [this, hostCommand] {
+            return runTask([this, hostCommand](const boost::asio::any_io_executor& executor) { return hostCommand(executor, m_hosts); });
+        });
+        command->add_option("--host", m_hosts.hosts, "IP:PORT of a host's admin address; repeat for more")->required();
+        command->add_option("--secret-file", m_hosts.secretFile, "File of the shared secret")->required();
+    }
+
     CommandOutcome CommandLine::withClient(const ClientCommand& command) const
     {
         const auto address = socketAddressFromText(m_keyValue);
         if (!address)
             return failed(ExitCode::Usage, { { ErrorCode::ValueInvalid, address.error().message, "--key-value" } });
-        boost::asio::io_context context;
-        HttpKeyValueService service(context.get_executor(), Endpoint { address.value().address, address.value().port });
-        Random random(std::random_device {}());
-        ConfigurationClient client(context.get_executor(), service, random);
-        CommandOutcome outcome;
-        const auto run = [&]() -> Task<void> {
-            auto result = co_await command(client);
-            outcome = std::move(result);
-        };
-        boost::asio::co_spawn(context, run, boost::asio::detached);
-        context.run();
-        return outcome;
+        return runTask([&](const boost::asio::any_io_executor& executor) -> Task<CommandOutcome> {
+            HttpKeyValueService service(executor, Endpoint { address.value().address, address.value().port });
+            Random random(std::random_device {}());
+            ConfigurationClient client(executor, service, random);
+            auto outcome = co_await command(client);
+            co_return outcome;
+        });
     }
 
     int CommandLine::run(int argumentCount, const char* const* arguments, std::ostream& output, std::ostream& errors)
--- a/apps/cicadactl/src/ConfigurationClient.cpp
+++ b/apps/cicadactl/src/ConfigurationClient.cpp
@@ -14,8 +14,6 @@
     constexpr unsigned maximumFailures = 12;
     /// Tries to record a refusal.
     constexpr unsigned maximumRefusalTries = 4;
-    /// Longest pause between two calls after a failure.
-    constexpr std::chrono::milliseconds maximumPause { 1000 };
 
     bool isPlatformFailure(ErrorCode code)
     {
@@ -33,10 +31,11 @@
 
 } // namespace
 
-ConfigurationClient::ConfigurationClient(boost::asio::any_io_executor executor, KeyValueService& service, Random& random)
+ConfigurationClient::ConfigurationClient(boost::asio::any_io_executor executor, KeyValueService& service, Random& random, std::chrono::milliseconds longestPause)
     : m_executor(std::move(executor))
     , m_service(service)
     , m_random(random)
+    , m_longestPause(longestPause)
 {
 }
 
@@ -168,7 +167,7 @@
 
 Task<void> ConfigurationClient::pause()
 {
-    const auto milliseconds = static_cast<std::int64_t>(randomUnit(m_random) * static_cast<double>(maximumPause.count()));
+    const auto milliseconds = static_cast<std::int64_t>(randomUnit(m_random) * static_cast<double>(m_longestPause.count()));
     boost::asio::steady_timer timer(m_executor, std::chrono::milliseconds(milliseconds));
     boost::system::error_code error;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
--- a/apps/cicadactl/src/ConfigurationClient.h
+++ b/apps/cicadactl/src/ConfigurationClient.h
@@ -26,7 +26,7 @@
 /// @brief Reads and edits the accepted configuration. For one thread.
 class ConfigurationClient {
 public:
-    ConfigurationClient(boost::asio::any_io_executor, KeyValueService&, Random&);
+    ConfigurationClient(boost::asio::any_io_executor, KeyValueService&, Random&, std::chrono::milliseconds longestPause = std::chrono::milliseconds(1000));
 
     /// @brief The accepted record, or nothing before the first.
     Task<Result<std::optional<AcceptedConfiguration>>> present();
@@ -46,6 +46,8 @@
     boost::asio::any_io_executor m_executor;
     KeyValueService& m_service;
     Random& m_random;
+    /// Longest pause between two calls after a failure.
+    std::chrono::milliseconds m_longestPause;
 };
 
 } // namespace cicadalb
--- a/apps/cicadactl/src/ConfigurationCommands.cpp
+++ b/apps/cicadactl/src/ConfigurationCommands.cpp
@@ -378,4 +378,14 @@
     co_return co_await applyEdit(client, std::move(edit));
 }
 
+Task<CommandOutcome> explainCommand(ConfigurationClient& client, std::function<CommandOutcome(const Tables&)> explain)
+{
+    auto present = co_await client.present();
+    if (!present)
+        co_return failed(present.error());
+    if (!present.value())
+        co_return failed(nothingAccepted());
+    co_return explain(present.value()->tables);
+}
+
 } // namespace cicadalb
--- a/apps/cicadactl/src/ConfigurationCommands.h
+++ b/apps/cicadactl/src/ConfigurationCommands.h
@@ -5,6 +5,8 @@
 
 #include "cicadalb/config/TableEdit.h"
 
+#include <functional>
+
 /// @file
 /// The commands that read or edit the configuration.
 
@@ -63,5 +65,7 @@
 Task<CommandOutcome> historyCommand(ConfigurationClient&);
 Task<CommandOutcome> retireCommand(ConfigurationClient&, RetireOptions);
 Task<CommandOutcome> drainCommand(ConfigurationClient&, DrainOptions);
+/// @brief Runs @p explain on the tables in force.
+Task<CommandOutcome> explainCommand(ConfigurationClient&, std::function<CommandOutcome(const Tables&)> explain);
 
 } // namespace cicadalb
--- /dev/null
+++ b/apps/cicadactl/src/HostCommands.cpp
@@ -0,0 +1,113 @@
+#include "HostCommands.h"
+
+#include "cicadalb/base/Hash.h"
+#include "cicadalb/config/OperatorProof.h"
+#include "cicadalb/config/Settings.h"
+#include "cicadalb/platform/HttpClient.h"
+
+#include <random>
+
+namespace cicadalb {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr unsigned statusOk = 200;
+    /// Longest wait for one host's answer.
+    constexpr std::chrono::seconds answerTimeout { 3 };
+    constexpr std::string_view statePath = "/state";
+
+    std::int64_t unixSeconds()
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
+    std::string newNonce()
+    {
+        std::random_device device;
+        return std::to_string(device()) + std::to_string(device()) + std::to_string(device());
+    }
+
+    HttpRequest stateRequest(const Secret& secret)
+    {
+        HttpRequest request;
+        request.target = statePath;
+        const auto proof = makeOperatorProof(secret, { request.method, statePath }, unixSeconds(), newNonce());
+        request.fields.emplace_back(std::string(operatorProofHeader), proof);
+        return request;
+    }
+
+    Task<Result<json>> fetchState(boost::asio::any_io_executor executor, SocketAddress address, const Secret& secret)
+    {
+        HttpClient client(std::move(executor), Endpoint { address.address, address.port });
+        auto request = stateRequest(secret);
+        const auto deadline = std::chrono::steady_clock::now() + answerTimeout;
+        auto answer = co_await client.send(std::move(request), deadline);
+        if (!answer)
+            co_return failure(ErrorCode::Unavailable, answer.error().message, toText(address));
+        if (answer.value().status != statusOk)
+            co_return failure(ErrorCode::ProofInvalid, "answered with status " + std::to_string(answer.value().status) + ": " + answer.value().body, toText(address));
+        auto state = json::parse(answer.value().body, nullptr, false);
+        if (!state.is_object())
+            co_return failure(ErrorCode::AnswerInvalid, "the answer is not a state dump", toText(address));
+        co_return state;
+    }
+
+    /// States by address, and the errors of hosts that gave none.
+    struct HostStates {
+        json states = json::object();
+        Errors errors;
+    };
+
+    Task<HostStates> fetchStates(boost::asio::any_io_executor executor, HostOptions options)
+    {
+        HostStates result;
+        const auto secret = readSecretFile(options.secretFile);
+        if (!secret) {
+            result.errors.push_back(secret.error());
+            co_return result;
+        }
+        for (const auto& host : options.hosts) {
+            const auto address = socketAddressFromText(host);
+            if (!address) {
+                result.errors.push_back({ ErrorCode::ValueInvalid, address.error().message, "--host" });
+                continue;
+            }
+            auto state = co_await fetchState(executor, address.value(), secret.value());
+            if (state)
+                result.states[host] = std::move(state.value());
+            else
+                result.errors.push_back(state.error());
+        }
+        co_return result;
+    }
+
+    CommandOutcome outcomeOf(const HostStates& result, const char* member, json values)
+    {
+        CommandOutcome outcome;
+        if (!result.errors.empty())
+            outcome = failed(failed(result.errors.front()).exitCode, result.errors);
+        outcome.text += values.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+        outcome.json[member] = std::move(values);
+        return outcome;
+    }
+
+} // namespace
+
+Task<CommandOutcome> stateCommand(boost::asio::any_io_executor executor, HostOptions options)
+{
+    auto result = co_await fetchStates(std::move(executor), std::move(options));
+    co_return outcomeOf(result, "hosts", result.states);
+}
+
+Task<CommandOutcome> stepsCommand(boost::asio::any_io_executor executor, HostOptions options)
+{
+    auto result = co_await fetchStates(std::move(executor), std::move(options));
+    auto steps = json::object();
+    for (const auto& [host, state] : result.states.items())
+        steps[host] = state.value("steps", json::array());
+    co_return outcomeOf(result, "steps", std::move(steps));
+}
+
+} // namespace cicadalb
