--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -24,19 +24,6 @@
 {
 }
 
-std::string_view TargetState::ineligibility() const noexcept
-{
-    if (isRemoved)
-        return "removed";
-    if (target.draining)
-        return "draining";
-    if (isListedAsLeaving)
-        return "leaving by host list";
-    if (saysItIsLeaving)
-        return "leaving by its own word";
-    return {};
-}
-
 void TargetState::averageInFlight(TimePoint now)
 {
     const auto elapsed = std::chrono::duration<double>(now - m_averagedAt).count();
@@ -50,7 +37,7 @@
     ++inFlight;
 }
 
-void TargetState::end(const Completion& completion, TimePoint now, Random& random)
+void TargetState::end(const Completion& completion, double pressure, TimePoint now, Random& random)
 {
     averageInFlight(now);
     const auto inFlightBefore = inFlight;
@@ -62,7 +49,7 @@
     if (!m_hasAdaptiveLimit)
         return;
     if (completion.kind == CompletionKind::Succeeded)
-        limit.recordCompletion(inFlightBefore, slowdown());
+        limit.recordCompletion(inFlightBefore, slowdown(), pressure);
     else if (completion.kind == CompletionKind::Lost)
         limit.recordLoss();
 }
@@ -80,20 +67,6 @@
     load.record(report, m_averageInFlight, now);
 }
 
-double TargetState::allowedInFlight(TimePoint now) const noexcept
-{
-    const auto state = health.state(now);
-    if (state == CircuitState::Open)
-        return 0;
-    return std::max(1.0, std::floor(limit.value() * health.allowedShare(now)));
-}
-
-double TargetState::crowding(TimePoint now) const noexcept
-{
-    const auto places = load.hasReports() ? load.parallelism() : limit.value();
-    return std::max(1.0, (expectedLoad(now) + 1) / std::max(places, 1.0));
-}
-
 TargetView TargetState::view(TimePoint now) const
 {
     TargetView made;
