--- a/apps/cicadactl/src/ConfigurationClient.cpp
+++ b/apps/cicadactl/src/ConfigurationClient.cpp
@@ -12,6 +12,8 @@
 
     /// Calls of one edit that may fail before its outcome is given up.
     constexpr unsigned maximumFailures = 12;
+    /// Times that a change is made anew after another edit won the race.
+    constexpr unsigned maximumRaces = 8;
     /// Tries to record a refusal.
     constexpr unsigned maximumRefusalTries = 4;
 
@@ -79,17 +81,41 @@
 
 Task<ApplyReport> ConfigurationClient::apply(ConfigurationEdit edit)
 {
-    ConfigurationApply course(edit, maximumFailures);
+    auto report = co_await follow(edit);
+    co_await recordRefusal(edit, report);
+    co_return report;
+}
+
+Task<ApplyReport> ConfigurationClient::applyChange(ConfigurationChange change)
+{
+    for (unsigned race = 1;; ++race) {
+        auto current = co_await present();
+        if (!current)
+            co_return ApplyReport { ApplyStep::Refused, {}, {}, { current.error() } };
+        if (!current.value())
+            co_return ApplyReport { ApplyStep::Refused, {}, {}, { Error { ErrorCode::ValueMissing, "no configuration has been accepted yet", {} } } };
+        auto edit = change(*current.value());
+        if (!edit)
+            co_return ApplyReport { ApplyStep::Refused, {}, {}, { edit.error() } };
+        auto report = co_await follow(edit.value());
+        const bool isRaceLost = report.outcome == ApplyStep::Refused && report.errors.front().code == ErrorCode::BaseOutdated;
+        if (!isRaceLost || race == maximumRaces) {
+            co_await recordRefusal(edit.value(), report);
+            co_return report;
+        }
+        co_await pause();
+    }
+}
+
+Task<ApplyReport> ConfigurationClient::follow(ConfigurationEdit edit)
+{
+    ConfigurationApply course(std::move(edit), maximumFailures);
     while (course.step() == ApplyStep::Read || course.step() == ApplyStep::Write) {
         if (course.step() == ApplyStep::Read)
             co_await read(course);
         else
             co_await write(course);
     }
-    if (course.step() == ApplyStep::Refused && !isPlatformFailure(course.errors().front().code)) {
-        auto refusal = refusedEdit(edit.at, edit.author, edit.base, course.errors());
-        co_await recordRefusal(std::move(refusal));
-    }
     co_return ApplyReport { course.step(), course.next(), course.present(), course.errors() };
 }
 
@@ -145,8 +171,11 @@
     co_return written.as_failure();
 }
 
-Task<void> ConfigurationClient::recordRefusal(RefusedEdit refusal)
+Task<void> ConfigurationClient::recordRefusal(const ConfigurationEdit& edit, const ApplyReport& report)
 {
+    if (report.outcome != ApplyStep::Refused || isPlatformFailure(report.errors.front().code))
+        co_return;
+    const auto refusal = refusedEdit(edit.at, edit.author, edit.base, report.errors);
     for (unsigned attempt = 0; attempt < maximumRefusalTries; ++attempt) {
         auto entry = co_await m_service.read(std::string(refusedEditsKey));
         if (entry) {
--- a/apps/cicadactl/src/ConfigurationClient.h
+++ b/apps/cicadactl/src/ConfigurationClient.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <functional>
+
 /// @file
 /// The operators' side of the configuration in the key-value service.
 
@@ -23,6 +25,9 @@
     Errors errors;
 };
 
+/// @brief Makes an edit from the present record.
+using ConfigurationChange = std::function<Result<ConfigurationEdit>(const AcceptedConfiguration& present)>;
+
 /// @brief Reads and edits the accepted configuration. For one thread.
 class ConfigurationClient {
 public:
@@ -35,12 +40,15 @@
     Task<Result<std::vector<RefusedEdit>>> refusedEdits();
     /// @brief Follows one edit to its outcome. A refusal is also recorded for the hosts' state dumps.
     Task<ApplyReport> apply(ConfigurationEdit);
+    /// @brief Follows an edit that @p change makes from the present record; made anew when another edit wins the race.
+    Task<ApplyReport> applyChange(ConfigurationChange change);
 
 private:
+    Task<ApplyReport> follow(ConfigurationEdit);
     Task<void> read(ConfigurationApply&);
     Task<void> write(ConfigurationApply&);
     Task<Result<void>> keepHistory(const AcceptedConfiguration&);
-    Task<void> recordRefusal(RefusedEdit);
+    Task<void> recordRefusal(const ConfigurationEdit&, const ApplyReport&);
     Task<void> pause();
 
     boost::asio::any_io_executor m_executor;
--- a/apps/cicadactl/src/ConfigurationCommands.cpp
+++ b/apps/cicadactl/src/ConfigurationCommands.cpp
@@ -125,14 +125,26 @@
         co_return applyOutcome(report, mark);
     }
 
-    ConfigurationEdit editOf(const AcceptedConfiguration& present, TableTexts texts, std::string author)
+    /// Makes both texts of an edit from those in force.
+    using TextChange = std::function<Result<TableTexts>(const TableTexts& present)>;
+
+    /// Applies a change of the texts in force; @p edit names the author and what the change allows.
+    Task<CommandOutcome> applyTextChange(ConfigurationClient& client, ConfigurationEdit edit, TextChange change)
     {
-        ConfigurationEdit edit;
-        edit.routesText = std::move(texts.routes);
-        edit.poolsText = std::move(texts.pools);
-        edit.author = std::move(author);
-        edit.base = present.number;
-        return edit;
+        edit.at = unixSeconds();
+        edit.mark = newMark();
+        ConfigurationChange makeEdit = [&edit, &change](const AcceptedConfiguration& present) -> Result<ConfigurationEdit> {
+            auto texts = change({ present.routesText, present.poolsText });
+            if (!texts)
+                return texts.as_failure();
+            auto made = edit;
+            made.routesText = std::move(texts.value().routes);
+            made.poolsText = std::move(texts.value().pools);
+            made.base = present.number;
+            return made;
+        };
+        auto report = co_await client.applyChange(std::move(makeEdit));
+        co_return applyOutcome(report, edit.mark);
     }
 
     auto nothingAccepted()
@@ -346,36 +358,31 @@
     auto retired = retiredNames(joinedPairs(options.words));
     if (!retired)
         co_return failed(ExitCode::Usage, { retired.error() });
-    auto present = co_await client.present();
-    if (!present)
-        co_return failed(present.error());
-    if (!present.value())
-        co_return failed(nothingAccepted());
-    TableTexts texts { present.value()->routesText, present.value()->poolsText };
-    for (const auto& entry : retired.value()) {
-        auto edited = withoutEntry(texts, entry);
-        if (!edited)
-            co_return failed(edited.error());
-        texts = std::move(edited.value());
-    }
-    auto edit = editOf(*present.value(), std::move(texts), options.author);
+    ConfigurationEdit edit;
+    edit.author = options.author;
     edit.retired = std::move(retired.value());
-    co_return co_await applyEdit(client, std::move(edit));
+    TextChange change = [names = edit.retired](const TableTexts& present) -> Result<TableTexts> {
+        auto texts = present;
+        for (const auto& entry : names) {
+            auto edited = withoutEntry(texts, entry);
+            if (!edited)
+                return edited.as_failure();
+            texts = std::move(edited.value());
+        }
+        return texts;
+    };
+    auto outcome = co_await applyTextChange(client, std::move(edit), std::move(change));
+    co_return outcome;
 }
 
 Task<CommandOutcome> drainCommand(ConfigurationClient& client, DrainOptions options)
 {
-    auto present = co_await client.present();
-    if (!present)
-        co_return failed(present.error());
-    if (!present.value())
-        co_return failed(nothingAccepted());
-    auto texts = withDraining({ present.value()->routesText, present.value()->poolsText }, TargetId(options.target), !options.undo);
-    if (!texts)
-        co_return failed(texts.error());
-    auto edit = editOf(*present.value(), std::move(texts.value()), options.author);
+    ConfigurationEdit edit;
+    edit.author = options.author;
     edit.allowCapacityLoss = options.allowCapacityLoss;
-    co_return co_await applyEdit(client, std::move(edit));
+    TextChange change = [&options](const TableTexts& present) { return withDraining(present, TargetId(options.target), !options.undo); };
+    auto outcome = co_await applyTextChange(client, std::move(edit), std::move(change));
+    co_return outcome;
 }
 
 Task<CommandOutcome> explainCommand(ConfigurationClient& client, std::function<CommandOutcome(const Tables&)> explain)
--- a/apps/tests/unit-cicadactl.cpp
+++ b/apps/tests/unit-cicadactl.cpp
@@ -123,6 +123,27 @@
     CHECK(run(drainCommand(client, { "bela", "ledger-1", true, false })).json["number"] == 3);
 }
 
+TEST_CASE_METHOD(CommandFixture, "drain, whose race another edit wins, is made anew on top of that edit")
+{
+    apply("asha");
+    const auto present = acceptedConfigurationFromJson(kept(acceptedConfigurationKey)).value();
+    ConfigurationEdit winner { present.routesText, withDraining({ routesText, poolsText }, TargetId("ledger-2"), true).value().pools, "bela", 1, {}, false, 0, "winner" };
+    const auto winning = toJson(ConfigurationAuthority(present).accept(winner).value());
+    unsigned writes = 0;
+    service.faultOf = [&](CallKind kind) {
+        // The first write keeps the history, the second one is the drain's own.
+        if (kind == CallKind::Write && ++writes == 2)
+            service.put(std::string(acceptedConfigurationKey), winning);
+        return CallFault::None;
+    };
+    CHECK(run(drainCommand(client, { "asha", "ledger-1", false, true })).exitCode == ExitCode::Done);
+    const auto record = acceptedConfigurationFromJson(kept(acceptedConfigurationKey)).value();
+    CHECK(record.number == 3);
+    CHECK(record.tables.pools[0].targets[0].draining);
+    CHECK(record.tables.pools[0].targets[1].draining);
+    CHECK_FALSE(service.entries().contains(std::string(refusedEditsKey)));
+}
+
 TEST_CASE_METHOD(CommandFixture, "service, down, leaves the edit undone and says so by its exit code")
 {
     service.faultOf = [](CallKind) { return CallFault::Unavailable; };
