--- a/apps/cicadactl/src/CommandLine.cpp
+++ b/apps/cicadactl/src/CommandLine.cpp
@@ -131,6 +131,7 @@
     void CommandLine::addCheck()
     {
         auto* command = addCommand("check", "Check two files without changing anything", [this] { return checkCommand(m_apply.files); });
+        command->footer("Example:\n  cicadactl check routes.toml pools.toml");
         command->add_option("ROUTES", m_apply.files.routes, "File of the routes table")->required();
         command->add_option("POOLS", m_apply.files.pools, "File of the pools table")->required();
     }
@@ -139,10 +140,14 @@
     {
         auto* command = addClientCommand("apply", "Put two files into force",
             [this](ConfigurationClient& client) { return applyCommand(client, m_apply); });
+        command->footer(R"(Example, an edit that removes a route on purpose:
+  cicadactl show --key-value 10.0.0.9:7100 --routes routes.toml --pools pools.toml
+  (edit both files)
+  cicadactl apply routes.toml pools.toml --key-value 10.0.0.9:7100 --author asha --retire "route old-lookup")");
         command->add_option("ROUTES", m_apply.files.routes, "File of the routes table")->required();
         command->add_option("POOLS", m_apply.files.pools, "File of the pools table")->required();
         command->add_option("--base", m_apply.base, "Number that the edit is based on, unless the routes file says based-on");
-        command->add_option("--retire", m_apply.retired, "A name that shall go, as \"route NAME\", \"pool NAME\", \"caller NAME\" or \"trainer NAME\"; repeat for more");
+        command->add_option("--retire", m_apply.retired, "A name that shall go, as \"route NAME\", \"pool NAME\", \"caller NAME\" or \"trainer NAME\"; repeat for more")->allow_extra_args(false);
         command->add_flag("--allow-capacity-loss", m_apply.allowCapacityLoss, "Let a pool lose more than half of its serving targets");
         addAuthor(*command, m_apply.author);
     }
@@ -151,6 +156,7 @@
     {
         auto* command = addClientCommand("show", "Show what is in force, or write it to files for an edit",
             [this](ConfigurationClient& client) { return showCommand(client, m_show); });
+        command->footer("Example, why an edit was refused:\n  cicadactl show --refused --key-value 10.0.0.9:7100");
         auto* routes = command->add_option("--routes", m_show.files.routes, "Write the routes table to this file");
         auto* pools = command->add_option("--pools", m_show.files.pools, "Write the pools table to this file");
         routes->needs(pools);
@@ -162,6 +168,7 @@
     {
         auto* command = addClientCommand("diff", "Show what two files would change, or what one record changed",
             [this](ConfigurationClient& client) { return diffCommand(client, m_diff); });
+        command->footer("Examples:\n  cicadactl diff routes.toml pools.toml --key-value 10.0.0.9:7100\n  cicadactl diff --from 40 --to 42 --key-value 10.0.0.9:7100");
         auto* routes = command->add_option("ROUTES", m_diff.files.routes, "File of the routes table");
         auto* pools = command->add_option("POOLS", m_diff.files.pools, "File of the pools table");
         routes->needs(pools);
@@ -179,6 +186,7 @@
     {
         auto* command = addClientCommand("retire", "Remove entries by name, e.g. retire route old-lookup pool old-ledger",
             [this](ConfigurationClient& client) { return retireCommand(client, m_retire); });
+        command->footer("Example:\n  cicadactl retire route old-lookup pool old-ledger --key-value 10.0.0.9:7100 --author asha");
         command->add_option("NAMES", m_retire.words, "route, pool, caller or trainer, and its name; repeat for more")->required()->expected(2, 64);
         addAuthor(*command, m_retire.author);
     }
@@ -187,6 +195,7 @@
     {
         auto* command = addClientCommand("drain", "Give a target no new work",
             [this](ConfigurationClient& client) { return drainCommand(client, m_drain); });
+        command->footer("Example:\n  cicadactl drain ledger-2 --key-value 10.0.0.9:7100 --author asha");
         command->add_option("TARGET", m_drain.target, "Id of the target")->required();
         command->add_flag("--undo", m_drain.undo, "Give it work again");
         command->add_flag("--allow-capacity-loss", m_drain.allowCapacityLoss, "Also if its pool then serves with less than half of its targets");
@@ -196,6 +205,7 @@
     void CommandLine::addExplain()
     {
         auto* command = addCommand("explain", "Say where a request or a trainer's steps go, and why", [this] { return explainTables(); });
+        command->footer("Examples:\n  cicadactl explain --key-value 10.0.0.9:7100 --method POST --path /ledger/invoices --caller clerks\n  cicadactl explain --routes routes.toml --pools pools.toml --trainer invoice-draft");
         auto* keyValue = command->add_option("--key-value", m_keyValue, "IP:PORT of the key-value service: explain what is in force");
         auto* routes = command->add_option("--routes", m_explainFiles.routes, "Explain this file of the routes table instead")->excludes(keyValue);
         auto* pools = command->add_option("--pools", m_explainFiles.pools, "With this file of the pools table");
@@ -226,7 +236,8 @@
         auto* command = addCommand(name, help, [this, hostCommand] {
             return runTask([this, hostCommand](const boost::asio::any_io_executor& executor) { return hostCommand(executor, m_hosts); });
         });
-        command->add_option("--host", m_hosts.hosts, "IP:PORT of a host's admin address; repeat for more")->required();
+        command->footer("Example:\n  cicadactl " + name + " --host 10.0.0.1:8081 --host 10.0.0.2:8081 --secret-file secret");
+        command->add_option("--host", m_hosts.hosts, "IP:PORT of a host's admin address; repeat for more")->required()->allow_extra_args(false);
         command->add_option("--secret-file", m_hosts.secretFile, "File of the shared secret")->required();
     }
 
--- /dev/null
+++ b/benchmarks/bench_configuration.cpp
@@ -0,0 +1,112 @@
+#include "cicadalb/config/ConfigurationAuthority.h"
+
+#include <CLI/CLI.hpp>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+/// @file
+/// Size of an accepted record and time to check and accept an edit, by number of targets.
+
+using namespace cicadalb;
+
+namespace {
+
+struct Options {
+    std::size_t targets = 12000;
+    std::size_t routes = 64;
+    unsigned repetitions = 5;
+};
+
+constexpr std::size_t targetsPerPool = 1000;
+
+std::string routesText(std::size_t routes)
+{
+    std::string text;
+    for (std::size_t index = 0; index < routes; ++index) {
+        const auto number = std::to_string(index);
+        text.append("[routes.route-").append(number).append("]\npath = \"/service-").append(number).append("\"\npool = \"pool-0\"\n");
+    }
+    return text;
+}
+
+void appendTarget(std::string& text, std::size_t pool, std::size_t index)
+{
+    text.append("[[pools.pool-").append(std::to_string(pool)).append(".targets]]\n");
+    text.append("id = \"sampler-").append(std::to_string(index)).append("\"\n");
+    text.append("address = \"10.").append(std::to_string(index / 65536)).append(".").append(std::to_string(index / 256 % 256)).append(".").append(std::to_string(index % 256)).append("\"\n");
+    text.append("port = 9100\nfailure-domain = \"salt-lake\"\n");
+}
+
+std::string poolsText(std::size_t targets)
+{
+    std::string text;
+    for (std::size_t index = 0; index < targets; ++index) {
+        const auto pool = index / targetsPerPool;
+        if (index % targetsPerPool == 0)
+            text.append("[pools.pool-").append(std::to_string(pool)).append("]\nkind = \"model-engine\"\nmodel = \"draft\"\n");
+        appendTarget(text, pool, index);
+    }
+    return text;
+}
+
+/// Mean time of one run in milliseconds.
+template <typename Work>
+double milliseconds(unsigned repetitions, Work work)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    for (unsigned run = 0; run < repetitions; ++run)
+        work();
+    const std::chrono::duration<double, std::milli> elapsed = std::chrono::steady_clock::now() - begin;
+    return elapsed.count() / repetitions;
+}
+
+void print(const std::string& name, std::size_t targets, double value, const char* unit)
+{
+    std::printf("configuration-%s-%zu-targets %.3f %s\n", name.c_str(), targets, value, unit);
+}
+
+void measure(const Options& options, std::size_t targets)
+{
+    ConfigurationEdit edit;
+    edit.routesText = routesText(options.routes);
+    edit.poolsText = poolsText(targets);
+    edit.author = "bench";
+    edit.mark = "first";
+    const auto parseTime = milliseconds(options.repetitions, [&] { (void)parseTables(edit.routesText, edit.poolsText); });
+    AcceptedConfiguration record;
+    record.number = 1;
+    record.routesText = edit.routesText;
+    record.poolsText = edit.poolsText;
+    record.mark = "first";
+    const auto json = toJson(record);
+    print("record-size", targets, static_cast<double>(json.size()), "bytes");
+    print("parse", targets, parseTime, "ms");
+    print("read-record", targets, milliseconds(options.repetitions, [&] { (void)acceptedConfigurationFromJson(json); }), "ms");
+
+    record.tables = parseTables(edit.routesText, edit.poolsText).value();
+    const ConfigurationAuthority authority(record);
+    edit.base = 1;
+    edit.mark = "second";
+    edit.poolsText += "# edit\n";
+    bool isAccepted = false;
+    const auto acceptTime = milliseconds(options.repetitions, [&] { isAccepted = authority.accept(edit).has_value(); });
+    print("accept", targets, acceptTime, "ms");
+    print("accepted", targets, isAccepted ? 1 : 0, "yes-or-no");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Options options;
+    CLI::App app("Size of an accepted record and time to check and accept an edit");
+    app.add_option("--targets", options.targets, "Largest number of targets")->capture_default_str();
+    app.add_option("--routes", options.routes, "Number of routes")->capture_default_str();
+    app.add_option("--repetitions", options.repetitions, "Runs of each measurement")->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    for (const auto targets : { options.targets / 100, options.targets / 10, options.targets })
+        measure(options, targets);
+    return 0;
+}
