Routing: keep an idle target's speed estimate for 50 of its service times

Cause: with services of 1 to 10 s the estimate of an unused slow target was forgotten after 10 s, so that a tenth of the picks tried slow targets.

--- a/benchmarks/bench_pick.cpp
+++ b/benchmarks/bench_pick.cpp
@@ -31,15 +31,10 @@
     return values[rank];
 }
 
-double capacity(const RunResult& result)
-{
-    return std::accumulate(result.capacityByTarget.begin(), result.capacityByTarget.end(), 0.0);
-}
-
 /// In-time answers a second as a part of the capacity.
 double goodput(const RunResult& result)
 {
-    return static_cast<double>(result.answeredInRun) / result.measuredSeconds / capacity(result);
+    return result.answersPerSecond / result.capacity;
 }
 
 /// Share of the work that targets of one speed (0: fastest) served.
@@ -111,20 +106,21 @@
     }
 }
 
-std::uint64_t lateRefusals(const RunResult& result)
+/// Sum of one counter over the streams.
+std::function<double(const RunResult&)> sumOf(std::uint64_t StreamResult::*counter)
 {
-    std::uint64_t count = 0;
-    for (const auto& stream : result.streams)
-        count += stream.waitsBeforeRefusal.size();
-    return count;
+    return [counter](const RunResult& result) {
+        double sum = 0;
+        for (const auto& stream : result.streams)
+            sum += static_cast<double>(stream.*counter);
+        return sum;
+    };
 }
 
-double refusals(const RunResult& result)
+/// Part of the first stream's requests that were answered in time.
+double answeredPart(const RunResult& result)
 {
-    auto count = static_cast<double>(lateRefusals(result));
-    for (const auto& stream : result.streams)
-        count += static_cast<double>(stream.refusedAtOnce);
-    return count;
+    return static_cast<double>(result.streams[0].inTime) / static_cast<double>(result.streams[0].requests);
 }
 
 void compareAdmission(const Options& options)
@@ -133,14 +129,14 @@
         latencyFigure("interactive_p50", 0.5),
         latencyFigure("interactive_p99", 0.99),
         { "goodput", "capacity", goodput },
-        { "interactive_answered", "part", [](const RunResult& result) { return static_cast<double>(result.streams[0].inTime) / static_cast<double>(result.streams[0].requests); } },
-        { "refused", "count", refusals },
-        { "refused_late", "count", [](const RunResult& result) { return static_cast<double>(lateRefusals(result)); } },
+        { "interactive_answered", "part", answeredPart },
+        { "refused_at_once", "requests", sumOf(&StreamResult::refusedAtOnce) },
+        { "refused_after_waiting", "requests", sumOf(&StreamResult::refusedAfterWaiting) },
     };
-    const Stream light { Priority::Interactive, 0.2, std::chrono::seconds(2) };
-    const Stream interactive { Priority::Interactive, 0.5, std::chrono::seconds(2) };
-    const Stream normal { Priority::Normal, 0.5, std::chrono::seconds(4) };
-    const Stream training { Priority::Training, 1.0, std::chrono::seconds(10) };
+    const Stream light { Priority::Interactive, 0.2, Seconds(2) };
+    const Stream interactive { Priority::Interactive, 0.5, Seconds(2) };
+    const Stream normal { Priority::Normal, 0.5, Seconds(4) };
+    const Stream training { Priority::Training, 1.0, Seconds(10) };
     for (const double spread : { 3.0, 10.0 }) {
         for (const auto policy : { PickPolicy::TwoChoices, PickPolicy::LeastDelay }) {
             Scenario scenario;
@@ -165,7 +161,7 @@
 {
     const std::vector<Figure> figures = {
         { "attempts", "a_request", [](const RunResult& result) { return static_cast<double>(result.attempts) / static_cast<double>(result.requests); } },
-        { "answered", "part", [](const RunResult& result) { return static_cast<double>(result.streams[0].inTime) / static_cast<double>(result.streams[0].requests); } },
+        { "answered", "part", answeredPart },
         latencyFigure("p99", 0.99),
     };
     constexpr std::array<NamedFault, 4> faults = { { { Fault::TargetDies, "target_dies" }, { Fault::DomainDies, "domain_dies" }, { Fault::HalfSlow, "half_slow" }, { Fault::AllErrors, "all_errors" } } };
@@ -174,27 +170,40 @@
             Scenario scenario;
             scenario.policy = policy;
             scenario.fault = fault;
-            scenario.streams.front() = { Priority::Normal, 0.5, std::chrono::seconds(2) };
+            scenario.streams.front() = { Priority::Normal, 0.5, Seconds(2) };
             printRuns(std::string("retry.") + faultName + "." + std::string(name(policy)), scenario, options.seeds, figures);
         }
     }
 }
 
+/// Service times of plain services and of model engines, which differ in how old a load report is for them.
+struct NamedService {
+    const char* name;
+    double seconds;
+};
+
 void compareHomes(const Options& options)
 {
     const std::vector<Figure> figures = {
         latencyFigure("p50", 0.5),
         latencyFigure("p99", 0.99),
+        { "goodput", "capacity", goodput },
         { "imbalance", "variation", [](const RunResult& result) { return result.imbalance; } },
-        { "hops", "a_request", [](const RunResult& result) { return static_cast<double>(result.hops) / static_cast<double>(result.requests); } },
-        { "in_flight", "requests", [](const RunResult& result) { return result.meanInFlight; } },
+        { "messages", "a_request", [](const RunResult& result) { return static_cast<double>(result.hops) / static_cast<double>(result.requests); } },
+        { "lost_with_another_host", "requests", [](const RunResult& result) { return result.foreignInFlight; } },
     };
-    for (const double load : { 0.5, 0.8, 0.95 }) {
-        for (const bool hasHomes : { false, true }) {
-            Scenario scenario;
-            scenario.hasHomes = hasHomes;
-            scenario.streams.front().load = load;
-            printRuns("home.load" + percent(load) + (hasHomes ? ".home" : ".direct"), scenario, options.seeds, figures);
+    for (const auto& service : { NamedService { "plain", 0.02 }, NamedService { "engine", 1 } }) {
+        const auto scale = service.seconds / 0.02;
+        for (const double load : { 0.5, 0.8, 0.95 }) {
+            for (const bool hasHomes : { false, true }) {
+                Scenario scenario;
+                scenario.hasHomes = hasHomes;
+                scenario.fastestService = Seconds(service.seconds);
+                scenario.warmUp *= scale;
+                scenario.duration *= scale;
+                scenario.streams.front() = { Priority::Normal, load, Seconds(5 * scale) };
+                printRuns(std::string("home.") + service.name + ".load" + percent(load) + (hasHomes ? ".home" : ".direct"), scenario, options.seeds, figures);
+            }
         }
     }
 }
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -82,14 +82,10 @@
     for (auto& state : targets)
         state.isRemoved = true;
     for (const auto& target : pool.targets) {
-        if (auto* known = find(target.id)) {
-            known->target = target;
-            known->isRemoved = false;
-            known->limit.setCeiling(pool.maximumInFlight);
-            known->isNear = target.failureDomain == options.ownFailureDomain;
-        } else {
-            targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit).isNear = target.failureDomain == options.ownFailureDomain;
-        }
+        auto* state = find(target.id);
+        if (!state)
+            state = &targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit);
+        state->configure(target, pool.maximumInFlight, options.ownFailureDomain);
     }
     eraseIdleRemoved();
 }
@@ -99,7 +95,7 @@
     std::erase_if(targets, [](const auto& state) { return state.isRemoved && state.inFlight == 0; });
     indexes.clear();
     for (std::size_t i = 0; i < targets.size(); ++i)
-        indexes.emplace(targets[i].target.id, i);
+        indexes.emplace(targets[i].id, i);
 }
 
 TargetState* PoolBalancer::State::find(const TargetId& id)
@@ -116,7 +112,7 @@
         const auto& state = targets[i];
         if (!state.isEligible())
             continue;
-        if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.target.id) != excluded.end())
+        if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.id) != excluded.end())
             continue;
         const auto allowed = state.allowedInFlight(now);
         if (state.inFlight < allowed)
@@ -182,7 +178,7 @@
     targets[index].begin(now);
     Admission admission;
     admission.kind = AdmissionKind::Admitted;
-    admission.target = targets[index].target.id;
+    admission.target = targets[index].id;
     return admission;
 }
 
--- a/packages/routing/src/SpeedEstimate.cpp
+++ b/packages/routing/src/SpeedEstimate.cpp
@@ -11,9 +11,11 @@
     constexpr double largestRatio = 4;
     constexpr unsigned clippedFrom = 8;
     constexpr std::chrono::seconds baselineWindow { 15 };
-    /// Without samples the estimate stays for the first time, then moves towards the best one at the second time's pace.
-    constexpr std::chrono::seconds trustedTime { 10 };
-    constexpr double forgettingSeconds = 3;
+    /// Without samples the estimate is trusted for so many service times, but not less than the second; then it moves towards the best one
+    /// at a pace of forgettingPart of that time.
+    constexpr double trustedServices = 50;
+    constexpr double shortestTrustedSeconds = 10;
+    constexpr double forgettingPart = 0.3;
 
     double seconds(Duration duration)
     {
@@ -34,7 +36,7 @@
     ++m_samples;
     average(m_serviceSeconds, seconds(latency) / std::max(crowding, 1.0), m_samples);
     average(m_latencySeconds, seconds(latency), m_samples);
-    m_lastSample = now;
+    m_trustedUntil = now + std::chrono::duration_cast<Duration>(trustedTime());
     if (m_samples >= clippedFrom)
         recordBaseline(now);
 }
@@ -58,10 +60,16 @@
 
 double SpeedEstimate::agedServiceSeconds(double best, TimePoint now) const noexcept
 {
-    if (now - m_lastSample <= trustedTime)
+    if (now <= m_trustedUntil || m_serviceSeconds <= best)
         return m_serviceSeconds;
-    const auto idle = seconds(now - m_lastSample - trustedTime);
-    return best + (m_serviceSeconds - best) * forgettingSeconds / (forgettingSeconds + idle);
+    const std::chrono::duration<double> idle = now - m_trustedUntil;
+    const auto forgetting = forgettingPart * trustedTime();
+    return best + (m_serviceSeconds - best) * (forgetting / (forgetting + idle));
+}
+
+std::chrono::duration<double> SpeedEstimate::trustedTime() const noexcept
+{
+    return std::chrono::duration<double>(std::max(shortestTrustedSeconds, trustedServices * m_serviceSeconds));
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/SpeedEstimate.h
+++ b/packages/routing/src/SpeedEstimate.h
@@ -24,6 +24,7 @@
 
 private:
     void recordBaseline(TimePoint now);
+    std::chrono::duration<double> trustedTime() const noexcept;
 
     unsigned m_samples = 0;
     double m_serviceSeconds = 0;
@@ -31,7 +32,8 @@
     double m_currentMinimum = 0;
     double m_previousMinimum = 0;
     TimePoint m_windowStart {};
-    TimePoint m_lastSample {};
+    /// When the estimate begins to move towards the best one.
+    TimePoint m_trustedUntil {};
 };
 
 } // namespace cicadalb
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -16,14 +16,22 @@
 
 } // namespace
 
-TargetState::TargetState(Target configured, unsigned ceiling, bool hasAdaptiveLimit)
-    : target(std::move(configured))
+TargetState::TargetState(const Target& target, unsigned ceiling, bool hasAdaptiveLimit)
+    : limit(ceiling, hasAdaptiveLimit)
     , seed(placementHash(target.id.value()))
-    , limit(ceiling, hasAdaptiveLimit)
+    , id(target.id)
     , m_hasAdaptiveLimit(hasAdaptiveLimit)
 {
 }
 
+void TargetState::configure(const Target& target, unsigned ceiling, const FailureDomain& own)
+{
+    isRemoved = false;
+    isDraining = target.draining;
+    isNear = target.failureDomain == own;
+    limit.setCeiling(ceiling);
+}
+
 void TargetState::averageInFlight(TimePoint now)
 {
     const auto elapsed = std::chrono::duration<double>(now - m_averagedAt).count();
@@ -70,7 +78,7 @@
 TargetView TargetState::view(TimePoint now) const
 {
     TargetView made;
-    made.target = target.id;
+    made.target = id;
     made.inFlight = inFlight;
     made.limit = limit.value();
     made.serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(speed.serviceSeconds()));
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -29,7 +29,9 @@
 class TargetState {
 public:
     /// @param ceiling largest limit in flight; the limit stays there unless it adapts
-    TargetState(Target, unsigned ceiling, bool hasAdaptiveLimit);
+    TargetState(const Target&, unsigned ceiling, bool hasAdaptiveLimit);
+    /// @brief Takes over a target's configuration; what runs and what was learnt is kept.
+    void configure(const Target&, unsigned ceiling, const FailureDomain& own);
 
     /// @brief Why the target may receive no new work at all, or an empty text.
     std::string_view ineligibility() const noexcept;
@@ -51,19 +53,21 @@
 
     TargetView view(TimePoint now) const;
 
-    Target target;
-    /// Seed of the target's rendezvous scores.
-    std::uint64_t seed;
+    // The members that each pick reads come first.
     unsigned inFlight = 0;
+    bool isRemoved = false;
+    bool isDraining = false;
     bool isListedAsLeaving = false;
     bool saysItIsLeaving = false;
-    bool isRemoved = false;
     /// Whether it is in this host's own failure domain.
     bool isNear = true;
-    SpeedEstimate speed;
     ConcurrencyLimit limit;
     LoadView load;
     TargetHealth health;
+    SpeedEstimate speed;
+    /// Seed of the target's rendezvous scores.
+    std::uint64_t seed;
+    TargetId id;
 
 private:
     /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
@@ -82,7 +86,7 @@
 {
     if (isRemoved)
         return "removed";
-    if (target.draining)
+    if (isDraining)
         return "draining";
     if (isListedAsLeaving)
         return "leaving by host list";
