--- a/packages/routing/src/LoadView.cpp
+++ b/packages/routing/src/LoadView.cpp
@@ -22,6 +22,8 @@
         m_parallelism = std::max(m_parallelism, running);
     m_measuredAt = now - report.age;
     m_hasReports = true;
+    m_refreshedAt = {};
+    refresh(now);
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/PickStrategy.cpp
+++ b/packages/routing/src/PickStrategy.cpp
@@ -90,7 +90,6 @@
 
     /// Delays of the targets, as pickLeastDelay compares them. Costs are marginal delays: the delay that one more request causes to all.
     struct DelayScan {
-        double bestService = 0;
         std::optional<std::size_t> best;
         double bestCost = std::numeric_limits<double>::infinity();
         /// Least delay of the targets without room, and what it would be without crowding.
@@ -101,20 +100,18 @@
     DelayScan scanDelays(const PickContext& context)
     {
         DelayScan scan;
-        scan.bestService = bestServiceSeconds(context.targets, context.candidates);
-        scan.bestService = bestServiceSeconds(context.targets, context.full, scan.bestService);
         const auto size = context.candidates.size();
         const auto start = randomIndex(context.random, size);
         for (std::size_t i = 0; i < size; ++i) {
             const auto index = context.candidates[start + i < size ? start + i : start + i - size];
-            const auto cost = context.targets[index].expectedDelay(scan.bestService, context.now).cost();
+            const auto cost = context.targets[index].expectedDelay(context.bestService, context.now).cost();
             if (cost < scan.bestCost) {
                 scan.bestCost = cost;
                 scan.best = index;
             }
         }
         for (const auto index : context.full) {
-            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            const auto delay = context.targets[index].expectedDelay(context.bestService, context.now);
             if (delay.total() < scan.fullDelay) {
                 scan.fullDelay = delay.total();
                 scan.fullService = delay.serviceSeconds;
@@ -130,7 +127,7 @@
         for (const auto index : { affine.first, affine.second }) {
             if (std::find(context.candidates.begin(), context.candidates.end(), index) == context.candidates.end())
                 continue;
-            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            const auto delay = context.targets[index].expectedDelay(context.bestService, context.now);
             if (delay.cost() <= affinityPatience * scan.bestCost && delay.total() <= secondsLeft)
                 return index;
         }
@@ -145,7 +142,7 @@
             const auto& target = context.targets[index];
             if (!target.speed.isKnown())
                 continue;
-            if (target.expectedDelay(scan.bestService, context.now).cost() < scan.bestCost)
+            if (target.expectedDelay(context.bestService, context.now).cost() < scan.bestCost)
                 freedPerSecond += target.inFlight / target.speed.latencySeconds();
         }
         const auto total = scan.fullDelay + static_cast<double>(context.waiting + 1) / freedPerSecond;
@@ -184,14 +181,4 @@
     return *std::find_if(strategies.begin(), strategies.end(), [policy](const auto& row) { return row.policy == policy; });
 }
 
-double bestServiceSeconds(const std::vector<TargetState>& targets, const std::vector<std::size_t>& indexes, double best)
-{
-    for (const auto index : indexes) {
-        const auto& speed = targets[index].speed;
-        if (speed.isKnown() && (best == 0 || speed.serviceSeconds() < best))
-            best = speed.serviceSeconds();
-    }
-    return best;
-}
-
 } // namespace cicadalb
--- a/packages/routing/src/PickStrategy.h
+++ b/packages/routing/src/PickStrategy.h
@@ -16,6 +16,8 @@
     const std::vector<std::size_t>& candidates;
     /// Targets that may serve but have no room now.
     const std::vector<std::size_t>& full;
+    /// Least service time that is known of them, or 0.
+    double bestService;
     const Demand& demand;
     /// Requests of its priority and above that wait besides this one.
     std::size_t waiting;
@@ -35,7 +37,4 @@
 
 const PickStrategy& pickStrategy(PickPolicy);
 
-/// @brief Least service time that is known among @p indexes, or @p best if that is less and not 0.
-double bestServiceSeconds(const std::vector<TargetState>&, const std::vector<std::size_t>& indexes, double best = 0);
-
 } // namespace cicadalb
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -51,9 +51,10 @@
     AdmissionQueue queue;
     QueueTicket lastTicket = 0;
     std::size_t turn = 0;
-    /// Results of collect(): targets with room, and others that may serve.
+    /// Results of collect(): targets with room, others that may serve, and the least service time that is known of both.
     std::vector<std::size_t> candidates;
     std::vector<std::size_t> full;
+    double bestService = 0;
     RateMeter demands;
     RateMeter freedPlaces;
 
@@ -108,17 +109,21 @@
 {
     candidates.clear();
     full.clear();
+    bestService = 0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        const auto& state = targets[i];
+        auto& state = targets[i];
         if (!state.isEligible())
             continue;
         if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.id) != excluded.end())
             continue;
         const auto allowed = state.allowedInFlight(now);
-        if (state.inFlight < allowed)
-            candidates.push_back(i);
-        else if (allowed > 0)
-            full.push_back(i);
+        if (allowed == 0)
+            continue;
+        (state.inFlight < allowed ? candidates : full).push_back(i);
+        state.load.refresh(now);
+        const auto service = state.speed.serviceSeconds();
+        if (service > 0 && (bestService == 0 || service < bestService))
+            bestService = service;
     }
 }
 
@@ -154,16 +159,15 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    return strategy.pick({ targets, candidates, full, demand, waiting, now, random, turn++ });
+    return strategy.pick({ targets, candidates, full, bestService, demand, waiting, now, random, turn++ });
 }
 
 double PoolBalancer::State::leastDelay(TimePoint now) const
 {
-    const auto best = bestServiceSeconds(targets, full, bestServiceSeconds(targets, candidates));
     auto least = std::numeric_limits<double>::infinity();
     for (const auto* group : { &candidates, &full }) {
         for (const auto index : *group)
-            least = std::min(least, targets[index].expectedDelay(best, now).total());
+            least = std::min(least, targets[index].expectedDelay(bestService, now).total());
     }
     return least;
 }
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -52,8 +52,9 @@
     if (inFlight > 0)
         --inFlight;
     health.record(completion.kind, now, random);
+    load.refresh(now);
     if (completion.kind == CompletionKind::Succeeded)
-        speed.record(completion.latency, crowding(now), now);
+        speed.record(completion.latency, crowding(), now);
     if (!m_hasAdaptiveLimit)
         return;
     if (completion.kind == CompletionKind::Succeeded)
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -44,10 +44,8 @@
     /// @brief Own requests that may be in flight now.
     unsigned allowedInFlight(TimePoint now) const noexcept;
     bool hasRoom(TimePoint now) const noexcept { return inFlight < allowedInFlight(now); }
-    /// @brief Expected requests on the target, those of other hosts included.
-    double expectedLoad(TimePoint now) const noexcept { return inFlight + load.others(now); }
     /// @brief Requests for each place of the target if one more came, at least 1.
-    double crowding(TimePoint now) const noexcept;
+    double crowding() const noexcept;
     /// @param bestServiceSeconds service time of the fastest target, which stands for one that is not known
     ExpectedDelay expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept;
 
@@ -107,9 +105,9 @@
 
 /// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
 /// expected before all places are taken.
-inline double TargetState::crowding(TimePoint now) const noexcept
+inline double TargetState::crowding() const noexcept
 {
-    const auto others = load.others(now);
+    const auto others = load.others();
     const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
     const auto excess = inFlight + others + 1 - places;
     const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
@@ -119,7 +117,7 @@
 inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
 {
     const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding(now) };
+    return { isNear ? service : service * farFactor, crowding() };
 }
 
 } // namespace cicadalb
