Routing: refuse a queued request whose deadline passed before its turn

Found by the property "balancer, after any requests, ends, reports and leaving targets": a place freed between two ticks went to a request past its deadline. An idle target's estimate now falls without bound, so that it is tried again however busy the others are.

--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -74,7 +74,8 @@
     Admission enqueue(const Demand&);
     Admission refuse(ErrorCode, double expectedSeconds);
     Admission refuseUnserved(TimePoint now);
-    bool admitOneQueued(std::vector<QueueDecision>&, TimePoint now);
+    /// @return false if no queued request's turn has come
+    bool decideOneQueued(std::vector<QueueDecision>&, TimePoint now);
     void refuseLate(std::vector<QueueDecision>&, TimePoint now);
 };
 
@@ -233,10 +234,14 @@
 }
 
 /// A slow target is left to a lower priority while the whole priority does better to wait for faster ones.
-bool PoolBalancer::State::admitOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
+bool PoolBalancer::State::decideOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
 {
     for (const auto priority : queue.turns()) {
         const auto& waiting = queue.waiting(priority);
+        if (waiting.front().demand.deadline <= now) {
+            decisions.push_back({ queue.popFront(priority).ticket, refuse(ErrorCode::Overloaded, 0) });
+            return true;
+        }
         if (!isServed(waiting.front().demand, now))
             return false;
         if (const auto index = pick(waiting.front().demand, queue.sizeAbove(priority) + waiting.size() - 1, now)) {
@@ -291,7 +296,7 @@
             state.eraseIdleRemoved();
     }
     std::vector<QueueDecision> decisions;
-    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    while (state.queue.size() > 0 && state.decideOneQueued(decisions, now)) { }
     return decisions;
 }
 
@@ -304,7 +309,7 @@
 {
     auto& state = *m_state;
     std::vector<QueueDecision> decisions;
-    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    while (state.queue.size() > 0 && state.decideOneQueued(decisions, now)) { }
     state.refuseLate(decisions, now);
     return decisions;
 }
--- a/packages/routing/src/SpeedEstimate.cpp
+++ b/packages/routing/src/SpeedEstimate.cpp
@@ -11,8 +11,8 @@
     constexpr double largestRatio = 4;
     constexpr unsigned clippedFrom = 8;
     constexpr std::chrono::seconds baselineWindow { 15 };
-    /// Without samples the estimate is trusted for so many service times, but not less than the second; then it moves towards the best one
-    /// at a pace of forgettingPart of that time.
+    /// Without samples the estimate is trusted for so many service times, but not less than the second; then it falls, by half
+    /// after forgettingPart of that time.
     constexpr double trustedServices = 50;
     constexpr double shortestTrustedSeconds = 10;
     constexpr double forgettingPart = 0.3;
@@ -58,13 +58,13 @@
     return std::min(m_currentMinimum, m_previousMinimum);
 }
 
-double SpeedEstimate::agedServiceSeconds(double best, TimePoint now) const noexcept
+double SpeedEstimate::agedServiceSeconds(TimePoint now) const noexcept
 {
-    if (now <= m_trustedUntil || m_serviceSeconds <= best)
+    if (now <= m_trustedUntil)
         return m_serviceSeconds;
     const std::chrono::duration<double> idle = now - m_trustedUntil;
     const auto forgetting = forgettingPart * trustedTime();
-    return best + (m_serviceSeconds - best) * (forgetting / (forgetting + idle));
+    return m_serviceSeconds * (forgetting / (forgetting + idle));
 }
 
 std::chrono::duration<double> SpeedEstimate::trustedTime() const noexcept
--- a/packages/routing/src/SpeedEstimate.h
+++ b/packages/routing/src/SpeedEstimate.h
@@ -19,8 +19,8 @@
     double latencySeconds() const noexcept { return m_latencySeconds; }
     /// @brief Lowest recent average of the latency, in seconds: the baseline of the limit in flight.
     double baselineSeconds() const noexcept;
-    /// @brief The estimate to pick by: moves towards @p best while no sample comes, so that the target is tried again.
-    double agedServiceSeconds(double best, TimePoint now) const noexcept;
+    /// @brief The estimate to pick by: falls while no sample comes, so that the target is tried again, a slower one later.
+    double agedServiceSeconds(TimePoint now) const noexcept;
 
 private:
     void recordBaseline(TimePoint now);
@@ -32,7 +32,7 @@
     double m_currentMinimum = 0;
     double m_previousMinimum = 0;
     TimePoint m_windowStart {};
-    /// When the estimate begins to move towards the best one.
+    /// When the estimate begins to fall.
     TimePoint m_trustedUntil {};
 };
 
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -116,7 +116,7 @@
 
 inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
 {
-    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
+    const auto service = speed.isKnown() ? speed.agedServiceSeconds(now) : bestServiceSeconds;
     return { isNear ? service : service * farFactor, crowding() };
 }
 
--- a/packages/routing/tests/unit-pool-balancer.cpp
+++ b/packages/routing/tests/unit-pool-balancer.cpp
@@ -1,6 +1,9 @@
 #include "cicadalb/routing/PoolBalancer.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
 
 #include <map>
 
@@ -124,3 +127,164 @@
         finish(a);
     CHECK(balancer->targets(clock.now()).size() == 2);
 }
+
+TEST_CASE_METHOD(PoolBalancerFixture, "request that cannot make its deadline by the estimate, is refused at once and not queued")
+{
+    auto admitted = fill();
+    for (int i = 0; i < 20; ++i) {
+        const auto decisions = finish(a, 1s);
+        REQUIRE(decisions.size() <= 1);
+        fill();
+    }
+    auto urgent = demand();
+    urgent.deadline = clock.now() + 50ms;
+    const auto admission = balancer->request(urgent, clock.now());
+    CHECK(admission.kind == AdmissionKind::Refused);
+    CHECK(admission.reason == ErrorCode::Overloaded);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "queued request, past its chance, is refused by the next tick")
+{
+    fill();
+    clock.advance(10s);
+    const auto decisions = balancer->tick(clock.now());
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions.front().admission.kind == AdmissionKind::Refused);
+    CHECK(balancer->queueLength() == 0);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "refusals, of many callers, spread the time to come back")
+{
+    for (const auto& target : pool.targets)
+        balancer->setLeaving(target.id, true, clock.now());
+    auto least = Duration::max();
+    auto most = Duration::min();
+    for (int i = 0; i < 100; ++i) {
+        const auto after = request().retryAfter;
+        least = std::min(least, after);
+        most = std::max(most, after);
+    }
+    CHECK(most > least * 1.8);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "target that fails, while others answer, is left out until a probe succeeds")
+{
+    for (int i = 0; i < 200; ++i) {
+        const auto target = request().target;
+        clock.advance(1ms);
+        balancer->finished(target, { target == a ? CompletionKind::NotRun : CompletionKind::Succeeded, 1ms }, clock.now());
+    }
+    CHECK(fill().count(a) == 0);
+    CHECK(balancer->targets(clock.now()).front().reason == "circuit open");
+    clock.advance(30s);
+    CHECK(balancer->targets(clock.now()).front().isEligible);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "targets that all answer with errors, still receive requests")
+{
+    for (int i = 0; i < 100; ++i) {
+        const auto admission = request();
+        REQUIRE(admission.kind == AdmissionKind::Admitted);
+        clock.advance(1ms);
+        balancer->finished(admission.target, { CompletionKind::ServerError, 1ms }, clock.now());
+    }
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "targets that all cannot be reached, are refused as not run and probed later")
+{
+    for (int i = 0; i < 100; ++i) {
+        const auto admission = request();
+        if (admission.kind == AdmissionKind::Admitted)
+            balancer->finished(admission.target, { CompletionKind::NotRun, 1ms }, clock.now());
+    }
+    CHECK(request().reason == ErrorCode::NoTargetAvailable);
+    clock.advance(30s);
+    CHECK(request().kind == AdmissionKind::Admitted);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "slow target, beside fast ones, receives few requests and is tried again later")
+{
+    const auto serveMany = [this] {
+        unsigned slow = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const auto target = request().target;
+            slow += target == a ? 1 : 0;
+            finish(target, target == a ? 100ms : 10ms);
+        }
+        return slow;
+    };
+    serveMany();
+    CHECK(serveMany() < 10);
+    clock.advance(10min);
+    CHECK(serveMany() > 0);
+}
+
+TEST_CASE_METHOD(PoolBalancerFixture, "affinity, of one prefix, keeps its target and another prefix may have another")
+{
+    std::map<std::uint64_t, std::map<TargetId, unsigned>> targets;
+    for (int i = 0; i < 300; ++i) {
+        auto affine = demand();
+        affine.affinity = i % 10;
+        const auto target = balancer->request(affine, clock.now()).target;
+        ++targets[*affine.affinity][target];
+        finish(target);
+    }
+    std::map<TargetId, unsigned> favourites;
+    for (const auto& [affinity, byTarget] : targets) {
+        REQUIRE(byTarget.size() == 1);
+        ++favourites[byTarget.begin()->first];
+    }
+    CHECK(favourites.size() > 1);
+}
+
+TEST_CASE("balancer, after any requests, ends, reports and leaving targets, keeps its promises")
+{
+    CHECK(rc::check("pool balancer property", [] {
+        PoolBalancerFixture fixture;
+        auto& balancer = *fixture.balancer;
+        std::map<TargetId, unsigned> inFlight;
+        std::map<QueueTicket, TimePoint> queued;
+        std::map<TargetId, bool> isLeaving;
+        const auto take = [&](const Admission& admission, TimePoint deadline) {
+            if (admission.kind != AdmissionKind::Admitted)
+                return;
+            RC_ASSERT(!isLeaving[admission.target]);
+            RC_ASSERT(deadline > fixture.clock.now());
+            RC_ASSERT(++inFlight[admission.target] <= fixture.pool.maximumInFlight);
+        };
+        const auto takeAll = [&](const std::vector<QueueDecision>& decisions) {
+            for (const auto& decision : decisions) {
+                const auto ticket = queued.extract(decision.ticket);
+                RC_ASSERT(!ticket.empty());
+                RC_ASSERT(decision.admission.kind != AdmissionKind::Queued);
+                take(decision.admission, ticket.mapped());
+            }
+        };
+        for (const auto step : *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 1000U))) {
+            fixture.clock.advance(std::chrono::milliseconds(step % 97));
+            const auto now = fixture.clock.now();
+            const auto& target = fixture.pool.targets[step % 3].id;
+            if (step < 600) {
+                auto demand = fixture.demand(static_cast<Priority>(step % 3));
+                demand.deadline = now + std::chrono::milliseconds(step * 7 % 500);
+                const auto admission = balancer.request(demand, now);
+                take(admission, demand.deadline);
+                if (admission.kind == AdmissionKind::Queued)
+                    queued.emplace(admission.ticket, demand.deadline);
+            } else if (step < 850 && inFlight[target] > 0) {
+                --inFlight[target];
+                takeAll(balancer.finished(target, { static_cast<CompletionKind>(step % 5), std::chrono::milliseconds(step % 31) }, now));
+            } else if (step < 900) {
+                isLeaving[target] = step % 2 == 0;
+                balancer.setLeaving(target, isLeaving[target], now);
+            } else if (step < 950) {
+                balancer.reportLoad(target, { step % 11, step % 7, std::chrono::milliseconds(step % 400), false }, now);
+            } else {
+                takeAll(balancer.tick(now));
+                for (const auto& [ticket, deadline] : queued)
+                    RC_ASSERT(deadline > now);
+            }
+            RC_ASSERT(balancer.queueLength() == queued.size());
+        }
+    }));
+}
