Routing: a request's own short deadline does not count against its target

Cause: a caller may ask for less patience than a service takes; five such requests in a row opened the circuit for all callers. Ruled out: leaving out all passed deadlines, since a frozen target shows only by them.

--- a/benchmarks/PoolSimulation.h
+++ b/benchmarks/PoolSimulation.h
@@ -255,7 +255,7 @@
         count(*request, -1);
         auto& host = m_hosts[request->decider];
         const TargetId target(std::to_string(request->target));
-        applyAll(request->decider, host.balancer->finished(target, { kind, m_now - request->dispatchedAt }, m_now));
+        applyAll(request->decider, host.balancer->finished(target, { kind, m_now - request->dispatchedAt, m_now >= request->demand.deadline }, m_now));
         if (kind == CompletionKind::Succeeded || m_now >= request->demand.deadline || !host.budget.tryRetry())
             return conclude(*request, kind == CompletionKind::Succeeded);
         request->demand.excluded.push_back(target);
--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -68,6 +68,9 @@
     CompletionKind kind = CompletionKind::Succeeded;
     /// Time from dispatch to the end.
     Duration latency {};
+    /// Lost because the request's own deadline passed. A deadline shorter than the target's usual latency says nothing against the target,
+    /// so that a caller with short deadlines cannot open the circuits of a pool.
+    bool hasDeadlinePassed = false;
 };
 
 /// @brief A target's own report.
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -11,6 +11,9 @@
 
     /// Time constant of the average of own requests in flight, about the age of a report.
     constexpr double averagingSeconds = 0.3;
+    /// A request that waited for less than this, and less than so many usual latencies, gave the target no fair chance.
+    constexpr std::chrono::duration<double> shortestFairDeadline { 1 };
+    constexpr double fairLatencies = 4;
     /// The lowest average of latencies over a while lies below their mean by about this factor.
     constexpr double baselineBias = 0.75;
 
@@ -51,6 +54,8 @@
     const auto inFlightBefore = inFlight;
     if (inFlight > 0)
         --inFlight;
+    if (isHastyDeadline(completion))
+        return;
     health.record(completion.kind, now, random);
     load.refresh(now);
     if (completion.kind == CompletionKind::Succeeded)
@@ -63,6 +68,12 @@
         limit.recordLoss();
 }
 
+bool TargetState::isHastyDeadline(const Completion& completion) const noexcept
+{
+    const std::chrono::duration<double> latency = completion.latency;
+    return completion.hasDeadlinePassed && latency < std::max(shortestFairDeadline, std::chrono::duration<double>(fairLatencies * speed.latencySeconds()));
+}
+
 double TargetState::slowdown() const noexcept
 {
     const auto unloaded = load.hasReports() ? speed.serviceSeconds() : speed.baselineSeconds() / baselineBias;
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -72,6 +72,8 @@
     static constexpr double farFactor = 1.02;
 
     void averageInFlight(TimePoint now);
+    /// True if the request's own deadline was too short to judge the target by.
+    bool isHastyDeadline(const Completion&) const noexcept;
     /// Latency over service time without queueing.
     double slowdown() const noexcept;
 
--- a/packages/routing/src/TargetSubset.cpp
+++ b/packages/routing/src/TargetSubset.cpp
@@ -46,6 +46,7 @@
     std::vector<const DomainHosts*> domainsByPreference(const Target& target, const std::vector<DomainHosts>& domains)
     {
         std::vector<const DomainHosts*> order;
+        order.reserve(domains.size());
         for (const auto& domain : domains)
             order.push_back(&domain);
         const auto rank = [&](const DomainHosts* domain) {
--- a/packages/routing/tests/unit-pool-balancer.cpp
+++ b/packages/routing/tests/unit-pool-balancer.cpp
@@ -180,6 +180,18 @@
     CHECK(balancer->targets(clock.now()).front().isEligible);
 }
 
+TEST_CASE_METHOD(PoolBalancerFixture, "targets, of requests with hasty deadlines, keep their circuits closed")
+{
+    const auto isHasty = GENERATE(true, false);
+    for (int i = 0; i < 100; ++i) {
+        const auto admission = request();
+        clock.advance(1ms);
+        if (admission.kind == AdmissionKind::Admitted)
+            balancer->finished(admission.target, { CompletionKind::Lost, isHasty ? Duration(1ms) : Duration(2s), true }, clock.now());
+    }
+    CHECK((request().kind == AdmissionKind::Admitted) == isHasty);
+}
+
 TEST_CASE_METHOD(PoolBalancerFixture, "targets that all answer with errors, still receive requests")
 {
     for (int i = 0; i < 100; ++i) {
