Routing: ignore a load report that a later one overtook

Cause: an older report that arrived late put a target back to work that had said it is leaving (test "target leaving by its own word, with an older report that arrives late" fails without the check).

--- a/packages/routing/src/LoadView.h
+++ b/packages/routing/src/LoadView.h
@@ -9,6 +9,8 @@
 
 class LoadView {
 public:
+    /// @brief False for a report that was overtaken by a later one.
+    bool isNewer(const LoadReport& report, TimePoint now) const noexcept { return !m_hasReports || now - report.age >= m_measuredAt; }
     /// @param ownInFlight own requests in flight on the target, averaged over the last while
     void record(const LoadReport&, double ownInFlight, TimePoint now);
     /// @brief Ages the last report, at most once in refreshInterval.
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -82,6 +82,8 @@
 
 void TargetState::recordReport(const LoadReport& report, TimePoint now)
 {
+    if (!load.isNewer(report, now))
+        return;
     averageInFlight(now);
     saysItIsLeaving = report.isLeaving;
     load.record(report, m_averageInFlight, now);
--- a/packages/routing/tests/unit-pool-balancer.cpp
+++ b/packages/routing/tests/unit-pool-balancer.cpp
@@ -80,6 +80,16 @@
     CHECK(fill().count(a) == 0);
 }
 
+TEST_CASE_METHOD(PoolBalancerFixture, "target leaving by its own word, with an older report that arrives late, stays out")
+{
+    balancer->reportLoad(a, { .isLeaving = true }, clock.now());
+    clock.advance(100ms);
+    balancer->reportLoad(a, { .age = 200ms }, clock.now());
+    CHECK_FALSE(balancer->targets(clock.now()).front().isEligible);
+    balancer->reportLoad(a, {}, clock.now());
+    CHECK(balancer->targets(clock.now()).front().isEligible);
+}
+
 TEST_CASE_METHOD(PoolBalancerFixture, "balancer, with all targets leaving, refuses at once and refuses what waits")
 {
     fill();
