--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -29,7 +29,9 @@
 class TargetState {
 public:
     /// @param ceiling largest limit in flight; the limit stays there unless it adapts
-    TargetState(Target, unsigned ceiling, bool hasAdaptiveLimit);
+    TargetState(const Target&, unsigned ceiling, bool hasAdaptiveLimit);
+    /// @brief Takes over a target's configuration; what runs and what was learnt is kept.
+    void configure(const Target&, unsigned ceiling, const FailureDomain& own);
 
     /// @brief Why the target may receive no new work at all, or an empty text.
     std::string_view ineligibility() const noexcept;
@@ -42,34 +44,36 @@
     /// @brief Own requests that may be in flight now.
     unsigned allowedInFlight(TimePoint now) const noexcept;
     bool hasRoom(TimePoint now) const noexcept { return inFlight < allowedInFlight(now); }
-    /// @brief Expected requests on the target, those of other hosts included.
-    double expectedLoad(TimePoint now) const noexcept { return inFlight + load.others(now); }
     /// @brief Requests for each place of the target if one more came, at least 1.
-    double crowding(TimePoint now) const noexcept;
+    double crowding() const noexcept;
     /// @param bestServiceSeconds service time of the fastest target, which stands for one that is not known
     ExpectedDelay expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept;
 
     TargetView view(TimePoint now) const;
 
-    Target target;
-    /// Seed of the target's rendezvous scores.
-    std::uint64_t seed;
+    // The members that each pick reads come first.
     unsigned inFlight = 0;
+    bool isRemoved = false;
+    bool isDraining = false;
     bool isListedAsLeaving = false;
     bool saysItIsLeaving = false;
-    bool isRemoved = false;
     /// Whether it is in this host's own failure domain.
     bool isNear = true;
-    SpeedEstimate speed;
     ConcurrencyLimit limit;
     LoadView load;
     TargetHealth health;
+    SpeedEstimate speed;
+    /// Seed of the target's rendezvous scores.
+    std::uint64_t seed;
+    TargetId id;
 
 private:
     /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
     static constexpr double farFactor = 1.02;
 
     void averageInFlight(TimePoint now);
+    /// True if the request's own deadline was too short to judge the target by.
+    bool isHastyDeadline(const Completion&) const noexcept;
     /// Latency over service time without queueing.
     double slowdown() const noexcept;
 
@@ -82,7 +86,7 @@
 {
     if (isRemoved)
         return "removed";
-    if (target.draining)
+    if (isDraining)
         return "draining";
     if (isListedAsLeaving)
         return "leaving by host list";
@@ -103,9 +107,9 @@
 
 /// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
 /// expected before all places are taken.
-inline double TargetState::crowding(TimePoint now) const noexcept
+inline double TargetState::crowding() const noexcept
 {
-    const auto others = load.others(now);
+    const auto others = load.others();
     const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
     const auto excess = inFlight + others + 1 - places;
     const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
@@ -114,8 +118,8 @@
 
 inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
 {
-    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding(now) };
+    const auto service = speed.isKnown() ? speed.agedServiceSeconds(now) : bestServiceSeconds;
+    return { isNear ? service : service * farFactor, crowding() };
 }
 
 } // namespace cicadalb
