--- /dev/null
+++ b/packages/platform/src/ClaimLog.cpp
@@ -0,0 +1,210 @@
+#include "cicadalb/platform/ClaimLog.h"
+
+#include "cicadalb/base/Hash.h"
+#include "cicadalb/base/Random.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+#include <mutex>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /// Hexadecimal digits kept of the hash of a key.
+    constexpr std::size_t keyHashDigits = 32;
+    constexpr std::chrono::milliseconds smallestRetryAfter { 1000 };
+    constexpr std::chrono::milliseconds retryAfterSpread { 4000 };
+
+    using Strand = asio::strand<asio::any_io_executor>;
+
+    Task<void> sleepFor(Strand strand, std::chrono::milliseconds time)
+    {
+        asio::steady_timer timer(strand, time);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    /// A claim() that waits for its decision.
+    struct Waiter {
+        explicit Waiter(const Strand& strand)
+            : decided(strand, TimePoint::max())
+        {
+        }
+        asio::steady_timer decided;
+        std::optional<Result<ClaimDecision>> result;
+    };
+
+    struct Bucket {
+        explicit Bucket(ClaimBatcher theBatcher)
+            : batcher(std::move(theBatcher))
+        {
+        }
+        ClaimBatcher batcher;
+        std::map<ClaimTicket, std::shared_ptr<Waiter>> waiters;
+        bool isFlushing = false;
+        bool isFinishTimerRunning = false;
+    };
+
+} // namespace
+
+struct ClaimLog::State : std::enable_shared_from_this<State> {
+    State(asio::any_io_executor executor, KeyValueService& theService, const Clock& theClock, UnixClock theUnixClock, ClaimLogSettings theSettings)
+        : strand(asio::make_strand(std::move(executor)))
+        , service(theService)
+        , clock(theClock)
+        , unixClock(std::move(theUnixClock))
+        , settings(std::move(theSettings))
+        , random(placementHash(settings.writer))
+    {
+        for (std::size_t i = 0; i < settings.buckets; ++i)
+            buckets.emplace_back(ClaimBatcher(settings.keyPrefix + std::to_string(i), settings.writer, settings.claims));
+    }
+
+    std::size_t indexOf(const std::string& key) const { return placementHash(key) % settings.buckets; }
+
+    static Task<std::optional<Result<ClaimDecision>>> claim(std::shared_ptr<State> self, std::string key, std::string fingerprint)
+    {
+        self->count(&ClaimLogCounters::claims);
+        auto& bucket = self->buckets[self->indexOf(key)];
+        const auto ticket = bucket.batcher.claim(sha256Hex(key).substr(0, keyHashDigits), std::move(fingerprint), self->clock.now());
+        if (!ticket) {
+            self->count(&ClaimLogCounters::refused);
+            co_return Result<ClaimDecision>(ticket.as_failure());
+        }
+        auto waiter = std::make_shared<Waiter>(self->strand);
+        bucket.waiters.emplace(ticket.value(), waiter);
+        self->startFlush(bucket);
+        boost::system::error_code error;
+        while (!waiter->result)
+            co_await waiter->decided.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_return std::move(waiter->result);
+    }
+
+    void finish(const std::string& key, unsigned status)
+    {
+        auto& bucket = buckets[indexOf(key)];
+        bucket.batcher.finish(sha256Hex(key).substr(0, keyHashDigits), status, clock.now());
+        if (!bucket.isFinishTimerRunning) {
+            bucket.isFinishTimerRunning = true;
+            asio::co_spawn(strand, flushLater(shared_from_this(), bucket), asio::detached);
+        }
+    }
+
+    void startFlush(Bucket& bucket)
+    {
+        if (bucket.isFlushing)
+            return;
+        bucket.isFlushing = true;
+        asio::co_spawn(strand, flush(shared_from_this(), bucket), asio::detached);
+    }
+
+    static Task<void> flushLater(std::shared_ptr<State> self, Bucket& bucket)
+    {
+        co_await sleepFor(self->strand, self->settings.claims.finishDelay);
+        bucket.isFinishTimerRunning = false;
+        self->startFlush(bucket);
+    }
+
+    static Task<void> flush(std::shared_ptr<State> self, Bucket& bucket)
+    {
+        co_await sleepFor(self->strand, self->settings.groupInterval);
+        while (auto action = self->nextAction(bucket)) {
+            if (action->write) {
+                self->count(&ClaimLogCounters::writes);
+                const auto written = co_await self->service.compareAndSwap(std::move(*action->write));
+                bucket.batcher.onWrite(written, self->clock.now());
+                self->deliver(bucket);
+                co_await sleepFor(self->strand, self->settings.groupInterval);
+            } else {
+                self->count(&ClaimLogCounters::reads);
+                const auto entry = co_await self->service.read(bucket.batcher.bucketKey());
+                bucket.batcher.onRead(entry, self->clock.now());
+                self->deliver(bucket);
+            }
+        }
+        bucket.isFlushing = false;
+    }
+
+    std::optional<ClaimAction> nextAction(Bucket& bucket)
+    {
+        auto action = bucket.batcher.next(clock.now(), unixClock());
+        deliver(bucket);
+        return action;
+    }
+
+    void deliver(Bucket& bucket)
+    {
+        for (auto& resolution : bucket.batcher.takeResolutions()) {
+            const bool isFresh = resolution.result && resolution.result.value().kind == ClaimKind::Fresh;
+            if (isFresh)
+                count(&ClaimLogCounters::fresh);
+            if (!resolution.result)
+                count(&ClaimLogCounters::refused);
+            auto node = bucket.waiters.extract(resolution.ticket);
+            node.mapped()->result.emplace(std::move(resolution.result));
+            node.mapped()->decided.cancel();
+        }
+    }
+
+    void count(std::uint64_t ClaimLogCounters::*counter)
+    {
+        const std::lock_guard lock(mutex);
+        ++(counters.*counter);
+    }
+
+    Strand strand;
+    KeyValueService& service;
+    const Clock& clock;
+    UnixClock unixClock;
+    ClaimLogSettings settings;
+    std::deque<Bucket> buckets;
+    std::mutex mutex;
+    ClaimLogCounters counters;
+    Random random;
+};
+
+ClaimLog::ClaimLog(asio::any_io_executor executor, KeyValueService& service, const Clock& clock, UnixClock unixClock, ClaimLogSettings settings)
+    : m_state(std::make_shared<State>(std::move(executor), service, clock, std::move(unixClock), std::move(settings)))
+{
+}
+
+Task<Result<ClaimDecision>> ClaimLog::claim(std::string key, std::string fingerprint)
+{
+    auto task = State::claim(m_state, std::move(key), std::move(fingerprint));
+    auto result = co_await asio::co_spawn(m_state->strand, std::move(task), asio::use_awaitable);
+    co_return std::move(*result);
+}
+
+void ClaimLog::finish(const std::string& key, unsigned status)
+{
+    asio::post(m_state->strand, [state = m_state, key, status] { state->finish(key, status); });
+}
+
+std::string ClaimLog::bucketKeyOf(const std::string& key) const
+{
+    return m_state->settings.keyPrefix + std::to_string(m_state->indexOf(key));
+}
+
+std::chrono::milliseconds ClaimLog::retryAfter() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return smallestRetryAfter + std::chrono::milliseconds(randomIndex(m_state->random, retryAfterSpread.count()));
+}
+
+ClaimLogCounters ClaimLog::counters() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->counters;
+}
+
+} // namespace cicadalb
