--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -16,7 +16,7 @@
 
 void printRow(const std::string& name, double value, const std::string& unit)
 {
-    std::cout << name << ' ' << value << ' ' << unit << '\n';
+    std::cout << name << ' ' << value << ' ' << unit << std::endl;
 }
 
 double secondsOf(std::chrono::steady_clock::duration duration)
@@ -97,6 +97,46 @@
     printSettling(fleet, prefix + ".domain-back");
 }
 
+/// Processor time of one update: written into a datagram, read and applied.
+void measureUpdates(std::size_t members)
+{
+    std::vector<MembershipMessage> messages;
+    constexpr std::size_t updatesEach = 14;
+    for (std::size_t i = 0; i < members; ++i) {
+        if (i % updatesEach == 0) {
+            messages.emplace_back();
+            messages.back().kind = MembershipMessageKind::Gossip;
+            messages.back().sender = HostId("host-1");
+        }
+        MemberDetails details { FailureDomain("domain-1"), 1.0, "10.0.0.1", static_cast<std::uint16_t>(10000 + i), 7000, 7001 };
+        messages.back().updates.push_back(MemberUpdate { HostId("host-" + std::to_string(i)), 1000, MemberState::Alive, 0ms, details });
+    }
+    ManualClock clock;
+    Member self;
+    self.id = HostId("self");
+    Membership membership(self, MembershipSettings {}, 1);
+    membership.tick(clock.now());
+    std::vector<std::vector<std::uint8_t>> payloads;
+    const double encodeSeconds = timed([&] {
+        for (const auto& message : messages)
+            payloads.push_back(encode(message));
+    });
+    const auto apply = [&] {
+        for (const auto& payload : payloads)
+            membership.receive(MemberEndpoint { "10.0.0.1", 10001 }, payload, clock.now());
+    };
+    const double firstSeconds = timed(apply);
+    const double againSeconds = timed(apply);
+    const double microseconds = 1e6 / static_cast<double>(members);
+    std::size_t bytes = 0;
+    for (const auto& payload : payloads)
+        bytes += payload.size();
+    printRow("membership.update.encode", encodeSeconds * microseconds, "us");
+    printRow("membership.update.first-received", firstSeconds * microseconds, "us");
+    printRow("membership.update.received-again", againSeconds * microseconds, "us");
+    printRow("membership.update.size", static_cast<double>(bytes) / static_cast<double>(members), "B");
+}
+
 /// Regions that lose each other for a minute: how soon assignments settle apart and together.
 void measureSplit(std::size_t size, std::uint64_t seed)
 {
@@ -160,6 +200,7 @@
     app.add_option("--seed", seed, "seed of the random numbers");
     CLI11_PARSE(app, argc, argv);
     measureAssignment(1300, 12000);
+    measureUpdates(1300);
     for (const auto size : sizes) {
         measureMembership(size, seed);
         measureSplit(size, seed);
--- a/packages/platform/tests/unit-lease.cpp
+++ b/packages/platform/tests/unit-lease.cpp
@@ -151,6 +151,16 @@
     CHECK(*next->fencingNumber() > before);
 }
 
+TEST_CASE_METHOD(Candidates, "lease, less of it left than the longest action, allows only shorter ones")
+{
+    constexpr int stepsToHold = 4;
+    for (int i = 0; i < stepsToHold; ++i)
+        step(0);
+    advance(8000ms);
+    CHECK(!keepers[0]->mayAct(longestAction));
+    CHECK(keepers[0]->mayAct(1000ms));
+}
+
 TEST_CASE_METHOD(Candidates, "lease, the answer to its taking lost, is held after reading back")
 {
     service.faultOf = [](CallKind kind) { return kind == CallKind::Write ? CallFault::AnswerLost : CallFault::None; };
