--- a/packages/membership/src/MembershipMessage.cpp
+++ b/packages/membership/src/MembershipMessage.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace cicadalb {
 
 using nlohmann::json;
@@ -35,15 +37,20 @@
 
     json toJson(const MemberUpdate& update)
     {
-        json array = json::array({ update.id.value(), update.incarnation, static_cast<unsigned>(update.state), update.age.count() });
+        json::array_t array;
+        array.reserve(update.details ? longUpdateParts : shortUpdateParts);
+        array.emplace_back(update.id.value());
+        array.emplace_back(update.incarnation);
+        array.emplace_back(static_cast<unsigned>(update.state));
+        array.emplace_back(static_cast<std::uint64_t>(update.age.count()));
         if (update.details) {
             const auto& details = *update.details;
-            array.push_back(details.failureDomain.value());
-            array.push_back(details.weight);
-            array.push_back(details.address);
-            array.push_back(details.membershipPort);
-            array.push_back(details.peerPort);
-            array.push_back(details.adminPort);
+            array.emplace_back(details.failureDomain.value());
+            array.emplace_back(details.weight);
+            array.emplace_back(details.address);
+            array.emplace_back(details.membershipPort);
+            array.emplace_back(details.peerPort);
+            array.emplace_back(details.adminPort);
         }
         return array;
     }
@@ -57,114 +64,170 @@
         return nullptr;
     }
 
-    /// Reads the parts of one array in order; the first part of a wrong type makes all further reads fail.
-    class ArrayReader {
+    /// Fills a message from the events of the CBOR parser, without a tree between. Every event returns whether it was expected.
+    class MessageReader final : public nlohmann::json_sax<json> {
     public:
-        explicit ArrayReader(const json& array)
-            : m_array(array)
-            , m_isValid(array.is_array())
-        {
-        }
+        MembershipMessage message;
 
-        bool isValid() const { return m_isValid; }
+        bool isComplete() const { return m_depth == 0 && m_part == MessageParts; }
 
-        std::string text()
+        bool null() override { return m_depth == 1 && m_part++ == ExtraPart; }
+        bool boolean(bool) override { return false; }
+        bool number_integer(number_integer_t) override { return false; }
+        bool number_unsigned(number_unsigned_t value) override
+        {
+            if (m_depth == 1)
+                return headerNumber(value);
+            if (m_depth == 2 && m_part == ExtraPart)
+                return extraNumber(value);
+            return m_depth == 3 && updateNumber(value);
+        }
+        bool number_float(number_float_t value, const string_t&) override { return m_depth == 3 && weight(value); }
+        bool string(string_t& value) override
         {
-            const auto* part = next();
-            m_isValid = part && part->is_string();
-            return m_isValid ? part->get<std::string>() : std::string();
+            if (m_depth == 1)
+                return senderName(value);
+            if (m_depth == 2 && m_part == ExtraPart)
+                return pingAddress(value);
+            return m_depth == 3 && updateText(value);
         }
+        bool binary(binary_t&) override { return false; }
+        bool start_object(std::size_t) override { return false; }
+        bool key(string_t&) override { return false; }
+        bool end_object() override { return false; }
+        bool start_array(std::size_t) override
+        {
+            const bool isHeader = m_depth == 0 && m_part == 0;
+            const bool isPart = m_depth == 1 && (m_part == ExtraPart || m_part == UpdatesPart);
+            const bool isUpdate = m_depth == 2 && m_part == UpdatesPart;
+            if (isUpdate)
+                message.updates.emplace_back();
+            ++m_depth;
+            m_place = 0;
+            return isHeader || isPart || isUpdate;
+        }
+        bool end_array() override
+        {
+            const auto closed = m_depth--;
+            if (closed == 3)
+                return m_place == shortUpdateParts || m_place == longUpdateParts;
+            if (closed == 2)
+                return m_part++ == UpdatesPart || isExtraComplete();
+            return true;
+        }
+        bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
 
+    private:
         template <typename Number>
-        Number number()
+        static bool store(Number& number, std::uint64_t value)
         {
-            const auto* part = next();
-            m_isValid = part && (std::is_floating_point_v<Number> ? part->is_number() : part->is_number_unsigned());
-            return m_isValid ? part->get<Number>() : Number {};
+            number = static_cast<Number>(value);
+            return value <= std::numeric_limits<Number>::max();
         }
 
-        const json* part() { return next(); }
-
-    private:
-        const json* next()
+        bool headerNumber(std::uint64_t value)
         {
-            if (!m_isValid || m_position >= m_array.size()) {
-                m_isValid = false;
-                return nullptr;
+            switch (m_part++) {
+            case KindPart:
+                message.kind = static_cast<MembershipMessageKind>(value);
+                return value <= static_cast<unsigned>(MembershipMessageKind::SyncAnswer);
+            case IncarnationPart:
+                return store(message.senderIncarnation, value);
+            case ConfigurationPart:
+                return store(message.configuration, value);
+            case DigestPart:
+                return store(message.digest, value);
+            case SequencePart:
+                return store(message.sequence, value);
+            default:
+                return false;
             }
-            return &m_array[m_position++];
         }
 
-        const json& m_array;
-        std::size_t m_position = 0;
-        bool m_isValid;
-    };
+        bool senderName(std::string& value)
+        {
+            message.sender = HostId(std::move(value));
+            return m_part++ == SenderPart;
+        }
 
-    json parseCbor(std::span<const std::uint8_t> payload)
-    {
-        try {
-            return json::from_cbor(payload.begin(), payload.end(), true, false);
-        } catch (const json::out_of_range&) {
-            // Thrown for a length that exceeds every container, also where exceptions are off.
-            return json(json::value_t::discarded);
+        bool extraNumber(std::uint64_t value)
+        {
+            if (message.kind == MembershipMessageKind::PingRequest)
+                return m_place++ == 1 && store(message.pingPort, value);
+            message.bucketDigests.push_back(static_cast<std::uint32_t>(value));
+            return message.kind == MembershipMessageKind::SyncRequest && ++m_place <= digestBuckets;
         }
-    }
 
-    std::optional<MemberUpdate> updateFrom(const json& array)
-    {
-        ArrayReader reader(array);
-        MemberUpdate update;
-        update.id = HostId(reader.text());
-        update.incarnation = reader.number<Incarnation>();
-        const auto state = reader.number<unsigned>();
-        update.age = std::chrono::milliseconds(reader.number<std::uint32_t>());
-        if (!reader.isValid() || update.id.isEmpty() || state > static_cast<unsigned>(MemberState::Left))
-            return std::nullopt;
-        update.state = static_cast<MemberState>(state);
-        if (array.size() < longUpdateParts)
-            return update;
-        MemberDetails details;
-        details.failureDomain = FailureDomain(reader.text());
-        details.weight = reader.number<double>();
-        details.address = reader.text();
-        details.membershipPort = reader.number<std::uint16_t>();
-        details.peerPort = reader.number<std::uint16_t>();
-        details.adminPort = reader.number<std::uint16_t>();
-        if (!reader.isValid() || details.weight < 0)
-            return std::nullopt;
-        update.details = std::move(details);
-        return update;
-    }
+        bool pingAddress(std::string& value)
+        {
+            message.pingAddress = std::move(value);
+            return message.kind == MembershipMessageKind::PingRequest && m_place++ == 0;
+        }
 
-    bool readExtra(MembershipMessage& message, const json& extra)
-    {
-        ArrayReader reader(extra);
-        if (message.kind == MembershipMessageKind::PingRequest) {
-            message.pingAddress = reader.text();
-            message.pingPort = reader.number<std::uint16_t>();
-            return reader.isValid();
+        bool isExtraComplete() const
+        {
+            constexpr std::size_t pingParts = 2;
+            return m_place == (message.kind == MembershipMessageKind::PingRequest ? pingParts : digestBuckets);
         }
-        if (message.kind == MembershipMessageKind::SyncRequest) {
-            for (std::size_t i = 0; i < digestBuckets; ++i)
-                message.bucketDigests.push_back(reader.number<std::uint32_t>());
-            return reader.isValid();
+
+        bool updateNumber(std::uint64_t value)
+        {
+            auto& update = message.updates.back();
+            switch (m_place++) {
+            case 1:
+                return store(update.incarnation, value);
+            case 2:
+                update.state = static_cast<MemberState>(value);
+                return value <= static_cast<unsigned>(MemberState::Left);
+            case 3:
+                update.age = std::chrono::milliseconds(static_cast<std::uint32_t>(value));
+                return value <= std::numeric_limits<std::uint32_t>::max();
+            case 5:
+                update.details->weight = static_cast<double>(value);
+                return true;
+            case 7:
+                return store(update.details->membershipPort, value);
+            case 8:
+                return store(update.details->peerPort, value);
+            case 9:
+                return store(update.details->adminPort, value);
+            default:
+                return false;
+            }
         }
-        return true;
-    }
 
-    bool readUpdates(MembershipMessage& message, const json& updates)
-    {
-        if (!updates.is_array())
-            return false;
-        message.updates.reserve(updates.size());
-        for (const auto& element : updates) {
-            auto update = updateFrom(element);
-            if (!update)
+        bool weight(double value)
+        {
+            constexpr std::size_t weightPlace = 5;
+            if (m_place++ != weightPlace)
                 return false;
-            message.updates.push_back(std::move(*update));
+            message.updates.back().details->weight = value;
+            return value >= 0;
         }
-        return true;
-    }
+
+        bool updateText(std::string& value)
+        {
+            auto& update = message.updates.back();
+            switch (m_place++) {
+            case 0:
+                update.id = HostId(std::move(value));
+                return !update.id.isEmpty();
+            case 4:
+                update.details.emplace().failureDomain = FailureDomain(std::move(value));
+                return true;
+            case 6:
+                update.details->address = std::move(value);
+                return true;
+            default:
+                return false;
+            }
+        }
+
+        std::size_t m_depth = 0;
+        std::size_t m_part = 0;
+        /// Place in the innermost array.
+        std::size_t m_place = 0;
+    };
 
 } // namespace
 
@@ -181,7 +244,8 @@
 
 std::vector<std::uint8_t> encode(const MembershipMessage& message)
 {
-    json updates = json::array();
+    json::array_t updates;
+    updates.reserve(message.updates.size());
     for (const auto& update : message.updates)
         updates.push_back(toJson(update));
     json array = json::array({ static_cast<unsigned>(message.kind), message.sender.value(), message.senderIncarnation,
@@ -191,23 +255,11 @@
 
 Result<MembershipMessage> decodeMembershipMessage(std::span<const std::uint8_t> payload)
 {
-    const auto array = parseCbor(payload);
-    if (!array.is_array() || array.size() != MessageParts)
-        return failure(ErrorCode::DatagramInvalid, "not an array of the known size");
-    ArrayReader reader(array);
-    MembershipMessage message;
-    const auto kind = reader.number<unsigned>();
-    message.sender = HostId(reader.text());
-    message.senderIncarnation = reader.number<Incarnation>();
-    message.configuration = reader.number<ConfigurationNumber>();
-    message.digest = reader.number<std::uint32_t>();
-    message.sequence = reader.number<std::uint64_t>();
-    if (!reader.isValid() || kind > static_cast<unsigned>(MembershipMessageKind::SyncAnswer))
-        return failure(ErrorCode::DatagramInvalid, "a part of the header is invalid");
-    message.kind = static_cast<MembershipMessageKind>(kind);
-    if (!readExtra(message, array[ExtraPart]) || !readUpdates(message, array[UpdatesPart]))
-        return failure(ErrorCode::DatagramInvalid, "a part of the body is invalid", message.sender.value());
-    return message;
+    MessageReader reader;
+    const bool isRead = json::sax_parse(payload.begin(), payload.end(), &reader, json::input_format_t::cbor);
+    if (!isRead || !reader.isComplete())
+        return failure(ErrorCode::DatagramInvalid, "not a message of the known form", reader.message.sender.value());
+    return std::move(reader.message);
 }
 
 } // namespace cicadalb
--- a/packages/membership/tests/unit-membership.cpp
+++ b/packages/membership/tests/unit-membership.cpp
@@ -240,7 +240,26 @@
 {
     CHECK(rc::check("decode", [](const std::vector<std::uint8_t>& payload) {
         const auto decoded = decodeMembershipMessage(payload);
-        RC_ASSERT(decoded || decoded.error().code == ErrorCode::DatagramInvalid);
+        const bool isReadOrRefused = decoded || decoded.error().code == ErrorCode::DatagramInvalid;
+        RC_ASSERT(isReadOrRefused);
+    }));
+}
+
+TEST_CASE("membership message, one byte changed or cut off, is read or refused")
+{
+    MembershipMessage message;
+    message.kind = MembershipMessageKind::SyncRequest;
+    message.sender = HostId("a");
+    message.bucketDigests.assign(digestBuckets, 70000);
+    message.updates.push_back(MemberUpdate { HostId("c"), 5, MemberState::Alive, 0ms, MemberDetails { FailureDomain("d"), 0.5, "10.0.0.3", 1, 2, 3 } });
+    const auto whole = encode(message);
+    CHECK(rc::check("changed", [&] {
+        auto payload = whole;
+        payload.at(*rc::gen::inRange<std::size_t>(0, whole.size())) = *rc::gen::arbitrary<std::uint8_t>();
+        payload.resize(*rc::gen::element(whole.size(), *rc::gen::inRange<std::size_t>(0, whole.size())));
+        const auto decoded = decodeMembershipMessage(payload);
+        const bool isReadOrRefused = decoded || decoded.error().code == ErrorCode::DatagramInvalid;
+        RC_ASSERT(isReadOrRefused);
     }));
 }
 
