--- /dev/null
+++ b/packages/routing/src/PickStrategy.cpp
@@ -0,0 +1,197 @@
+#include "PickStrategy.h"
+
+#include "cicadalb/base/EnumTable.h"
+#include "cicadalb/base/Hash.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr auto policyNames = std::to_array<EnumName<PickPolicy>>({
+        { PickPolicy::LeastDelay, "least-delay" },
+        { PickPolicy::TwoChoices, "two-choices" },
+        { PickPolicy::LeastInFlight, "least-in-flight" },
+        { PickPolicy::RoundRobin, "round-robin" },
+        { PickPolicy::UniformRandom, "random" },
+    });
+
+    /// A target with the wanted affinity may be so many times slower than the best one.
+    constexpr double affinityPatience = 2;
+
+    std::size_t randomCandidate(const PickContext& context)
+    {
+        return context.candidates[randomIndex(context.random, context.candidates.size())];
+    }
+
+    std::optional<std::size_t> pickRandom(const PickContext& context)
+    {
+        return randomCandidate(context);
+    }
+
+    std::optional<std::size_t> pickRoundRobin(const PickContext& context)
+    {
+        return context.candidates[context.turn % context.candidates.size()];
+    }
+
+    std::optional<std::size_t> pickTwoChoices(const PickContext& context)
+    {
+        const auto first = randomCandidate(context);
+        const auto second = randomCandidate(context);
+        return context.targets[first].inFlight <= context.targets[second].inFlight ? first : second;
+    }
+
+    std::optional<std::size_t> pickLeastInFlight(const PickContext& context)
+    {
+        // Starts at a random candidate, so that equal ones share the work.
+        const auto size = context.candidates.size();
+        const auto start = randomIndex(context.random, size);
+        auto best = context.candidates[start];
+        for (std::size_t i = 1; i < size; ++i) {
+            const auto index = context.candidates[(start + i) % size];
+            if (context.targets[index].inFlight < context.targets[best].inFlight)
+                best = index;
+        }
+        return best;
+    }
+
+    /// The two targets that an affinity hash prefers, by rendezvous.
+    struct AffineTargets {
+        std::size_t first = 0;
+        std::size_t second = 0;
+        std::uint64_t firstScore = 0;
+        std::uint64_t secondScore = 0;
+
+        void offer(std::size_t index, std::uint64_t score)
+        {
+            if (score > firstScore) {
+                second = std::exchange(first, index);
+                secondScore = std::exchange(firstScore, score);
+            } else if (score > secondScore) {
+                second = index;
+                secondScore = score;
+            }
+        }
+    };
+
+    AffineTargets affineTargets(const PickContext& context)
+    {
+        AffineTargets targets;
+        const auto affinity = *context.demand.affinity;
+        for (const auto* indexes : { &context.candidates, &context.full }) {
+            for (const auto index : *indexes)
+                targets.offer(index, placementHash({ reinterpret_cast<const char*>(&affinity), sizeof affinity }, context.targets[index].seed));
+        }
+        return targets;
+    }
+
+    /// Delays of the targets, as pickLeastDelay compares them. Costs are marginal delays: the delay that one more request causes to all.
+    struct DelayScan {
+        double bestService = 0;
+        std::optional<std::size_t> best;
+        double bestCost = std::numeric_limits<double>::infinity();
+        /// Least delay of the targets without room, and what it would be without crowding.
+        double fullDelay = std::numeric_limits<double>::infinity();
+        double fullService = 0;
+    };
+
+    DelayScan scanDelays(const PickContext& context)
+    {
+        DelayScan scan;
+        scan.bestService = bestServiceSeconds(context.targets, context.candidates);
+        scan.bestService = bestServiceSeconds(context.targets, context.full, scan.bestService);
+        const auto size = context.candidates.size();
+        const auto start = randomIndex(context.random, size);
+        for (std::size_t i = 0; i < size; ++i) {
+            const auto index = context.candidates[start + i < size ? start + i : start + i - size];
+            const auto cost = context.targets[index].expectedDelay(scan.bestService, context.now).cost();
+            if (cost < scan.bestCost) {
+                scan.bestCost = cost;
+                scan.best = index;
+            }
+        }
+        for (const auto index : context.full) {
+            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            if (delay.total() < scan.fullDelay) {
+                scan.fullDelay = delay.total();
+                scan.fullService = delay.serviceSeconds;
+            }
+        }
+        return scan;
+    }
+
+    std::optional<std::size_t> pickAffine(const PickContext& context, const DelayScan& scan)
+    {
+        const auto secondsLeft = std::chrono::duration<double>(context.demand.deadline - context.now).count();
+        const auto affine = affineTargets(context);
+        for (const auto index : { affine.first, affine.second }) {
+            if (std::find(context.candidates.begin(), context.candidates.end(), index) == context.candidates.end())
+                continue;
+            const auto delay = context.targets[index].expectedDelay(scan.bestService, context.now);
+            if (delay.cost() <= affinityPatience * scan.bestCost && delay.total() <= secondsLeft)
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    /// Marginal delay if the request waits for a faster target without room.
+    double costOfWaiting(const PickContext& context, const DelayScan& scan)
+    {
+        double freedPerSecond = 0;
+        for (const auto index : context.full) {
+            const auto& target = context.targets[index];
+            if (!target.speed.isKnown())
+                continue;
+            if (target.expectedDelay(scan.bestService, context.now).cost() < scan.bestCost)
+                freedPerSecond += target.inFlight / target.speed.latencySeconds();
+        }
+        const auto total = scan.fullDelay + static_cast<double>(context.waiting + 1) / freedPerSecond;
+        return total * total / scan.fullService;
+    }
+
+    std::optional<std::size_t> pickLeastDelay(const PickContext& context)
+    {
+        const auto scan = scanDelays(context);
+        if (context.demand.affinity) {
+            if (const auto affine = pickAffine(context, scan))
+                return affine;
+        }
+        if (scan.fullDelay < scan.bestCost && costOfWaiting(context, scan) < scan.bestCost)
+            return std::nullopt;
+        return scan.best;
+    }
+
+    constexpr std::array<PickStrategy, 5> strategies = { {
+        { PickPolicy::LeastDelay, pickLeastDelay, true },
+        { PickPolicy::TwoChoices, pickTwoChoices, false },
+        { PickPolicy::LeastInFlight, pickLeastInFlight, false },
+        { PickPolicy::RoundRobin, pickRoundRobin, false },
+        { PickPolicy::UniformRandom, pickRandom, false },
+    } };
+
+} // namespace
+
+std::string_view name(PickPolicy policy) noexcept
+{
+    return nameIn(policyNames, policy);
+}
+
+const PickStrategy& pickStrategy(PickPolicy policy)
+{
+    return *std::find_if(strategies.begin(), strategies.end(), [policy](const auto& row) { return row.policy == policy; });
+}
+
+double bestServiceSeconds(const std::vector<TargetState>& targets, const std::vector<std::size_t>& indexes, double best)
+{
+    for (const auto index : indexes) {
+        const auto& speed = targets[index].speed;
+        if (speed.isKnown() && (best == 0 || speed.serviceSeconds() < best))
+            best = speed.serviceSeconds();
+    }
+    return best;
+}
+
+} // namespace cicadalb
