Claim log: first claim at once, later ones gather for 200 ms; short entries; benchmark of claims

Before: each flush waited 20 ms and then wrote as often as the answers came, so 64 busy buckets asked for up to 3,200 writes a second of a service that takes several hundred.

--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -1,8 +1,12 @@
+#include "cicadalb/base/Hash.h"
 #include "cicadalb/membership/FakeFleet.h"
+#include "cicadalb/platform/ClaimBatcher.h"
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -189,6 +193,119 @@
     printRow(prefix + ".moved-by-one-host", static_cast<double>(moved), "targets");
 }
 
+/// Buckets of claims, one claim host for each bucket, against a service that takes a bounded number of writes a second.
+class ClaimLoad {
+public:
+    ClaimLoad(std::size_t buckets, std::chrono::milliseconds groupInterval)
+        : m_groupInterval(groupInterval)
+    {
+        for (std::size_t i = 0; i < buckets; ++i)
+            m_buckets.push_back(Bucket { ClaimBatcher("bucket", "0123456789ab", ClaimSettings {}), {}, {}, 0, {}, {}, {} });
+    }
+
+    /// @brief Offers @p claimsPerSecond for @p time and prints what it cost.
+    void run(double claimsPerSecond, std::chrono::seconds time)
+    {
+        constexpr std::chrono::milliseconds step { 1 };
+        double owed = 0;
+        for (auto passed = std::chrono::milliseconds(0); passed < time; passed += step) {
+            m_clock.advance(step);
+            for (owed += claimsPerSecond * secondsOf(step); owed >= 1; owed -= 1)
+                offer();
+            for (auto& bucket : m_buckets)
+                advance(bucket);
+        }
+        const std::string name = "claims." + std::to_string(static_cast<int>(claimsPerSecond)) + "-offered";
+        std::sort(m_latencies.begin(), m_latencies.end());
+        printRow(name + ".claims", static_cast<double>(m_latencies.size()) / secondsOf(time), "1/s");
+        printRow(name + ".writes", static_cast<double>(m_writes) / secondsOf(time), "1/s");
+        printRow(name + ".writes-a-claim", static_cast<double>(m_writes) / static_cast<double>(m_latencies.size()), "writes");
+        printRow(name + ".latency-p50", m_latencies[m_latencies.size() / 2], "ms");
+        printRow(name + ".latency-p99", m_latencies[m_latencies.size() * 99 / 100], "ms");
+        printRow(name + ".written", static_cast<double>(m_bytesWritten) / secondsOf(time), "B/s");
+    }
+
+private:
+    static constexpr std::chrono::milliseconds roundTrip { 5 };
+
+    struct Bucket {
+        ClaimBatcher batcher;
+        std::optional<ClaimAction> open;
+        std::string value;
+        Revision revision = 0;
+        TimePoint answerAt;
+        TimePoint nextWriteAt;
+        std::map<ClaimTicket, TimePoint> since;
+    };
+
+    void offer()
+    {
+        auto& bucket = m_buckets[randomIndex(m_random, m_buckets.size())];
+        const auto key = sha256Hex(std::to_string(++m_keys));
+        const auto ticket = bucket.batcher.claim(key.substr(0, 32), key.substr(32, 16), m_clock.now());
+        if (ticket)
+            bucket.since.emplace(ticket.value(), m_clock.now());
+    }
+
+    void advance(Bucket& bucket)
+    {
+        if (bucket.open && m_clock.now() >= bucket.answerAt)
+            answer(bucket);
+        if (!bucket.open && m_clock.now() >= bucket.nextWriteAt)
+            bucket.open = bucket.batcher.next(m_clock.now(), 1000000000);
+        else
+            return;
+        bucket.answerAt = m_clock.now() + roundTrip;
+        if (bucket.open && bucket.open->write)
+            bucket.nextWriteAt = m_clock.now() + m_groupInterval;
+    }
+
+    void answer(Bucket& bucket)
+    {
+        auto action = *std::exchange(bucket.open, std::nullopt);
+        if (action.write) {
+            ++m_writes;
+            m_bytesWritten += action.write->value.size();
+            bucket.value = std::move(action.write->value);
+            bucket.batcher.onWrite(Result<Revision>(++bucket.revision), m_clock.now());
+        } else {
+            bucket.batcher.onRead(Result<std::optional<KeyValueEntry>>(std::optional<KeyValueEntry>()), m_clock.now());
+        }
+        for (const auto& resolution : bucket.batcher.takeResolutions())
+            m_latencies.push_back(1000.0 * secondsOf(m_clock.now() - bucket.since.at(resolution.ticket)));
+    }
+
+    ManualClock m_clock;
+    Random m_random { 1 };
+    std::chrono::milliseconds m_groupInterval;
+    std::vector<Bucket> m_buckets;
+    std::vector<double> m_latencies;
+    std::uint64_t m_keys = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_bytesWritten = 0;
+};
+
+void measureClaims()
+{
+    constexpr std::size_t buckets = 64;
+    constexpr std::chrono::milliseconds groupInterval { 200 };
+    constexpr std::chrono::seconds time { 10 };
+    for (const double offered : { 10.0, 100.0, 1000.0, 3000.0 })
+        ClaimLoad(buckets, groupInterval).run(offered, time);
+    ClaimBucket bucket;
+    constexpr std::size_t entries = 9000;
+    for (std::size_t i = 0; i < entries; ++i) {
+        const auto key = sha256Hex(std::to_string(i));
+        bucket.insert(key.substr(0, 32), ClaimEntry { key.substr(32, 16), "0123456789ab-" + std::to_string(i), 1700000000, 200U });
+    }
+    std::string text;
+    const double seconds = timed([&] { text = bucket.toJson(); });
+    const double readSeconds = timed([&] { (void)ClaimBucket::fromJson(text); });
+    printRow("claims.entry", static_cast<double>(text.size()) / static_cast<double>(entries), "B");
+    printRow("claims.bucket-of-9000.write", 1000.0 * seconds, "ms");
+    printRow("claims.bucket-of-9000.read", 1000.0 * readSeconds, "ms");
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -201,6 +318,7 @@
     CLI11_PARSE(app, argc, argv);
     measureAssignment(1300, 12000);
     measureUpdates(1300);
+    measureClaims();
     for (const auto size : sizes) {
         measureMembership(size, seed);
         measureSplit(size, seed);
--- a/packages/platform/include/cicadalb/platform/ClaimLog.h
+++ b/packages/platform/include/cicadalb/platform/ClaimLog.h
@@ -18,8 +18,8 @@
     std::size_t buckets = 64;
     /// Text that no other life of any host uses, such as host id and incarnation.
     std::string writer;
-    /// Time between two writes of one bucket, in which claims gather.
-    std::chrono::milliseconds groupInterval { 20 };
+    /// Smallest time between two writes of one bucket, in which claims gather. Buckets divided by it bound the writes of the fleet.
+    std::chrono::milliseconds groupInterval { 200 };
     ClaimSettings claims;
 };
 
--- a/packages/platform/src/ClaimLog.cpp
+++ b/packages/platform/src/ClaimLog.cpp
@@ -20,13 +20,17 @@
 
 namespace {
 
-    /// Hexadecimal digits kept of the hash of a key.
+    /// Hexadecimal digits kept of the hashes of a key, a body and a writer: short entries let a bucket hold more of them.
     constexpr std::size_t keyHashDigits = 32;
+    constexpr std::size_t fingerprintDigits = 16;
+    constexpr std::size_t writerDigits = 12;
     constexpr std::chrono::milliseconds smallestRetryAfter { 1000 };
     constexpr std::chrono::milliseconds retryAfterSpread { 4000 };
 
     using Strand = asio::strand<asio::any_io_executor>;
 
+    std::string shortHash(const std::string& text, std::size_t digits) { return sha256Hex(text).substr(0, digits); }
+
     Task<void> sleepFor(Strand strand, std::chrono::milliseconds time)
     {
         asio::steady_timer timer(strand, time);
@@ -51,6 +55,7 @@
         }
         ClaimBatcher batcher;
         std::map<ClaimTicket, std::shared_ptr<Waiter>> waiters;
+        TimePoint nextWriteAt;
         bool isFlushing = false;
         bool isFinishTimerRunning = false;
     };
@@ -67,7 +72,7 @@
         , random(placementHash(settings.writer))
     {
         for (std::size_t i = 0; i < settings.buckets; ++i)
-            buckets.emplace_back(ClaimBatcher(settings.keyPrefix + std::to_string(i), settings.writer, settings.claims));
+            buckets.emplace_back(ClaimBatcher(settings.keyPrefix + std::to_string(i), shortHash(settings.writer, writerDigits), settings.claims));
     }
 
     std::size_t indexOf(const std::string& key) const { return placementHash(key) % settings.buckets; }
@@ -76,7 +81,7 @@
     {
         self->count(&ClaimLogCounters::claims);
         auto& bucket = self->buckets[self->indexOf(key)];
-        const auto ticket = bucket.batcher.claim(sha256Hex(key).substr(0, keyHashDigits), std::move(fingerprint), self->clock.now());
+        const auto ticket = bucket.batcher.claim(shortHash(key, keyHashDigits), shortHash(fingerprint, fingerprintDigits), self->clock.now());
         if (!ticket) {
             self->count(&ClaimLogCounters::refused);
             co_return Result<ClaimDecision>(ticket.as_failure());
@@ -93,7 +98,7 @@
     void finish(const std::string& key, unsigned status)
     {
         auto& bucket = buckets[indexOf(key)];
-        bucket.batcher.finish(sha256Hex(key).substr(0, keyHashDigits), status, clock.now());
+        bucket.batcher.finish(shortHash(key, keyHashDigits), status, clock.now());
         if (!bucket.isFinishTimerRunning) {
             bucket.isFinishTimerRunning = true;
             asio::co_spawn(strand, flushLater(shared_from_this(), bucket), asio::detached);
@@ -117,24 +122,38 @@
 
     static Task<void> flush(std::shared_ptr<State> self, Bucket& bucket)
     {
-        co_await sleepFor(self->strand, self->settings.groupInterval);
-        while (auto action = self->nextAction(bucket)) {
-            if (action->write) {
-                self->count(&ClaimLogCounters::writes);
-                const auto written = co_await self->service.compareAndSwap(std::move(*action->write));
-                bucket.batcher.onWrite(written, self->clock.now());
-                self->deliver(bucket);
-                co_await sleepFor(self->strand, self->settings.groupInterval);
-            } else {
-                self->count(&ClaimLogCounters::reads);
-                const auto entry = co_await self->service.read(bucket.batcher.bucketKey());
-                bucket.batcher.onRead(entry, self->clock.now());
-                self->deliver(bucket);
-            }
+        while (true) {
+            // The first claim after a while goes out at once; those that follow gather until the next write.
+            const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(bucket.nextWriteAt - self->clock.now());
+            if (wait > std::chrono::milliseconds::zero())
+                co_await sleepFor(self->strand, wait);
+            auto action = self->nextAction(bucket);
+            if (!action)
+                break;
+            if (action->write)
+                co_await write(self, bucket, std::move(*action->write));
+            else
+                co_await read(self, bucket);
+            self->deliver(bucket);
         }
         bucket.isFlushing = false;
     }
 
+    static Task<void> write(std::shared_ptr<State> self, Bucket& bucket, CompareAndSwap swap)
+    {
+        self->count(&ClaimLogCounters::writes);
+        bucket.nextWriteAt = self->clock.now() + self->settings.groupInterval;
+        const auto written = co_await self->service.compareAndSwap(std::move(swap));
+        bucket.batcher.onWrite(written, self->clock.now());
+    }
+
+    static Task<void> read(std::shared_ptr<State> self, Bucket& bucket)
+    {
+        self->count(&ClaimLogCounters::reads);
+        const auto entry = co_await self->service.read(bucket.batcher.bucketKey());
+        bucket.batcher.onRead(entry, self->clock.now());
+    }
+
     std::optional<ClaimAction> nextAction(Bucket& bucket)
     {
         auto action = bucket.batcher.next(clock.now(), unixClock());
