--- a/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
+++ b/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
@@ -159,7 +159,8 @@
     std::optional<std::vector<TargetId>> enginesTooOld(const SampleState&, const EngineObservations&, TimePoint now) const;
     Duration freshnessPatience() const;
     WeightVersion oldestAllowed() const noexcept;
-    bool hasBudgetFor(double tokens) const;
+    /// Tokens that second runs may still cost.
+    double duplicationBudget() const;
     double medianTokens() const;
     bool isBehind(TimePoint now) const;
     void abandon(Attempt&, AttemptId, DiscardCause);
@@ -172,6 +173,7 @@
     void learnReceived(const StepCursor&);
     void keep(const Attempt&, const Generation&, TimePoint now);
     void fail(const Attempt&, DiscardCause, TimePoint now);
+    void backOff(const Attempt&, TimePoint now);
     bool isWaiting(SampleIndex, TimePoint now) const;
     bool wouldBeStale(WeightVersion oldest) const noexcept { return isStale(oldest, m_weightVersion, m_spec.stalenessBound); }
 
--- a/packages/rollout/src/StepCoordinator.cpp
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -33,6 +33,12 @@
         return number < latest && latest - number < numbersOfOneLife;
     }
 
+    /// No engine took the attempt.
+    bool isNotRun(ErrorCode code)
+    {
+        return code == ErrorCode::NoTargetAvailable || code == ErrorCode::Overloaded || code == ErrorCode::NotSent;
+    }
+
     bool isLabelled(const Generation& generation)
     {
         return !generation.versions.empty()
@@ -154,15 +160,15 @@
     return m_lengths.empty() ? firstLengthShare * m_spec.maximumTokens : m_lengths[m_lengths.size() / 2];
 }
 
-bool StepCoordinator::hasBudgetFor(double tokens) const
+double StepCoordinator::duplicationBudget() const
 {
-    double spent = static_cast<double>(m_tokensDuplicated) + tokens;
+    double spent = static_cast<double>(m_tokensDuplicated);
     double total = static_cast<double>(m_tokensKept);
     for (const auto& [id, attempt] : m_attempts) {
         spent += attempt.reservedTokens;
         total += attempt.tokens;
     }
-    return spent <= m_options.duplicatedShare * total;
+    return m_options.duplicatedShare * total - spent;
 }
 
 std::optional<Dispatch> StepCoordinator::nextSecondRun(const EngineObservations& engines, TimePoint now)
@@ -170,12 +176,15 @@
     const LengthEstimate lengths { medianTokens(), m_spec.maximumTokens };
     const Attempt* best = nullptr;
     SecondRunEstimate bestEstimate;
+    const auto budget = duplicationBudget();
+    if (budget <= 0)
+        return std::nullopt;
     for (const auto& [id, attempt] : m_attempts) {
         if (attempt.abandoned || attempt.engine.isEmpty() || m_samples[attempt.position].running != 1)
             continue;
         const auto estimate = estimateSecondRun({ attempt.tokens, now - attempt.startedAt, now - attempt.lastProgress }, lengths, engines.bestSpeed(attempt.engine));
         const bool isBetter = !best || estimate.remainingSeconds > bestEstimate.remainingSeconds;
-        if (estimate.isWorthwhile && isBetter && hasBudgetFor(estimate.duplicatedTokens)) {
+        if (estimate.isWorthwhile && isBetter && estimate.duplicatedTokens <= budget) {
             best = &attempt;
             bestEstimate = estimate;
         }
@@ -239,6 +248,8 @@
         return discard(DiscardCause::Superseded, attempt.tokens);
     if (attempt.abandoned)
         return discard(*attempt.abandoned, attempt.tokens);
+    if (!result && isNotRun(result.error().code))
+        return backOff(attempt, now);
     if (!result)
         return fail(attempt, DiscardCause::Failed, now);
     if (!isLabelled(result.value()))
@@ -277,6 +288,11 @@
 void StepCoordinator::fail(const Attempt& attempt, DiscardCause cause, TimePoint now)
 {
     discard(cause, attempt.tokens);
+    backOff(attempt, now);
+}
+
+void StepCoordinator::backOff(const Attempt& attempt, TimePoint now)
+{
     auto& sample = m_samples[attempt.position];
     const auto doublings = std::min(sample.failures, maximumBackoffDoublings);
     const auto backoff = m_options.retryBackoff * (std::int64_t { 1 } << doublings);
