Second runs only for samples that make the step late; freshness from the first sample on

Cause: second runs went to every running sample of the tail, wherever a faster engine was free, and their tokens were spent on samples that did not decide the step; a new step knew no run time, so that the staleness weight changed nothing.

--- a/benchmarks/bench_steps.cpp
+++ b/benchmarks/bench_steps.cpp
@@ -68,6 +68,7 @@
     double stalenessP95 = 0;
     double stalenessMax = 0;
     double duplicatedShare = 0;
+    double discardedShare = 0;
     double steps = 0;
     double samples = 0;
     double batches = 0;
@@ -162,6 +163,7 @@
     void submitNext(TrainerState& trainer)
     {
         StepSpec spec { { trainer.name, ++trainer.step }, {}, maximumTokens };
+        spec.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(m_scenario.trainingTime);
         spec.stalenessBound = m_scenario.stalenessBound;
         for (unsigned group = 0; group < m_scenario.groups; ++group)
             spec.groups.push_back({ trainer.name.value() + "/" + std::to_string(trainer.step) + "/" + std::to_string(group), "", samplesPerGroup });
@@ -272,7 +274,7 @@
             }
             const auto generating = engine.running[i];
             engine.running.erase(engine.running.begin() + static_cast<std::ptrdiff_t>(i));
-            m_observations.recordSpeed(engine.id, generating.tokens / Seconds(m_clock.now() - generating.admittedAt).count());
+            m_observations.recordRun(engine.id, static_cast<unsigned>(generating.tokens), m_clock.now() - generating.admittedAt);
             finish(engine, generating, Generation { "", static_cast<unsigned>(generating.tokens), generating.versions }, CompletionKind::Succeeded);
         }
     }
@@ -323,6 +325,7 @@
         const auto progress = trainer.coordinator->progress(m_clock.now());
         m_keptTokens += static_cast<double>(progress.tokensKept);
         m_duplicatedTokens += static_cast<double>(progress.tokensDuplicated);
+        m_discardedTokens += static_cast<double>(progress.tokensDiscarded);
         m_secondRuns += static_cast<double>(progress.secondRuns);
         if (trainer.step > 1) {
             m_idle += Seconds(trainer.idle).count();
@@ -482,6 +485,7 @@
             figures.stalenessMax = m_staleness.back();
         }
         figures.duplicatedShare = (m_duplicatedTokens + m_lostTokens) / std::max(1.0, m_keptTokens);
+        figures.discardedShare = (m_discardedTokens + m_lostTokens) / std::max(1.0, m_keptTokens);
         figures.steps = m_steps;
         figures.samples = static_cast<double>(m_staleness.size());
         figures.batches = m_batches;
@@ -511,6 +515,7 @@
     double m_cycles = 0;
     double m_keptTokens = 0;
     double m_duplicatedTokens = 0;
+    double m_discardedTokens = 0;
     double m_lostTokens = 0;
     double m_steps = 0;
     double m_batches = 0;
@@ -542,6 +547,7 @@
     print("staleness-p95", &Figures::stalenessP95, 1, "versions");
     print("staleness-max", &Figures::stalenessMax, 1, "versions");
     print("duplicated", &Figures::duplicatedShare, 100, "percent");
+    print("discarded", &Figures::discardedShare, 100, "percent");
     print("second-runs", &Figures::secondRuns, 1, "runs/step");
     print("steps", &Figures::steps, 1, "steps");
     std::fflush(stdout);
@@ -597,7 +603,7 @@
         measure(freezing, variant, seeds, "freeze");
     if (!isCurve)
         return 0;
-    for (const double weight : { 0.0, 0.25, 0.5, 0.75, 0.9, 1.0 })
+    for (const double weight : { 0.0, 0.1, 0.25, 0.5, 0.75, 1.0 })
         measure({}, { "weight-" + std::to_string(weight).substr(0, 4), PickPolicy::LeastDelay, duplicatedShare, weight }, seeds, "curve");
     return 0;
 }
--- a/packages/rollout/include/cicadalb/rollout/EngineObservations.h
+++ b/packages/rollout/include/cicadalb/rollout/EngineObservations.h
@@ -19,8 +19,8 @@
     void recordChunk(const TargetId&, WeightVersion version, TimePoint now);
     /// @brief An engine's own report, which lags: a younger chunk takes precedence.
     void recordReport(const TargetId&, WeightVersion version, TimePoint now);
-    /// @brief A generation ran at @p tokensPerSecond.
-    void recordSpeed(const TargetId&, double tokensPerSecond);
+    /// @brief A generation of @p tokens ran for @p elapsed.
+    void recordRun(const TargetId&, unsigned tokens, Duration elapsed);
 
     /// @brief Engines known to hold weights older than @p oldest.
     std::vector<TargetId> enginesOlderThan(WeightVersion oldest, TimePoint now) const;
@@ -30,6 +30,8 @@
     std::vector<TargetId> enginesSlowerThan(double tokensPerSecond) const;
     /// @brief Speed of the fastest engine other than @p except, or 0 if none is known.
     double bestSpeed(const TargetId& except) const;
+    /// @brief Moving average of the generations' run times; zero if none has ended.
+    Duration typicalRun() const noexcept { return m_typicalRun; }
 
 private:
     struct Engine {
@@ -43,6 +45,7 @@
     bool isKnownOlder(const Engine&, WeightVersion oldest, TimePoint now) const;
 
     std::map<TargetId, Engine> m_engines;
+    Duration m_typicalRun {};
 };
 
 } // namespace cicadalb
--- a/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
+++ b/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
@@ -30,6 +30,8 @@
     Stale,
     /// Cancelled while it ran, since it could only become stale.
     BecomingStale,
+    /// Within the bound, but cheap enough to run again with the trainer's weights, since the trainer weighs staleness.
+    Outdated,
     /// The engine left tokens without a version.
     Unlabelled,
     /// The engine or the connection failed.
@@ -38,7 +40,7 @@
     Superseded,
 };
 
-inline constexpr std::size_t discardCauseCount = 5;
+inline constexpr std::size_t discardCauseCount = 6;
 
 /// @brief Name of @p cause in kebab case, as in metrics and the state dump.
 std::string_view name(DiscardCause cause) noexcept;
@@ -52,7 +54,8 @@
     std::chrono::milliseconds maximumRetryBackoff { 5000 };
     /// A step waits so long for its first pull, which tells what the trainer has and its weight version.
     std::chrono::milliseconds firstPullGrace { 1000 };
-    /// 0 weighs idle time alone, 1 staleness alone: how long a sample waits for an engine with the trainer's weights.
+    /// 0 weighs idle time alone, 1 staleness alone: how long a sample waits for an engine with the trainer's weights, and
+    /// how long a run may be that is started again when its engine gets them.
     double stalenessWeight = 0.5;
     /// Largest share of tokens spent on second runs; 0 switches them off.
     double duplicatedShare = 0.04;
@@ -149,6 +152,8 @@
         TimePoint lastProgress {};
         /// Expected tokens of the losing run while a second run goes on.
         double reservedTokens = 0;
+        /// When a second run is expected to end; not set for a first run.
+        std::optional<TimePoint> expectedEnd;
         /// Versions seen in chunks so far.
         std::set<WeightVersion> versions;
         /// Set once the attempt is of no more use.
@@ -158,11 +163,13 @@
     Dispatch makeDispatch(SampleIndex, TimePoint now);
     std::optional<std::vector<TargetId>> enginesTooOld(const SampleState&, const EngineObservations&, TimePoint now) const;
     Duration freshnessPatience() const;
+    double pairsEndSeconds(TimePoint now) const;
     WeightVersion oldestAllowed() const noexcept;
     /// Tokens that second runs may still cost.
     double duplicationBudget() const;
     double medianTokens() const;
     bool isBehind(TimePoint now) const;
+    bool isWorthRenewing(const Attempt&, TimePoint now) const;
     void abandon(Attempt&, AttemptId, DiscardCause);
     void abandonOthers(SampleIndex);
     void abandonStale();
@@ -171,7 +178,7 @@
     void discardStaleReady(TimePoint now);
     /// Takes the cursor's word on what the trainer has, also if that is less than an earlier life of it had.
     void learnReceived(const StepCursor&);
-    void keep(const Attempt&, const Generation&, TimePoint now);
+    void keep(const Attempt&, const Generation&);
     void fail(const Attempt&, DiscardCause, TimePoint now);
     void backOff(const Attempt&, TimePoint now);
     bool isWaiting(SampleIndex, TimePoint now) const;
@@ -197,10 +204,9 @@
     std::size_t m_tokensDuplicated = 0;
     std::size_t m_secondRuns = 0;
     bool m_wasPulled = false;
+    Duration m_typicalRun {};
     /// Lengths of kept generations, sorted.
     std::vector<unsigned> m_lengths;
-    /// Sum of the kept generations' run times.
-    Duration m_keptRunTime {};
 };
 
 } // namespace cicadalb
--- a/packages/rollout/src/EngineObservations.cpp
+++ b/packages/rollout/src/EngineObservations.cpp
@@ -12,6 +12,8 @@
     constexpr Duration versionLifetime = 10s;
     /// Weight of the latest speed in the moving average.
     constexpr double speedGain = 0.2;
+    /// Weight of the latest run time in the moving average over all engines.
+    constexpr double runGain = 0.02;
 
 } // namespace
 
@@ -33,10 +35,15 @@
     engine.isFromChunk = false;
 }
 
-void EngineObservations::recordSpeed(const TargetId& id, double tokensPerSecond)
+void EngineObservations::recordRun(const TargetId& id, unsigned tokens, Duration elapsed)
 {
+    if (tokens == 0 || elapsed <= Duration::zero())
+        return;
+    const auto latest = tokens / std::chrono::duration<double>(elapsed).count();
     auto& speed = m_engines[id].tokensPerSecond;
-    speed = speed == 0 ? tokensPerSecond : speed + speedGain * (tokensPerSecond - speed);
+    speed = speed == 0 ? latest : speed + speedGain * (latest - speed);
+    const auto change = std::chrono::duration_cast<Duration>(runGain * (elapsed - m_typicalRun));
+    m_typicalRun = m_typicalRun == Duration::zero() ? elapsed : m_typicalRun + change;
 }
 
 bool EngineObservations::isKnownOlder(const Engine& engine, WeightVersion oldest, TimePoint now) const
--- a/packages/rollout/src/StepCoordinator.cpp
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -12,11 +12,20 @@
     constexpr auto causeNames = std::to_array<EnumName<DiscardCause>>({
         { DiscardCause::Stale, "stale" },
         { DiscardCause::BecomingStale, "becoming-stale" },
+        { DiscardCause::Outdated, "outdated" },
         { DiscardCause::Unlabelled, "unlabelled" },
         { DiscardCause::Failed, "failed" },
         { DiscardCause::Superseded, "superseded" },
     });
 
+    using Seconds = std::chrono::duration<double>;
+
+    /// Longest time lost for fresh weights, in typical runs.
+    constexpr double longestPatience = 4;
+
+    /// A generation may take so many times as long as expected before its step is held to be late.
+    constexpr double slackFactor = 1.5;
+
     /// Part of the deadline after which samples that still wait go to any engine, cached prefix or not.
     constexpr double behindShare = 0.5;
     /// Expected part of the maximum length before any generation has ended.
@@ -118,13 +127,9 @@
 /// The time that a sample may lose for weights as new as the trainer's: the longer, the more the trainer weighs staleness.
 Duration StepCoordinator::freshnessPatience() const
 {
-    if (m_options.stalenessWeight >= 1)
-        return Duration::max();
-    if (m_lengths.empty())
-        return Duration::zero();
-    const auto typicalRun = m_keptRunTime / static_cast<Duration::rep>(m_lengths.size());
-    const auto factor = m_options.stalenessWeight / (1 - m_options.stalenessWeight);
-    return std::chrono::duration_cast<Duration>(factor * typicalRun);
+    const auto weight = m_options.stalenessWeight;
+    const auto factor = weight < 1 ? std::min(weight / (1 - weight), longestPatience) : longestPatience;
+    return std::chrono::duration_cast<Duration>(factor * m_typicalRun);
 }
 
 /// Engines whose weights are too old for the sample, or nothing if it had better wait for another.
@@ -140,6 +145,7 @@
 std::vector<Dispatch> StepCoordinator::nextDispatches(std::size_t capacity, const EngineObservations& engines, TimePoint now)
 {
     std::vector<Dispatch> dispatches;
+    m_typicalRun = engines.typicalRun();
     if (!m_wasPulled && now - m_submittedAt < m_options.firstPullGrace)
         return dispatches;
     for (SampleIndex position = 0; position < m_samples.size() && dispatches.size() < capacity; ++position) {
@@ -171,11 +177,24 @@
     return m_options.duplicatedShare * total - spent;
 }
 
+/// Expected time until every sample that has a second run is there.
+double StepCoordinator::pairsEndSeconds(TimePoint now) const
+{
+    double end = 0;
+    for (const auto& [id, attempt] : m_attempts) {
+        if (attempt.expectedEnd)
+            end = std::max(end, Seconds(*attempt.expectedEnd - now).count());
+    }
+    return end;
+}
+
 std::optional<Dispatch> StepCoordinator::nextSecondRun(const EngineObservations& engines, TimePoint now)
 {
     const LengthEstimate lengths { medianTokens(), m_spec.maximumTokens };
     const Attempt* best = nullptr;
     SecondRunEstimate bestEstimate;
+    const auto untilDeadline = Seconds(deadline() - now).count();
+    const auto pairsEnd = pairsEndSeconds(now);
     const auto budget = duplicationBudget();
     if (budget <= 0)
         return std::nullopt;
@@ -183,6 +202,10 @@
         if (attempt.abandoned || attempt.engine.isEmpty() || m_samples[attempt.position].running != 1)
             continue;
         const auto estimate = estimateSecondRun({ attempt.tokens, now - attempt.startedAt, now - attempt.lastProgress }, lengths, engines.bestSpeed(attempt.engine));
+        const bool isLate = slackFactor * estimate.remainingSeconds > untilDeadline;
+        const bool isDeciding = estimate.remainingSeconds > pairsEnd;
+        if (!isLate || !isDeciding)
+            continue;
         const bool isBetter = !best || estimate.remainingSeconds > bestEstimate.remainingSeconds;
         if (estimate.isWorthwhile && isBetter && estimate.duplicatedTokens <= budget) {
             best = &attempt;
@@ -194,6 +217,7 @@
     const auto firstEngine = best->engine;
     auto dispatch = makeDispatch(best->position, now);
     m_attempts.at(dispatch.attempt).reservedTokens = bestEstimate.duplicatedTokens;
+    m_attempts.at(dispatch.attempt).expectedEnd = now + std::chrono::duration_cast<Duration>(Seconds(bestEstimate.secondRunSeconds));
     ++m_secondRuns;
     const auto slow = engines.enginesSlowerThan(bestEstimate.neededSpeed);
     const auto old = engines.enginesOlderThan(oldestAllowed(), now);
@@ -230,9 +254,19 @@
         attempt.versions.insert(progress.version);
     if (!attempt.versions.empty() && wouldBeStale(*attempt.versions.begin()))
         attempt.abandoned = DiscardCause::BecomingStale;
+    else if (isWorthRenewing(attempt, now))
+        attempt.abandoned = DiscardCause::Outdated;
     return !attempt.abandoned;
 }
 
+/// A run that began with older weights, on an engine that now has the trainer's.
+bool StepCoordinator::isWorthRenewing(const Attempt& attempt, TimePoint now) const
+{
+    if (attempt.versions.empty() || *attempt.versions.begin() >= m_weightVersion || *attempt.versions.rbegin() < m_weightVersion)
+        return false;
+    return now - attempt.startedAt < freshnessPatience();
+}
+
 void StepCoordinator::onResult(AttemptId id, const Result<Generation>& result, TimePoint now)
 {
     const auto found = m_attempts.find(id);
@@ -254,7 +288,7 @@
         return fail(attempt, DiscardCause::Failed, now);
     if (!isLabelled(result.value()))
         return fail(attempt, DiscardCause::Unlabelled, now);
-    keep(attempt, result.value(), now);
+    keep(attempt, result.value());
 }
 
 void StepCoordinator::release(const Attempt& attempt, TimePoint now)
@@ -265,7 +299,7 @@
         sample.waitingSince = now;
 }
 
-void StepCoordinator::keep(const Attempt& attempt, const Generation& generation, TimePoint now)
+void StepCoordinator::keep(const Attempt& attempt, const Generation& generation)
 {
     auto versions = attempt.versions;
     versions.insert(generation.versions.begin(), generation.versions.end());
@@ -281,7 +315,6 @@
     m_samples[attempt.position].ready = std::move(sample);
     m_tokensKept += generation.tokens;
     m_lengths.insert(std::upper_bound(m_lengths.begin(), m_lengths.end(), generation.tokens), generation.tokens);
-    m_keptRunTime += now - attempt.startedAt;
     abandonOthers(attempt.position);
 }
 
--- a/packages/rollout/src/StepService.cpp
+++ b/packages/rollout/src/StepService.cpp
@@ -124,7 +124,7 @@
     void hasHandle(const StepKey&, AttemptId, std::shared_ptr<GenerationHandle>);
     void progressed(const StepKey&, AttemptId, const GenerationProgress&);
     void observe(const PoolName&, const TargetId&, const GenerationProgress&);
-    void observeSpeed(const PoolName&, const TargetId&, unsigned tokens, Duration);
+    void observeRun(const PoolName&, const TargetId&, unsigned tokens, Duration);
     void finished(const StepKey&, const PoolName&, AttemptId, const Result<Generation>&);
     void dropAbandoned();
     void freeSlot(const PoolName&, const TrainerName&);
@@ -327,7 +327,7 @@
     };
     auto result = co_await m_engines.generate(target, std::move(dispatch.request), begin + m_options.attemptTimeout, std::move(onStart), std::move(onProgress));
     if (result)
-        observeSpeed(pool, target, result.value().tokens, m_clock.now() - begin);
+        observeRun(pool, target, result.value().tokens, m_clock.now() - begin);
     m_selector.release(pool, target, { completionKind(result), m_clock.now() - begin });
     co_return result;
 }
@@ -346,12 +346,10 @@
     m_observations[pool].recordReport(engine, version, m_clock.now());
 }
 
-void StepService::Implementation::observeSpeed(const PoolName& pool, const TargetId& engine, unsigned tokens, Duration elapsed)
+void StepService::Implementation::observeRun(const PoolName& pool, const TargetId& engine, unsigned tokens, Duration elapsed)
 {
-    if (tokens == 0 || elapsed <= Duration::zero())
-        return;
     const std::lock_guard lock(m_enginesMutex);
-    m_observations[pool].recordSpeed(engine, tokens / std::chrono::duration<double>(elapsed).count());
+    m_observations[pool].recordRun(engine, tokens, elapsed);
 }
 
 void StepService::Implementation::started(const StepKey& key, AttemptId attempt, const TargetId& target)
--- a/packages/rollout/tests/unit-stragglers.cpp
+++ b/packages/rollout/tests/unit-stragglers.cpp
@@ -11,8 +11,8 @@
 struct StragglerFixture {
     StragglerFixture()
     {
-        engines.recordSpeed(TargetId("fast"), 30);
-        engines.recordSpeed(TargetId("slow"), 10);
+        engines.recordRun(TargetId("fast"), 30, seconds(1));
+        engines.recordRun(TargetId("slow"), 10, seconds(1));
         pull();
         const auto dispatches = coordinator.nextDispatches(30, engines, clock.now());
         for (const auto& dispatch : dispatches)
@@ -27,7 +27,7 @@
 
     ManualClock clock;
     EngineObservations engines;
-    StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 30 } }, 1000 };
+    StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 30 } }, 1000, 1, seconds(8) };
     StepCoordinator coordinator { spec, {}, clock.now() };
     StepCursor cursor { 4, 100, SampleBitmap(30), 7 };
 };
@@ -48,6 +48,22 @@
     CHECK(coordinator.progress(clock.now()).tokensDuplicated == 40);
 }
 
+TEST_CASE_METHOD(StragglerFixture, "straggler, expected long before the deadline, gets no second run")
+{
+    spec.deadline = seconds(100);
+    StepCoordinator relaxed(spec, {}, clock.now());
+    CHECK(relaxed.pull(cursor, 64, clock.now()));
+    const auto dispatches = relaxed.nextDispatches(30, engines, clock.now());
+    relaxed.onStarted(30, TargetId("slow"), clock.now());
+    for (AttemptId attempt = 1; attempt < 30; ++attempt)
+        relaxed.onResult(attempt, Generation { "text", 100, { 7 } }, clock.now());
+    clock.advance(seconds(4));
+    relaxed.onProgress(30, { 40, 7 }, clock.now());
+    CHECK_FALSE(relaxed.nextSecondRun(engines, clock.now()));
+    clock.advance(seconds(84));
+    CHECK(relaxed.nextSecondRun(engines, clock.now()));
+}
+
 TEST_CASE_METHOD(StragglerFixture, "straggler, beyond the budget of duplicated tokens, gets no second run")
 {
     clock.advance(seconds(16));
@@ -58,8 +74,8 @@
 TEST_CASE_METHOD(StragglerFixture, "straggler, whose engine is frozen, gets a second run on any other engine")
 {
     EngineObservations equal;
-    equal.recordSpeed(TargetId("fast"), 10);
-    equal.recordSpeed(TargetId("slow"), 10);
+    equal.recordRun(TargetId("fast"), 10, seconds(1));
+    equal.recordRun(TargetId("slow"), 10, seconds(1));
     CHECK_FALSE(coordinator.nextSecondRun(equal, clock.now()));
     clock.advance(seconds(4));
     CHECK(coordinator.nextSecondRun(equal, clock.now()));
@@ -79,10 +95,33 @@
     CHECK(engines.mayHold(6, clock.now()));
 }
 
+TEST_CASE("short run, that crossed a weight swap, is started again for a trainer that weighs staleness")
+{
+    ManualClock clock;
+    EngineObservations engines;
+    engines.recordRun(TargetId("e1"), 100, seconds(10));
+    const auto isKeptWith = [&](double weight, Duration elapsed) {
+        StepOptions options;
+        options.stalenessWeight = weight;
+        StepCoordinator coordinator({ { TrainerName("drafts"), 4 }, { { "a", "", 1 } } }, options, clock.now());
+        CHECK(coordinator.pull({ 4, 100, SampleBitmap(1), 7 }, 1, clock.now()));
+        const auto attempt = coordinator.nextDispatches(1, engines, clock.now()).at(0).attempt;
+        coordinator.onStarted(attempt, TargetId("e1"), clock.now());
+        CHECK(coordinator.onProgress(attempt, { 5, 6 }, clock.now()));
+        clock.advance(elapsed);
+        return coordinator.onProgress(attempt, { 9, 7 }, clock.now());
+    };
+    CHECK(isKeptWith(0, seconds(1)));
+    CHECK_FALSE(isKeptWith(0.5, seconds(9)));
+    CHECK(isKeptWith(0.5, seconds(11)));
+    CHECK(isKeptWith(1, seconds(41)));
+}
+
 TEST_CASE("sample, of a trainer that weighs staleness, waits for an engine with fresh weights, else takes one within the bound")
 {
     ManualClock clock;
     EngineObservations engines;
+    engines.recordRun(TargetId("old"), 100, seconds(10));
     engines.recordChunk(TargetId("old"), 6, clock.now());
     const StepSpec spec { { TrainerName("drafts"), 4 }, { { "a", "", 2 } } };
     const StepCursor cursor { 4, 100, SampleBitmap(2), 7 };
