--- a/testing/plainservice/main.cpp
+++ b/testing/plainservice/main.cpp
@@ -177,7 +177,7 @@
                 assignIfPresent(words, fault.name, m_faults.*fault.count);
             assignIfPresent(words, "leaving", m_faults.isLeaving);
             assignIfPresent(words, "service-ms", m_options.serviceMilliseconds);
-            assignIfPresent(words, "speed", m_options.speed);
+            assignIfPresent(words, "speed-factor", m_options.speed);
             m_changed.notifyAll();
         }
 
@@ -209,7 +209,7 @@
     Options options;
     Arguments arguments("Stand-in for a plain service");
     arguments.option("--service-ms", options.serviceMilliseconds, "Median service time");
-    arguments.option("--speed", options.speed, "Factor that shortens the service time");
+    arguments.option("--speed-factor", options.speed, "Factor that shortens the service time");
     arguments.option("--slots", options.slots, "Requests that run at once");
     arguments.option("--seed", options.seed, "Seed of the service times");
     arguments.parse(count, words);
