Freshness costs no time once a step is behind; second runs earlier

Cause: short runs were started again and samples waited for fresh weights even when the step could no longer make its deadline; and second runs began only when the expected end, not a likely long one, passed the deadline.

--- a/benchmarks/bench_steps.cpp
+++ b/benchmarks/bench_steps.cpp
@@ -585,16 +585,20 @@
     app.add_flag("!--no-curve", isCurve, "Leave out the curve over the staleness weight");
     app.add_option("--duplicated-share", duplicatedShare, "Budget of duplicated tokens")->check(CLI::Range(0.0, 1.0));
     app.add_option("--staleness-weight", stalenessWeight, "Weight of staleness against idle time")->check(CLI::Range(0.0, 1.0));
+    std::string only;
+    app.add_option("--only", only, "One variant: random, least-in-flight or cicadalb");
     CLI11_PARSE(app, argc, argv);
     if (isDelivery) {
         measureDelivery();
         return 0;
     }
-    const std::vector<Variant> variants {
+    std::vector<Variant> variants {
         { "random", PickPolicy::UniformRandom },
         { "least-in-flight", PickPolicy::LeastInFlight },
         { "cicadalb", PickPolicy::LeastDelay, duplicatedShare, stalenessWeight },
     };
+    if (!only.empty())
+        std::erase_if(variants, [&only](const auto& variant) { return variant.name != only; });
     for (const auto& variant : variants)
         measure({}, variant, seeds, "steps");
     Scenario freezing;
--- a/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
+++ b/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
@@ -162,7 +162,7 @@
 
     Dispatch makeDispatch(SampleIndex, TimePoint now);
     std::optional<std::vector<TargetId>> enginesTooOld(const SampleState&, const EngineObservations&, TimePoint now) const;
-    Duration freshnessPatience() const;
+    Duration freshnessPatience(TimePoint now) const;
     double pairsEndSeconds(TimePoint now) const;
     WeightVersion oldestAllowed() const noexcept;
     /// Tokens that second runs may still cost.
--- a/packages/rollout/src/StepCoordinator.cpp
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -24,7 +24,7 @@
     constexpr double longestPatience = 4;
 
     /// A generation may take so many times as long as expected before its step is held to be late.
-    constexpr double slackFactor = 1.5;
+    constexpr double slackFactor = 2.5;
 
     /// Part of the deadline after which samples that still wait go to any engine, cached prefix or not.
     constexpr double behindShare = 0.5;
@@ -125,9 +125,11 @@
 }
 
 /// The time that a sample may lose for weights as new as the trainer's: the longer, the more the trainer weighs staleness.
-Duration StepCoordinator::freshnessPatience() const
+Duration StepCoordinator::freshnessPatience(TimePoint now) const
 {
     const auto weight = m_options.stalenessWeight;
+    if (weight < 1 && isBehind(now))
+        return Duration::zero();
     const auto factor = weight < 1 ? std::min(weight / (1 - weight), longestPatience) : longestPatience;
     return std::chrono::duration_cast<Duration>(factor * m_typicalRun);
 }
@@ -135,7 +137,7 @@
 /// Engines whose weights are too old for the sample, or nothing if it had better wait for another.
 std::optional<std::vector<TargetId>> StepCoordinator::enginesTooOld(const SampleState& sample, const EngineObservations& engines, TimePoint now) const
 {
-    const bool isPatient = now - sample.waitingSince < freshnessPatience();
+    const bool isPatient = now - sample.waitingSince < freshnessPatience(now);
     const auto oldest = isPatient ? m_weightVersion : oldestAllowed();
     if (!engines.mayHold(oldest, now))
         return std::nullopt;
@@ -264,7 +266,7 @@
 {
     if (attempt.versions.empty() || *attempt.versions.begin() >= m_weightVersion || *attempt.versions.rbegin() < m_weightVersion)
         return false;
-    return now - attempt.startedAt < freshnessPatience();
+    return now - attempt.startedAt < freshnessPatience(now);
 }
 
 void StepCoordinator::onResult(AttemptId id, const Result<Generation>& result, TimePoint now)
