--- a/packages/platform/include/cicadalb/platform/ClaimBatcher.h
+++ b/packages/platform/include/cicadalb/platform/ClaimBatcher.h
@@ -37,6 +37,8 @@
     ClaimKind kind = ClaimKind::Known;
     /// Known: status of the answer; empty if it may or may not have run.
     std::optional<unsigned> status;
+    /// Fresh: the claim's mark, to release it.
+    std::string mark;
 };
 
 using ClaimTicket = std::uint64_t;
@@ -64,6 +66,9 @@
     /// @brief Notes the status of an answer; it goes out with the next write.
     void finish(std::string keyHash, unsigned status, TimePoint now);
 
+    /// @brief Gives back a fresh claim whose request is known not to have run; the key may be claimed again.
+    void release(std::string keyHash, std::string mark, TimePoint now);
+
     /// @brief The next call to make, if one is due and none is open.
     std::optional<ClaimAction> next(TimePoint now, std::int64_t unixSeconds);
     /// @brief Takes in the answer of the open read.
@@ -94,6 +99,8 @@
         std::string keyHash;
         unsigned status = 0;
         TimePoint since;
+        /// Set if the claim with this mark is given back.
+        std::string releasedMark;
     };
 
     std::optional<ClaimAction> writeAction(std::int64_t unixSeconds);
@@ -114,7 +121,7 @@
     Revision m_revision = 0;
     ClaimBucket m_written;
     std::size_t m_finishesWritten = 0;
-    /// Marks of claims that were given up and may still appear in the service: nobody dispatched under them.
+    /// Marks of claims that were given up or released and may still appear in the service: nothing ran under them.
     std::set<std::string> m_abandoned;
     bool m_isCallOpen = false;
     ClaimTicket m_lastTicket = 0;
--- a/packages/platform/include/cicadalb/platform/ClaimBucket.h
+++ b/packages/platform/include/cicadalb/platform/ClaimBucket.h
@@ -37,6 +37,8 @@
     void insert(std::string keyHash, ClaimEntry);
     /// @brief Notes the status of an answer. @return whether that changed anything
     bool finish(const std::string& keyHash, unsigned status);
+    /// @brief Removes the claim of a key if it carries @p mark.
+    void release(const std::string& keyHash, const std::string& mark);
     /// @brief Drops claims from before @p oldest (seconds since the epoch). Complexity: linear.
     void dropBefore(std::int64_t oldest);
     std::size_t size() const noexcept { return m_entries.size(); }
--- a/packages/platform/include/cicadalb/platform/ClaimLog.h
+++ b/packages/platform/include/cicadalb/platform/ClaimLog.h
@@ -47,6 +47,9 @@
     /// @brief Notes the status of the answer to a fresh claim; recorded with the next write of the bucket.
     void finish(const std::string& key, unsigned status);
 
+    /// @brief Gives back a fresh claim whose request is known not to have run. @p mark is the decision's.
+    void release(const std::string& key, const std::string& mark);
+
     /// @brief Key in the service of the bucket of @p key; assign it to a host to gather the claims of a bucket there.
     std::string bucketKeyOf(const std::string& key) const;
     /// @brief Time to come back after a refusal, different for each call.
--- a/packages/platform/src/ClaimBatcher.cpp
+++ b/packages/platform/src/ClaimBatcher.cpp
@@ -30,7 +30,14 @@
 
 void ClaimBatcher::finish(std::string keyHash, unsigned status, TimePoint now)
 {
-    m_finishes.push_back(Finish { std::move(keyHash), status, now });
+    m_finishes.push_back(Finish { std::move(keyHash), status, now, {} });
+}
+
+void ClaimBatcher::release(std::string keyHash, std::string mark, TimePoint now)
+{
+    if (m_abandoned.size() < maximumAbandoned)
+        m_abandoned.insert(mark);
+    m_finishes.push_back(Finish { std::move(keyHash), 0, now, std::move(mark) });
 }
 
 std::optional<ClaimAction> ClaimBatcher::next(TimePoint now, std::int64_t unixSeconds)
@@ -52,8 +59,12 @@
 {
     m_written = *m_bucket;
     m_written.dropBefore(unixSeconds - m_settings.retention.count());
-    for (const auto& finish : m_finishes)
-        m_written.finish(finish.keyHash, finish.status);
+    for (const auto& finish : m_finishes) {
+        if (finish.releasedMark.empty())
+            m_written.finish(finish.keyHash, finish.status);
+        else
+            m_written.release(finish.keyHash, finish.releasedMark);
+    }
     m_finishesWritten = m_finishes.size();
     std::set<std::string> added;
     for (const auto& waiting : m_waiting) {
@@ -135,10 +146,10 @@
     // A claim that is decided after a long pause may have lapsed and been made again by another host.
     const bool isTimely = now - waiting.since < m_settings.retention / 2;
     if (entry->mark == waiting.mark && isTimely)
-        return ClaimDecision { ClaimKind::Fresh, {} };
+        return ClaimDecision { ClaimKind::Fresh, {}, waiting.mark };
     if (entry->fingerprint != waiting.fingerprint)
-        return ClaimDecision { ClaimKind::BodyDiffers, {} };
-    return ClaimDecision { ClaimKind::Known, entry->status };
+        return ClaimDecision { ClaimKind::BodyDiffers, {}, {} };
+    return ClaimDecision { ClaimKind::Known, entry->status, {} };
 }
 
 void ClaimBatcher::failAll(const Error& error)
@@ -158,7 +169,8 @@
 
 bool ClaimBatcher::isFinishDue(TimePoint now) const
 {
-    return !m_finishes.empty() && now - m_finishes.front().since >= m_settings.finishDelay;
+    const bool hasRelease = std::any_of(m_finishes.begin(), m_finishes.end(), [](const auto& finish) { return !finish.releasedMark.empty(); });
+    return hasRelease || (!m_finishes.empty() && now - m_finishes.front().since >= m_settings.finishDelay);
 }
 
 } // namespace cicadalb
--- a/packages/platform/src/ClaimBucket.cpp
+++ b/packages/platform/src/ClaimBucket.cpp
@@ -78,6 +78,13 @@
     return true;
 }
 
+void ClaimBucket::release(const std::string& keyHash, const std::string& mark)
+{
+    const auto found = m_entries.find(keyHash);
+    if (found != m_entries.end() && found->second.mark == mark)
+        m_entries.erase(found);
+}
+
 void ClaimBucket::dropBefore(std::int64_t oldest)
 {
     std::erase_if(m_entries, [oldest](const auto& row) { return row.second.claimedAt < oldest; });
--- a/packages/platform/src/ClaimLog.cpp
+++ b/packages/platform/src/ClaimLog.cpp
@@ -105,6 +105,13 @@
         }
     }
 
+    void release(const std::string& key, const std::string& mark)
+    {
+        auto& bucket = buckets[indexOf(key)];
+        bucket.batcher.release(shortHash(key, keyHashDigits), mark, clock.now());
+        startFlush(bucket);
+    }
+
     void startFlush(Bucket& bucket)
     {
         if (bucket.isFlushing)
@@ -209,6 +216,11 @@
     asio::post(m_state->strand, [state = m_state, key, status] { state->finish(key, status); });
 }
 
+void ClaimLog::release(const std::string& key, const std::string& mark)
+{
+    asio::post(m_state->strand, [state = m_state, key, mark] { state->release(key, mark); });
+}
+
 std::string ClaimLog::bucketKeyOf(const std::string& key) const
 {
     return m_state->settings.keyPrefix + std::to_string(m_state->indexOf(key));
--- a/packages/platform/tests/unit-claims.cpp
+++ b/packages/platform/tests/unit-claims.cpp
@@ -256,6 +256,31 @@
     CHECK(fleet.decide(1, "key", "body").status == 200U);
 }
 
+TEST_CASE("claims, released since nothing ran, may be claimed anew on any host and by another body")
+{
+    Fleet fleet(2);
+    const auto fresh = fleet.decide(0, "key", "body");
+    auto& batcher = *fleet.writers[0].batcher;
+    batcher.release("key", fresh.mark, fleet.now);
+    const auto action = batcher.next(fleet.now, unixNow);
+    REQUIRE(action);
+    REQUIRE(action->write);
+    batcher.onWrite(fleet.store.apply(*action->write), fleet.now);
+    CHECK(fleet.decide(1, "key", "other").kind == ClaimKind::Fresh);
+    CHECK(fleet.decide(0, "key", "other").kind == ClaimKind::Known);
+}
+
+TEST_CASE("claims, released after another host claimed anew, leave that claim in force")
+{
+    Fleet fleet(2);
+    const auto fresh = fleet.decide(0, "key", "body");
+    fleet.writers[0].batcher->release("key", fresh.mark, fleet.now);
+    CHECK(fleet.decide(0, "key", "body").kind == ClaimKind::Fresh);
+    fleet.writers[0].batcher->release("key", fresh.mark, fleet.now);
+    fleet.decide(0, "unrelated", "body");
+    CHECK(fleet.decide(1, "key", "body").kind == ClaimKind::Known);
+}
+
 TEST_CASE("claims, many waiting, share one write")
 {
     Fleet fleet(1);
--- a/packages/routing/src/TargetSubset.cpp
+++ b/packages/routing/src/TargetSubset.cpp
@@ -47,6 +47,7 @@
     {
         std::vector<const DomainHosts*> order;
         order.reserve(domains.size());
+        order.reserve(domains.size());
         for (const auto& domain : domains)
             order.push_back(&domain);
         const auto rank = [&](const DomainHosts* domain) {
--- a/packages/transport/include/cicadalb/transport/RequestDispatcher.h
+++ b/packages/transport/include/cicadalb/transport/RequestDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cicadalb/transport/HttpListener.h"
+#include "cicadalb/transport/KeyedRequests.h"
 #include "cicadalb/transport/Metrics.h"
 #include "cicadalb/transport/RoutingTable.h"
 #include "cicadalb/transport/TargetClients.h"
@@ -14,9 +15,15 @@
 namespace cicadalb {
 
 struct RequestContext;
-struct AttemptResult;
 class TargetCall;
 
+/// @brief What became of a request.
+struct ServedRequest {
+    RunState runState = RunState::NotSent;
+    /// What the caller was told; the body only of answers that were passed on whole.
+    HttpResponse answer;
+};
+
 struct DispatcherOptions {
     HostId host;
     Incarnation incarnation = 0;
@@ -26,7 +33,7 @@
 /// @brief Serves callers' requests. Thread-safe.
 class RequestDispatcher {
 public:
-    RequestDispatcher(DispatcherOptions, RoutingTable&, TargetClients&, Metrics&, const Clock&);
+    RequestDispatcher(DispatcherOptions, RoutingTable&, TargetClients&, KeyedRequests&, Metrics&, const Clock&);
     ~RequestDispatcher();
     RequestDispatcher(const RequestDispatcher&) = delete;
     RequestDispatcher& operator=(const RequestDispatcher&) = delete;
@@ -38,13 +45,17 @@
 private:
     RequestId requestIdFor(const ServerRequest&);
     Task<void> serveRouted(RequestContext&);
-    Task<void> attemptUntilAnswered(RequestContext&, TargetCall&);
+    /// @brief A request that may run at most once for its key.
+    Task<void> serveKeyed(RequestContext&, TargetCall&, std::string key);
+    Task<void> answerKnownKey(RequestContext&, KeyedDecision);
+    Task<ServedRequest> attemptUntilAnswered(RequestContext&, TargetCall&);
     Task<void> refuse(ServerRequest&, ServerResponder&, const RequestId&, const Error&, Duration retryAfter);
     std::unique_ptr<TargetCall> callFor(const RequestContext&);
 
     DispatcherOptions m_options;
     RoutingTable& m_routing;
     TargetClients& m_clients;
+    KeyedRequests& m_keyed;
     Metrics& m_metrics;
     const Clock& m_clock;
     std::atomic<std::uint64_t> m_nextRequest { 1 };
--- a/packages/transport/src/ForwardCall.cpp
+++ b/packages/transport/src/ForwardCall.cpp
@@ -72,7 +72,7 @@
 
         bool saysNotRun() const { return m_saysNotRun; }
         unsigned status() const { return m_head.status; }
-        std::string takeBody() { return std::move(m_body); }
+        HttpResponse takeAnswer() { return std::move(m_head); }
 
     private:
         bool takeHead(const HttpResponse& head)
@@ -152,8 +152,7 @@
     result.kind = relay.status() >= firstServerErrorStatus ? CompletionKind::ServerError : CompletionKind::Succeeded;
     if (!isDelivered)
         result.kind = CompletionKind::Abandoned;
-    result.status = relay.status();
-    result.body = relay.takeBody();
+    result.answer = relay.takeAnswer();
     co_return result;
 }
 
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -153,7 +153,7 @@
     }
     const bool isDelivered = co_await relay.finish();
     result.kind = isDelivered ? CompletionKind::Succeeded : CompletionKind::Abandoned;
-    result.status = statusOk;
+    result.answer.status = statusOk;
     co_return result;
 }
 
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -5,10 +5,14 @@
 #include "GateEngineSelector.h"
 #include "PeerClient.h"
 #include "StepEndpoints.h"
+#include "WeightEndpoint.h"
+#include "WeightsController.h"
 
+#include "cicadalb/base/Cbor.h"
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/AcceptedConfiguration.h"
 #include "cicadalb/config/OperatorProof.h"
+#include "cicadalb/platform/GatedKeyValueService.h"
 #include "cicadalb/platform/HttpHostList.h"
 #include "cicadalb/platform/HttpKeyValueService.h"
 #include "cicadalb/rollout/StepService.h"
@@ -95,6 +99,26 @@
         return membership;
     }
 
+    std::int64_t unixSeconds()
+    {
+        return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+    }
+
+    ClaimLogSettings claimSettings(const Settings& settings, Incarnation incarnation)
+    {
+        ClaimLogSettings claims;
+        claims.writer = settings.host.id.value() + "/" + std::to_string(incarnation);
+        return claims;
+    }
+
+    WeightsControllerOptions weightsOptions(const Settings& settings, Incarnation incarnation)
+    {
+        WeightsControllerOptions options;
+        options.self = settings.host.id;
+        options.seed = incarnation;
+        return options;
+    }
+
     /// Milliseconds since the epoch: rises from one start of a process to the next.
     Incarnation newIncarnation()
     {
@@ -114,19 +138,25 @@
         , m_clients(m_workers)
         , m_controlClients(m_control)
         , m_keyValue(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.keyValue))
+        , m_gatedKeyValue(m_keyValue, m_clock, CallGateSettings {}, m_incarnation)
         , m_hostList(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.hostList))
         , m_routing(BalancerOptions { m_settings.host.failureDomain, m_incarnation }, m_clock)
-        , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_metrics, m_clock)
+        , m_claims(m_control.context(0).get_executor(), m_gatedKeyValue, m_clock, unixSeconds, claimSettings(m_settings, m_incarnation))
+        , m_keyed(m_claims)
+        , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_keyed, m_metrics, m_clock)
         , m_monitor(std::make_shared<TargetMonitor>(TargetMonitorOptions {}, m_routing, m_controlClients, 0, m_hostList))
         , m_engines(m_controlClients, 0, [this](const TargetId& target) { return engineEndpoint(target); })
         , m_selector(m_routing)
         , m_steps(m_control.context(0).get_executor(), m_engines, m_selector, m_clock)
         , m_links(linkSettings(m_settings, m_incarnation), [this](const auto&, auto request, auto reply) { servePeer(std::move(request), std::move(reply)); })
         , m_peers(m_links)
-        , m_configuration(m_control.context(0).get_executor(), m_keyValue, m_incarnation, [this](const auto& adopted) { m_routing.apply(*adopted); })
+        , m_configuration(m_control.context(0).get_executor(), m_gatedKeyValue, m_incarnation, [this](const auto& adopted) { m_routing.apply(*adopted); })
         , m_configurationExchange(m_configuration, m_peers)
         , m_stepEndpoints(
               m_settings.host.id, m_control.context(0).get_executor(), m_steps, m_routing, [this] { return assignment(); }, m_peers)
+        , m_weights(
+              m_control.context(0).get_executor(), weightsOptions(m_settings, m_incarnation), m_gatedKeyValue, m_engines, m_routing, [this] { return assignment(); }, m_clock)
+        , m_weightEndpoint(m_settings.host.id, m_control.context(0).get_executor(), m_weights.registry(), m_routing)
         , m_proofs(m_settings.secret)
         , m_admin(adminSources())
         , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return serveCaller(request, responder); })
@@ -139,6 +169,7 @@
         m_monitor->stop();
         m_configuration.stop();
         m_configurationExchange.stop();
+        m_weights.stop();
         m_steps.stop();
         m_links.stop();
         if (m_membership)
@@ -156,6 +187,7 @@
         spawn(m_configuration.run([this] { return shouldWatchConfiguration(); }));
         spawn(m_configurationExchange.run(*m_membership));
         spawn(m_steps.run());
+        spawn(m_weights.run());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
@@ -226,6 +258,8 @@
     {
         if (StepEndpoints::handles(request))
             return m_stepEndpoints.serve(request, responder);
+        if (WeightEndpoint::handles(request))
+            return m_weightEndpoint.serve(request, responder);
         return m_dispatcher.serve(request, responder);
     }
 
@@ -243,17 +277,17 @@
 
     Task<Result<nlohmann::json>> performForPeer(PeerRequest request)
     {
-        auto body = nlohmann::json::from_cbor(request.body, true, false);
-        if (body.is_discarded())
+        auto body = jsonFromCbor(request.body);
+        if (!body)
             co_return failure(ErrorCode::MessageInvalid, "the request is not CBOR", "link");
         switch (request.kind) {
         case PeerRequestKind::SubmitStep:
         case PeerRequestKind::PullBatch:
-            co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(body));
+            co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(*body));
         case PeerRequestKind::State:
             co_return state();
         case PeerRequestKind::FetchConfiguration:
-            co_return m_configurationExchange.serveFetch(body);
+            co_return m_configurationExchange.serveFetch(*body);
         case PeerRequestKind::ClaimKey:
         case PeerRequestKind::OfferConfiguration:
             break;
@@ -274,8 +308,7 @@
     bool hasProof(const ServerRequest& request)
     {
         const auto path = request.query.empty() ? request.path : request.path + "?" + request.query;
-        const auto now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-        return m_proofs.check(OperatorCall { request.method, path }, request.field(operatorProofHeader), now).has_value();
+        return m_proofs.check(OperatorCall { request.method, path }, request.field(operatorProofHeader), unixSeconds()).has_value();
     }
 
     bool isReady() const { return !m_isStopping && m_routing.snapshot() != nullptr; }
@@ -295,6 +328,7 @@
             { "in-flight", m_dispatcher.inFlight() },
             { "connections", m_callerListener.connections() },
             { "pools", pools },
+            { "weights", m_weights.state() },
             { "members", memberStates() },
             { "links", nlohmann::json::parse(m_links.state(), nullptr, false) },
         };
@@ -354,8 +388,11 @@
     TargetClients m_clients;
     TargetClients m_controlClients;
     HttpKeyValueService m_keyValue;
+    GatedKeyValueService m_gatedKeyValue;
     HttpHostList m_hostList;
     RoutingTable m_routing;
+    ClaimLog m_claims;
+    KeyedRequests m_keyed;
     RequestDispatcher m_dispatcher;
     std::shared_ptr<TargetMonitor> m_monitor;
     EngineHttpClient m_engines;
@@ -368,6 +405,8 @@
     StepEndpoints m_stepEndpoints;
     /// Set by start().
     std::unique_ptr<MembershipPort> m_membership;
+    WeightsController m_weights;
+    WeightEndpoint m_weightEndpoint;
     OperatorProofChecker m_proofs;
     AdminEndpoints m_admin;
     HttpListener m_callerListener;
--- a/packages/transport/src/PeerClient.cpp
+++ b/packages/transport/src/PeerClient.cpp
@@ -1,5 +1,7 @@
 #include "PeerClient.h"
 
+#include "cicadalb/base/Cbor.h"
+
 #include <boost/asio/associated_executor.hpp>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -33,10 +35,10 @@
             return failure(ErrorCode::OutcomeUnknown, answer.message, place);
         if (answer.error != 0)
             return failure(static_cast<ErrorCode>(answer.error), answer.message, place);
-        auto document = nlohmann::json::from_cbor(answer.body, true, false);
-        if (document.is_discarded())
+        auto document = jsonFromCbor(answer.body);
+        if (!document)
             return failure(ErrorCode::MessageInvalid, "the answer is not CBOR", place);
-        return document;
+        return std::move(*document);
     }
 
 } // namespace
--- a/packages/transport/src/RequestContext.h
+++ b/packages/transport/src/RequestContext.h
@@ -30,12 +30,10 @@
 /// @brief How one attempt on a target ended.
 struct AttemptResult {
     CompletionKind kind = CompletionKind::Succeeded;
-    /// Status told to the caller, if an answer was passed on.
-    unsigned status = 0;
+    /// What the caller was told, if an answer was passed on; without body if it was streamed.
+    HttpResponse answer;
     /// Set unless the answer was passed on.
     Error error { ErrorCode::OutcomeUnknown, {}, {} };
-    /// Body of an answer that was passed on whole and is small enough to keep.
-    std::string body;
 };
 
 /// @brief Carries out attempts of one request on targets; a strategy for each kind of target.
--- a/packages/transport/src/RequestDispatcher.cpp
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -18,6 +18,10 @@
 
     constexpr std::size_t maximumRequestIdLength = 128;
     constexpr unsigned maximumAttempts = 3;
+    constexpr std::size_t maximumKeyLength = 255;
+    constexpr std::string_view idempotencyKeyField = "Idempotency-Key";
+    /// Marks an answer that was given before to the same key.
+    constexpr std::string_view replayedField = "Idempotency-Replayed";
     constexpr auto overloadRetryAfter = std::chrono::seconds(1);
 
     bool isRequestIdCharacter(char character) noexcept
@@ -54,6 +58,15 @@
         return request.receivedAt + patience;
     }
 
+    KeyedRequest keyedRequest(const RequestContext& context, const std::string& key)
+    {
+        const auto& request = context.request;
+        KeyedRequest keyed;
+        keyed.scope = context.caller.value() + '\n' + context.route.name.value() + '\n' + key;
+        keyed.fingerprint = request.method + '\n' + request.path + '?' + request.query + '\n' + request.body;
+        return keyed;
+    }
+
     /// Counts a request for as long as it lives.
     class InFlight {
     public:
@@ -102,10 +115,11 @@
     return field.substr(0, scheme.size()) == scheme ? field.substr(scheme.size()) : std::string_view();
 }
 
-RequestDispatcher::RequestDispatcher(DispatcherOptions options, RoutingTable& routing, TargetClients& clients, Metrics& metrics, const Clock& clock)
+RequestDispatcher::RequestDispatcher(DispatcherOptions options, RoutingTable& routing, TargetClients& clients, KeyedRequests& keyed, Metrics& metrics, const Clock& clock)
     : m_options(std::move(options))
     , m_routing(routing)
     , m_clients(clients)
+    , m_keyed(keyed)
     , m_metrics(metrics)
     , m_clock(clock)
 {
@@ -158,7 +172,49 @@
         co_await refuse(context.request, context.responder, context.id, checked.error(), {});
         co_return;
     }
-    co_await attemptUntilAnswered(context, *call);
+    const auto key = context.request.field(idempotencyKeyField);
+    if (key.empty() || context.route.repeatable)
+        co_await attemptUntilAnswered(context, *call);
+    else
+        co_await serveKeyed(context, *call, std::string(key));
+}
+
+Task<void> RequestDispatcher::serveKeyed(RequestContext& context, TargetCall& call, std::string key)
+{
+    if (key.size() > maximumKeyLength) {
+        co_await refuse(context.request, context.responder, context.id, Error { ErrorCode::RequestInvalid, "the key is too long", "Idempotency-Key" }, {});
+        co_return;
+    }
+    const auto keyed = keyedRequest(context, key);
+    auto decision = co_await m_keyed.begin(keyed);
+    if (!decision.mayRun) {
+        co_await answerKnownKey(context, std::move(decision));
+        co_return;
+    }
+    const auto served = co_await attemptUntilAnswered(context, call);
+    if (served.runState == RunState::Answered)
+        m_keyed.finished(keyed, served.answer);
+    else if (served.runState == RunState::NotSent)
+        m_keyed.release(keyed, decision.mark);
+}
+
+Task<void> RequestDispatcher::answerKnownKey(RequestContext& context, KeyedDecision decision)
+{
+    if (decision.heldAnswer) {
+        auto answer = std::move(*decision.heldAnswer);
+        answer.fields.emplace_back(replayedField, "true");
+        m_metrics.countRequest(RequestOutcome { context.route.name, answer.status, RunState::Answered, m_clock.now() - context.request.receivedAt });
+        co_await context.responder.send(std::move(answer));
+        co_return;
+    }
+    ProblemDetails details;
+    details.requestId = context.id.value();
+    details.retryAfter = decision.retryAfter;
+    if (decision.refusal->code == ErrorCode::KeyOutcomeUnknown)
+        details.runState = decision.status ? RunState::Answered : RunState::Unknown;
+    const auto response = problemResponse(*decision.refusal, details);
+    m_metrics.countRequest(RequestOutcome { context.route.name, response.status, details.runState, m_clock.now() - context.request.receivedAt });
+    co_await context.responder.send(response);
 }
 
 std::unique_ptr<TargetCall> RequestDispatcher::callFor(const RequestContext& context)
@@ -168,14 +224,14 @@
     return std::make_unique<ForwardCall>(m_clients);
 }
 
-Task<void> RequestDispatcher::attemptUntilAnswered(RequestContext& context, TargetCall& call)
+Task<ServedRequest> RequestDispatcher::attemptUntilAnswered(RequestContext& context, TargetCall& call)
 {
     RequestRun run(context.route.repeatable);
     Demand demand { context.route.priority, context.deadline, std::nullopt, {} };
     ProblemDetails details;
     details.requestId = context.id.value();
     Error error { ErrorCode::NoTargetAvailable, {}, {} };
-    unsigned status = 0;
+    ServedRequest served;
     const auto budget = context.snapshot->retryBudgets.at(context.route.name);
     budget->recordRequest();
     while (run.mayAttempt() && run.attempts() < maximumAttempts) {
@@ -191,14 +247,14 @@
         const auto begin = m_clock.now();
         run.beginAttempt();
         m_metrics.countAttempt(context.route.name);
-        AttemptResult result { CompletionKind::NotRun, 0, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() }, {} };
+        AttemptResult result { CompletionKind::NotRun, {}, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() } };
         if (target)
             result = co_await call.attempt(context, *target);
         context.gate->finished(admission.target, Completion { result.kind, m_clock.now() - begin });
         record(run, result.kind);
         demand.excluded.push_back(admission.target);
         error = result.error;
-        status = result.status;
+        served.answer = std::move(result.answer);
         if (run.state() == RunState::Answered || context.responder.hasBegun() || m_clock.now() >= context.deadline)
             break;
     }
@@ -208,13 +264,15 @@
         details.runState = run.state();
         if (run.isKnownNotRun() && details.retryAfter == Duration::zero())
             details.retryAfter = overloadRetryAfter;
-        const auto response = problemResponse(error, details);
-        status = response.status;
+        auto response = problemResponse(error, details);
+        served.answer.status = response.status;
         logEvent(run.isKnownNotRun() ? Event::RequestRefused : Event::RequestOutcomeUnknown,
             { { "request", context.id.value() }, { "route", context.route.name.value() }, { "cause", describe(error) } });
-        co_await context.responder.send(response);
+        co_await context.responder.send(std::move(response));
     }
-    m_metrics.countRequest(RequestOutcome { context.route.name, status, run.state(), m_clock.now() - context.request.receivedAt });
+    served.runState = run.state();
+    m_metrics.countRequest(RequestOutcome { context.route.name, served.answer.status, run.state(), m_clock.now() - context.request.receivedAt });
+    co_return served;
 }
 
 Task<void> RequestDispatcher::refuse(ServerRequest& request, ServerResponder& responder, const RequestId& id, const Error& error, Duration retryAfter)
--- /dev/null
+++ b/packages/transport/src/WeightsController.cpp
@@ -0,0 +1,208 @@
+#include "WeightsController.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /// Hosts that compete for a pool's lease.
+    constexpr std::size_t candidatesPerPool = 2;
+    /// Weight loads that may start at once.
+    constexpr double loadBurst = 64;
+
+    std::string leaseKey(const PoolName& pool)
+    {
+        return "cicadalb/weights/lease/" + pool.value();
+    }
+
+    std::vector<TargetId> engineIds(const Pool& pool)
+    {
+        std::vector<TargetId> ids;
+        ids.reserve(pool.targets.size());
+        for (const auto& target : pool.targets)
+            ids.push_back(target.id);
+        return ids;
+    }
+
+} // namespace
+
+std::optional<LeaseTerm> KeptRolloutLease::term() const
+{
+    const auto held = m_keeper.held();
+    if (!held)
+        return std::nullopt;
+    return LeaseTerm { held->fencingNumber, held->wonAt, held->validUntil, held->timeToLive };
+}
+
+/// One pool's candidacy. Its coroutines keep it alive until they end.
+struct WeightsController::PoolRollout {
+    PoolRollout(const WeightsController& controller, const Pool& pool)
+        : model(pool.model)
+        , keeper(controller.m_service, controller.m_clock, leaseSettings(controller, pool), controller.m_options.seed)
+        , lease(keeper)
+        , budget(std::make_shared<LoadBudget>(controller.m_options.loadsPerSecond, loadBurst, controller.m_clock.now()))
+        , service(controller.m_executor, controller.m_engines, lease, budget, controller.m_clock, rolloutOptions(controller, pool))
+    {
+    }
+
+    static LeaseSettings leaseSettings(const WeightsController& controller, const Pool& pool)
+    {
+        LeaseSettings settings;
+        settings.key = leaseKey(pool.name);
+        settings.holder = controller.m_options.self.value();
+        settings.timeToLive = controller.m_options.leaseTimeToLive;
+        return settings;
+    }
+
+    static WeightRolloutOptions rolloutOptions(const WeightsController& controller, const Pool& pool)
+    {
+        WeightRolloutOptions options;
+        options.model = pool.model;
+        options.servingShare = pool.servingShare;
+        options.fenceCheck = pool.fenceCheck;
+        options.longestOrder = controller.m_options.longestOrder;
+        return options;
+    }
+
+    void stop()
+    {
+        keeper.stop();
+        service.stop();
+    }
+
+    std::string model;
+    LeaseKeeper keeper;
+    KeptRolloutLease lease;
+    std::shared_ptr<LoadBudget> budget;
+    WeightRolloutService service;
+};
+
+WeightsController::WeightsController(asio::any_io_executor executor, WeightsControllerOptions options, KeyValueService& service, EngineClient& engines, const RoutingTable& routing, AssignmentSource assignment, const Clock& clock)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_service(service)
+    , m_engines(engines)
+    , m_routing(routing)
+    , m_assignment(std::move(assignment))
+    , m_clock(clock)
+    , m_registry(service)
+{
+}
+
+WeightsController::~WeightsController() = default;
+
+bool WeightsController::isCandidate(const PoolName& pool) const
+{
+    const auto assignment = m_assignment();
+    for (const auto* host : assignment->preferredHosts(leaseKey(pool), candidatesPerPool)) {
+        if (host->id == m_options.self)
+            return true;
+    }
+    return false;
+}
+
+void WeightsController::beginCandidacy(const Pool& pool)
+{
+    const auto rollout = std::make_shared<PoolRollout>(*this, pool);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rollouts.emplace(pool.name, rollout);
+    }
+    asio::co_spawn(
+        m_executor, [rollout, executor = m_executor]() -> Task<void> { co_await rollout->keeper.run(executor); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [rollout]() -> Task<void> { co_await rollout->service.run(); }, asio::detached);
+}
+
+void WeightsController::endCandidacy(const PoolName& pool)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_rollouts.find(pool);
+    if (found == m_rollouts.end())
+        return;
+    found->second->stop();
+    m_rollouts.erase(found);
+}
+
+void WeightsController::reviewCandidacies()
+{
+    const auto snapshot = m_routing.snapshot();
+    if (!snapshot)
+        return;
+    for (const auto& pool : snapshot->matcher.tables().pools) {
+        const bool isWanted = pool.kind == TargetKind::ModelEngine && isCandidate(pool.name);
+        std::shared_ptr<PoolRollout> rollout;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_rollouts.find(pool.name);
+            rollout = found == m_rollouts.end() ? nullptr : found->second;
+        }
+        if (isWanted && !rollout)
+            beginCandidacy(pool);
+        else if (!isWanted && rollout)
+            endCandidacy(pool.name);
+        else if (rollout)
+            rollout->service.setEngines(engineIds(pool));
+    }
+}
+
+Task<void> WeightsController::refresh()
+{
+    std::vector<std::shared_ptr<PoolRollout>> rollouts;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [name, rollout] : m_rollouts)
+            rollouts.push_back(rollout);
+    }
+    for (const auto& rollout : rollouts) {
+        if (!rollout->lease.term())
+            continue;
+        const auto record = co_await m_registry.read(rollout->model);
+        if (record)
+            rollout->service.want(record.value().version);
+    }
+}
+
+Task<void> WeightsController::run()
+{
+    asio::steady_timer timer(m_executor);
+    while (!m_isStopping) {
+        reviewCandidacies();
+        co_await refresh();
+        timer.expires_after(m_options.lookInterval);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void WeightsController::stop()
+{
+    m_isStopping = true;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [name, rollout] : m_rollouts)
+        rollout->stop();
+    m_rollouts.clear();
+}
+
+nlohmann::json WeightsController::state() const
+{
+    nlohmann::json pools = nlohmann::json::object();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [pool, rollout] : m_rollouts) {
+        nlohmann::json engines = nlohmann::json::array();
+        for (const auto& view : rollout->service.engines())
+            engines.push_back({ { "engine", view.engine.value() }, { "state", name(view.state) }, { "version", view.version }, { "failures", view.failures } });
+        const auto term = rollout->lease.term();
+        pools[pool.value()] = { { "fence", term ? term->fence : 0 }, { "engines", engines } };
+    }
+    return pools;
+}
+
+} // namespace cicadalb
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -131,6 +131,7 @@
 [pools.draft-model]
 kind = "model-engine"
 model = "draft"
+fence-check = "checked"
 [[pools.draft-model.targets]]
 id = "draft-1"
 address = "127.0.0.1"
