--- a/packages/config/src/Tables.cpp
+++ b/packages/config/src/Tables.cpp
@@ -71,7 +71,7 @@
             if (std::find(knownMethods.begin(), knownMethods.end(), method) == knownMethods.end())
                 return "has the method '" + method + "', which is not known" + detail::suggestion(method, knownMethods);
         }
-        return {};
+        return detail::NotEmptyList {}(methods);
     }
 
     const Fields<Caller>& callerFields()
@@ -99,8 +99,8 @@
             { "path", &Route::path, Presence::Required, checkPath },
             { "methods", &Route::methods, Presence::Optional, checkMethods },
             { "pool", &Route::pool, Presence::Required },
-            { "callers", &Route::callers, Presence::Optional },
-            { "trainers", &Route::trainers, Presence::Optional },
+            { "callers", &Route::callers, Presence::Optional, detail::NotEmptyList {} },
+            { "trainers", &Route::trainers, Presence::Optional, detail::NotEmptyList {} },
             { "repeatable", &Route::repeatable, Presence::Optional },
             { "priority", &Route::priority, Presence::Optional },
             { "timeout-ms", &Route::timeout, Presence::Optional, Between { 1, maximumTimeoutMilliseconds } },
--- a/packages/config/src/TomlReader.h
+++ b/packages/config/src/TomlReader.h
@@ -96,8 +96,6 @@
     const auto* array = node.as_array();
     if (!array)
         return "must be a list";
-    if (array->empty())
-        return "must not be empty: leave the key out instead";
     for (const auto& element : *array) {
         T value {};
         if (auto problem = decode(element, value); !problem.empty())
@@ -174,6 +172,15 @@
     Problem check(double value) const;
 };
 
+/// @brief For lists whose absence means "every": an empty one is a lost edit rather than a wish.
+struct NotEmptyList {
+    template <typename T>
+    Problem operator()(const std::vector<T>& values) const
+    {
+        return values.empty() ? "must not be empty: leave the key out instead" : "";
+    }
+};
+
 Problem checkIpNumber(const std::string&);
 Problem checkNotEmpty(const std::string&);
 /// @brief Letters, digits, dot, hyphen and underscore: a name is also part of metrics and of command lines.
--- a/packages/config/tests/unit-settings.cpp
+++ b/packages/config/tests/unit-settings.cpp
@@ -78,6 +78,12 @@
     CHECK(settings.secret.reveal() == "0123456789abcdef-secret");
 }
 
+TEST_CASE_METHOD(SettingsFixture, "seeds, empty, are accepted for a host that is alone")
+{
+    replace("[\"host-2@10.0.0.2:8083\"]", "[]");
+    CHECK(parse());
+}
+
 TEST_CASE_METHOD(SettingsFixture, "settings, with an unknown key, are refused with the nearest key")
 {
     replace("body-timeout-ms", "body-timout-ms");
--- a/packages/config/tests/unit-tables.cpp
+++ b/packages/config/tests/unit-tables.cpp
@@ -126,6 +126,9 @@
 {
     replace(routes, "[\"clerks\"]", "[]");
     checkOnlyProblem("error 104 value-invalid at routes.toml:10:11: routes.invoices.callers must not be empty: leave the key out instead");
+    replace(routes, "callers = []", "callers = [\"clerks\"]");
+    replace(routes, "[\"GET\"]", "[]");
+    checkOnlyProblem("error 104 value-invalid at routes.toml:8:11: routes.invoices.methods must not be empty: leave the key out instead");
 }
 
 TEST_CASE_METHOD(TablesFixture, "pool, without targets, is refused")
