--- a/benchmarks/PoolScenario.h
+++ b/benchmarks/PoolScenario.h
@@ -34,6 +34,8 @@
     /// The slowest target takes so many times as long as the fastest.
     double spread = 10;
     Seconds fastestService { 0.02 };
+    /// Part of the targets' load reports that never arrive.
+    double lostReports = 0.2;
     Fault fault = Fault::None;
     /// Each target belongs to one host, which alone sends to it; other hosts send through that one.
     bool hasHomes = false;
@@ -59,9 +61,9 @@
     double capacity = 0;
     /// Answers in time that came between the warm-up and the end of the arrivals, for each second.
     double answersPerSecond = 0;
+    /// Requests, attempts at targets and messages between hosts in the second half of the run, when the fault is there.
     std::uint64_t requests = 0;
     std::uint64_t attempts = 0;
-    /// Messages between hosts.
     std::uint64_t hops = 0;
     /// Coefficient of variation of the load of the fastest targets, averaged over time.
     double imbalance = 0;
--- a/benchmarks/PoolSimulation.h
+++ b/benchmarks/PoolSimulation.h
@@ -75,7 +75,6 @@
     static constexpr TimePoint start { std::chrono::hours(1) };
     static constexpr unsigned places = 8;
     static constexpr Seconds reportInterval { 0.5 };
-    static constexpr double lostReports = 0.2;
     static constexpr Seconds tickInterval { 0.005 };
 
     struct Request {
@@ -279,7 +278,7 @@
         after(reportInterval, [this, index] { report(index); });
         const LoadReport measured { m_targets[index].running, static_cast<unsigned>(m_targets[index].waiting.size()), {}, false };
         for (auto& host : m_hosts) {
-            if (randomUnit(m_random) < lostReports || m_targets[index].isDead)
+            if (randomUnit(m_random) < m_scenario.lostReports || m_targets[index].isDead)
                 continue;
             const Seconds lag(0.1 + 0.3 * randomUnit(m_random));
             after(lag, [this, &host, index, measured, lag] {
@@ -296,8 +295,12 @@
         applyAll(host, m_hosts[host].balancer->tick(m_now));
     }
 
+    /// Starts the fault. Requests and attempts count from here on.
     void strike()
     {
+        m_result.requests = 0;
+        m_result.attempts = 0;
+        m_result.hops = 0;
         for (std::size_t i = 0; i < targetCount; ++i) {
             auto& target = m_targets[i];
             target.isDead = (m_scenario.fault == Fault::TargetDies && i == 0) || (m_scenario.fault == Fault::DomainDies && target.domain == 0);
--- a/benchmarks/bench_pick.cpp
+++ b/benchmarks/bench_pick.cpp
@@ -106,6 +106,19 @@
     }
 }
 
+void compareReports(const Options& options)
+{
+    const std::vector<Figure> figures = { latencyFigure("p50", 0.5), latencyFigure("p99", 0.99), { "goodput", "capacity", goodput } };
+    for (const double load : { 0.5, 0.8, 0.95, 1.2 }) {
+        for (const double lost : { 0.2, 0.8, 1.0 }) {
+            Scenario scenario;
+            scenario.lostReports = lost;
+            scenario.streams.front().load = load;
+            printRuns("reports.load" + percent(load) + ".lost" + percent(lost), scenario, options.seeds, figures);
+        }
+    }
+}
+
 /// Sum of one counter over the streams.
 std::function<double(const RunResult&)> sumOf(std::uint64_t StreamResult::*counter)
 {
@@ -256,8 +269,9 @@
     void (*run)(const Options&);
 };
 
-constexpr std::array<Part, 5> parts = { {
+constexpr std::array<Part, 6> parts = { {
     { "policies", comparePolicies },
+    { "reports", compareReports },
     { "admission", compareAdmission },
     { "retries", compareRetries },
     { "homes", compareHomes },
@@ -271,7 +285,7 @@
     Options options;
     CLI::App app("Picking, admission and retries in one event loop of 8 hosts and 24 targets");
     app.add_option("--seeds", options.seeds, "Runs of each scenario, with seeds from 1");
-    app.add_option("--part", options.part, "policies, admission, retries, homes, time or all");
+    app.add_option("--part", options.part, "policies, reports, admission, retries, homes, time or all");
     CLI11_PARSE(app, argc, argv);
     for (const auto& part : parts) {
         if (options.part == "all" || options.part == part.name)
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -18,9 +18,9 @@
     constexpr double longestRetryAfterSeconds = 30;
     /// Range of the jitter on that time, as parts of it.
     constexpr double retryAfterSpread = 1.0;
-    /// A request queues only if it would make its deadline with its wait and service so many times as long as expected, so that it is
-    /// hardly ever refused after waiting.
-    constexpr double queueCaution = 1.5;
+    /// A request queues only if it would make its deadline with a wait so many times as long as expected, so that it is hardly ever
+    /// refused after waiting.
+    constexpr double queueCaution = 2;
     /// Share of error-answering targets above which their open circuits are ignored.
     constexpr double largestErroringShare = 0.5;
 
@@ -279,9 +279,10 @@
             return state.admit(*index, now);
         }
     }
-    const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
-    if (position >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
-        return state.refuse(ErrorCode::Overloaded, seconds);
+    const auto service = state.leastDelay(now);
+    const auto wait = state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
+    if (position >= state.options.maximumQueueLength || state.isTooLate(demand, service + queueCaution * wait, now))
+        return state.refuse(ErrorCode::Overloaded, service + wait);
     state.queue.recordArrival(demand.priority, now);
     return state.enqueue(demand);
 }
