Cancel a first run as soon as its second run has overtaken it

Cause: a straggler's second run is on a faster engine, yet the first went on until the second's end; half of the duplicated tokens were generated after it was clear which run wins.

--- a/benchmarks/bench_steps.cpp
+++ b/benchmarks/bench_steps.cpp
@@ -562,7 +562,7 @@
     scenario.engines = 120;
     scenario.runTime = 30min;
     scenario.trainingTime = 300s;
-    const auto figures = StepLoop(scenario, { "cicadalb", PickPolicy::LeastDelay, 0.04, 0.5 }, 1).run();
+    const auto figures = StepLoop(scenario, { "cicadalb", PickPolicy::LeastDelay, StepOptions().duplicatedShare, StepOptions().stalenessWeight }, 1).run();
     const auto seconds = Seconds(scenario.runTime).count();
     std::printf("delivery.cursor.writes 0 writes/s\n");
     std::printf("delivery.batch-records.writes %.2f writes/s\n", figures.batches / seconds);
--- a/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
+++ b/packages/rollout/include/cicadalb/rollout/StepCoordinator.h
@@ -57,8 +57,8 @@
     /// 0 weighs idle time alone, 1 staleness alone: how long a sample waits for an engine with the trainer's weights, and
     /// how long a run may be that is started again when its engine gets them.
     double stalenessWeight = 0.5;
-    /// Largest share of tokens spent on second runs; 0 switches them off.
-    double duplicatedShare = 0.04;
+    /// Expected cost of second runs in parts of the step's tokens, at most; 0 switches them off.
+    double duplicatedShare = 0.06;
 };
 
 /// @brief One generation to start.
@@ -172,6 +172,7 @@
     bool isWorthRenewing(const Attempt&, TimePoint now) const;
     void abandon(Attempt&, AttemptId, DiscardCause);
     void abandonOthers(SampleIndex);
+    void abandonOvertaken(const Attempt& second);
     void abandonStale();
     void discard(DiscardCause, unsigned tokens);
     void release(const Attempt&, TimePoint now);
--- a/packages/rollout/src/SecondRun.cpp
+++ b/packages/rollout/src/SecondRun.cpp
@@ -33,7 +33,9 @@
     if (running.sinceProgress <= stallTimeout && ownSpeed == 0)
         return estimate;
     estimate.neededSpeed = isStalled ? 0 : (tokens + remainingTokens) / (worthwhileShare * estimate.remainingSeconds);
-    estimate.duplicatedTokens = tokens + ownSpeed * estimate.secondRunSeconds;
+    // The first run ends when it is overtaken.
+    const auto overtakenSeconds = speed > ownSpeed ? tokens / (speed - ownSpeed) : estimate.secondRunSeconds;
+    estimate.duplicatedTokens = tokens + ownSpeed * std::min(overtakenSeconds, estimate.secondRunSeconds);
     estimate.isWorthwhile = estimate.secondRunSeconds < worthwhileShare * estimate.remainingSeconds;
     return estimate;
 }
--- a/packages/rollout/src/StepCoordinator.cpp
+++ b/packages/rollout/src/StepCoordinator.cpp
@@ -258,6 +258,8 @@
         attempt.abandoned = DiscardCause::BecomingStale;
     else if (isWorthRenewing(attempt, now))
         attempt.abandoned = DiscardCause::Outdated;
+    if (!attempt.abandoned && attempt.expectedEnd)
+        abandonOvertaken(attempt);
     return !attempt.abandoned;
 }
 
@@ -362,6 +364,16 @@
     }
 }
 
+/// A second run that has overtaken the first one is the faster and will win: the first is cancelled before it costs more tokens.
+void StepCoordinator::abandonOvertaken(const Attempt& second)
+{
+    for (auto& [id, attempt] : m_attempts) {
+        const bool isFirst = attempt.position == second.position && !attempt.expectedEnd;
+        if (isFirst && attempt.tokens < second.tokens)
+            abandon(attempt, id, DiscardCause::Superseded);
+    }
+}
+
 void StepCoordinator::abandonStale()
 {
     for (auto& [id, attempt] : m_attempts) {
--- a/packages/rollout/src/StepService.cpp
+++ b/packages/rollout/src/StepService.cpp
@@ -379,19 +379,21 @@
 
 void StepService::Implementation::progressed(const StepKey& key, AttemptId attempt, const GenerationProgress& progress)
 {
-    std::shared_ptr<GenerationHandle> handle;
+    Handles cancelled;
     {
         auto& shard = shardOf(key);
         const std::lock_guard lock(shard.mutex);
         const auto found = shard.steps.find(key);
-        if (found == shard.steps.end() || found->second.coordinator.onProgress(attempt, progress, m_clock.now()))
+        if (found == shard.steps.end())
             return;
-        const auto known = found->second.handles.find(attempt);
-        if (known != found->second.handles.end())
-            handle = known->second;
+        auto& step = found->second;
+        const bool isWanted = step.coordinator.onProgress(attempt, progress, m_clock.now());
+        cancelled = cancelledHandles(step);
+        const auto own = step.handles.find(attempt);
+        if (!isWanted && own != step.handles.end())
+            cancelled.push_back(own->second);
     }
-    if (handle)
-        handle->cancel();
+    cancelAll(cancelled);
 }
 
 void StepService::Implementation::finished(const StepKey& key, const PoolName& pool, AttemptId attempt, const Result<Generation>& result)
--- a/packages/rollout/tests/unit-stragglers.cpp
+++ b/packages/rollout/tests/unit-stragglers.cpp
@@ -48,6 +48,17 @@
     CHECK(coordinator.progress(clock.now()).tokensDuplicated == 40);
 }
 
+TEST_CASE_METHOD(StragglerFixture, "straggler, overtaken by its second run, is cancelled at once")
+{
+    const auto second = coordinator.nextSecondRun(engines, clock.now());
+    REQUIRE(second);
+    coordinator.onStarted(second->attempt, TargetId("fast"), clock.now());
+    CHECK(coordinator.onProgress(second->attempt, { 39, 7 }, clock.now()));
+    CHECK(coordinator.takeCancellations().empty());
+    CHECK(coordinator.onProgress(second->attempt, { 41, 7 }, clock.now()));
+    CHECK(coordinator.takeCancellations() == std::vector<AttemptId> { 30 });
+}
+
 TEST_CASE_METHOD(StragglerFixture, "straggler, expected long before the deadline, gets no second run")
 {
     spec.deadline = seconds(100);
