--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -68,6 +68,9 @@
     CompletionKind kind = CompletionKind::Succeeded;
     /// Time from dispatch to the end.
     Duration latency {};
+    /// Lost because the request's own deadline passed. A deadline shorter than the target's usual latency says nothing against the target,
+    /// so that a caller with short deadlines cannot open the circuits of a pool.
+    bool hasDeadlinePassed = false;
 };
 
 /// @brief A target's own report.
@@ -107,6 +110,7 @@
 struct BalancerOptions {
     FailureDomain ownFailureDomain;
     std::uint64_t seed = 0;
+    /// Most requests that wait at each priority.
     std::size_t maximumQueueLength = 1024;
     PickPolicy policy = PickPolicy::LeastDelay;
 };
--- a/packages/routing/src/LoadView.cpp
+++ b/packages/routing/src/LoadView.cpp
@@ -8,8 +8,6 @@
 
     constexpr double usualGain = 0.1;
     constexpr double parallelismGain = 0.3;
-    /// Age at which a report counts half.
-    constexpr std::chrono::duration<double> halfAge { 0.5 };
 
 } // namespace
 
@@ -24,13 +22,8 @@
         m_parallelism = std::max(m_parallelism, running);
     m_measuredAt = now - report.age;
     m_hasReports = true;
-}
-
-double LoadView::others(TimePoint now) const noexcept
-{
-    const std::chrono::duration<double> age = now - m_measuredAt;
-    const auto trust = halfAge / (halfAge + age);
-    return trust * m_lastOthers + (1 - trust) * m_usualOthers;
+    m_refreshedAt = {};
+    refresh(now);
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/SpeedEstimate.h
+++ b/packages/routing/src/SpeedEstimate.h
@@ -19,11 +19,12 @@
     double latencySeconds() const noexcept { return m_latencySeconds; }
     /// @brief Lowest recent average of the latency, in seconds: the baseline of the limit in flight.
     double baselineSeconds() const noexcept;
-    /// @brief The estimate to pick by: moves towards @p best while no sample comes, so that the target is tried again.
-    double agedServiceSeconds(double best, TimePoint now) const noexcept;
+    /// @brief The estimate to pick by: falls while no sample comes, so that the target is tried again, a slower one later.
+    double agedServiceSeconds(TimePoint now) const noexcept;
 
 private:
     void recordBaseline(TimePoint now);
+    std::chrono::duration<double> trustedTime() const noexcept;
 
     unsigned m_samples = 0;
     double m_serviceSeconds = 0;
@@ -31,7 +32,8 @@
     double m_currentMinimum = 0;
     double m_previousMinimum = 0;
     TimePoint m_windowStart {};
-    TimePoint m_lastSample {};
+    /// When the estimate begins to fall.
+    TimePoint m_trustedUntil {};
 };
 
 } // namespace cicadalb
--- a/packages/routing/src/TargetState.cpp
+++ b/packages/routing/src/TargetState.cpp
@@ -11,32 +11,28 @@
 
     /// Time constant of the average of own requests in flight, about the age of a report.
     constexpr double averagingSeconds = 0.3;
-    /// Factor on the service time of a target in another failure domain, on top of the latency that is measured anyway.
-    constexpr double farFactor = 1.02;
+    /// A request that waited for less than this, and less than so many usual latencies, gave the target no fair chance.
+    constexpr std::chrono::duration<double> shortestFairDeadline { 1 };
+    constexpr double fairLatencies = 4;
     /// The lowest average of latencies over a while lies below their mean by about this factor.
     constexpr double baselineBias = 0.75;
 
 } // namespace
 
-TargetState::TargetState(Target configured, unsigned ceiling, bool hasAdaptiveLimit)
-    : target(std::move(configured))
+TargetState::TargetState(const Target& target, unsigned ceiling, bool hasAdaptiveLimit)
+    : limit(ceiling, hasAdaptiveLimit)
     , seed(placementHash(target.id.value()))
-    , limit(ceiling, hasAdaptiveLimit)
+    , id(target.id)
     , m_hasAdaptiveLimit(hasAdaptiveLimit)
 {
 }
 
-std::string_view TargetState::ineligibility() const noexcept
+void TargetState::configure(const Target& target, unsigned ceiling, const FailureDomain& own)
 {
-    if (isRemoved)
-        return "removed";
-    if (target.draining)
-        return "draining";
-    if (isListedAsLeaving)
-        return "leaving by host list";
-    if (saysItIsLeaving)
-        return "leaving by its own word";
-    return {};
+    isRemoved = false;
+    isDraining = target.draining;
+    isNear = target.failureDomain == own;
+    limit.setCeiling(ceiling);
 }
 
 void TargetState::averageInFlight(TimePoint now)
@@ -58,9 +54,12 @@
     const auto inFlightBefore = inFlight;
     if (inFlight > 0)
         --inFlight;
+    if (isHastyDeadline(completion))
+        return;
     health.record(completion.kind, now, random);
+    load.refresh(now);
     if (completion.kind == CompletionKind::Succeeded)
-        speed.record(completion.latency, crowding(now), now);
+        speed.record(completion.latency, crowding(), now);
     if (!m_hasAdaptiveLimit)
         return;
     if (completion.kind == CompletionKind::Succeeded)
@@ -69,6 +68,12 @@
         limit.recordLoss();
 }
 
+bool TargetState::isHastyDeadline(const Completion& completion) const noexcept
+{
+    const std::chrono::duration<double> latency = completion.latency;
+    return completion.hasDeadlinePassed && latency < std::max(shortestFairDeadline, std::chrono::duration<double>(fairLatencies * speed.latencySeconds()));
+}
+
 double TargetState::slowdown() const noexcept
 {
     const auto unloaded = load.hasReports() ? speed.serviceSeconds() : speed.baselineSeconds() / baselineBias;
@@ -77,42 +82,17 @@
 
 void TargetState::recordReport(const LoadReport& report, TimePoint now)
 {
+    if (!load.isNewer(report, now))
+        return;
     averageInFlight(now);
     saysItIsLeaving = report.isLeaving;
     load.record(report, m_averageInFlight, now);
 }
 
-unsigned TargetState::allowedInFlight(TimePoint now) const noexcept
-{
-    const auto state = health.state(now);
-    if (state == CircuitState::Closed)
-        return static_cast<unsigned>(limit.value());
-    if (state == CircuitState::Open)
-        return 0;
-    return std::max(1U, static_cast<unsigned>(limit.value() * health.allowedShare(now)));
-}
-
-/// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
-/// expected before all places are taken.
-double TargetState::crowding(TimePoint now) const noexcept
-{
-    const auto others = load.others(now);
-    const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
-    const auto excess = inFlight + others + 1 - places;
-    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
-    return 1 + queued / places;
-}
-
-ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
-{
-    const auto service = speed.isKnown() ? speed.agedServiceSeconds(bestServiceSeconds, now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding(now) };
-}
-
 TargetView TargetState::view(TimePoint now) const
 {
     TargetView made;
-    made.target = target.id;
+    made.target = id;
     made.inFlight = inFlight;
     made.limit = limit.value();
     made.serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(speed.serviceSeconds()));
