--- /dev/null
+++ b/packages/transport/src/HostOptions.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "WeightsController.h"
+
+#include "cicadalb/config/Settings.h"
+#include "cicadalb/platform/ClaimLog.h"
+#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/transport/HttpListener.h"
+#include "cicadalb/transport/MembershipPort.h"
+#include "cicadalb/transport/PeerLink.h"
+
+/// @file
+/// From a host's settings to the options of its parts.
+
+namespace cicadalb {
+
+std::size_t threadCount(const HostSettings& host);
+Endpoint toEndpoint(const SocketAddress& address);
+HttpListenerOptions callerOptions(const Settings& settings);
+HttpListenerOptions adminOptions(const Settings& settings);
+PeerLinkSettings linkSettings(const Settings& settings, Incarnation incarnation);
+MembershipPortSettings membershipSettings(const Settings& settings, Incarnation incarnation, std::uint16_t peerPort, std::uint16_t adminPort);
+ClaimLogSettings claimSettings(const Settings& settings, Incarnation incarnation);
+WeightsControllerOptions weightsOptions(const Settings& settings, Incarnation incarnation);
+
+} // namespace cicadalb
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -3,7 +3,9 @@
 #include "AdminEndpoints.h"
 #include "ConfigurationExchange.h"
 #include "GateEngineSelector.h"
+#include "HostOptions.h"
 #include "PeerClient.h"
+#include "StateReport.h"
 #include "StepEndpoints.h"
 #include "WeightEndpoint.h"
 #include "WeightsController.h"
@@ -24,10 +26,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -39,86 +39,11 @@
 
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
-    std::size_t threadCount(const HostSettings& host)
-    {
-        return host.threads != 0 ? host.threads : std::max(1U, std::thread::hardware_concurrency());
-    }
-
-    Endpoint toEndpoint(const SocketAddress& address)
-    {
-        return Endpoint { address.address, address.port };
-    }
-
-    HttpListenerOptions callerOptions(const Settings& settings)
-    {
-        HttpListenerOptions options;
-        options.address = settings.listen.address;
-        options.port = settings.listen.port;
-        options.maximumHeaderBytes = settings.limits.headerBytes;
-        options.maximumBodyBytes = settings.limits.bodyBytes;
-        options.headerTimeout = settings.limits.headerTimeout;
-        options.bodyTimeout = settings.limits.bodyTimeout;
-        options.maximumConnections = settings.limits.connections;
-        return options;
-    }
-
-    HttpListenerOptions adminOptions(const Settings& settings)
-    {
-        HttpListenerOptions options;
-        options.address = settings.admin.address;
-        options.port = settings.admin.port;
-        return options;
-    }
-
-    PeerLinkSettings linkSettings(const Settings& settings, Incarnation incarnation)
-    {
-        PeerLinkSettings links;
-        links.hostId = settings.host.id.value();
-        links.incarnation = incarnation;
-        links.listenAddress = settings.peers.listen.address;
-        links.listenPort = settings.peers.listen.port;
-        links.secret = settings.secret.reveal();
-        return links;
-    }
-
-    MembershipPortSettings membershipSettings(const Settings& settings, Incarnation incarnation, std::uint16_t peerPort, std::uint16_t adminPort)
-    {
-        MembershipPortSettings membership;
-        membership.self.id = settings.host.id;
-        membership.self.incarnation = incarnation;
-        membership.self.details.failureDomain = settings.host.failureDomain;
-        membership.self.details.weight = settings.host.weight;
-        membership.self.details.address = settings.membership.address;
-        membership.self.details.membershipPort = settings.membership.port;
-        membership.self.details.peerPort = peerPort;
-        membership.self.details.adminPort = adminPort;
-        membership.secret = settings.secret.reveal();
-        membership.randomSeed = incarnation;
-        for (const auto& seed : settings.peers.seeds)
-            membership.seeds.push_back(MemberEndpoint { seed.address.address, seed.address.port });
-        return membership;
-    }
-
     std::int64_t unixSeconds()
     {
         return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     }
 
-    ClaimLogSettings claimSettings(const Settings& settings, Incarnation incarnation)
-    {
-        ClaimLogSettings claims;
-        claims.writer = settings.host.id.value() + "/" + std::to_string(incarnation);
-        return claims;
-    }
-
-    WeightsControllerOptions weightsOptions(const Settings& settings, Incarnation incarnation)
-    {
-        WeightsControllerOptions options;
-        options.self = settings.host.id;
-        options.seed = incarnation;
-        return options;
-    }
-
     /// Milliseconds since the epoch: rises from one start of a process to the next.
     Incarnation newIncarnation()
     {
@@ -203,11 +128,9 @@
         m_isStopping = true;
         m_callerListener.beginDraining();
         std::this_thread::sleep_for(m_settings.shutdown.unready);
+        handOver();
         m_callerListener.stopAccepting();
-        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
-        while (m_callerListener.connections() > 0 && std::chrono::steady_clock::now() < limit)
-            std::this_thread::sleep_for(drainPollInterval);
-        const bool isDrained = m_callerListener.requestsInFlight() == 0;
+        const bool isDrained = waitUntilDrained();
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
     }
@@ -229,6 +152,23 @@
         return m_membership->start();
     }
 
+    /// Moves what this host coordinates to others: the assignment first, then steps and leases.
+    void handOver()
+    {
+        auto left = asio::co_spawn(m_control.context(0), m_membership->leave(), asio::use_future);
+        left.wait();
+        m_weights.stop();
+        m_steps.stop();
+    }
+
+    bool waitUntilDrained()
+    {
+        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
+        while (m_callerListener.connections() > 0 && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(drainPollInterval);
+        return m_callerListener.requestsInFlight() == 0;
+    }
+
     void spawn(Task<void> task)
     {
         asio::co_spawn(m_control.context(0), std::move(task), asio::detached);
@@ -316,7 +256,7 @@
     nlohmann::json state() const
     {
         nlohmann::json pools = nlohmann::json::object();
-        m_routing.forEachGate([&pools](PoolGate& gate) { pools[gate.pool().name.value()] = poolState(gate); });
+        m_routing.forEachGate([&pools](const PoolGate& gate) { pools[gate.pool().name.value()] = toReport(gate); });
         const auto snapshot = m_routing.snapshot();
         return {
             { "host", m_settings.host.id.value() },
@@ -324,55 +264,19 @@
             { "incarnation", m_incarnation },
             { "ready", isReady() },
             { "configuration", snapshot ? snapshot->number : 0 },
-            { "refused-edits", refusedEditStates() },
+            { "refused-edits", toReport(m_configuration.refusedEdits()) },
             { "in-flight", m_dispatcher.inFlight() },
             { "connections", m_callerListener.connections() },
             { "pools", pools },
+            { "steps", toReport(m_steps.progress()) },
             { "weights", m_weights.state() },
-            { "members", memberStates() },
+            { "claims", toReport(m_claims.counters()) },
+            { "key-value", toReport(m_gatedKeyValue.state()) },
+            { "members", toReport(m_membership->view()->members) },
             { "links", nlohmann::json::parse(m_links.state(), nullptr, false) },
         };
     }
 
-    nlohmann::json refusedEditStates() const
-    {
-        nlohmann::json edits = nlohmann::json::array();
-        for (const auto& edit : m_configuration.refusedEdits())
-            edits.push_back({ { "author", edit.author }, { "at", edit.at }, { "reasons", edit.reasons } });
-        return edits;
-    }
-
-    nlohmann::json memberStates() const
-    {
-        nlohmann::json members = nlohmann::json::array();
-        for (const auto& member : m_membership->view()->members) {
-            members.push_back({
-                { "host", member.id.value() },
-                { "state", name(member.state) },
-                { "incarnation", member.incarnation },
-                { "failure-domain", member.details.failureDomain.value() },
-                { "configuration", member.configuration },
-            });
-        }
-        return members;
-    }
-
-    static nlohmann::json poolState(const PoolGate& gate)
-    {
-        nlohmann::json targets = nlohmann::json::array();
-        for (const auto& view : gate.targets()) {
-            targets.push_back({
-                { "target", view.target.value() },
-                { "in-flight", view.inFlight },
-                { "limit", view.limit },
-                { "service-us", std::chrono::duration_cast<std::chrono::microseconds>(view.serviceTime).count() },
-                { "eligible", view.isEligible },
-                { "reason", view.reason },
-            });
-        }
-        return { { "queue", gate.queueLength() }, { "targets", targets } };
-    }
-
     bool shouldWatchConfiguration() const
     {
         return isConfigurationWatcher(m_settings.host.id, m_settings.host.failureDomain, assignment()->hosts());
--- /dev/null
+++ b/packages/transport/src/StateReport.cpp
@@ -0,0 +1,114 @@
+#include "StateReport.h"
+
+namespace cicadalb {
+
+namespace {
+
+    nlohmann::json toReport(const TargetView& view)
+    {
+        return {
+            { "target", view.target.value() },
+            { "in-flight", view.inFlight },
+            { "limit", view.limit },
+            { "service-us", std::chrono::duration_cast<std::chrono::microseconds>(view.serviceTime).count() },
+            { "eligible", view.isEligible },
+            { "reason", view.reason },
+        };
+    }
+
+    nlohmann::json toReport(const Member& member)
+    {
+        return {
+            { "host", member.id.value() },
+            { "state", name(member.state) },
+            { "incarnation", member.incarnation },
+            { "failure-domain", member.details.failureDomain.value() },
+            { "configuration", member.configuration },
+        };
+    }
+
+    nlohmann::json discardedByCause(const StepProgress& progress)
+    {
+        nlohmann::json causes = nlohmann::json::object();
+        for (std::size_t i = 0; i < progress.discarded.size(); ++i) {
+            if (progress.discarded[i] > 0)
+                causes[std::string(name(static_cast<DiscardCause>(i)))] = progress.discarded[i];
+        }
+        return causes;
+    }
+
+    nlohmann::json toReport(const StepProgress& progress)
+    {
+        return {
+            { "trainer", progress.key.trainer.value() },
+            { "step", progress.key.step },
+            { "samples", progress.samples },
+            { "waiting", progress.waiting },
+            { "running", progress.running },
+            { "ready", progress.ready },
+            { "received", progress.received },
+            { "discarded", discardedByCause(progress) },
+            { "tokens-kept", progress.tokensKept },
+            { "tokens-discarded", progress.tokensDiscarded },
+            { "tokens-duplicated", progress.tokensDuplicated },
+            { "second-runs", progress.secondRuns },
+            { "late", progress.isLate },
+            { "reason", progress.reason },
+        };
+    }
+
+    template <typename Items>
+    nlohmann::json toReports(const Items& items)
+    {
+        nlohmann::json reports = nlohmann::json::array();
+        for (const auto& item : items)
+            reports.push_back(toReport(item));
+        return reports;
+    }
+
+} // namespace
+
+nlohmann::json toReport(const PoolGate& gate)
+{
+    return { { "queue", gate.queueLength() }, { "targets", toReports(gate.targets()) } };
+}
+
+nlohmann::json toReport(const std::vector<Member>& members)
+{
+    return toReports(members);
+}
+
+nlohmann::json toReport(const std::vector<RefusedEdit>& edits)
+{
+    nlohmann::json reports = nlohmann::json::array();
+    for (const auto& edit : edits)
+        reports.push_back({ { "author", edit.author }, { "at", edit.at }, { "reasons", edit.reasons } });
+    return reports;
+}
+
+nlohmann::json toReport(const std::vector<StepProgress>& steps)
+{
+    return toReports(steps);
+}
+
+nlohmann::json toReport(const ClaimLogCounters& counters)
+{
+    return {
+        { "claims", counters.claims },
+        { "fresh", counters.fresh },
+        { "refused", counters.refused },
+        { "reads", counters.reads },
+        { "writes", counters.writes },
+    };
+}
+
+nlohmann::json toReport(const GateState& gate)
+{
+    return {
+        { "available", gate.isAvailable },
+        { "calls", gate.callsMade },
+        { "calls-held-back", gate.callsHeldBack },
+    };
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/transport/src/StateReport.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cicadalb/config/RefusedEdits.h"
+#include "cicadalb/membership/Member.h"
+#include "cicadalb/platform/ClaimLog.h"
+#include "cicadalb/platform/GatedKeyValueService.h"
+#include "cicadalb/rollout/StepCoordinator.h"
+#include "cicadalb/transport/PoolGate.h"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+/// @file
+/// Parts of a host's state as JSON, for the dump.
+
+namespace cicadalb {
+
+nlohmann::json toReport(const PoolGate&);
+nlohmann::json toReport(const std::vector<Member>&);
+nlohmann::json toReport(const std::vector<RefusedEdit>&);
+nlohmann::json toReport(const std::vector<StepProgress>&);
+nlohmann::json toReport(const ClaimLogCounters&);
+nlohmann::json toReport(const GateState&);
+
+} // namespace cicadalb
