--- a/apps/cicadactl/src/ConfigurationClient.cpp
+++ b/apps/cicadactl/src/ConfigurationClient.cpp
@@ -54,6 +54,16 @@
     co_return std::optional(std::move(record.value()));
 }
 
+Task<Result<std::optional<AcceptedConfiguration>>> ConfigurationClient::presentAfterOutage()
+{
+    auto current = co_await present();
+    for (unsigned failures = 0; !current && failures < maximumFailures; ++failures) {
+        co_await pause();
+        current = co_await present();
+    }
+    co_return current;
+}
+
 Task<Result<std::vector<AcceptedConfiguration>>> ConfigurationClient::history()
 {
     auto entries = co_await m_service.list(std::string(configurationHistoryPrefix));
@@ -89,7 +99,7 @@
 Task<ApplyReport> ConfigurationClient::applyChange(ConfigurationChange change)
 {
     for (unsigned race = 1;; ++race) {
-        auto current = co_await present();
+        auto current = co_await presentAfterOutage();
         if (!current)
             co_return ApplyReport { ApplyStep::Refused, {}, {}, { current.error() } };
         if (!current.value())
--- a/apps/cicadactl/src/ConfigurationClient.h
+++ b/apps/cicadactl/src/ConfigurationClient.h
@@ -44,6 +44,8 @@
     Task<ApplyReport> applyChange(ConfigurationChange change);
 
 private:
+    /// present(), tried again while the service is down, as often as the calls of an edit.
+    Task<Result<std::optional<AcceptedConfiguration>>> presentAfterOutage();
     Task<ApplyReport> follow(ConfigurationEdit);
     Task<void> read(ConfigurationApply&);
     Task<void> write(ConfigurationApply&);
--- a/apps/tests/unit-cicadactl.cpp
+++ b/apps/tests/unit-cicadactl.cpp
@@ -144,6 +144,19 @@
     CHECK_FALSE(service.entries().contains(std::string(refusedEditsKey)));
 }
 
+TEST_CASE_METHOD(CommandFixture, "drain, begun in an outage, goes on when the service is back")
+{
+    apply("asha");
+    unsigned failures = 5;
+    service.faultOf = [&failures](CallKind) {
+        if (failures == 0)
+            return CallFault::None;
+        --failures;
+        return CallFault::Unavailable;
+    };
+    CHECK(run(drainCommand(client, { "asha", "ledger-1", false, false })).exitCode == ExitCode::Done);
+}
+
 TEST_CASE_METHOD(CommandFixture, "service, down, leaves the edit undone and says so by its exit code")
 {
     service.faultOf = [](CallKind) { return CallFault::Unavailable; };
