Membership at 1,300 members: keep bursts within the budget and repair by differing buckets

Cause, seen at 1,300 members that start together: the whole burst went into repeated updates, the rest drained at 6 KB/s and one lost host did not settle within 30 s; every host tried each lost host and unknown seed at its own full rate. Ruled out: a larger burst (it only moves the point). Now news goes first, floods are sent five times only, an exchange of state does not start gossip, few differing buckets are answered beyond the budget, tries of silent hosts are shared by all, and while several hosts are silent gossip goes to those heard last.

--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -163,6 +163,7 @@
     void suspect(Index, TimePoint now);
     void expireSuspicions(TimePoint now);
     void gossip(TimePoint now);
+    std::chrono::milliseconds sharedInterval(std::chrono::milliseconds, std::size_t silent) const;
     void reconnect(TimePoint now);
     std::vector<MemberEndpoint> unknownSeeds() const;
     void contactSeeds(TimePoint now);
@@ -189,6 +190,7 @@
     void piggyback(MembershipMessage&, TimePoint now);
     void send(const MembershipMessage&, const MemberEndpoint& to);
     std::optional<Index> randomAlive();
+    std::optional<Index> recentSender();
     void toggleDigest(const Entry&);
     MemberEndpoint endpointOf(Index) const;
     bool isIsolated(TimePoint now) const;
@@ -203,6 +205,7 @@
     std::deque<Index> m_updates;
     std::vector<Index> m_probeOrder;
     std::deque<Index> m_verifications;
+    std::deque<Index> m_recentSenders;
     std::vector<Probe> m_probes;
     std::vector<Relay> m_relays;
     std::vector<Index> m_suspects;
@@ -214,6 +217,7 @@
     std::uint64_t m_version = 1;
     std::uint64_t m_lastSequence = 0;
     unsigned m_digestMismatches = 0;
+    bool m_isApplyingSync = false;
     double m_tokens;
     /// Time of the last tick or datagram.
     TimePoint m_lastTick;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -16,6 +16,8 @@
     /// Hosts to which a departure is told at once.
     constexpr std::size_t departureFanout = 8;
     constexpr std::size_t seedsAtOnce = 3;
+    /// Last datagrams whose senders are remembered.
+    constexpr std::size_t recentSenders = 16;
     /// Time to refute that a host has at least.
     constexpr std::chrono::milliseconds smallestGrace { 500 };
     /// Hosts that a host asks for their view when it was paused.
@@ -40,10 +42,13 @@
         return static_cast<std::uint32_t>(mixed >> 32U);
     }
 
-    /// Transmissions of one update by each host that learns it.
-    unsigned transmissionsFor(std::size_t members)
+    /// Transmissions of one update by each host that learns it. In a flood of updates fewer do: the exchange of differing buckets
+    /// repairs the few that are missed for less.
+    unsigned transmissionsFor(std::size_t members, std::size_t queued)
     {
-        return 4 + static_cast<unsigned>(std::bit_width(members));
+        constexpr std::size_t flood = 200;
+        constexpr unsigned transmissionsInFlood = 5;
+        return queued > flood ? transmissionsInFlood : 4 + static_cast<unsigned>(std::bit_width(members));
     }
 
 } // namespace
@@ -86,10 +91,7 @@
         startProbes(now);
         gossip(now);
     }
-    if (now >= m_nextReconnect) {
-        m_nextReconnect = now + jittered(m_settings.reconnectInterval, 0.25, m_random);
-        reconnect(now);
-    }
+    reconnect(now);
     contactSeeds(now);
     forgetOldMembers(now);
 }
@@ -121,8 +123,10 @@
     if (message.sender == self().id && message.senderIncarnation == self().incarnation)
         return;
     m_lastHeard = now;
+    m_isApplyingSync = message.kind == MembershipMessageKind::SyncAnswer;
     for (const auto& update : message.updates)
         applyUpdate(update, from, now);
+    m_isApplyingSync = false;
     noteSender(message, from, now);
     handle(message, from, now);
     compareDigests(message, from, now);
@@ -305,7 +309,8 @@
     for (std::size_t i = 0; i < m_settings.gossipFanout && !m_updates.empty(); ++i) {
         // A long queue goes out in several datagrams to each host, as far as the budget allows.
         constexpr std::size_t datagramsAtOnce = 6;
-        const auto index = randomAlive();
+        // While many hosts fall silent, those that were heard a moment ago can be reached.
+        const auto index = m_suspects.size() > 1 ? recentSender() : randomAlive();
         if (!index)
             return;
         std::size_t sent = 0;
@@ -322,13 +327,24 @@
     }
 }
 
+std::chrono::milliseconds Membership::sharedInterval(std::chrono::milliseconds interval, std::size_t silent) const
+{
+    // All hosts together try each silent host several times an interval, however many they are.
+    constexpr std::size_t triesOfAll = 16;
+    const auto factor = m_presentCount / (triesOfAll * std::max<std::size_t>(silent, 1));
+    return interval * static_cast<std::int64_t>(std::max<std::size_t>(factor, 1));
+}
+
 void Membership::reconnect(TimePoint now)
 {
+    if (now < m_nextReconnect)
+        return;
     std::vector<Index> lost;
     for (Index i = 1; i < m_entries.size(); ++i) {
         if (m_entries[i].member.state == MemberState::Lost)
             lost.push_back(i);
     }
+    m_nextReconnect = now + jittered(sharedInterval(m_settings.reconnectInterval, lost.size()), 0.25, m_random);
     if (!lost.empty())
         ping(lost[randomIndex(m_random, lost.size())], ++m_lastSequence, now);
 }
@@ -338,8 +354,9 @@
     if (now < m_nextSeedContact || m_seeds.empty() || self().state == MemberState::Left)
         return;
     const bool isAlone = m_presentCount <= 1;
-    m_nextSeedContact = now + jittered(isAlone ? m_settings.reconnectInterval : m_settings.seedInterval, 0.5, m_random);
     auto unknown = unknownSeeds();
+    const auto interval = isAlone ? m_settings.reconnectInterval : sharedInterval(m_settings.seedInterval, unknown.size());
+    m_nextSeedContact = now + jittered(interval, 0.5, m_random);
     const std::size_t contacts = std::min(isAlone ? seedsAtOnce : 1, unknown.size());
     for (std::size_t i = 0; i < contacts; ++i) {
         std::swap(unknown[i], unknown[i + randomIndex(m_random, unknown.size() - i)]);
@@ -374,6 +391,7 @@
     m_updates.clear();
     m_probeOrder.clear();
     m_verifications.clear();
+    m_recentSenders.clear();
     m_probes.clear();
     m_suspects.clear();
     for (Index i = 0; i < m_entries.size(); ++i) {
@@ -486,6 +504,9 @@
         requestSync(from, now);
         return;
     }
+    m_recentSenders.push_back(found->second);
+    if (m_recentSenders.size() > recentSenders)
+        m_recentSenders.pop_front();
     auto& entry = m_entries[found->second];
     entry.member.configuration = std::max(entry.member.configuration, message.configuration);
     if (message.senderIncarnation > entry.member.incarnation)
@@ -558,6 +579,11 @@
 
 void Membership::answerSync(const MembershipMessage& received, const MemberEndpoint& from, TimePoint now)
 {
+    // Small differences are repaired even when the budget is spent.
+    constexpr std::size_t fewBuckets = 6;
+    std::size_t differing = 0;
+    for (std::size_t i = 0; i < digestBuckets; ++i)
+        differing += received.bucketDigests[i] == m_bucketDigests[i] ? 0 : 1;
     auto answer = message(MembershipMessageKind::SyncAnswer);
     const auto emptyBytes = messageOverheadBytes + self().id.value().size();
     std::size_t bytes = emptyBytes;
@@ -572,7 +598,7 @@
             answer.updates.clear();
             bytes = emptyBytes;
         }
-        if (m_tokens <= 0)
+        if (m_tokens <= 0 && differing > fewBuckets)
             return;
         bytes += bound;
         answer.updates.push_back(std::move(update));
@@ -588,7 +614,8 @@
         return;
     }
     ++m_digestMismatches;
-    if (m_digestMismatches >= mismatchesBeforeSync && m_updates.empty())
+    constexpr std::size_t fewUpdates = 50;
+    if (m_digestMismatches >= mismatchesBeforeSync && (m_updates.size() < fewUpdates || m_tokens <= 0))
         requestSync(from, now);
 }
 
@@ -637,10 +664,14 @@
 void Membership::enqueue(Index index, bool withDetails)
 {
     auto& entry = m_entries[index];
+    // What an exchange of state repairs is known to others already: only this host's own refutation goes on from there.
+    if (m_isApplyingSync && index != 0)
+        return;
+    // News goes out before updates that were sent already.
     if (entry.transmissionsLeft == 0)
-        m_updates.push_back(index);
+        m_updates.push_front(index);
     entry.isWithDetails = withDetails || (entry.isWithDetails && entry.transmissionsLeft > 0);
-    entry.transmissionsLeft = transmissionsFor(m_entries.size());
+    entry.transmissionsLeft = transmissionsFor(m_entries.size(), m_updates.size());
 }
 
 MembershipMessage Membership::message(MembershipMessageKind kind) const
@@ -723,6 +754,14 @@
     return std::nullopt;
 }
 
+std::optional<Membership::Index> Membership::recentSender()
+{
+    if (m_recentSenders.empty())
+        return randomAlive();
+    const auto index = m_recentSenders[randomIndex(m_random, m_recentSenders.size())];
+    return m_entries[index].member.state == MemberState::Alive ? std::optional<Index>(index) : randomAlive();
+}
+
 void Membership::toggleDigest(const Entry& entry)
 {
     m_bucketDigests[entry.idHash % digestBuckets] ^= digestOf(entry.idHash, entry.member.incarnation);
