--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -18,9 +18,9 @@
     constexpr double longestRetryAfterSeconds = 30;
     /// Range of the jitter on that time, as parts of it.
     constexpr double retryAfterSpread = 1.0;
-    /// A request queues only if it would make its deadline with its wait and service so many times as long as expected, so that it is
-    /// hardly ever refused after waiting.
-    constexpr double queueCaution = 1.5;
+    /// A request queues only if it would make its deadline with a wait so many times as long as expected, so that it is hardly ever
+    /// refused after waiting.
+    constexpr double queueCaution = 2;
     /// Share of error-answering targets above which their open circuits are ignored.
     constexpr double largestErroringShare = 0.5;
 
@@ -51,9 +51,10 @@
     AdmissionQueue queue;
     QueueTicket lastTicket = 0;
     std::size_t turn = 0;
-    /// Results of collect(): targets with room, and others that may serve.
+    /// Results of collect(): targets with room, others that may serve, and the least service time that is known of both.
     std::vector<std::size_t> candidates;
     std::vector<std::size_t> full;
+    double bestService = 0;
     RateMeter demands;
     RateMeter freedPlaces;
 
@@ -73,7 +74,8 @@
     Admission enqueue(const Demand&);
     Admission refuse(ErrorCode, double expectedSeconds);
     Admission refuseUnserved(TimePoint now);
-    bool admitOneQueued(std::vector<QueueDecision>&, TimePoint now);
+    /// @return false if no queued request's turn has come
+    bool decideOneQueued(std::vector<QueueDecision>&, TimePoint now);
     void refuseLate(std::vector<QueueDecision>&, TimePoint now);
 };
 
@@ -82,14 +84,10 @@
     for (auto& state : targets)
         state.isRemoved = true;
     for (const auto& target : pool.targets) {
-        if (auto* known = find(target.id)) {
-            known->target = target;
-            known->isRemoved = false;
-            known->limit.setCeiling(pool.maximumInFlight);
-            known->isNear = target.failureDomain == options.ownFailureDomain;
-        } else {
-            targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit).isNear = target.failureDomain == options.ownFailureDomain;
-        }
+        auto* state = find(target.id);
+        if (!state)
+            state = &targets.emplace_back(target, pool.maximumInFlight, strategy.hasAdaptiveLimit);
+        state->configure(target, pool.maximumInFlight, options.ownFailureDomain);
     }
     eraseIdleRemoved();
 }
@@ -99,7 +97,7 @@
     std::erase_if(targets, [](const auto& state) { return state.isRemoved && state.inFlight == 0; });
     indexes.clear();
     for (std::size_t i = 0; i < targets.size(); ++i)
-        indexes.emplace(targets[i].target.id, i);
+        indexes.emplace(targets[i].id, i);
 }
 
 TargetState* PoolBalancer::State::find(const TargetId& id)
@@ -112,17 +110,21 @@
 {
     candidates.clear();
     full.clear();
+    bestService = 0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        const auto& state = targets[i];
+        auto& state = targets[i];
         if (!state.isEligible())
             continue;
-        if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.target.id) != excluded.end())
+        if (!excluded.empty() && std::find(excluded.begin(), excluded.end(), state.id) != excluded.end())
             continue;
         const auto allowed = state.allowedInFlight(now);
-        if (state.inFlight < allowed)
-            candidates.push_back(i);
-        else if (allowed > 0)
-            full.push_back(i);
+        if (allowed == 0)
+            continue;
+        (state.inFlight < allowed ? candidates : full).push_back(i);
+        state.load.refresh(now);
+        const auto service = state.speed.serviceSeconds();
+        if (service > 0 && (bestService == 0 || service < bestService))
+            bestService = service;
     }
 }
 
@@ -158,16 +160,15 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    return strategy.pick({ targets, candidates, full, demand, waiting, now, random, turn++ });
+    return strategy.pick({ targets, candidates, full, bestService, demand, waiting, now, random, turn++ });
 }
 
 double PoolBalancer::State::leastDelay(TimePoint now) const
 {
-    const auto best = bestServiceSeconds(targets, full, bestServiceSeconds(targets, candidates));
     auto least = std::numeric_limits<double>::infinity();
     for (const auto* group : { &candidates, &full }) {
         for (const auto index : *group)
-            least = std::min(least, targets[index].expectedDelay(best, now).total());
+            least = std::min(least, targets[index].expectedDelay(bestService, now).total());
     }
     return least;
 }
@@ -182,7 +183,7 @@
     targets[index].begin(now);
     Admission admission;
     admission.kind = AdmissionKind::Admitted;
-    admission.target = targets[index].target.id;
+    admission.target = targets[index].id;
     return admission;
 }
 
@@ -233,10 +234,14 @@
 }
 
 /// A slow target is left to a lower priority while the whole priority does better to wait for faster ones.
-bool PoolBalancer::State::admitOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
+bool PoolBalancer::State::decideOneQueued(std::vector<QueueDecision>& decisions, TimePoint now)
 {
     for (const auto priority : queue.turns()) {
         const auto& waiting = queue.waiting(priority);
+        if (waiting.front().demand.deadline <= now) {
+            decisions.push_back({ queue.popFront(priority).ticket, refuse(ErrorCode::Overloaded, 0) });
+            return true;
+        }
         if (!isServed(waiting.front().demand, now))
             return false;
         if (const auto index = pick(waiting.front().demand, queue.sizeAbove(priority) + waiting.size() - 1, now)) {
@@ -274,9 +279,10 @@
             return state.admit(*index, now);
         }
     }
-    const auto seconds = state.leastDelay(now) + state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
-    if (position >= state.options.maximumQueueLength || state.isTooLate(demand, queueCaution * seconds, now))
-        return state.refuse(ErrorCode::Overloaded, seconds);
+    const auto service = state.leastDelay(now);
+    const auto wait = state.queue.waitSeconds(demand.priority, position, state.freedPlaces.perSecond(now), now);
+    if (position >= state.options.maximumQueueLength || state.isTooLate(demand, service + queueCaution * wait, now))
+        return state.refuse(ErrorCode::Overloaded, service + wait);
     state.queue.recordArrival(demand.priority, now);
     return state.enqueue(demand);
 }
@@ -291,7 +297,7 @@
             state.eraseIdleRemoved();
     }
     std::vector<QueueDecision> decisions;
-    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    while (state.queue.size() > 0 && state.decideOneQueued(decisions, now)) { }
     return decisions;
 }
 
@@ -304,7 +310,7 @@
 {
     auto& state = *m_state;
     std::vector<QueueDecision> decisions;
-    while (state.queue.size() > 0 && state.admitOneQueued(decisions, now)) { }
+    while (state.queue.size() > 0 && state.decideOneQueued(decisions, now)) { }
     state.refuseLate(decisions, now);
     return decisions;
 }
