--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -239,12 +239,25 @@
     {
         AdminSources sources;
         sources.isReady = [this] { return isReady(); };
-        sources.metricsText = [this] { return m_metrics.text(); };
+        sources.metricsText = [this] { return metricsText(); };
         sources.state = [this] { return state(); };
         sources.hasProof = [this](const ServerRequest& request) { return hasProof(request); };
         return sources;
     }
 
+    std::string metricsText()
+    {
+        const auto snapshot = m_routing.snapshot();
+        m_metrics.setGauge("cicadalb_ready", "1 if the host takes work", isReady() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_configuration_number", "Number of the configuration in force", snapshot ? static_cast<double>(snapshot->number) : 0);
+        m_metrics.setGauge("cicadalb_requests_in_flight", "Requests being served", static_cast<double>(m_dispatcher.inFlight()));
+        m_metrics.setGauge("cicadalb_hosts_present", "Hosts that take assignments, this one included", static_cast<double>(m_membership->view()->presentCount));
+        m_metrics.setGauge("cicadalb_steps_coordinated", "Steps that this host coordinates", static_cast<double>(m_steps.progress().size()));
+        m_metrics.setGauge("cicadalb_claim_writes", "Writes of claims since the start", static_cast<double>(m_claims.counters().writes));
+        m_metrics.setGauge("cicadalb_key_value_calls", "Calls to the key-value service since the start", static_cast<double>(m_gatedKeyValue.state().callsMade));
+        return m_metrics.text();
+    }
+
     bool hasProof(const ServerRequest& request)
     {
         const auto path = request.query.empty() ? request.path : request.path + "?" + request.query;
