Write each message from one piece of memory

Cause: a profile of a host under full load (perf, 2 s) showed Beast's views of header and body being copied through the composed writes, and malloc for them, as the largest part in user space. Change: a message is put together in a buffer that the connection keeps and written as one buffer. What is left of the path is Asio's and the kernel's.

--- /dev/null
+++ b/packages/platform/include/cicadalb/platform/detail/FlatMessage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+/// @file
+/// Beast messages as one piece of memory. Writing one buffer costs less than carrying Beast's sequences of views through a composed write.
+
+namespace cicadalb::detail {
+
+/// @brief Appends @p message as it goes over the wire to @p out. Complexity: linear in the message's size.
+template <bool isRequest, typename Body, typename Fields>
+void appendMessage(boost::beast::http::message<isRequest, Body, Fields>& message, boost::beast::flat_buffer& out)
+{
+    boost::beast::http::serializer<isRequest, Body, Fields> serializer(message);
+    boost::beast::error_code error;
+    while (!serializer.is_done() && !error) {
+        serializer.next(error, [&serializer, &out](boost::beast::error_code&, const auto& buffers) {
+            const auto length = boost::beast::buffer_bytes(buffers);
+            boost::asio::buffer_copy(out.prepare(length), buffers);
+            out.commit(length);
+            serializer.consume(length);
+        });
+    }
+}
+
+} // namespace cicadalb::detail
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -1,9 +1,12 @@
 #include "cicadalb/platform/HttpClient.h"
 
+#include "cicadalb/platform/detail/FlatMessage.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -31,9 +34,12 @@
         }
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
+        beast::flat_buffer output;
         TimePoint lastUsed;
         /// Bytes of the present request that were handed to the socket.
         std::size_t bytesWritten = 0;
+        /// Part of an answer's body; kept for the connection's life, since a new one for each answer would be cleared each time.
+        std::string part = std::string(streamPartBytes, '\0');
     };
 
     using ConnectionPointer = std::unique_ptr<Connection>;
@@ -68,7 +74,6 @@
     {
         beast::error_code error;
         auto& socket = connection.stream.socket();
-        socket.non_blocking(true, error);
         char byte = 0;
         socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
         return error == asio::error::would_block;
@@ -133,6 +138,7 @@
         if (error)
             co_return failure(ErrorCode::NotSent, "cannot connect: " + error.message(), place());
         connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        connection->stream.socket().non_blocking(true, error);
         co_return std::move(connection);
     }
 
@@ -151,10 +157,10 @@
     Task<beast::error_code> write(Connection& connection, http::request<http::string_body>& message)
     {
         beast::error_code error;
-        http::request_serializer<http::string_body> serializer(message);
+        connection.output.clear();
+        detail::appendMessage(message, connection.output);
         connection.bytesWritten = 0;
-        while (!serializer.is_done() && !error)
-            connection.bytesWritten += co_await http::async_write_some(connection.stream, serializer, token(error));
+        connection.bytesWritten = co_await asio::async_write(connection.stream, connection.output.cdata(), token(error));
         co_return error;
     }
 
@@ -255,7 +261,7 @@
             co_return failure(ErrorCode::Cancelled, "abandoned by the caller", state->place());
     }
 
-    std::string buffer(streamPartBytes, '\0');
+    auto& buffer = connection->part;
     while (!parser.is_done()) {
         const auto length = co_await State::readPart(*connection, parser, buffer, error);
         if (error)
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include "Problem.h"
 
 #include "cicadalb/base/Event.h"
+#include "cicadalb/platform/detail/FlatMessage.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -119,13 +121,16 @@
                 message.prepare_payload();
             message.keep_alive(mayKeepAlive());
             m_hasBegun = true;
-            http::response_serializer<http::string_body> serializer(message);
             m_stream.expires_after(m_options.writeTimeout);
             beast::error_code error;
-            if (m_isHeadRequest)
+            if (m_isHeadRequest) {
+                http::response_serializer<http::string_body> serializer(message);
                 co_await http::async_write_header(m_stream, serializer, token(error));
-            else
-                co_await http::async_write(m_stream, serializer, token(error));
+            } else {
+                m_output.clear();
+                detail::appendMessage(message, m_output);
+                co_await asio::async_write(m_stream, m_output.cdata(), token(error));
+            }
             m_isAnswered = !error;
             co_return m_isAnswered;
         }
@@ -254,6 +259,7 @@
 
         beast::tcp_stream m_stream;
         beast::flat_buffer m_buffer;
+        beast::flat_buffer m_output;
         const HttpListenerOptions& m_options;
         std::size_t m_worker;
         const std::atomic<bool>* m_isStopping;
