--- a/testing/plainservice/main.cpp
+++ b/testing/plainservice/main.cpp
@@ -89,8 +89,8 @@
             }
             const auto answer = runOnce(exchange);
             co_await serve();
-            while (takeOne(m_faults.hangs))
-                co_await m_changed.wait(std::chrono::hours(1));
+            if (takeOne(m_faults.hangs))
+                co_await hang();
             co_await respond(exchange, answer);
         }
 
@@ -137,6 +137,14 @@
             m_changed.notifyAll();
         }
 
+        /// Waits until "hang-requests" is set again.
+        Task<void> hang()
+        {
+            const auto release = m_releases;
+            while (m_releases == release)
+                co_await m_changed.wait(std::chrono::hours(1));
+        }
+
         Task<void> respond(Exchange& exchange, const Json& answer)
         {
             const auto text = answer.dump();
@@ -175,6 +183,7 @@
         {
             for (const auto& fault : faultNames)
                 assignIfPresent(words, fault.name, m_faults.*fault.count);
+            m_releases += words.contains("hang-requests") ? 1 : 0;
             assignIfPresent(words, "leaving", m_faults.isLeaving);
             assignIfPresent(words, "service-ms", m_options.serviceMilliseconds);
             assignIfPresent(words, "speed-factor", m_options.speed);
@@ -194,6 +203,7 @@
         std::map<std::string, unsigned> m_runsByKey;
         std::map<std::string, Json> m_invoices;
         std::uint64_t m_runs = 0;
+        std::uint64_t m_releases = 0;
         unsigned m_running = 0;
         unsigned m_queued = 0;
         Signal m_changed;
--- /dev/null
+++ b/testing/process/process-rolling-restart.cpp
@@ -0,0 +1,128 @@
+#include "Deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+
+using namespace cicadalb;
+using namespace cicadalb::testing;
+
+namespace {
+
+constexpr std::size_t hostCount = 8;
+constexpr std::size_t callerCount = 6;
+constexpr std::chrono::milliseconds readinessInterval { 50 };
+
+/// Sends requests to ready hosts, as a balancer does that looks at /readyz again and again.
+class BalancedLoad {
+public:
+    explicit BalancedLoad(Deployment& deployment)
+        : m_deployment(deployment)
+    {
+        lookAtReadiness();
+        m_threads.emplace_back([this] { watchReadiness(); });
+        for (std::size_t number = 0; number < callerCount; ++number)
+            m_threads.emplace_back([this, number] { sendRequests(number); });
+    }
+
+    ~BalancedLoad() { finish(); }
+
+    void finish()
+    {
+        m_isEnding = true;
+        for (auto& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+    void replace(std::size_t index, std::unique_ptr<Host> host)
+    {
+        const std::lock_guard lock(m_mutex);
+        // Requests may still use the former host's client.
+        m_former.push_back(std::exchange(m_deployment.hosts[index], std::move(host)));
+    }
+
+    std::size_t answered() const { return m_answered; }
+    std::vector<std::string> failures() const { return m_failures; }
+
+private:
+    void watchReadiness()
+    {
+        while (!m_isEnding) {
+            lookAtReadiness();
+            std::this_thread::sleep_for(readinessInterval);
+        }
+    }
+
+    void lookAtReadiness()
+    {
+        std::vector<Host*> hosts;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto& host : m_deployment.hosts)
+                hosts.push_back(host.get());
+        }
+        std::vector<HttpClient*> ready;
+        for (auto* host : hosts) {
+            if (m_deployment.isReady(*host))
+                ready.push_back(host->callers.get());
+        }
+        const std::lock_guard lock(m_mutex);
+        m_ready = std::move(ready);
+    }
+
+    HttpClient* pick(std::size_t number)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ready.empty() ? nullptr : m_ready[number % m_ready.size()];
+    }
+
+    void sendRequests(std::size_t caller)
+    {
+        for (std::size_t number = caller; !m_isEnding; ++number) {
+            auto* client = pick(number);
+            if (!client)
+                continue;
+            const auto key = std::to_string(caller) + "-" + std::to_string(number);
+            const auto response = m_deployment.call(*client, number % 2 == 0 ? Deployment::invoice(key) : Deployment::lookup(key));
+            if (response && response.value().status == 200) {
+                ++m_answered;
+                continue;
+            }
+            const std::lock_guard lock(m_mutex);
+            m_failures.push_back(response ? response.value().body : describe(response.error()));
+        }
+    }
+
+    Deployment& m_deployment;
+    std::mutex m_mutex;
+    std::vector<HttpClient*> m_ready;
+    std::vector<std::unique_ptr<Host>> m_former;
+    std::vector<std::string> m_failures;
+    std::atomic<std::size_t> m_answered = 0;
+    std::atomic<bool> m_isEnding = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace
+
+TEST_CASE("Eight hosts under load, each stopped and started in turn, no request is cut")
+{
+    Deployment deployment { { hostCount, 2 } };
+    for (auto& ledger : deployment.ledgers)
+        deployment.control(*ledger, { { "service-ms", 20 } });
+    BalancedLoad load(deployment);
+    for (std::size_t index = 0; index < hostCount; ++index) {
+        auto& process = *deployment.hosts[index]->process;
+        const auto before = load.answered();
+        process.signal(SIGTERM);
+        CHECK(process.wait() == 0);
+        CHECK(load.answered() > before);
+        load.replace(index, deployment.startHost("host-" + std::to_string(index)));
+    }
+    load.finish();
+    CAPTURE(load.failures());
+    CHECK(load.failures().empty());
+}
