--- a/testing/process/Deployment.cpp
+++ b/testing/process/Deployment.cpp
@@ -42,6 +42,7 @@
     keyValue = startStandIn("keyvalue");
     m_hostList = startStandIn("hostlist");
     m_weightStore = startStandIn("weightstore");
+    engine = startStandIn("engine", { "--slots", "32", "--tokens-per-second", "200", "--median-tokens", "64", "--tail", "0" });
     for (std::size_t number = 0; number < options.ledgers; ++number)
         ledgers.push_back(startStandIn("plainservice"));
     applyTables();
@@ -112,12 +113,15 @@
 {
     const std::string routes = "[callers.clerks]\ntoken-sha256 = \"" + sha256Hex("clerk-token") + "\"\n"
         + "[routes.post-invoice]\npath = \"/ledger/invoices\"\npool = \"ledger-app\"\nrepeatable = false\ntimeout-ms = 3000\n"
-        + "[routes.lookup]\npath = \"/ledger/lookups\"\npool = \"ledger-app\"\nrepeatable = true\ntimeout-ms = 3000\nretry-percent = 100\n";
+        + "[routes.lookup]\npath = \"/ledger/lookups\"\npool = \"ledger-app\"\nrepeatable = true\ntimeout-ms = 3000\nretry-percent = 100\n"
+        + "[routes.drafts]\npath = \"/v1/drafts\"\npool = \"draft-model\"\nrepeatable = true\n";
     std::string pools = "[pools.ledger-app]\nkind = \"plain-service\"\n";
     for (std::size_t number = 0; number < ledgers.size(); ++number) {
         pools += "[[pools.ledger-app.targets]]\nid = \"ledger-" + std::to_string(number) + "\"\naddress = \"127.0.0.1\"\n";
         pools += "port = " + std::to_string(ledgers[number]->port) + "\nfailure-domain = \"salt-lake\"\n";
     }
+    pools += "[pools.draft-model]\nkind = \"model-engine\"\nmodel = \"draft\"\n[[pools.draft-model.targets]]\nid = \"draft-0\"\n";
+    pools += "address = \"127.0.0.1\"\nport = " + std::to_string(engine->port) + "\nfailure-domain = \"salt-lake\"\n";
     const std::vector<std::string> arguments { "apply", writeFile("routes.toml", routes), writeFile("pools.toml", pools),
         "--key-value", "127.0.0.1:" + std::to_string(keyValue->port), "--author", "test" };
     ChildProcess control("apps/cicadactl", arguments, (m_folder / "cicadactl.log").string());
@@ -143,6 +147,13 @@
 
 HttpRequest Deployment::lookup(const std::string& key) { return callerRequest("GET", "/ledger/lookups/M-17", "clerk-token", key); }
 
+HttpRequest Deployment::draft(const std::string& key)
+{
+    auto request = callerRequest("POST", "/v1/drafts", "clerk-token", key);
+    request.body = R"({"prompt":"summarise","maximum-tokens":64})";
+    return request;
+}
+
 nlohmann::json Deployment::control(Server& server, const nlohmann::json& words)
 {
     HttpRequest request;
--- a/testing/process/Deployment.h
+++ b/testing/process/Deployment.h
@@ -74,6 +74,8 @@
     static HttpRequest invoice(const std::string& key);
     /// @brief Looks something up; the route is repeatable.
     static HttpRequest lookup(const std::string& key);
+    /// @brief Asks the model for a draft; its answer takes about a third of a second.
+    static HttpRequest draft(const std::string& key);
 
     nlohmann::json control(Server&, const nlohmann::json& words);
     unsigned runsOf(Server&, const std::string& key);
@@ -84,6 +86,7 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::vector<std::unique_ptr<Server>> ledgers;
     std::unique_ptr<Server> keyValue;
+    std::unique_ptr<Server> engine;
 
 private:
     std::unique_ptr<Server> startStandIn(const std::string& program, const std::vector<std::string>& arguments = {});
--- a/testing/process/process-rolling-restart.cpp
+++ b/testing/process/process-rolling-restart.cpp
@@ -79,6 +79,13 @@
         return m_ready.empty() ? nullptr : m_ready[number % m_ready.size()];
     }
 
+    static HttpRequest request(std::size_t number, const std::string& key)
+    {
+        using Maker = HttpRequest (*)(const std::string&);
+        constexpr Maker makers[] = { &Deployment::invoice, &Deployment::lookup, &Deployment::draft };
+        return makers[number % std::size(makers)](key);
+    }
+
     void sendRequests(std::size_t caller)
     {
         for (std::size_t number = caller; !m_isEnding; ++number) {
@@ -86,7 +93,7 @@
             if (!client)
                 continue;
             const auto key = std::to_string(caller) + "-" + std::to_string(number);
-            const auto response = m_deployment.call(*client, number % 2 == 0 ? Deployment::invoice(key) : Deployment::lookup(key));
+            const auto response = m_deployment.call(*client, request(number, key));
             if (response && response.value().status == 200) {
                 ++m_answered;
                 continue;
