--- a/benchmarks/bench_pick.cpp
+++ b/benchmarks/bench_pick.cpp
@@ -221,18 +221,42 @@
     }
 }
 
-/// Median microseconds of one admission with its completion, over batches.
-double timeDecision(PickPolicy policy, std::size_t targetCount, bool hasAffinity)
+/// @brief What a timed balancer is asked.
+struct TimedCase {
+    PickPolicy policy = PickPolicy::LeastDelay;
+    bool hasAffinity = false;
+    /// True if all targets are full, so that each request queues.
+    bool isFull = false;
+};
+
+Pool poolOf(std::size_t targetCount)
 {
-    constexpr unsigned batches = 50;
-    constexpr unsigned batchSize = 2000;
     Pool pool;
     for (std::size_t i = 0; i < targetCount; ++i)
         pool.targets.push_back({ TargetId("target-" + std::to_string(i)), "127.0.0.1", 1, FailureDomain(i % 3 == 0 ? "a" : "b"), false });
+    return pool;
+}
+
+/// Ends what was admitted, or takes it out of the queue. Targets of a full pool keep what they have.
+void endRequest(PoolBalancer& balancer, const Admission& admission, unsigned number, bool isFull, TimePoint now)
+{
+    if (admission.kind == AdmissionKind::Admitted && !isFull)
+        balancer.finished(admission.target, { CompletionKind::Succeeded, std::chrono::milliseconds(5 + number % 7) }, now);
+    if (admission.kind == AdmissionKind::Queued)
+        balancer.withdraw(admission.ticket, now);
+}
+
+/// Median microseconds of one decision, over batches.
+double timeDecision(const TimedCase& timed)
+{
+    constexpr unsigned batches = 50;
+    constexpr unsigned batchSize = 2000;
+    constexpr std::size_t targetCount = 64;
+    const auto pool = poolOf(targetCount);
     ManualClock clock;
     BalancerOptions balancerOptions;
     balancerOptions.ownFailureDomain = FailureDomain("a");
-    balancerOptions.policy = policy;
+    balancerOptions.policy = timed.policy;
     PoolBalancer balancer(pool, balancerOptions, clock.now());
     std::vector<double> times;
     Demand demand;
@@ -241,13 +265,12 @@
         for (unsigned i = 0; i < batchSize; ++i) {
             clock.advance(std::chrono::microseconds(200));
             demand.deadline = clock.now() + std::chrono::seconds(5);
-            if (hasAffinity)
+            if (timed.hasAffinity)
                 demand.affinity = i % 64;
-            const auto start = std::chrono::steady_clock::now();
+            const auto begin = std::chrono::steady_clock::now();
             const auto admission = balancer.request(demand, clock.now());
-            spent += std::chrono::steady_clock::now() - start;
-            if (admission.kind == AdmissionKind::Admitted)
-                balancer.finished(admission.target, { CompletionKind::Succeeded, std::chrono::milliseconds(5 + i % 7) }, clock.now());
+            spent += std::chrono::steady_clock::now() - begin;
+            endRequest(balancer, admission, i, timed.isFull, clock.now());
             if (i % 16 == 0)
                 balancer.reportLoad(pool.targets[i % targetCount].id, { i % 9, 0, {}, false }, clock.now());
         }
@@ -259,8 +282,9 @@
 void timeDecisions(const Options&)
 {
     for (const auto policy : policies)
-        std::printf("time.admission_and_pick.64_targets.%s %.3f us\n", std::string(name(policy)).c_str(), timeDecision(policy, 64, false));
-    std::printf("time.admission_and_pick.64_targets.affinity %.3f us\n", timeDecision(PickPolicy::LeastDelay, 64, true));
+        std::printf("time.admission_and_pick.64_targets.%s %.3f us\n", std::string(name(policy)).c_str(), timeDecision({ policy, false, false }));
+    std::printf("time.admission_and_pick.64_targets.affinity %.3f us\n", timeDecision({ PickPolicy::LeastDelay, true, false }));
+    std::printf("time.admission_to_queue.64_targets %.3f us\n", timeDecision({ PickPolicy::LeastDelay, false, true }));
 }
 
 /// @brief A part of the benchmark that can be run alone.
--- a/packages/routing/src/PickStrategy.cpp
+++ b/packages/routing/src/PickStrategy.cpp
@@ -1,9 +1,11 @@
 #include "PickStrategy.h"
 
 #include "cicadalb/base/EnumTable.h"
-#include "cicadalb/base/Hash.h"
+
+#include <boost/container_hash/hash.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -58,34 +60,40 @@
         return best;
     }
 
-    /// The two targets that an affinity hash prefers, by rendezvous.
-    struct AffineTargets {
-        std::size_t first = 0;
-        std::size_t second = 0;
-        std::uint64_t firstScore = 0;
-        std::uint64_t secondScore = 0;
-
-        void offer(std::size_t index, std::uint64_t score)
-        {
-            if (score > firstScore) {
-                second = std::exchange(first, index);
-                secondScore = std::exchange(firstScore, score);
-            } else if (score > secondScore) {
-                second = index;
-                secondScore = score;
-            }
-        }
+    /// A target as an affinity hash ranks it.
+    struct RankedTarget {
+        std::size_t index = 0;
+        std::uint64_t score = 0;
+        bool hasRoom = false;
     };
 
+    /// The two targets that an affinity hash prefers, by rendezvous.
+    using AffineTargets = std::array<RankedTarget, 2>;
+
+    std::uint64_t rendezvousScore(std::uint64_t affinity, std::uint64_t seed)
+    {
+        std::size_t score = seed;
+        boost::hash_combine(score, affinity);
+        return score;
+    }
+
+    void offer(AffineTargets& best, const RankedTarget& target)
+    {
+        if (target.score > best[0].score)
+            best[1] = std::exchange(best[0], target);
+        else if (target.score > best[1].score)
+            best[1] = target;
+    }
+
     AffineTargets affineTargets(const PickContext& context)
     {
-        AffineTargets targets;
+        AffineTargets best;
         const auto affinity = *context.demand.affinity;
-        for (const auto* indexes : { &context.candidates, &context.full }) {
-            for (const auto index : *indexes)
-                targets.offer(index, placementHash({ reinterpret_cast<const char*>(&affinity), sizeof affinity }, context.targets[index].seed));
-        }
-        return targets;
+        for (const auto index : context.candidates)
+            offer(best, { index, rendezvousScore(affinity, context.targets[index].seed), true });
+        for (const auto index : context.full)
+            offer(best, { index, rendezvousScore(affinity, context.targets[index].seed), false });
+        return best;
     }
 
     /// Delays of the targets, as pickLeastDelay compares them. Costs are marginal delays: the delay that one more request causes to all.
@@ -104,7 +112,10 @@
         const auto start = randomIndex(context.random, size);
         for (std::size_t i = 0; i < size; ++i) {
             const auto index = context.candidates[start + i < size ? start + i : start + i - size];
-            const auto cost = context.targets[index].expectedDelay(context.bestService, context.now).cost();
+            const auto& target = context.targets[index];
+            if (target.expectedService(context.bestService, context.now) >= scan.bestCost)
+                continue;
+            const auto cost = target.expectedDelay(context.bestService, context.now).cost();
             if (cost < scan.bestCost) {
                 scan.bestCost = cost;
                 scan.best = index;
@@ -123,9 +134,8 @@
     std::optional<std::size_t> pickAffine(const PickContext& context, const DelayScan& scan)
     {
         const auto secondsLeft = std::chrono::duration<double>(context.demand.deadline - context.now).count();
-        const auto affine = affineTargets(context);
-        for (const auto index : { affine.first, affine.second }) {
-            if (std::find(context.candidates.begin(), context.candidates.end(), index) == context.candidates.end())
+        for (const auto& [index, score, hasRoom] : affineTargets(context)) {
+            if (!hasRoom)
                 continue;
             const auto delay = context.targets[index].expectedDelay(context.bestService, context.now);
             if (delay.cost() <= affinityPatience * scan.bestCost && delay.total() <= secondsLeft)
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -46,6 +46,8 @@
     bool hasRoom(TimePoint now) const noexcept { return inFlight < allowedInFlight(now); }
     /// @brief Requests for each place of the target if one more came, at least 1.
     double crowding() const noexcept;
+    /// @brief Expected seconds of service without queueing: a lower bound of the delay and its cost.
+    double expectedService(double bestServiceSeconds, TimePoint now) const noexcept;
     /// @param bestServiceSeconds service time of the fastest target, which stands for one that is not known
     ExpectedDelay expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept;
 
@@ -116,10 +118,15 @@
     return 1 + queued / places;
 }
 
-inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+inline double TargetState::expectedService(double bestServiceSeconds, TimePoint now) const noexcept
 {
     const auto service = speed.isKnown() ? speed.agedServiceSeconds(now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding() };
+    return isNear ? service : service * farFactor;
+}
+
+inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+{
+    return { expectedService(bestServiceSeconds, now), crowding() };
 }
 
 } // namespace cicadalb
