--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -224,6 +224,8 @@
     TimePoint m_lastHeard;
     /// After a pause the reports of others are newer than this host's own view.
     TimePoint m_trustsReportsUntil;
+    /// Time of the last update that this host had not heard before.
+    TimePoint m_lastNews;
     TimePoint m_nextProbe;
     TimePoint m_nextReconnect;
     TimePoint m_nextSeedContact;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -614,8 +614,9 @@
         return;
     }
     ++m_digestMismatches;
-    constexpr std::size_t fewUpdates = 50;
-    if (m_digestMismatches >= mismatchesBeforeSync && (m_updates.size() < fewUpdates || m_tokens <= 0))
+    // While news comes in, views differ without a fault.
+    constexpr std::chrono::milliseconds quietTime { 400 };
+    if (m_digestMismatches >= mismatchesBeforeSync && (now - m_lastNews > quietTime || m_tokens <= 0))
         requestSync(from, now);
 }
 
@@ -664,6 +665,8 @@
 void Membership::enqueue(Index index, bool withDetails)
 {
     auto& entry = m_entries[index];
+    if (entry.transmissionsLeft == 0)
+        m_lastNews = m_lastTick;
     // What an exchange of state repairs is known to others already: only this host's own refutation goes on from there.
     if (m_isApplyingSync && index != 0)
         return;
