--- a/packages/rollout/include/cicadalb/rollout/StepJson.h
+++ b/packages/rollout/include/cicadalb/rollout/StepJson.h
@@ -2,6 +2,7 @@
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/rollout/Step.h"
+#include "cicadalb/rollout/StepCoordinator.h"
 #include "cicadalb/rollout/StepCursor.h"
 
 #include <chrono>
@@ -58,4 +59,7 @@
 Result<WeightAnnouncement> weightAnnouncementFromJson(std::string_view body);
 std::string toJson(const WeightAnnouncement&);
 
+/// @brief A step's progress for the state dump and cicadactl.
+std::string toJson(const StepProgress&);
+
 } // namespace cicadalb
--- a/packages/rollout/src/StepJson.cpp
+++ b/packages/rollout/src/StepJson.cpp
@@ -307,4 +307,27 @@
     });
 }
 
+std::string toJson(const StepProgress& progress)
+{
+    auto discarded = Json::object();
+    for (std::size_t cause = 0; cause < discardCauseCount; ++cause)
+        discarded[std::string(name(static_cast<DiscardCause>(cause)))] = progress.discarded[cause];
+    return dump({
+        { "trainer", progress.key.trainer.value() },
+        { "step", progress.key.step },
+        { "samples", progress.samples },
+        { "waiting", progress.waiting },
+        { "running", progress.running },
+        { "ready", progress.ready },
+        { "received", progress.received },
+        { "discarded", discarded },
+        { "tokens-kept", progress.tokensKept },
+        { "tokens-discarded", progress.tokensDiscarded },
+        { "tokens-duplicated", progress.tokensDuplicated },
+        { "second-runs", progress.secondRuns },
+        { "late", progress.isLate },
+        { "reason", progress.reason },
+    });
+}
+
 } // namespace cicadalb
--- a/packages/rollout/src/StepService.cpp
+++ b/packages/rollout/src/StepService.cpp
@@ -85,6 +85,7 @@
         StepTerms terms;
         std::map<AttemptId, std::shared_ptr<GenerationHandle>> handles;
         std::vector<std::shared_ptr<Wakeup>> waiting;
+        bool isFinishLogged = false;
     };
 
     struct Shard {
@@ -130,6 +131,7 @@
     void freeSlot(const PoolName&, const TrainerName&);
 
     using Handles = std::vector<std::shared_ptr<GenerationHandle>>;
+    void logFinish(Step&) const;
     static Handles cancelledHandles(Step&);
     static void cancelAll(const Handles&);
     static std::vector<std::shared_ptr<Wakeup>> takeWaiting(Step&);
@@ -198,6 +200,7 @@
             return attempt;
         auto& step = found->second;
         attempt.batch = step.coordinator.pull(request.cursor, request.maximum, m_clock.now());
+        logFinish(step);
         cancelled = cancelledHandles(step);
         const bool isEmpty = attempt.batch && attempt.batch.value().samples.empty() && !attempt.batch.value().isDone;
         if (isEmpty && mayWait) {
@@ -209,6 +212,15 @@
     return attempt;
 }
 
+void StepService::Implementation::logFinish(Step& step) const
+{
+    if (step.isFinishLogged || !step.coordinator.isReceived())
+        return;
+    step.isFinishLogged = true;
+    const auto progress = step.coordinator.progress(m_clock.now());
+    logEvent(Event::StepFinished, { { "trainer", progress.key.trainer.value() }, { "step", std::to_string(progress.key.step) }, { "tokens", std::to_string(progress.tokensKept) }, { "discarded", std::to_string(progress.tokensDiscarded) } });
+}
+
 Task<Result<Batch>> StepService::Implementation::pull(StepKey key, PullRequest request)
 {
     const auto patienceEnd = m_clock.now() + request.patience;
--- a/packages/rollout/tests/unit-step-json.cpp
+++ b/packages/rollout/tests/unit-step-json.cpp
@@ -51,3 +51,10 @@
     CHECK(batchFromJson(R"({"step":1,"base":1,"done":false,"samples":[{"group":0,"index":0,"position":0,"text":"","tokens":0,"versions":[]}]})").error().where
         == "samples[0].versions");
 }
+
+TEST_CASE("progress, written, names each cause of discards")
+{
+    StepProgress progress;
+    progress.discarded[static_cast<std::size_t>(DiscardCause::Unlabelled)] = 3;
+    CHECK(toJson(progress).find(R"("unlabelled":3)") != std::string::npos);
+}
--- a/packages/rollout/tests/unit-step-service.cpp
+++ b/packages/rollout/tests/unit-step-service.cpp
@@ -122,3 +122,19 @@
     CHECK(pull().error().code == ErrorCode::HostStopping);
     CHECK(service.submit(spec, { PoolName("draft-model") }).error().code == ErrorCode::HostStopping);
 }
+
+TEST_CASE_METHOD(StepServiceFixture, "service, whose engine leaves tokens unlabelled, hands nothing over and goes on once it labels them")
+{
+    engines.versions = {};
+    REQUIRE(service.submit(spec, { PoolName("draft-model") }));
+    context.run();
+    CHECK(pull().value().samples.empty());
+    const auto unlabelled = service.progress().at(0).discarded[static_cast<std::size_t>(DiscardCause::Unlabelled)];
+    CHECK(unlabelled >= 5);
+    engines.versions = { 7 };
+    clock.advance(std::chrono::seconds(10));
+    service.tick();
+    context.restart();
+    context.run();
+    CHECK(pull().value().isDone);
+}
