--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -3,12 +3,18 @@
 #include "AdminEndpoints.h"
 #include "ConfigurationExchange.h"
 #include "GateEngineSelector.h"
+#include "HostOptions.h"
 #include "PeerClient.h"
+#include "StateReport.h"
 #include "StepEndpoints.h"
+#include "WeightEndpoint.h"
+#include "WeightsController.h"
 
+#include "cicadalb/base/Cbor.h"
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/AcceptedConfiguration.h"
 #include "cicadalb/config/OperatorProof.h"
+#include "cicadalb/platform/GatedKeyValueService.h"
 #include "cicadalb/platform/HttpHostList.h"
 #include "cicadalb/platform/HttpKeyValueService.h"
 #include "cicadalb/rollout/StepService.h"
@@ -20,10 +26,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -35,64 +39,9 @@
 
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
-    std::size_t threadCount(const HostSettings& host)
+    std::int64_t unixSeconds()
     {
-        return host.threads != 0 ? host.threads : std::max(1U, std::thread::hardware_concurrency());
-    }
-
-    Endpoint toEndpoint(const SocketAddress& address)
-    {
-        return Endpoint { address.address, address.port };
-    }
-
-    HttpListenerOptions callerOptions(const Settings& settings)
-    {
-        HttpListenerOptions options;
-        options.address = settings.listen.address;
-        options.port = settings.listen.port;
-        options.maximumHeaderBytes = settings.limits.headerBytes;
-        options.maximumBodyBytes = settings.limits.bodyBytes;
-        options.headerTimeout = settings.limits.headerTimeout;
-        options.bodyTimeout = settings.limits.bodyTimeout;
-        options.maximumConnections = settings.limits.connections;
-        return options;
-    }
-
-    HttpListenerOptions adminOptions(const Settings& settings)
-    {
-        HttpListenerOptions options;
-        options.address = settings.admin.address;
-        options.port = settings.admin.port;
-        return options;
-    }
-
-    PeerLinkSettings linkSettings(const Settings& settings, Incarnation incarnation)
-    {
-        PeerLinkSettings links;
-        links.hostId = settings.host.id.value();
-        links.incarnation = incarnation;
-        links.listenAddress = settings.peers.listen.address;
-        links.listenPort = settings.peers.listen.port;
-        links.secret = settings.secret.reveal();
-        return links;
-    }
-
-    MembershipPortSettings membershipSettings(const Settings& settings, Incarnation incarnation, std::uint16_t peerPort, std::uint16_t adminPort)
-    {
-        MembershipPortSettings membership;
-        membership.self.id = settings.host.id;
-        membership.self.incarnation = incarnation;
-        membership.self.details.failureDomain = settings.host.failureDomain;
-        membership.self.details.weight = settings.host.weight;
-        membership.self.details.address = settings.membership.address;
-        membership.self.details.membershipPort = settings.membership.port;
-        membership.self.details.peerPort = peerPort;
-        membership.self.details.adminPort = adminPort;
-        membership.secret = settings.secret.reveal();
-        membership.randomSeed = incarnation;
-        for (const auto& seed : settings.peers.seeds)
-            membership.seeds.push_back(MemberEndpoint { seed.address.address, seed.address.port });
-        return membership;
+        return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     }
 
     /// Milliseconds since the epoch: rises from one start of a process to the next.
@@ -114,19 +63,25 @@
         , m_clients(m_workers)
         , m_controlClients(m_control)
         , m_keyValue(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.keyValue))
+        , m_gatedKeyValue(m_keyValue, m_clock, CallGateSettings {}, m_incarnation)
         , m_hostList(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.hostList))
         , m_routing(BalancerOptions { m_settings.host.failureDomain, m_incarnation }, m_clock)
-        , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_metrics, m_clock)
+        , m_claims(m_control.context(0).get_executor(), m_gatedKeyValue, m_clock, unixSeconds, claimSettings(m_settings, m_incarnation))
+        , m_keyed(m_claims)
+        , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_keyed, m_metrics, m_clock)
         , m_monitor(std::make_shared<TargetMonitor>(TargetMonitorOptions {}, m_routing, m_controlClients, 0, m_hostList))
         , m_engines(m_controlClients, 0, [this](const TargetId& target) { return engineEndpoint(target); })
         , m_selector(m_routing)
         , m_steps(m_control.context(0).get_executor(), m_engines, m_selector, m_clock)
         , m_links(linkSettings(m_settings, m_incarnation), [this](const auto&, auto request, auto reply) { servePeer(std::move(request), std::move(reply)); })
         , m_peers(m_links)
-        , m_configuration(m_control.context(0).get_executor(), m_keyValue, m_incarnation, [this](const auto& adopted) { m_routing.apply(*adopted); })
+        , m_configuration(m_control.context(0).get_executor(), m_gatedKeyValue, m_incarnation, [this](const auto& adopted) { m_routing.apply(*adopted); })
         , m_configurationExchange(m_configuration, m_peers)
         , m_stepEndpoints(
               m_settings.host.id, m_control.context(0).get_executor(), m_steps, m_routing, [this] { return assignment(); }, m_peers)
+        , m_weights(
+              m_control.context(0).get_executor(), weightsOptions(m_settings, m_incarnation), m_gatedKeyValue, m_engines, m_routing, [this] { return assignment(); }, m_clock)
+        , m_weightEndpoint(m_settings.host.id, m_control.context(0).get_executor(), m_weights.registry(), m_routing)
         , m_proofs(m_settings.secret)
         , m_admin(adminSources())
         , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return serveCaller(request, responder); })
@@ -139,6 +94,7 @@
         m_monitor->stop();
         m_configuration.stop();
         m_configurationExchange.stop();
+        m_weights.stop();
         m_steps.stop();
         m_links.stop();
         if (m_membership)
@@ -156,6 +112,7 @@
         spawn(m_configuration.run([this] { return shouldWatchConfiguration(); }));
         spawn(m_configurationExchange.run(*m_membership));
         spawn(m_steps.run());
+        spawn(m_weights.run());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
@@ -171,11 +128,9 @@
         m_isStopping = true;
         m_callerListener.beginDraining();
         std::this_thread::sleep_for(m_settings.shutdown.unready);
+        handOver();
         m_callerListener.stopAccepting();
-        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
-        while (m_callerListener.connections() > 0 && std::chrono::steady_clock::now() < limit)
-            std::this_thread::sleep_for(drainPollInterval);
-        const bool isDrained = m_callerListener.requestsInFlight() == 0;
+        const bool isDrained = waitUntilDrained();
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
     }
@@ -197,6 +152,23 @@
         return m_membership->start();
     }
 
+    /// Moves what this host coordinates to others: the assignment first, then steps and leases.
+    void handOver()
+    {
+        auto left = asio::co_spawn(m_control.context(0), m_membership->leave(), asio::use_future);
+        left.wait();
+        m_weights.stop();
+        m_steps.stop();
+    }
+
+    bool waitUntilDrained()
+    {
+        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
+        while (m_callerListener.connections() > 0 && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(drainPollInterval);
+        return m_callerListener.requestsInFlight() == 0;
+    }
+
     void spawn(Task<void> task)
     {
         asio::co_spawn(m_control.context(0), std::move(task), asio::detached);
@@ -226,6 +198,8 @@
     {
         if (StepEndpoints::handles(request))
             return m_stepEndpoints.serve(request, responder);
+        if (WeightEndpoint::handles(request))
+            return m_weightEndpoint.serve(request, responder);
         return m_dispatcher.serve(request, responder);
     }
 
@@ -243,17 +217,17 @@
 
     Task<Result<nlohmann::json>> performForPeer(PeerRequest request)
     {
-        auto body = nlohmann::json::from_cbor(request.body, true, false);
-        if (body.is_discarded())
+        auto body = jsonFromCbor(request.body);
+        if (!body)
             co_return failure(ErrorCode::MessageInvalid, "the request is not CBOR", "link");
         switch (request.kind) {
         case PeerRequestKind::SubmitStep:
         case PeerRequestKind::PullBatch:
-            co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(body));
+            co_return co_await m_stepEndpoints.serveForwarded(request.kind, std::move(*body));
         case PeerRequestKind::State:
             co_return state();
         case PeerRequestKind::FetchConfiguration:
-            co_return m_configurationExchange.serveFetch(body);
+            co_return m_configurationExchange.serveFetch(*body);
         case PeerRequestKind::ClaimKey:
         case PeerRequestKind::OfferConfiguration:
             break;
@@ -265,17 +239,29 @@
     {
         AdminSources sources;
         sources.isReady = [this] { return isReady(); };
-        sources.metricsText = [this] { return m_metrics.text(); };
+        sources.metricsText = [this] { return metricsText(); };
         sources.state = [this] { return state(); };
         sources.hasProof = [this](const ServerRequest& request) { return hasProof(request); };
         return sources;
     }
 
+    std::string metricsText()
+    {
+        const auto snapshot = m_routing.snapshot();
+        m_metrics.setGauge("cicadalb_ready", "1 if the host takes work", isReady() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_configuration_number", "Number of the configuration in force", snapshot ? static_cast<double>(snapshot->number) : 0);
+        m_metrics.setGauge("cicadalb_requests_in_flight", "Requests being served", static_cast<double>(m_dispatcher.inFlight()));
+        m_metrics.setGauge("cicadalb_hosts_present", "Hosts that take assignments, this one included", static_cast<double>(m_membership->view()->presentCount));
+        m_metrics.setGauge("cicadalb_steps_coordinated", "Steps that this host coordinates", static_cast<double>(m_steps.progress().size()));
+        m_metrics.setGauge("cicadalb_claim_writes", "Writes of claims since the start", static_cast<double>(m_claims.counters().writes));
+        m_metrics.setGauge("cicadalb_key_value_calls", "Calls to the key-value service since the start", static_cast<double>(m_gatedKeyValue.state().callsMade));
+        return m_metrics.text();
+    }
+
     bool hasProof(const ServerRequest& request)
     {
         const auto path = request.query.empty() ? request.path : request.path + "?" + request.query;
-        const auto now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-        return m_proofs.check(OperatorCall { request.method, path }, request.field(operatorProofHeader), now).has_value();
+        return m_proofs.check(OperatorCall { request.method, path }, request.field(operatorProofHeader), unixSeconds()).has_value();
     }
 
     bool isReady() const { return !m_isStopping && m_routing.snapshot() != nullptr; }
@@ -283,7 +269,7 @@
     nlohmann::json state() const
     {
         nlohmann::json pools = nlohmann::json::object();
-        m_routing.forEachGate([&pools](PoolGate& gate) { pools[gate.pool().name.value()] = poolState(gate); });
+        m_routing.forEachGate([&pools](const PoolGate& gate) { pools[gate.pool().name.value()] = toReport(gate); });
         const auto snapshot = m_routing.snapshot();
         return {
             { "host", m_settings.host.id.value() },
@@ -291,54 +277,19 @@
             { "incarnation", m_incarnation },
             { "ready", isReady() },
             { "configuration", snapshot ? snapshot->number : 0 },
-            { "refused-edits", refusedEditStates() },
+            { "refused-edits", toReport(m_configuration.refusedEdits()) },
             { "in-flight", m_dispatcher.inFlight() },
             { "connections", m_callerListener.connections() },
             { "pools", pools },
-            { "members", memberStates() },
+            { "steps", toReport(m_steps.progress()) },
+            { "weights", m_weights.state() },
+            { "claims", toReport(m_claims.counters()) },
+            { "key-value", toReport(m_gatedKeyValue.state()) },
+            { "members", toReport(m_membership->view()->members) },
             { "links", nlohmann::json::parse(m_links.state(), nullptr, false) },
         };
     }
 
-    nlohmann::json refusedEditStates() const
-    {
-        nlohmann::json edits = nlohmann::json::array();
-        for (const auto& edit : m_configuration.refusedEdits())
-            edits.push_back({ { "author", edit.author }, { "at", edit.at }, { "reasons", edit.reasons } });
-        return edits;
-    }
-
-    nlohmann::json memberStates() const
-    {
-        nlohmann::json members = nlohmann::json::array();
-        for (const auto& member : m_membership->view()->members) {
-            members.push_back({
-                { "host", member.id.value() },
-                { "state", name(member.state) },
-                { "incarnation", member.incarnation },
-                { "failure-domain", member.details.failureDomain.value() },
-                { "configuration", member.configuration },
-            });
-        }
-        return members;
-    }
-
-    static nlohmann::json poolState(const PoolGate& gate)
-    {
-        nlohmann::json targets = nlohmann::json::array();
-        for (const auto& view : gate.targets()) {
-            targets.push_back({
-                { "target", view.target.value() },
-                { "in-flight", view.inFlight },
-                { "limit", view.limit },
-                { "service-us", std::chrono::duration_cast<std::chrono::microseconds>(view.serviceTime).count() },
-                { "eligible", view.isEligible },
-                { "reason", view.reason },
-            });
-        }
-        return { { "queue", gate.queueLength() }, { "targets", targets } };
-    }
-
     bool shouldWatchConfiguration() const
     {
         return isConfigurationWatcher(m_settings.host.id, m_settings.host.failureDomain, assignment()->hosts());
@@ -354,8 +305,11 @@
     TargetClients m_clients;
     TargetClients m_controlClients;
     HttpKeyValueService m_keyValue;
+    GatedKeyValueService m_gatedKeyValue;
     HttpHostList m_hostList;
     RoutingTable m_routing;
+    ClaimLog m_claims;
+    KeyedRequests m_keyed;
     RequestDispatcher m_dispatcher;
     std::shared_ptr<TargetMonitor> m_monitor;
     EngineHttpClient m_engines;
@@ -368,6 +322,8 @@
     StepEndpoints m_stepEndpoints;
     /// Set by start().
     std::unique_ptr<MembershipPort> m_membership;
+    WeightsController m_weights;
+    WeightEndpoint m_weightEndpoint;
     OperatorProofChecker m_proofs;
     AdminEndpoints m_admin;
     HttpListener m_callerListener;
