--- a/packages/platform/include/cicadalb/platform/LeaseHolding.h
+++ b/packages/platform/include/cicadalb/platform/LeaseHolding.h
@@ -31,15 +31,6 @@
     /// Gives back a lease that won nothing.
     Release };
 
-/// @brief One holding of a lease, on the holder's steady clock.
-struct HeldLease {
-    FencingNumber fencingNumber = 0;
-    TimePoint wonAt;
-    /// Counted from before the latest renewal was sent.
-    TimePoint validUntil;
-    Duration timeToLive {};
-};
-
 /// @brief Decisions of one candidate. A lease counts from before its request was sent, so the holder never takes it for longer
 /// than the service does. Not thread-safe.
 class LeaseHolding {
@@ -63,8 +54,6 @@
     bool mayActUnfenced(TimePoint now, Duration longestAction) const;
     /// @brief Number to put into each order; rises with each holder. Empty unless held.
     std::optional<FencingNumber> fencingNumber() const { return m_fencingNumber; }
-    /// @brief The present holding, or nothing. It may have lapsed: compare validUntil.
-    std::optional<HeldLease> held() const;
     LeaseId lease() const { return m_lease; }
     /// @brief The write for LeaseCall::Take.
     CompareAndSwap takeWrite() const;
--- a/packages/platform/include/cicadalb/platform/LeaseKeeper.h
+++ b/packages/platform/include/cicadalb/platform/LeaseKeeper.h
@@ -38,8 +38,6 @@
     /// @brief As mayAct(), for targets that ignore fencing numbers.
     bool mayActUnfenced(Duration longestAction) const;
     std::optional<FencingNumber> fencingNumber() const;
-    /// @brief The present holding, or nothing.
-    std::optional<HeldLease> held() const;
     LeaseState state() const;
 
 private:
--- a/packages/platform/src/LeaseHolding.cpp
+++ b/packages/platform/src/LeaseHolding.cpp
@@ -106,13 +106,6 @@
     return mayAct(now, longestAction) && now >= m_wonAt + m_settings.timeToLive + longestAction;
 }
 
-std::optional<HeldLease> LeaseHolding::held() const
-{
-    if (!m_fencingNumber)
-        return std::nullopt;
-    return HeldLease { *m_fencingNumber, m_wonAt, m_validUntil, m_settings.timeToLive };
-}
-
 CompareAndSwap LeaseHolding::takeWrite() const
 {
     return CompareAndSwap { m_settings.key, m_mark, 0, m_lease };
--- a/packages/platform/src/LeaseKeeper.cpp
+++ b/packages/platform/src/LeaseKeeper.cpp
@@ -75,11 +75,6 @@
     return locked(&LeaseHolding::fencingNumber);
 }
 
-std::optional<HeldLease> LeaseKeeper::held() const
-{
-    return locked(&LeaseHolding::held);
-}
-
 LeaseState LeaseKeeper::state() const
 {
     return LeaseState { m_settings.key, m_settings.holder, fencingNumber() };
--- a/packages/transport/src/StateReport.cpp
+++ b/packages/transport/src/StateReport.cpp
@@ -1,5 +1,7 @@
 #include "StateReport.h"
 
+#include "cicadalb/rollout/StepJson.h"
+
 namespace cicadalb {
 
 namespace {
@@ -27,34 +29,9 @@
         };
     }
 
-    nlohmann::json discardedByCause(const StepProgress& progress)
-    {
-        nlohmann::json causes = nlohmann::json::object();
-        for (std::size_t i = 0; i < progress.discarded.size(); ++i) {
-            if (progress.discarded[i] > 0)
-                causes[std::string(name(static_cast<DiscardCause>(i)))] = progress.discarded[i];
-        }
-        return causes;
-    }
-
     nlohmann::json toReport(const StepProgress& progress)
     {
-        return {
-            { "trainer", progress.key.trainer.value() },
-            { "step", progress.key.step },
-            { "samples", progress.samples },
-            { "waiting", progress.waiting },
-            { "running", progress.running },
-            { "ready", progress.ready },
-            { "received", progress.received },
-            { "discarded", discardedByCause(progress) },
-            { "tokens-kept", progress.tokensKept },
-            { "tokens-discarded", progress.tokensDiscarded },
-            { "tokens-duplicated", progress.tokensDuplicated },
-            { "second-runs", progress.secondRuns },
-            { "late", progress.isLate },
-            { "reason", progress.reason },
-        };
+        return nlohmann::json::parse(toJson(progress));
     }
 
     template <typename Items>
--- a/packages/transport/src/WeightsController.cpp
+++ b/packages/transport/src/WeightsController.cpp
@@ -33,22 +33,14 @@
 
 } // namespace
 
-std::optional<LeaseTerm> KeptRolloutLease::term() const
-{
-    const auto held = m_keeper.held();
-    if (!held)
-        return std::nullopt;
-    return LeaseTerm { held->fencingNumber, held->wonAt, held->validUntil, held->timeToLive };
-}
-
 /// One pool's candidacy. Its coroutines keep it alive until they end.
 struct WeightsController::PoolRollout {
     PoolRollout(const WeightsController& controller, const Pool& pool)
         : model(pool.model)
         , keeper(controller.m_service, controller.m_clock, leaseSettings(controller, pool), controller.m_options.seed)
-        , lease(keeper)
+        , permit(keeper)
         , budget(std::make_shared<LoadBudget>(controller.m_options.loadsPerSecond, loadBurst, controller.m_clock.now()))
-        , service(controller.m_executor, controller.m_engines, lease, budget, controller.m_clock, rolloutOptions(controller, pool))
+        , service(controller.m_executor, controller.m_engines, permit, budget, controller.m_clock, rolloutOptions(controller, pool))
     {
     }
 
@@ -79,7 +71,7 @@
 
     std::string model;
     LeaseKeeper keeper;
-    KeptRolloutLease lease;
+    LeaseOrderPermit permit;
     std::shared_ptr<LoadBudget> budget;
     WeightRolloutService service;
 };
@@ -162,7 +154,7 @@
             rollouts.push_back(rollout);
     }
     for (const auto& rollout : rollouts) {
-        if (!rollout->lease.term())
+        if (!rollout->keeper.fencingNumber())
             continue;
         const auto record = co_await m_registry.read(rollout->model);
         if (record)
@@ -199,8 +191,7 @@
         nlohmann::json engines = nlohmann::json::array();
         for (const auto& view : rollout->service.engines())
             engines.push_back({ { "engine", view.engine.value() }, { "state", name(view.state) }, { "version", view.version }, { "failures", view.failures } });
-        const auto term = rollout->lease.term();
-        pools[pool.value()] = { { "fence", term ? term->fence : 0 }, { "engines", engines } };
+        pools[pool.value()] = { { "fence", rollout->keeper.fencingNumber().value_or(0) }, { "engines", engines } };
     }
     return pools;
 }
--- a/packages/transport/src/WeightsController.h
+++ b/packages/transport/src/WeightsController.h
@@ -2,6 +2,7 @@
 
 #include "cicadalb/membership/Assignment.h"
 #include "cicadalb/platform/LeaseKeeper.h"
+#include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRolloutService.h"
 #include "cicadalb/transport/RoutingTable.h"
@@ -18,19 +19,6 @@
 
 namespace cicadalb {
 
-/// @brief The holder's view of a lease that a LeaseKeeper keeps.
-class KeptRolloutLease final : public RolloutLease {
-public:
-    explicit KeptRolloutLease(const LeaseKeeper& keeper)
-        : m_keeper(keeper)
-    {
-    }
-    std::optional<LeaseTerm> term() const override;
-
-private:
-    const LeaseKeeper& m_keeper;
-};
-
 struct WeightsControllerOptions {
     HostId self;
     std::uint64_t seed = 0;
