Routing: spread requests by own load where nothing else is known

Cause: before the first answer all delays were 0, and without load reports targets under their limit looked equal.

--- a/packages/routing/src/PickStrategy.h
+++ b/packages/routing/src/PickStrategy.h
@@ -16,7 +16,7 @@
     const std::vector<std::size_t>& candidates;
     /// Targets that may serve but have no room now.
     const std::vector<std::size_t>& full;
-    /// Least service time that is known of them, or 0.
+    /// Least service time of them, in seconds.
     double bestService;
     const Demand& demand;
     /// Requests of its priority and above that wait besides this one.
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -21,6 +21,8 @@
     /// A request queues only if it would make its deadline with a wait so many times as long as expected, so that it is hardly ever
     /// refused after waiting.
     constexpr double queueCaution = 2;
+    /// Service time that is assumed until one is known, so that the first requests spread by load.
+    constexpr double assumedServiceSeconds = 0.001;
     /// Share of error-answering targets above which their open circuits are ignored.
     constexpr double largestErroringShare = 0.5;
 
@@ -51,7 +53,7 @@
     AdmissionQueue queue;
     QueueTicket lastTicket = 0;
     std::size_t turn = 0;
-    /// Results of collect(): targets with room, others that may serve, and the least service time that is known of both.
+    /// Results of collect(): targets with room, others that may serve, and the least service time of both.
     std::vector<std::size_t> candidates;
     std::vector<std::size_t> full;
     double bestService = 0;
@@ -126,6 +128,8 @@
         if (service > 0 && (bestService == 0 || service < bestService))
             bestService = service;
     }
+    if (bestService == 0)
+        bestService = assumedServiceSeconds;
 }
 
 /// Targets that answer with errors serve when they are too many to leave out: their errors may be the requests' own.
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -108,13 +108,14 @@
 }
 
 /// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
-/// expected before all places are taken.
+/// expected before all places are taken. Without reports it is taken to be about the own load.
 inline double TargetState::crowding() const noexcept
 {
     const auto others = load.others();
+    const auto uncertain = load.hasReports() ? others : inFlight + 1;
     const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
     const auto excess = inFlight + others + 1 - places;
-    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
+    const auto queued = (excess + std::sqrt(excess * excess + 4 * uncertain)) / 2;
     return 1 + queued / places;
 }
 
--- a/packages/routing/tests/unit-pool-balancer.cpp
+++ b/packages/routing/tests/unit-pool-balancer.cpp
@@ -57,6 +57,14 @@
 
 } // namespace
 
+TEST_CASE_METHOD(PoolBalancerFixture, "balancer, before any answer, spreads the first requests evenly")
+{
+    std::map<TargetId, unsigned> admitted;
+    for (std::size_t i = 0; i < pool.targets.size(); ++i)
+        ++admitted[request().target];
+    CHECK(admitted.size() == pool.targets.size());
+}
+
 TEST_CASE_METHOD(PoolBalancerFixture, "balancer, filled, keeps each target under the pool's ceiling")
 {
     const auto admitted = fill();
