Membership: short updates are sent in full also in a flood; bursts of 800 KB

Cause: with five transmissions and three quarters of the known hosts out of reach, most views of a cut were repaired by own probes and exchanges only, which spent the burst.

--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -46,7 +46,7 @@
     std::size_t maximumDatagramBytes = 1200;
     /// Budget of all that is sent but probes and their answers.
     double bytesPerSecond = 6000;
-    double burstBytes = 400000;
+    double burstBytes = 800000;
 };
 
 /// @brief Where a host's membership port listens.
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -42,13 +42,13 @@
         return static_cast<std::uint32_t>(mixed >> 32U);
     }
 
-    /// Transmissions of one update by each host that learns it. In a flood of updates fewer do: the exchange of differing buckets
+    /// Transmissions of one update by each host that learns it. In a flood of updates with details fewer do: the exchange of differing buckets
     /// repairs the few that are missed for less.
-    unsigned transmissionsFor(std::size_t members, std::size_t queued)
+    unsigned transmissionsFor(std::size_t members, std::size_t queuedDetails)
     {
         constexpr std::size_t flood = 200;
         constexpr unsigned transmissionsInFlood = 5;
-        return queued > flood ? transmissionsInFlood : 4 + static_cast<unsigned>(std::bit_width(members));
+        return queuedDetails > flood ? transmissionsInFlood : 4 + static_cast<unsigned>(std::bit_width(members));
     }
 
 } // namespace
@@ -674,7 +674,7 @@
     if (entry.transmissionsLeft == 0)
         m_updates.push_front(index);
     entry.isWithDetails = withDetails || (entry.isWithDetails && entry.transmissionsLeft > 0);
-    entry.transmissionsLeft = transmissionsFor(m_entries.size(), m_updates.size());
+    entry.transmissionsLeft = transmissionsFor(m_entries.size(), entry.isWithDetails ? m_updates.size() : 0);
 }
 
 MembershipMessage Membership::message(MembershipMessageKind kind) const
