--- a/benchmarks/bench_steps.cpp
+++ b/benchmarks/bench_steps.cpp
@@ -194,7 +194,7 @@
             m_rollout.onOrderResult(engine.id, engine.order->order, success(), now);
             engine.order.reset();
         }
-        for (auto& order : m_rollout.nextOrders({ 1, now - 24h, now + 24h, 10s }, m_loads, now)) {
+        for (auto& order : m_rollout.nextOrders(1, m_loads, now)) {
             auto& engine = find(order.engine);
             engine.pausedUntil = now + swapTime;
             engine.order = order;
@@ -534,12 +534,10 @@
 void measure(const Scenario& scenario, const Variant& variant, unsigned seeds, const std::string& prefix)
 {
     std::vector<Figures> runs;
-    runs.reserve(seeds);
     for (unsigned seed = 1; seed <= seeds; ++seed)
         runs.push_back(StepLoop(scenario, variant, seed).run());
     const auto print = [&](const char* figure, double Figures::*member, double factor, const char* unit) {
         std::vector<double> values;
-        values.reserve(runs.size());
         for (const auto& run : runs)
             values.push_back(factor * run.*member);
         printSpread(prefix + "." + variant.name + "." + figure, values, unit);
--- a/packages/rollout/include/cicadalb/rollout/WeightRollout.h
+++ b/packages/rollout/include/cicadalb/rollout/WeightRollout.h
@@ -5,7 +5,6 @@
 #include "cicadalb/config/Tables.h"
 #include "cicadalb/rollout/EngineClient.h"
 #include "cicadalb/rollout/LoadBudget.h"
-#include "cicadalb/rollout/RolloutLease.h"
 
 #include <cstdint>
 #include <map>
@@ -76,16 +75,12 @@
     /// @brief An engine's own report, which may lag.
     void onStatus(const TargetId&, const EngineStatus&, TimePoint now);
 
-    /// @brief Orders to send now. Call it again right before each order is sent or after a pause: see mayAct().
+    /// @brief Orders to send now under fencing number @p fence, which an OrderPermit gave. Each ends with one onOrderResult().
     /// Complexity: linear in the number of engines.
-    std::vector<PlannedOrder> nextOrders(const LeaseTerm&, LoadBudget&, TimePoint now);
+    std::vector<PlannedOrder> nextOrders(FencingNumber fence, LoadBudget&, TimePoint now);
     /// @brief An order ended. @return true if the engine has now been set aside
     bool onOrderResult(const TargetId&, const WeightOrder&, const Result<void>&, TimePoint now);
 
-    /// @brief True if an order may be sent under @p term at @p now: enough of the lease is left for it to take effect, and no order of
-    /// an earlier holder can still do so where engines ignore fencing numbers.
-    bool mayAct(const LeaseTerm& term, TimePoint now) const;
-
     /// @brief True if every engine holds the wanted version or is set aside.
     bool isSettled() const;
     std::vector<SwapView> engines() const;
--- a/packages/rollout/include/cicadalb/rollout/WeightRolloutService.h
+++ b/packages/rollout/include/cicadalb/rollout/WeightRolloutService.h
@@ -4,7 +4,7 @@
 #include "cicadalb/base/Task.h"
 #include "cicadalb/rollout/EngineClient.h"
 #include "cicadalb/rollout/LoadBudget.h"
-#include "cicadalb/rollout/RolloutLease.h"
+#include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRollout.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,11 +17,11 @@
 
 namespace cicadalb {
 
-/// @brief Polls engines, sends orders while the lease is held and notes their ends. Thread-safe: one lock guards its state.
+/// @brief Polls engines, sends orders while it is permitted and notes their ends. Thread-safe: one lock guards its state.
 class WeightRolloutService {
 public:
     /// The references outlive the service and its executor's work.
-    WeightRolloutService(boost::asio::any_io_executor, EngineClient&, const RolloutLease&, std::shared_ptr<LoadBudget>, const Clock&, WeightRolloutOptions);
+    WeightRolloutService(boost::asio::any_io_executor, EngineClient&, const OrderPermit&, std::shared_ptr<LoadBudget>, const Clock&, WeightRolloutOptions);
     ~WeightRolloutService();
     WeightRolloutService(const WeightRolloutService&) = delete;
     WeightRolloutService& operator=(const WeightRolloutService&) = delete;
--- a/packages/rollout/src/WeightRollout.cpp
+++ b/packages/rollout/src/WeightRollout.cpp
@@ -69,15 +69,6 @@
         engine.state = SwapState::Pending;
 }
 
-bool WeightRollout::mayAct(const LeaseTerm& term, TimePoint now) const
-{
-    if (term.fence <= m_refusedFence || now + m_options.longestOrder > term.expiresAt)
-        return false;
-    // An earlier holder that was paused between its last check and the sending may be late by up to a lease.
-    const auto quiet = term.timeToLive + m_options.longestOrder;
-    return m_options.fenceCheck == FenceCheck::Checked || now - term.acquiredAt >= quiet;
-}
-
 std::size_t WeightRollout::swaps() const
 {
     return static_cast<std::size_t>(std::count_if(m_engines.begin(), m_engines.end(),
@@ -94,10 +85,10 @@
     return serving > keepServing ? serving - keepServing : 1;
 }
 
-std::vector<PlannedOrder> WeightRollout::nextOrders(const LeaseTerm& term, LoadBudget& budget, TimePoint now)
+std::vector<PlannedOrder> WeightRollout::nextOrders(FencingNumber fence, LoadBudget& budget, TimePoint now)
 {
     std::vector<PlannedOrder> orders;
-    if (m_wanted == 0 || !mayAct(term, now))
+    if (m_wanted == 0 || fence <= m_refusedFence)
         return orders;
     const auto allowed = allowedSwaps();
     auto running = swaps();
@@ -110,7 +101,7 @@
             break;
         engine.state = SwapState::Swapping;
         ++running;
-        orders.push_back({ id, { m_options.model, m_wanted, term.fence }, now + m_options.longestOrder });
+        orders.push_back({ id, { m_options.model, m_wanted, fence }, now + m_options.longestOrder });
     }
     return orders;
 }
--- a/packages/rollout/src/WeightRolloutService.cpp
+++ b/packages/rollout/src/WeightRolloutService.cpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace cicadalb {
@@ -25,14 +26,16 @@
 
 class WeightRolloutService::Implementation : public std::enable_shared_from_this<WeightRolloutService::Implementation> {
 public:
-    Implementation(boost::asio::any_io_executor executor, EngineClient& client, const RolloutLease& lease, std::shared_ptr<LoadBudget> budget,
+    Implementation(boost::asio::any_io_executor executor, EngineClient& client, const OrderPermit& permit, std::shared_ptr<LoadBudget> budget,
         const Clock& clock, WeightRolloutOptions options)
         : m_executor(std::move(executor))
         , m_client(client)
-        , m_lease(lease)
+        , m_permit(permit)
         , m_budget(std::move(budget))
         , m_clock(clock)
         , m_model(options.model)
+        , m_fenceCheck(options.fenceCheck)
+        , m_longestOrder(options.longestOrder)
         , m_rollout(std::move(options))
     {
     }
@@ -62,7 +65,7 @@
     void pollEngines();
     void sendOrders();
     void reportSettled();
-    bool mayAct() const;
+    std::optional<FencingNumber> permit() const;
     Task<void> poll(TargetId);
     Task<void> send(PlannedOrder);
 
@@ -77,10 +80,12 @@
 
     boost::asio::any_io_executor m_executor;
     EngineClient& m_client;
-    const RolloutLease& m_lease;
+    const OrderPermit& m_permit;
     std::shared_ptr<LoadBudget> m_budget;
     const Clock& m_clock;
     std::string m_model;
+    FenceCheck m_fenceCheck;
+    std::chrono::milliseconds m_longestOrder;
     std::atomic<bool> m_isStopping = false;
     mutable std::mutex m_mutex;
     WeightRollout m_rollout;
@@ -92,7 +97,7 @@
     auto self = shared_from_this();
     TimePoint nextPoll {};
     while (!m_isStopping) {
-        if (m_lease.term()) {
+        if (permit()) {
             if (m_clock.now() >= nextPoll) {
                 pollEngines();
                 nextPoll = m_clock.now() + statusInterval;
@@ -125,23 +130,21 @@
 
 void WeightRolloutService::Implementation::sendOrders()
 {
-    const auto term = m_lease.term();
-    if (!term)
+    const auto fence = permit();
+    if (!fence)
         return;
     std::vector<PlannedOrder> orders;
     {
         const std::lock_guard lock(m_mutex);
-        orders = m_rollout.nextOrders(*term, *m_budget, m_clock.now());
+        orders = m_rollout.nextOrders(*fence, *m_budget, m_clock.now());
     }
     for (auto& order : orders)
         spawn([self = shared_from_this(), order] { return self->send(order); });
 }
 
-bool WeightRolloutService::Implementation::mayAct() const
+std::optional<FencingNumber> WeightRolloutService::Implementation::permit() const
 {
-    const auto term = m_lease.term();
-    const std::lock_guard lock(m_mutex);
-    return term && m_rollout.mayAct(*term, m_clock.now());
+    return m_permit.permit(m_fenceCheck, m_longestOrder);
 }
 
 Task<void> WeightRolloutService::Implementation::send(PlannedOrder planned)
@@ -149,7 +152,7 @@
     auto self = shared_from_this();
     Result<void> result = failure(ErrorCode::LeaseLost, "too little of the lease is left");
     // Checked again: the process may have been paused since the order was planned.
-    if (mayAct())
+    if (permit() == planned.order.fence)
         result = co_await m_client.loadWeights(planned.engine, planned.order, planned.deadline);
     bool isSetAside = false;
     {
@@ -172,9 +175,9 @@
     logEvent(Event::WeightsInForce, { { "model", m_model }, { "version", std::to_string(version) } });
 }
 
-WeightRolloutService::WeightRolloutService(boost::asio::any_io_executor executor, EngineClient& client, const RolloutLease& lease,
+WeightRolloutService::WeightRolloutService(boost::asio::any_io_executor executor, EngineClient& client, const OrderPermit& permit,
     std::shared_ptr<LoadBudget> budget, const Clock& clock, WeightRolloutOptions options)
-    : m_implementation(std::make_shared<Implementation>(std::move(executor), client, lease, std::move(budget), clock, std::move(options)))
+    : m_implementation(std::make_shared<Implementation>(std::move(executor), client, permit, std::move(budget), clock, std::move(options)))
 {
 }
 
--- a/packages/rollout/tests/unit-weight-rollout-service.cpp
+++ b/packages/rollout/tests/unit-weight-rollout-service.cpp
@@ -39,16 +39,13 @@
     unsigned orders = 0;
 };
 
-/// Held for the first calls only, as a lease that runs out while the process is paused.
-struct FakeLease final : RolloutLease {
-    std::optional<LeaseTerm> term() const override
+/// Permits the first calls only, as a lease that runs out while the process is paused.
+struct FakePermit final : OrderPermit {
+    std::optional<FencingNumber> permit(FenceCheck, Duration) const override
     {
-        if (callsLeft-- <= 0)
-            return std::nullopt;
-        return LeaseTerm { 9, now - std::chrono::hours(1), now + std::chrono::hours(1), std::chrono::seconds(10) };
+        return callsLeft-- > 0 ? std::optional<FencingNumber>(9) : std::nullopt;
     }
 
-    TimePoint now = ManualClock().now();
     mutable int callsLeft = 1000000;
 };
 
@@ -57,7 +54,7 @@
     {
         WeightRolloutOptions options;
         options.model = "draft-model";
-        service = std::make_unique<WeightRolloutService>(context.get_executor(), engines, lease, std::make_shared<LoadBudget>(100, 100, clock.now()), clock, options);
+        service = std::make_unique<WeightRolloutService>(context.get_executor(), engines, permit, std::make_shared<LoadBudget>(100, 100, clock.now()), clock, options);
         service->setEngines({ TargetId("e1"), TargetId("e2"), TargetId("e3") });
         service->want(4);
         boost::asio::co_spawn(context, service->run(), boost::asio::detached);
@@ -71,14 +68,14 @@
 
     boost::asio::io_context context;
     SwappingEngines engines;
-    FakeLease lease;
+    FakePermit permit;
     ManualClock clock;
     std::unique_ptr<WeightRolloutService> service;
 };
 
 } // namespace
 
-TEST_CASE_METHOD(WeightRolloutServiceFixture, "rollout service, holding the lease, swaps every engine once under its number")
+TEST_CASE_METHOD(WeightRolloutServiceFixture, "rollout service, permitted to order, swaps every engine once under its number")
 {
     for (std::size_t turn = 0; turn < maximumTurns && !isSettled(); ++turn)
         context.run_one();
@@ -89,10 +86,10 @@
     CHECK(engines.fence == 9);
 }
 
-TEST_CASE_METHOD(WeightRolloutServiceFixture, "rollout service, whose lease ends between planning and sending, sends nothing")
+TEST_CASE_METHOD(WeightRolloutServiceFixture, "rollout service, whose permit ends between planning and sending, sends nothing")
 {
     // Asked once by the loop and once for the planning.
-    lease.callsLeft = 2;
+    permit.callsLeft = 2;
     for (std::size_t turn = 0; turn < 20; ++turn)
         context.poll_one();
     service->stop();
--- a/packages/rollout/tests/unit-weight-rollout.cpp
+++ b/packages/rollout/tests/unit-weight-rollout.cpp
@@ -1,6 +1,6 @@
 #include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/LeaseKeeper.h"
 #include "cicadalb/platform/RunTask.h"
+#include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRollout.h"
 
@@ -36,13 +36,13 @@
         options.fenceCheck = FenceCheck::Checked;
         return options;
     }
-    std::vector<PlannedOrder> next() { return rollout.nextOrders(term, budget, clock.now()); }
+    std::vector<PlannedOrder> next() { return rollout.nextOrders(fence, budget, clock.now()); }
     void answer(const PlannedOrder& order, const Result<void>& result) { rollout.onOrderResult(order.engine, order.order, result, clock.now()); }
 
     ManualClock clock;
     WeightRollout rollout { options() };
     LoadBudget budget { 100, 100, clock.now() };
-    LeaseTerm term { 5, clock.now(), clock.now() + 24h, 10s };
+    FencingNumber fence = 5;
 };
 
 } // namespace
@@ -64,10 +64,10 @@
 TEST_CASE_METHOD(WeightRolloutFixture, "rollout, held to the weight store's rate, starts no more loads than it allows")
 {
     LoadBudget narrow(1, 2, clock.now());
-    CHECK(rollout.nextOrders(term, narrow, clock.now()).size() == 2);
-    CHECK(rollout.nextOrders(term, narrow, clock.now()).empty());
+    CHECK(rollout.nextOrders(fence, narrow, clock.now()).size() == 2);
+    CHECK(rollout.nextOrders(fence, narrow, clock.now()).empty());
     clock.advance(1s);
-    CHECK(rollout.nextOrders(term, narrow, clock.now()).size() == 1);
+    CHECK(rollout.nextOrders(fence, narrow, clock.now()).size() == 1);
 }
 
 TEST_CASE_METHOD(WeightRolloutFixture, "failed swap, retried with growing pauses, is set aside and tried with the next version")
@@ -113,7 +113,7 @@
     answer(next()[0], failure(ErrorCode::FenceRejected, "old"));
     clock.advance(1h);
     CHECK(next().empty());
-    term.fence = 6;
+    fence = 6;
     CHECK_FALSE(next().empty());
 }
 
@@ -173,6 +173,11 @@
     TimePoint effectAt {};
 };
 
+struct Controller {
+    std::unique_ptr<LeaseKeeper> keeper;
+    std::unique_ptr<LeaseOrderPermit> permit;
+};
+
 /// Two controllers compete for a lease of the service; each is paused at any time for any time. One engine takes their orders.
 class LeaseWorld {
 public:
@@ -181,7 +186,8 @@
     {
         for (std::size_t i = 0; i < controllerCount; ++i) {
             LeaseSettings settings { "weights/draft-model", "host-" + std::to_string(i), leaseTime };
-            m_controllers[i] = std::make_unique<LeaseKeeper>(m_service, m_clock, settings, i + 1);
+            m_controllers[i].keeper = std::make_unique<LeaseKeeper>(m_service, m_clock, settings, i + 1);
+            m_controllers[i].permit = std::make_unique<LeaseOrderPermit>(*m_controllers[i].keeper);
         }
     }
 
@@ -190,12 +196,12 @@
         m_service.advance(std::chrono::milliseconds(action.milliseconds));
         auto& controller = m_controllers[action.controller];
         if (action.isRenewing) {
-            const auto step = startTask(m_context.get_executor(), controller->step());
+            const auto step = startTask(m_context.get_executor(), controller.keeper->step());
             m_context.restart();
             m_context.run();
         }
-        if (const auto held = controller->held())
-            order({ held->fencingNumber, held->wonAt, held->validUntil, held->timeToLive }, action);
+        if (const auto fence = controller.permit->permit(m_fenceCheck, longestOrder))
+            order(*fence, action);
     }
 
     void check()
@@ -214,14 +220,14 @@
     }
 
 private:
-    void order(const LeaseTerm& term, const LeaseAction& action)
+    void order(FencingNumber fence, const LeaseAction& action)
     {
-        WeightRollout rollout({ "draft-model", 0.5, m_fenceCheck, longestOrder });
+        WeightRollout rollout({ "draft-model" });
         rollout.setEngines({ TargetId("e0") });
         rollout.want(1);
         const auto now = m_clock.now();
         LoadBudget budget(1, 1, now);
-        for (const auto& planned : rollout.nextOrders(term, budget, now))
+        for (const auto& planned : rollout.nextOrders(fence, budget, now))
             m_orders.push_back({ planned.order.fence, now + std::chrono::milliseconds(action.sendPause + action.effectDelay) });
     }
 
@@ -229,7 +235,7 @@
     ManualClock m_clock;
     boost::asio::io_context m_context;
     FakeKeyValueService m_service { m_context.get_executor(), m_clock };
-    std::array<std::unique_ptr<LeaseKeeper>, controllerCount> m_controllers;
+    std::array<Controller, controllerCount> m_controllers;
     std::vector<OrderInFlight> m_orders;
 };
 
