Subsets of large pools for each host; connections that go silent are noticed

A host sends callers' requests to its subset of a large pool, recomputed when hosts come or go; weight orders find engines by the whole configuration. Connections to targets carry keep-alive probes and a 2 s limit for unacknowledged data, idle ones are reused within 1.5 s only, and a generation that stalls for 5 s is given up.

--- a/packages/platform/include/cicadalb/platform/HttpClient.h
+++ b/packages/platform/include/cicadalb/platform/HttpClient.h
@@ -47,8 +47,10 @@
 struct HttpClientOptions {
     std::size_t maximumIdleConnections = 64;
     std::chrono::milliseconds connectTimeout { 1000 };
-    /// An idle connection older than this is closed, not used.
-    std::chrono::milliseconds idleTimeout { 10000 };
+    /// An idle connection older than this is closed, not used: something between both ends may have lost track of it.
+    std::chrono::milliseconds idleTimeout { 1500 };
+    /// A connection whose other end acknowledges nothing for so long is closed by the system.
+    std::chrono::milliseconds silenceTimeout { 2000 };
     std::size_t maximumBodyBytes = std::size_t { 16 } << 20U;
 };
 
@@ -56,6 +58,8 @@
 struct HttpStreamHandler {
     std::function<Task<bool>(const HttpResponse& head)> onHead;
     std::function<Task<bool>(std::string_view part)> onPart;
+    /// Longest time between two parts once the first has come; 0: up to the deadline.
+    std::chrono::milliseconds stallTimeout { 0 };
 };
 
 /// @brief Lets another coroutine abandon a running exchange. The exchange then ends with Cancelled and closes its connection.
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <deque>
 #include <mutex>
 #include <optional>
@@ -69,6 +71,23 @@
         return head;
     }
 
+    using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+    /// Sets the options of a new connection. None of them is needed for right answers, so failures are ignored.
+    void prepare(asio::ip::tcp::socket& socket, const HttpClientOptions& options)
+    {
+        constexpr int probeSeconds = 1;
+        beast::error_code error;
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        socket.set_option(asio::socket_base::keep_alive(true), error);
+        socket.set_option(KeepAliveIdle(probeSeconds), error);
+        socket.set_option(KeepAliveInterval(probeSeconds), error);
+        socket.set_option(UserTimeout(static_cast<int>(options.silenceTimeout.count())), error);
+        socket.non_blocking(true, error);
+    }
+
     /// Whether an idle connection was closed or written to by its server meanwhile.
     bool isReusable(Connection& connection)
     {
@@ -137,8 +156,7 @@
         co_await connection->stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port), token(error));
         if (error)
             co_return failure(ErrorCode::NotSent, "cannot connect: " + error.message(), place());
-        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-        connection->stream.socket().non_blocking(true, error);
+        prepare(connection->stream.socket(), options);
         co_return std::move(connection);
     }
 
@@ -262,10 +280,14 @@
     }
 
     auto& buffer = connection->part;
+    bool hasStarted = false;
     while (!parser.is_done()) {
+        if (hasStarted && handler.stallTimeout.count() > 0)
+            connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + handler.stallTimeout));
         const auto length = co_await State::readPart(*connection, parser, buffer, error);
         if (error)
             co_return state->brokenExchange(*connection, error, cancellation.get());
+        hasStarted = hasStarted || length > 0;
         if (length == 0 || !handler.onPart)
             continue;
         const bool goesOn = co_await handler.onPart(std::string_view(buffer.data(), length));
--- a/packages/transport/src/EngineHttpClient.cpp
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -97,6 +97,7 @@
             onProgress(reader.progress());
         co_return true;
     };
+    handler.stallTimeout = generationStallTimeout;
     auto exchange = co_await client->stream(generateRequest(request), deadline, std::move(handler), cancellation);
     if (!exchange)
         co_return exchange.as_failure();
--- a/packages/transport/src/EngineProtocol.h
+++ b/packages/transport/src/EngineProtocol.h
@@ -11,6 +11,9 @@
 
 namespace cicadalb {
 
+/// A generation that has begun and brings nothing for so long is given up.
+inline constexpr std::chrono::milliseconds generationStallTimeout { 5000 };
+
 /// @brief The request that starts a generation.
 HttpRequest generateRequest(const GenerationRequest&);
 HttpRequest cancelRequest(const RequestId&);
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -54,6 +54,7 @@
                 co_return true;
             };
             handler.onPart = [this](std::string_view part) { return takePart(part); };
+            handler.stallTimeout = generationStallTimeout;
             return handler;
         }
 
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -26,6 +26,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <chrono>
@@ -37,6 +39,7 @@
 
 namespace {
 
+    constexpr auto shareInterval = std::chrono::milliseconds(500);
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
     std::int64_t unixSeconds()
@@ -44,6 +47,15 @@
         return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     }
 
+    std::vector<SubsetHost> subsetHosts(const std::vector<AssignableHost>& hosts)
+    {
+        std::vector<SubsetHost> subset;
+        subset.reserve(hosts.size());
+        for (const auto& host : hosts)
+            subset.push_back(SubsetHost { host.id, host.failureDomain, host.weight });
+        return subset;
+    }
+
     /// Milliseconds since the epoch: rises from one start of a process to the next.
     Incarnation newIncarnation()
     {
@@ -65,7 +77,7 @@
         , m_keyValue(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.keyValue))
         , m_gatedKeyValue(m_keyValue, m_clock, CallGateSettings {}, m_incarnation)
         , m_hostList(m_control.context(0).get_executor(), toEndpoint(m_settings.platform.hostList))
-        , m_routing(BalancerOptions { m_settings.host.failureDomain, m_incarnation }, m_clock)
+        , m_routing(m_settings.host.id, BalancerOptions { m_settings.host.failureDomain, m_incarnation }, m_clock)
         , m_claims(m_control.context(0).get_executor(), m_gatedKeyValue, m_clock, unixSeconds, claimSettings(m_settings, m_incarnation))
         , m_keyed(m_claims)
         , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_keyed, m_metrics, m_clock)
@@ -113,6 +125,7 @@
         spawn(m_configurationExchange.run(*m_membership));
         spawn(m_steps.run());
         spawn(m_weights.run());
+        spawn(shareTargets());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
@@ -182,16 +195,30 @@
             m_links.removePeer(member.id.value());
     }
 
+    /// Recomputes this host's subsets of large pools when hosts come or go.
+    Task<void> shareTargets()
+    {
+        std::uint64_t sharedVersion = 0;
+        asio::steady_timer timer(m_control.context(0));
+        while (!m_isStopping) {
+            const auto view = m_membership->view();
+            if (view->version != sharedVersion)
+                m_routing.shareWith(subsetHosts(view->assignment->hosts()));
+            sharedVersion = view->version;
+            timer.expires_after(shareInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
     std::shared_ptr<const Assignment> assignment() const { return m_membership->view()->assignment; }
 
     std::optional<Endpoint> engineEndpoint(const TargetId& id) const
     {
-        std::optional<Endpoint> endpoint;
-        m_routing.forEachGate([&id, &endpoint](PoolGate& gate) {
-            if (const auto target = gate.target(id))
-                endpoint = Endpoint { target->address, target->port };
-        });
-        return endpoint;
+        const auto snapshot = m_routing.snapshot();
+        if (!snapshot)
+            return std::nullopt;
+        const auto found = snapshot->endpoints.find(id);
+        return found == snapshot->endpoints.end() ? std::nullopt : std::optional<Endpoint>(found->second);
     }
 
     Task<void> serveCaller(ServerRequest& request, ServerResponder& responder)
--- a/packages/transport/src/RoutingTable.cpp
+++ b/packages/transport/src/RoutingTable.cpp
@@ -2,6 +2,20 @@
 
 namespace cicadalb {
 
+namespace {
+
+    TargetEndpoints endpointsOf(const Tables& tables)
+    {
+        TargetEndpoints endpoints;
+        for (const auto& pool : tables.pools) {
+            for (const auto& target : pool.targets)
+                endpoints.emplace(target.id, Endpoint { target.address, target.port });
+        }
+        return endpoints;
+    }
+
+} // namespace
+
 void SharedRetryBudget::recordRequest()
 {
     const std::lock_guard lock(m_mutex);
@@ -26,8 +40,9 @@
     return found == gates.end() ? nullptr : found->second;
 }
 
-RoutingTable::RoutingTable(BalancerOptions options, const Clock& clock)
-    : m_balancerOptions(std::move(options))
+RoutingTable::RoutingTable(HostId self, BalancerOptions options, const Clock& clock)
+    : m_self(std::move(self))
+    , m_balancerOptions(std::move(options))
     , m_clock(clock)
 {
 }
@@ -39,7 +54,7 @@
         return false;
     const auto tables = std::make_shared<const Tables>(configuration.tables);
     m_snapshot = std::make_shared<const RoutingSnapshot>(
-        RoutingSnapshot { configuration.number, RouteMatcher(tables), gatesFor(*tables), retryBudgetsFor(*tables) });
+        RoutingSnapshot { configuration.number, RouteMatcher(tables), gatesFor(*tables), retryBudgetsFor(*tables), endpointsOf(*tables) });
     return true;
 }
 
@@ -49,14 +64,32 @@
     for (const auto& pool : tables.pools) {
         auto gate = m_snapshot ? m_snapshot->gate(pool.name) : nullptr;
         if (gate)
-            gate->update(pool);
+            gate->update(sharedPool(pool));
         else
-            gate = std::make_shared<PoolGate>(pool, m_balancerOptions, m_clock);
+            gate = std::make_shared<PoolGate>(sharedPool(pool), m_balancerOptions, m_clock);
         gates.emplace(pool.name, std::move(gate));
     }
     return gates;
 }
 
+Pool RoutingTable::sharedPool(const Pool& pool) const
+{
+    Pool shared = pool;
+    if (!m_hosts.empty())
+        shared.targets = targetSubset(m_self, m_hosts, pool.targets);
+    return shared;
+}
+
+void RoutingTable::shareWith(std::vector<SubsetHost> hosts)
+{
+    const std::lock_guard lock(m_mutex);
+    m_hosts = std::move(hosts);
+    if (!m_snapshot)
+        return;
+    for (const auto& pool : m_snapshot->matcher.tables().pools)
+        m_snapshot->gates.at(pool.name)->update(sharedPool(pool));
+}
+
 RetryBudgets RoutingTable::retryBudgetsFor(const Tables& tables) const
 {
     RetryBudgets budgets;
