--- a/packages/routing/tests/unit-target-health.cpp
+++ b/packages/routing/tests/unit-target-health.cpp
@@ -1,6 +1,9 @@
 #include "TargetHealth.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <vector>
 
 using namespace cicadalb;
 using namespace std::chrono_literals;
@@ -75,3 +78,25 @@
     }
     CHECK(state() == CircuitState::Closed);
 }
+
+TEST_CASE("circuit, after any results, opens only by failures, within its times, and lets probes through")
+{
+    CHECK(rc::check("target health property", [] {
+        TargetHealthFixture fixture;
+        const auto longest = TargetHealth::longestOpenTime * 5 / 4;
+        for (const auto step : *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 5000U))) {
+            fixture.clock.advance(std::chrono::milliseconds(step % 1009));
+            const auto before = fixture.state();
+            const auto kind = static_cast<CompletionKind>(step % 5);
+            fixture.record(kind);
+            const bool isBenign = kind == CompletionKind::Succeeded || kind == CompletionKind::Abandoned;
+            RC_ASSERT(!isBenign || before == CircuitState::Open || fixture.state() != CircuitState::Open);
+            RC_ASSERT(fixture.health.openUntil() - fixture.clock.now() <= longest);
+            const auto share = fixture.health.allowedShare(fixture.clock.now());
+            RC_ASSERT(share >= 0);
+            RC_ASSERT(share <= 1);
+        }
+        fixture.clock.advance(longest);
+        RC_ASSERT(fixture.state() != CircuitState::Open);
+    }));
+}
