--- a/packages/rollout/tests/unit-step-service.cpp
+++ b/packages/rollout/tests/unit-step-service.cpp
@@ -6,8 +6,10 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <atomic>
 #include <optional>
+#include <thread>
+#include <vector>
 
 using namespace cicadalb;
 
@@ -24,22 +26,23 @@
     Task<Result<void>> loadWeights(TargetId, WeightOrder, TimePoint) override { co_return success(); }
     Task<Result<EngineStatus>> status(TargetId, TimePoint) override { co_return EngineStatus {}; }
 
-    std::size_t generations = 0;
+    std::atomic<std::size_t> generations = 0;
     std::vector<WeightVersion> versions { 7 };
 };
 
 struct FakeSelector final : EngineSelector {
     Task<Result<TargetId>> acquire(PoolName, Demand) override
     {
-        ++inUse;
-        mostInUse = std::max(mostInUse, inUse);
+        const auto now = ++inUse;
+        if (now > mostInUse)
+            mostInUse = now;
         co_return TargetId("e1");
     }
     void release(const PoolName&, const TargetId&, const Completion&) override { --inUse; }
     std::size_t capacity(const PoolName&) const override { return 2; }
 
-    std::size_t inUse = 0;
-    std::size_t mostInUse = 0;
+    std::atomic<std::size_t> inUse = 0;
+    std::atomic<std::size_t> mostInUse = 0;
 };
 
 struct StepServiceFixture {
@@ -138,3 +141,22 @@
     context.run();
     CHECK(pull().value().isDone);
 }
+
+TEST_CASE_METHOD(StepServiceFixture, "service, on several threads with steps of several trainers, generates each sample once")
+{
+    constexpr StepNumber stepCount = 20;
+    for (StepNumber step = 1; step <= stepCount; ++step) {
+        StepSpec other { { TrainerName("trainer-" + std::to_string(step % 3)), step }, { { "a", "", 50 } } };
+        REQUIRE(service.submit(other, { PoolName("draft-model"), 1.0 + static_cast<double>(step % 3) }));
+    }
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < 4; ++i)
+        threads.emplace_back([this] { context.run(); });
+    for (auto& thread : threads)
+        thread.join();
+    CHECK(engines.generations == stepCount * 50);
+    CHECK(selector.inUse == 0);
+    CHECK(selector.mostInUse <= 2);
+    for (const auto& progress : service.progress())
+        CHECK(progress.ready == 50);
+}
