--- a/packages/membership/include/cicadalb/membership/Membership.h
+++ b/packages/membership/include/cicadalb/membership/Membership.h
@@ -46,7 +46,7 @@
     std::size_t maximumDatagramBytes = 1200;
     /// Budget of all that is sent but probes and their answers.
     double bytesPerSecond = 6000;
-    double burstBytes = 400000;
+    double burstBytes = 800000;
 };
 
 /// @brief Where a host's membership port listens.
@@ -224,6 +224,8 @@
     TimePoint m_lastHeard;
     /// After a pause the reports of others are newer than this host's own view.
     TimePoint m_trustsReportsUntil;
+    /// Time of the last update that this host had not heard before.
+    TimePoint m_lastNews;
     TimePoint m_nextProbe;
     TimePoint m_nextReconnect;
     TimePoint m_nextSeedContact;
--- a/packages/routing/src/TargetState.h
+++ b/packages/routing/src/TargetState.h
@@ -46,6 +46,8 @@
     bool hasRoom(TimePoint now) const noexcept { return inFlight < allowedInFlight(now); }
     /// @brief Requests for each place of the target if one more came, at least 1.
     double crowding() const noexcept;
+    /// @brief Expected seconds of service without queueing: a lower bound of the delay and its cost.
+    double expectedService(double bestServiceSeconds, TimePoint now) const noexcept;
     /// @param bestServiceSeconds service time of the fastest target, which stands for one that is not known
     ExpectedDelay expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept;
 
@@ -106,20 +108,26 @@
 }
 
 /// Expected load above the places counts as queued. The load of others is known only about, by its square root, so that some queueing is
-/// expected before all places are taken.
+/// expected before all places are taken. Without reports it is taken to be about the own load.
 inline double TargetState::crowding() const noexcept
 {
     const auto others = load.others();
+    const auto uncertain = load.hasReports() ? others : inFlight + 1;
     const auto places = std::max(load.hasReports() ? load.parallelism() : limit.value(), 1.0);
     const auto excess = inFlight + others + 1 - places;
-    const auto queued = (excess + std::sqrt(excess * excess + 4 * others)) / 2;
+    const auto queued = (excess + std::sqrt(excess * excess + 4 * uncertain)) / 2;
     return 1 + queued / places;
 }
 
-inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+inline double TargetState::expectedService(double bestServiceSeconds, TimePoint now) const noexcept
 {
     const auto service = speed.isKnown() ? speed.agedServiceSeconds(now) : bestServiceSeconds;
-    return { isNear ? service : service * farFactor, crowding() };
+    return isNear ? service : service * farFactor;
+}
+
+inline ExpectedDelay TargetState::expectedDelay(double bestServiceSeconds, TimePoint now) const noexcept
+{
+    return { expectedService(bestServiceSeconds, now), crowding() };
 }
 
 } // namespace cicadalb
