--- a/testing/process/Deployment.cpp
+++ b/testing/process/Deployment.cpp
@@ -42,7 +42,7 @@
     keyValue = startStandIn("keyvalue");
     m_hostList = startStandIn("hostlist");
     m_weightStore = startStandIn("weightstore");
-    engine = startStandIn("engine", { "--slots", "32", "--tokens-per-second", "200", "--median-tokens", "64", "--tail", "0" });
+    engine = startStandIn("engine", { "--slots", "32", "--tokens-per-second", "40", "--median-tokens", "64", "--tail", "0" });
     for (std::size_t number = 0; number < options.ledgers; ++number)
         ledgers.push_back(startStandIn("plainservice"));
     applyTables();
--- a/testing/process/Deployment.h
+++ b/testing/process/Deployment.h
@@ -74,7 +74,7 @@
     static HttpRequest invoice(const std::string& key);
     /// @brief Looks something up; the route is repeatable.
     static HttpRequest lookup(const std::string& key);
-    /// @brief Asks the model for a draft; its answer takes about a third of a second.
+    /// @brief Asks the model for a draft; its answer takes longer than a host that stops is unready.
     static HttpRequest draft(const std::string& key);
 
     nlohmann::json control(Server&, const nlohmann::json& words);
