--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -38,6 +38,8 @@
     AdmissionKind kind = AdmissionKind::Refused;
     /// Set if admitted.
     TargetId target;
+    /// Set if admitted: recent latency of the target with queueing; 0 if unknown.
+    Duration usualLatency {};
     /// Set if queued.
     QueueTicket ticket = 0;
     /// Set if refused: when another try makes sense.
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -188,6 +188,7 @@
     Admission admission;
     admission.kind = AdmissionKind::Admitted;
     admission.target = targets[index].id;
+    admission.usualLatency = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(targets[index].speed.latencySeconds()));
     return admission;
 }
 
--- a/packages/transport/src/ForwardCall.cpp
+++ b/packages/transport/src/ForwardCall.cpp
@@ -132,12 +132,12 @@
     return code == ErrorCode::Cancelled ? CompletionKind::Abandoned : CompletionKind::Lost;
 }
 
-Task<AttemptResult> ForwardCall::attempt(const RequestContext& context, const Target& target)
+Task<AttemptResult> ForwardCall::attempt(const RequestContext& context, const Target& target, TimePoint deadline)
 {
     const auto client = m_clients.client(context.request.worker, Endpoint { target.address, target.port });
     AnswerRelay relay(context);
     AttemptResult result;
-    auto exchange = co_await client->stream(requestFor(context), context.deadline, relay.handler());
+    auto exchange = co_await client->stream(requestFor(context), deadline, relay.handler());
     if (!exchange) {
         result.kind = completionOf(exchange.error().code);
         result.error = exchange.error();
--- a/packages/transport/src/ForwardCall.h
+++ b/packages/transport/src/ForwardCall.h
@@ -16,7 +16,7 @@
     {
     }
     Result<void> check(const RequestContext&) override { return success(); }
-    Task<AttemptResult> attempt(const RequestContext&, const Target&) override;
+    Task<AttemptResult> attempt(const RequestContext&, const Target&, TimePoint deadline) override;
 
 private:
     TargetClients& m_clients;
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -4,6 +4,8 @@
 #include "ForwardCall.h"
 #include "Problem.h"
 
+#include "cicadalb/base/Hash.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cicadalb {
@@ -136,12 +138,19 @@
     return success();
 }
 
-Task<AttemptResult> GenerateCall::attempt(const RequestContext& context, const Target& target)
+std::optional<std::uint64_t> GenerateCall::affinity() const
+{
+    if (m_request.prefixKey.empty())
+        return std::nullopt;
+    return placementHash(m_request.prefixKey);
+}
+
+Task<AttemptResult> GenerateCall::attempt(const RequestContext& context, const Target& target, TimePoint deadline)
 {
     AttemptResult result;
     const auto client = m_clients.client(context.request.worker, Endpoint { target.address, target.port });
     GenerationRelay relay(context, context.request.field("Accept").find(streamType) != std::string_view::npos);
-    auto exchange = co_await client->stream(generateRequest(m_request), context.deadline, relay.handler());
+    auto exchange = co_await client->stream(generateRequest(m_request), deadline, relay.handler());
     if (!exchange) {
         result.kind = completionOf(exchange.error().code);
         result.error = exchange.error();
--- a/packages/transport/src/GenerateCall.h
+++ b/packages/transport/src/GenerateCall.h
@@ -18,7 +18,8 @@
     {
     }
     Result<void> check(const RequestContext&) override;
-    Task<AttemptResult> attempt(const RequestContext&, const Target&) override;
+    std::optional<std::uint64_t> affinity() const override;
+    Task<AttemptResult> attempt(const RequestContext&, const Target&, TimePoint deadline) override;
 
 private:
     TargetClients& m_clients;
--- a/packages/transport/src/RequestContext.h
+++ b/packages/transport/src/RequestContext.h
@@ -9,6 +9,7 @@
 #include "cicadalb/transport/RoutingTable.h"
 
 #include <memory>
+#include <optional>
 
 /// @file
 /// What is known of a request while it is served.
@@ -42,8 +43,10 @@
     virtual ~TargetCall() = default;
     /// @brief Checks the request before it is admitted. Errors: RequestInvalid.
     virtual Result<void> check(const RequestContext&) = 0;
-    /// @brief One attempt. On success the answer has been passed on to the caller.
-    virtual Task<AttemptResult> attempt(const RequestContext&, const Target&) = 0;
+    /// @brief Hash of what wants the same target, e.g. the prompt prefix. Called after check().
+    virtual std::optional<std::uint64_t> affinity() const { return std::nullopt; }
+    /// @brief One attempt, given up at @p deadline. On success the answer has been passed on to the caller.
+    virtual Task<AttemptResult> attempt(const RequestContext&, const Target&, TimePoint deadline) = 0;
 };
 
 } // namespace cicadalb
--- a/packages/transport/src/RequestDispatcher.cpp
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -18,6 +18,9 @@
 
     constexpr std::size_t maximumRequestIdLength = 128;
     constexpr unsigned maximumAttempts = 3;
+    constexpr auto smallestAttemptTime = std::chrono::seconds(2);
+    /// An attempt that takes so many times the target's usual latency is taken for lost.
+    constexpr int unusualLatencyFactor = 10;
     constexpr std::size_t maximumKeyLength = 255;
     constexpr std::string_view idempotencyKeyField = "Idempotency-Key";
     /// Marks an answer that was given before to the same key.
@@ -67,6 +70,15 @@
         return keyed;
     }
 
+    /// When an attempt is given up so that another one can be made: much later than usual, and only where the request may run again.
+    TimePoint attemptDeadline(const RequestContext& context, const Admission& admission, TimePoint now)
+    {
+        if (!context.route.repeatable || admission.usualLatency == Duration::zero())
+            return context.deadline;
+        const auto patience = std::max<Duration>(smallestAttemptTime, admission.usualLatency * unusualLatencyFactor);
+        return std::min(context.deadline, now + patience);
+    }
+
     /// Counts a request for as long as it lives.
     class InFlight {
     public:
@@ -227,7 +239,7 @@
 Task<ServedRequest> RequestDispatcher::attemptUntilAnswered(RequestContext& context, TargetCall& call)
 {
     RequestRun run(context.route.repeatable);
-    Demand demand { context.route.priority, context.deadline, std::nullopt, {} };
+    Demand demand { context.route.priority, context.deadline, call.affinity(), {} };
     ProblemDetails details;
     details.requestId = context.id.value();
     Error error { ErrorCode::NoTargetAvailable, {}, {} };
@@ -249,8 +261,9 @@
         m_metrics.countAttempt(context.route.name);
         AttemptResult result { CompletionKind::NotRun, {}, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() } };
         if (target)
-            result = co_await call.attempt(context, *target);
-        context.gate->finished(admission.target, Completion { result.kind, m_clock.now() - begin });
+            result = co_await call.attempt(context, *target, attemptDeadline(context, admission, begin));
+        const auto end = m_clock.now();
+        context.gate->finished(admission.target, Completion { result.kind, end - begin, end >= context.deadline });
         record(run, result.kind);
         demand.excluded.push_back(admission.target);
         error = result.error;
