--- a/packages/platform/src/ClaimLog.cpp
+++ b/packages/platform/src/ClaimLog.cpp
@@ -64,7 +64,7 @@
 
 struct ClaimLog::State : std::enable_shared_from_this<State> {
     State(asio::any_io_executor executor, KeyValueService& theService, const Clock& theClock, UnixClock theUnixClock, ClaimLogSettings theSettings)
-        : strand(asio::make_strand(std::move(executor)))
+        : strand(asio::make_strand(executor))
         , service(theService)
         , clock(theClock)
         , unixClock(std::move(theUnixClock))
