--- a/benchmarks/bench_steps.cpp
+++ b/benchmarks/bench_steps.cpp
@@ -537,9 +537,8 @@
     for (unsigned seed = 1; seed <= seeds; ++seed)
         runs.push_back(StepLoop(scenario, variant, seed).run());
     const auto print = [&](const char* figure, double Figures::*member, double factor, const char* unit) {
-        std::vector<double> values;
-        for (const auto& run : runs)
-            values.push_back(factor * run.*member);
+        std::vector<double> values(runs.size());
+        std::transform(runs.begin(), runs.end(), values.begin(), [&](const Figures& run) { return factor * run.*member; });
         printSpread(prefix + "." + variant.name + "." + figure, values, unit);
     };
     print("idle", &Figures::idleShare, 100, "percent");
