--- a/packages/transport/include/cicadalb/transport/TargetMonitor.h
+++ b/packages/transport/include/cicadalb/transport/TargetMonitor.h
@@ -4,6 +4,7 @@
 #include "cicadalb/transport/RoutingTable.h"
 #include "cicadalb/transport/TargetClients.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -18,10 +19,13 @@
     std::chrono::milliseconds tickInterval { 5 };
 };
 
+/// @brief Called with the weight version that an engine reports.
+using WeightReportHandler = std::function<void(const PoolName&, const TargetId&, WeightVersion)>;
+
 /// @brief Loops on the control worker until stopped.
 class TargetMonitor : public std::enable_shared_from_this<TargetMonitor> {
 public:
-    TargetMonitor(TargetMonitorOptions, RoutingTable&, TargetClients&, std::size_t worker, HostList&);
+    TargetMonitor(TargetMonitorOptions, RoutingTable&, TargetClients&, std::size_t worker, HostList&, WeightReportHandler);
 
     void start();
     void stop() { m_isStopping = true; }
@@ -39,6 +43,7 @@
     TargetClients& m_clients;
     std::size_t m_worker;
     HostList& m_hostList;
+    WeightReportHandler m_onWeights;
     std::atomic<bool> m_isStopping { false };
     /// Targets whose load request has not ended yet.
     std::set<TargetId> m_pending;
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -81,7 +81,8 @@
         , m_claims(m_control.context(0).get_executor(), m_gatedKeyValue, m_clock, unixSeconds, claimSettings(m_settings, m_incarnation))
         , m_keyed(m_claims)
         , m_dispatcher(DispatcherOptions { m_settings.host.id, m_incarnation, m_settings.limits.inFlight }, m_routing, m_clients, m_keyed, m_metrics, m_clock)
-        , m_monitor(std::make_shared<TargetMonitor>(TargetMonitorOptions {}, m_routing, m_controlClients, 0, m_hostList))
+        , m_monitor(std::make_shared<TargetMonitor>(TargetMonitorOptions {}, m_routing, m_controlClients, 0, m_hostList,
+              [this](const auto& pool, const auto& engine, auto version) { m_steps.reportWeights(pool, engine, version); }))
         , m_engines(m_controlClients, 0, [this](const TargetId& target) { return engineEndpoint(target); })
         , m_selector(m_routing)
         , m_steps(m_control.context(0).get_executor(), m_engines, m_selector, m_clock)
--- a/packages/transport/src/TargetMonitor.cpp
+++ b/packages/transport/src/TargetMonitor.cpp
@@ -23,12 +23,13 @@
 
 } // namespace
 
-TargetMonitor::TargetMonitor(TargetMonitorOptions options, RoutingTable& routing, TargetClients& clients, std::size_t worker, HostList& hostList)
+TargetMonitor::TargetMonitor(TargetMonitorOptions options, RoutingTable& routing, TargetClients& clients, std::size_t worker, HostList& hostList, WeightReportHandler onWeights)
     : m_options(options)
     , m_routing(routing)
     , m_clients(clients)
     , m_worker(worker)
     , m_hostList(hostList)
+    , m_onWeights(std::move(onWeights))
 {
 }
 
@@ -94,6 +95,8 @@
     report.age = status.value().age;
     report.isLeaving = status.value().isLeaving;
     gate->reportLoad(target.id, report);
+    if (status.value().version != 0)
+        m_onWeights(gate->pool().name, target.id, status.value().version);
 }
 
 Task<void> TargetMonitor::pollHostList()
