--- a/testing/process/Deployment.cpp
+++ b/testing/process/Deployment.cpp
@@ -40,7 +40,7 @@
     m_folder = pattern;
     writeFile("secret", "a-shared-secret-of-at-least-thirty-two-bytes\n");
     keyValue = startStandIn("keyvalue");
-    m_hostList = startStandIn("hostlist");
+    hostList = startStandIn("hostlist");
     m_weightStore = startStandIn("weightstore");
     engine = startStandIn("engine", { "--slots", "32", "--tokens-per-second", "40", "--median-tokens", "64", "--tail", "0" });
     for (std::size_t number = 0; number < options.ledgers; ++number)
@@ -86,7 +86,7 @@
     text += "secret-file = \"" + (m_folder / "secret").string() + "\"\n";
     if (m_seedPort != 0)
         text += "seeds = [\"host-0@127.0.0.1:" + std::to_string(m_seedPort) + "\"]\n";
-    text += "[platform]\nkey-value = " + address(*keyValue) + "\nhost-list = " + address(*m_hostList) + "\nweight-store = " + address(*m_weightStore) + "\n";
+    text += "[platform]\nkey-value = " + address(*keyValue) + "\nhost-list = " + address(*hostList) + "\nweight-store = " + address(*m_weightStore) + "\n";
     text += "[limits]\nbody-bytes = 65536\nheader-timeout-ms = 1000\nbody-timeout-ms = 1000\n";
     text += "[shutdown]\nunready-ms = 400\ngrace-ms = 20000\n";
     return text;
@@ -112,9 +112,10 @@
 void Deployment::applyTables()
 {
     const std::string routes = "[callers.clerks]\ntoken-sha256 = \"" + sha256Hex("clerk-token") + "\"\n"
+        + "[trainers.invoice-draft]\ntoken-sha256 = \"" + sha256Hex("trainer-token") + "\"\nstaleness-bound = 2\n"
         + "[routes.post-invoice]\npath = \"/ledger/invoices\"\npool = \"ledger-app\"\nrepeatable = false\ntimeout-ms = 3000\n"
         + "[routes.lookup]\npath = \"/ledger/lookups\"\npool = \"ledger-app\"\nrepeatable = true\ntimeout-ms = 3000\nretry-percent = 100\n"
-        + "[routes.drafts]\npath = \"/v1/drafts\"\npool = \"draft-model\"\nrepeatable = true\n";
+        + "[routes.drafts]\npath = \"/v1/drafts\"\npool = \"draft-model\"\ntrainers = [\"invoice-draft\"]\nrepeatable = true\n";
     std::string pools = "[pools.ledger-app]\nkind = \"plain-service\"\n";
     for (std::size_t number = 0; number < ledgers.size(); ++number) {
         pools += "[[pools.ledger-app.targets]]\nid = \"ledger-" + std::to_string(number) + "\"\naddress = \"127.0.0.1\"\n";
@@ -170,6 +171,11 @@
     return control(server, nlohmann::json::object()).at("runs-by-key").value(key, 0U);
 }
 
+unsigned Deployment::runsOf(Server& server)
+{
+    return control(server, nlohmann::json::object()).at("runs").get<unsigned>();
+}
+
 void Deployment::waitForRun(Server& server, const std::string& key)
 {
     const auto end = std::chrono::steady_clock::now() + patience;
--- a/testing/process/Deployment.h
+++ b/testing/process/Deployment.h
@@ -79,6 +79,8 @@
 
     nlohmann::json control(Server&, const nlohmann::json& words);
     unsigned runsOf(Server&, const std::string& key);
+    /// @brief Runs of all requests.
+    unsigned runsOf(Server&);
     void waitForRun(Server&, const std::string& key);
     void waitUntilReady(Host&);
     bool isReady(Host&);
@@ -86,6 +88,7 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::vector<std::unique_ptr<Server>> ledgers;
     std::unique_ptr<Server> keyValue;
+    std::unique_ptr<Server> hostList;
     std::unique_ptr<Server> engine;
 
 private:
@@ -95,7 +98,6 @@
     std::string settings(const std::string& name) const;
     void applyTables();
 
-    std::unique_ptr<Server> m_hostList;
     std::unique_ptr<Server> m_weightStore;
     std::uint16_t m_seedPort = 0;
 };
