--- a/packages/transport/include/cicadalb/transport/TargetMonitor.h
+++ b/packages/transport/include/cicadalb/transport/TargetMonitor.h
@@ -15,6 +15,8 @@
 
 struct TargetMonitorOptions {
     std::chrono::milliseconds loadInterval { 250 };
+    /// Load requests that one host sends in a second; with more targets each is asked less often.
+    double loadRequestsPerSecond = 24;
     std::chrono::milliseconds hostListInterval { 1000 };
     std::chrono::milliseconds tickInterval { 5 };
 };
@@ -33,6 +35,9 @@
 private:
     Task<void> tickGates();
     Task<void> pollLoads();
+    /// @brief Starts a request to each target that has none open. @return the number of targets
+    std::size_t startLoadRequests();
+    std::chrono::milliseconds loadIntervalFor(std::size_t targets) const;
     Task<void> pollLoad(std::shared_ptr<PoolGate>, Target);
     Task<void> pollHostList();
     void applyHostList(const std::vector<ListedHost>&);
--- a/packages/transport/src/TargetMonitor.cpp
+++ b/packages/transport/src/TargetMonitor.cpp
@@ -63,20 +63,34 @@
 Task<void> TargetMonitor::pollLoads()
 {
     while (!m_isStopping) {
-        const auto snapshot = m_routing.snapshot();
-        const PoolGates gates = snapshot ? snapshot->gates : PoolGates {};
-        for (const auto& [name, gate] : gates) {
-            for (const auto& target : gate->pool().targets) {
-                if (!m_pending.insert(target.id).second)
-                    continue;
-                asio::co_spawn(
-                    m_clients.context(m_worker),
-                    [self = shared_from_this(), gate = gate, target]() -> Task<void> { co_await self->pollLoad(gate, target); },
-                    asio::detached);
-            }
+        const auto targets = startLoadRequests();
+        co_await sleep(loadIntervalFor(targets));
+    }
+}
+
+std::size_t TargetMonitor::startLoadRequests()
+{
+    std::size_t count = 0;
+    const auto snapshot = m_routing.snapshot();
+    const PoolGates gates = snapshot ? snapshot->gates : PoolGates {};
+    for (const auto& [name, gate] : gates) {
+        for (const auto& target : gate->pool().targets) {
+            ++count;
+            if (!m_pending.insert(target.id).second)
+                continue;
+            asio::co_spawn(
+                m_clients.context(m_worker),
+                [self = shared_from_this(), gate = gate, target]() -> Task<void> { co_await self->pollLoad(gate, target); },
+                asio::detached);
         }
-        co_await sleep(m_options.loadInterval);
     }
+    return count;
+}
+
+std::chrono::milliseconds TargetMonitor::loadIntervalFor(std::size_t targets) const
+{
+    const std::chrono::duration<double> paced(static_cast<double>(targets) / m_options.loadRequestsPerSecond);
+    return std::max(m_options.loadInterval, std::chrono::duration_cast<std::chrono::milliseconds>(paced));
 }
 
 Task<void> TargetMonitor::pollLoad(std::shared_ptr<PoolGate> gate, Target target)
