--- a/packages/transport/include/cicadalb/transport/PeerLink.h
+++ b/packages/transport/include/cicadalb/transport/PeerLink.h
@@ -16,9 +16,7 @@
 enum class PeerRequestKind : std::uint8_t {
     SubmitStep,
     PullBatch,
-    ClaimKey,
     FetchConfiguration,
-    OfferConfiguration,
     State,
 };
 
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -256,9 +256,6 @@
             co_return state();
         case PeerRequestKind::FetchConfiguration:
             co_return m_configurationExchange.serveFetch(*body);
-        case PeerRequestKind::ClaimKey:
-        case PeerRequestKind::OfferConfiguration:
-            break;
         }
         co_return failure(ErrorCode::MessageInvalid, "this kind of request is not served", "link");
     }
