Drop a caller's own Cicadalb-Caller field; attempts of a request in small functions

Cause: the name of the caller that a host adds for the target was added beside one that the caller had sent itself, which came first.

--- a/packages/base/include/cicadalb/base/Error.h
+++ b/packages/base/include/cicadalb/base/Error.h
@@ -54,8 +54,6 @@
     StepUnknown = 501,
     StepConflict = 502,
     CursorInvalid = 503,
-    SampleUnlabelled = 504,
-    VersionStale = 505,
     FenceRejected = 506,
     TrainerUnknown = 507,
     // 6xx: links between hosts
--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -32,7 +32,6 @@
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
-    SampleDiscarded = 503,
     WeightSwapFailed = 504,
     WeightsInForce = 505,
     // 6xx: process and links
--- a/packages/base/src/Error.cpp
+++ b/packages/base/src/Error.cpp
@@ -42,8 +42,6 @@
         { ErrorCode::StepUnknown, "step-unknown" },
         { ErrorCode::StepConflict, "step-conflict" },
         { ErrorCode::CursorInvalid, "cursor-invalid" },
-        { ErrorCode::SampleUnlabelled, "sample-unlabelled" },
-        { ErrorCode::VersionStale, "version-stale" },
         { ErrorCode::FenceRejected, "fence-rejected" },
         { ErrorCode::TrainerUnknown, "trainer-unknown" },
         { ErrorCode::PeerUnreachable, "peer-unreachable" },
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -60,7 +60,6 @@
         { Event::RequestRetried, "request-retried", Level::Debug },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
-        { Event::SampleDiscarded, "sample-discarded", Level::Debug },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
         { Event::WeightsInForce, "weights-in-force", Level::Info },
         { Event::ProcessStarted, "process-started", Level::Info },
--- a/packages/transport/include/cicadalb/transport/RequestDispatcher.h
+++ b/packages/transport/include/cicadalb/transport/RequestDispatcher.h
@@ -43,12 +43,17 @@
     std::size_t inFlight() const noexcept { return m_inFlight; }
 
 private:
+    struct Progress;
+
     RequestId requestIdFor(const ServerRequest&);
     Task<void> serveRouted(RequestContext&);
     /// @brief A request that may run at most once for its key.
     Task<void> serveKeyed(RequestContext&, TargetCall&, std::string key);
     Task<void> answerKnownKey(RequestContext&, KeyedDecision);
     Task<ServedRequest> attemptUntilAnswered(RequestContext&, TargetCall&);
+    Task<void> attemptOnce(RequestContext&, TargetCall&, const Admission&, Progress&);
+    /// @brief Tells the caller at once that no answer will come.
+    Task<void> tellGivenUp(RequestContext&, Progress&);
     Task<void> refuse(ServerRequest&, ServerResponder&, const RequestId&, const Error&, Duration retryAfter);
     std::unique_ptr<TargetCall> callFor(const RequestContext&);
 
--- a/packages/transport/src/ForwardCall.cpp
+++ b/packages/transport/src/ForwardCall.cpp
@@ -18,7 +18,7 @@
 
     /// Fields that belong to one connection, or to this system, and are not passed on.
     constexpr auto requestFieldsDropped = std::to_array<std::string_view>({ "Connection", "Keep-Alive", "Proxy-Authorization", "TE", "Trailer",
-        "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Authorization", "X-Request-Id" });
+        "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Authorization", "X-Request-Id", "Cicadalb-Caller" });
     constexpr auto responseFieldsDropped = std::to_array<std::string_view>({ "Connection", "Keep-Alive", "Proxy-Authenticate", "Trailer",
         "Transfer-Encoding", "Upgrade", "Content-Length", "X-Request-Id", "Cicadalb-Run-State", "Cicadalb-Weight-Versions" });
 
--- a/packages/transport/src/RequestDispatcher.cpp
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -120,6 +120,21 @@
 
 } // namespace
 
+/// What has become of a request so far.
+struct RequestDispatcher::Progress {
+    Progress(const RequestContext& context, std::optional<std::uint64_t> affinity)
+        : run(context.route.repeatable)
+        , demand { context.route.priority, context.deadline, affinity, {} }
+    {
+    }
+    RequestRun run;
+    Demand demand;
+    ServedRequest served;
+    /// Why the last attempt or admission failed.
+    Error error { ErrorCode::NoTargetAvailable, {}, {} };
+    Duration retryAfter {};
+};
+
 std::string_view bearerToken(const ServerRequest& request) noexcept
 {
     constexpr std::string_view scheme = "Bearer ";
@@ -238,54 +253,64 @@
 
 Task<ServedRequest> RequestDispatcher::attemptUntilAnswered(RequestContext& context, TargetCall& call)
 {
-    RequestRun run(context.route.repeatable);
-    Demand demand { context.route.priority, context.deadline, call.affinity(), {} };
-    ProblemDetails details;
-    details.requestId = context.id.value();
-    Error error { ErrorCode::NoTargetAvailable, {}, {} };
-    ServedRequest served;
+    Progress progress(context, call.affinity());
     const auto budget = context.snapshot->retryBudgets.at(context.route.name);
     budget->recordRequest();
-    while (run.mayAttempt() && run.attempts() < maximumAttempts) {
-        if (run.attempts() > 0 && !budget->tryRetry())
+    while (progress.run.mayAttempt() && progress.run.attempts() < maximumAttempts) {
+        if (progress.run.attempts() > 0 && !budget->tryRetry())
             break;
-        const auto admission = co_await context.gate->admit(demand);
+        const auto admission = co_await context.gate->admit(progress.demand);
         if (admission.kind != AdmissionKind::Admitted) {
-            error = admissionError(admission, context.gate->pool());
-            details.retryAfter = admission.retryAfter;
+            progress.error = admissionError(admission, context.gate->pool());
+            progress.retryAfter = admission.retryAfter;
             break;
         }
-        const auto target = context.gate->target(admission.target);
-        const auto begin = m_clock.now();
-        run.beginAttempt();
-        m_metrics.countAttempt(context.route.name);
-        AttemptResult result { CompletionKind::NotRun, {}, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() } };
-        if (target)
-            result = co_await call.attempt(context, *target, attemptDeadline(context, admission, begin));
-        const auto end = m_clock.now();
-        context.gate->finished(admission.target, Completion { result.kind, end - begin, end >= context.deadline });
-        record(run, result.kind);
-        demand.excluded.push_back(admission.target);
-        error = result.error;
-        served.answer = std::move(result.answer);
-        if (run.state() == RunState::Answered || context.responder.hasBegun() || m_clock.now() >= context.deadline)
+        co_await attemptOnce(context, call, admission, progress);
+        if (context.responder.hasBegun() || m_clock.now() >= context.deadline)
             break;
     }
-    if (run.state() != RunState::Answered && !context.responder.hasBegun()) {
-        if (m_clock.now() >= context.deadline)
-            error.code = ErrorCode::DeadlineExceeded;
-        details.runState = run.state();
-        if (run.isKnownNotRun() && details.retryAfter == Duration::zero())
-            details.retryAfter = overloadRetryAfter;
-        auto response = problemResponse(error, details);
-        served.answer.status = response.status;
-        logEvent(run.isKnownNotRun() ? Event::RequestRefused : Event::RequestOutcomeUnknown,
-            { { "request", context.id.value() }, { "route", context.route.name.value() }, { "cause", describe(error) } });
-        co_await context.responder.send(std::move(response));
-    }
-    served.runState = run.state();
-    m_metrics.countRequest(RequestOutcome { context.route.name, served.answer.status, run.state(), m_clock.now() - context.request.receivedAt });
-    co_return served;
+    if (progress.run.state() != RunState::Answered && !context.responder.hasBegun())
+        co_await tellGivenUp(context, progress);
+    progress.served.runState = progress.run.state();
+    m_metrics.countRequest(RequestOutcome { context.route.name, progress.served.answer.status, progress.run.state(), m_clock.now() - context.request.receivedAt });
+    co_return std::move(progress.served);
+}
+
+Task<void> RequestDispatcher::attemptOnce(RequestContext& context, TargetCall& call, const Admission& admission, Progress& progress)
+{
+    if (progress.run.attempts() > 0)
+        logEvent(Event::RequestRetried, { { "request", context.id.value() }, { "target", admission.target.value() } });
+    const auto target = context.gate->target(admission.target);
+    const auto begin = m_clock.now();
+    progress.run.beginAttempt();
+    m_metrics.countAttempt(context.route.name);
+    AttemptResult result { CompletionKind::NotRun, {}, Error { ErrorCode::NoTargetAvailable, "the target left", admission.target.value() } };
+    if (target)
+        result = co_await call.attempt(context, *target, attemptDeadline(context, admission, begin));
+    const auto end = m_clock.now();
+    context.gate->finished(admission.target, Completion { result.kind, end - begin, end >= context.deadline });
+    record(progress.run, result.kind);
+    progress.demand.excluded.push_back(admission.target);
+    progress.error = std::move(result.error);
+    progress.served.answer = std::move(result.answer);
+}
+
+Task<void> RequestDispatcher::tellGivenUp(RequestContext& context, Progress& progress)
+{
+    const bool isKnownNotRun = progress.run.isKnownNotRun();
+    if (m_clock.now() >= context.deadline)
+        progress.error.code = ErrorCode::DeadlineExceeded;
+    ProblemDetails details;
+    details.requestId = context.id.value();
+    details.runState = progress.run.state();
+    details.retryAfter = progress.retryAfter;
+    if (isKnownNotRun && details.retryAfter == Duration::zero())
+        details.retryAfter = overloadRetryAfter;
+    auto response = problemResponse(progress.error, details);
+    progress.served.answer.status = response.status;
+    logEvent(isKnownNotRun ? Event::RequestRefused : Event::RequestOutcomeUnknown,
+        { { "request", context.id.value() }, { "route", context.route.name.value() }, { "cause", describe(progress.error) } });
+    co_await context.responder.send(std::move(response));
 }
 
 Task<void> RequestDispatcher::refuse(ServerRequest& request, ServerResponder& responder, const RequestId& id, const Error& error, Duration retryAfter)
--- a/testing/plainservice/main.cpp
+++ b/testing/plainservice/main.cpp
@@ -100,7 +100,7 @@
             const auto key = keyOf(exchange);
             const auto runs = ++m_runsByKey[key];
             ++m_runs;
-            Json answer { { "key", key }, { "runs", runs }, { "path", exchange.path() } };
+            Json answer { { "key", key }, { "runs", runs }, { "path", exchange.path() }, { "caller", exchange.header("Cicadalb-Caller") }, { "token", exchange.header("Authorization") } };
             const auto position = exchange.path().find("/invoices");
             if (position == std::string::npos)
                 return answer;
--- a/testing/process/process-run-state.cpp
+++ b/testing/process/process-run-state.cpp
@@ -168,3 +168,15 @@
     CHECK(result.value().status == 200);
     CHECK(deployment.runsOf(ledger, "frozen-host") == 1);
 }
+
+TEST_CASE_METHOD(RunStateFixture, "Invoice, naming another caller in its header, reaches the target with the true name and without its token")
+{
+    auto request = Deployment::invoice("spoofed");
+    request.fields.emplace_back("Cicadalb-Caller", "reconciliation");
+    const auto response = deployment.call(callers(), request);
+    REQUIRE(response);
+    const auto answer = nlohmann::json::parse(response.value().body, nullptr, false);
+    REQUIRE(answer.is_object());
+    CHECK(answer.at("caller") == "clerks");
+    CHECK(answer.at("token") == "");
+}
--- a/testing/process/process-silent-target.cpp
+++ b/testing/process/process-silent-target.cpp
@@ -43,6 +43,7 @@
     const auto runsBefore = deployment.runsOf(*deployment.ledgers[0]);
     deployment.control(*deployment.ledgers[0], { { "hang-requests", 1000 } });
     std::vector<std::future<Result<HttpResponse>>> running;
+    running.reserve(requestsAtOnce);
     for (int number = 0; number < requestsAtOnce; ++number)
         running.push_back(deployment.begin(callers(), Deployment::lookup("one-" + std::to_string(number))));
     for (auto& request : running) {
