--- a/testing/process/process-run-state.cpp
+++ b/testing/process/process-run-state.cpp
@@ -178,5 +178,5 @@
     const auto answer = nlohmann::json::parse(response.value().body, nullptr, false);
     REQUIRE(answer.is_object());
     CHECK(answer.at("caller") == "clerks");
-    CHECK(answer.at("token") == "");
+    CHECK(answer.at("token").get<std::string>().empty());
 }
