Rename the package of service clients from platform to services

The folder platform/ is to hold the adapter to the users' platform; the package holds clients of the services that hosts depend on. Built whole; no behaviour changes.

--- a/apps/cicadactl/src/CommandLine.cpp
+++ b/apps/cicadactl/src/CommandLine.cpp
@@ -5,7 +5,7 @@
 #include "HostCommands.h"
 
 #include "cicadalb/config/Settings.h"
-#include "cicadalb/platform/HttpKeyValueService.h"
+#include "cicadalb/services/HttpKeyValueService.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/apps/cicadactl/src/ConfigurationClient.h
+++ b/apps/cicadactl/src/ConfigurationClient.h
@@ -3,7 +3,7 @@
 #include "cicadalb/base/Random.h"
 #include "cicadalb/config/ConfigurationApply.h"
 #include "cicadalb/config/RefusedEdits.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/apps/cicadactl/src/HostCommands.cpp
+++ b/apps/cicadactl/src/HostCommands.cpp
@@ -3,7 +3,7 @@
 #include "cicadalb/base/Hash.h"
 #include "cicadalb/config/OperatorProof.h"
 #include "cicadalb/config/Settings.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <random>
 
--- a/apps/tests/unit-cicadactl.cpp
+++ b/apps/tests/unit-cicadactl.cpp
@@ -2,8 +2,8 @@
 #include "ConfigurationCommands.h"
 #include "Explain.h"
 
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <catch2/catch.hpp>
 
--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -1,6 +1,6 @@
 #include "cicadalb/base/Hash.h"
 #include "cicadalb/membership/FakeFleet.h"
-#include "cicadalb/platform/ClaimBatcher.h"
+#include "cicadalb/services/ClaimBatcher.h"
 
 #include <CLI/CLI.hpp>
 
--- a/benchmarks/bench_path.cpp
+++ b/benchmarks/bench_path.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/transport/WorkerPool.h"
 
 #include <CLI/CLI.hpp>
--- a/packages/client/include/cicadalb/client/TrainerClient.h
+++ b/packages/client/include/cicadalb/client/TrainerClient.h
@@ -5,7 +5,7 @@
 #include "cicadalb/base/Random.h"
 #include "cicadalb/base/Task.h"
 #include "cicadalb/client/StepReceiver.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/rollout/Step.h"
 #include "cicadalb/rollout/StepJson.h"
 
--- a/packages/rollout/include/cicadalb/rollout/OrderPermit.h
+++ b/packages/rollout/include/cicadalb/rollout/OrderPermit.h
@@ -3,7 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Identifier.h"
 #include "cicadalb/config/Tables.h"
-#include "cicadalb/platform/LeaseKeeper.h"
+#include "cicadalb/services/LeaseKeeper.h"
 
 #include <optional>
 
--- a/packages/rollout/include/cicadalb/rollout/WeightRegistry.h
+++ b/packages/rollout/include/cicadalb/rollout/WeightRegistry.h
@@ -2,7 +2,7 @@
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Task.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/KeyValueService.h"
 #include "cicadalb/rollout/StepJson.h"
 
 #include <optional>
--- a/packages/rollout/tests/unit-weight-rollout.cpp
+++ b/packages/rollout/tests/unit-weight-rollout.cpp
@@ -1,5 +1,5 @@
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 #include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRollout.h"
--- a/packages/platform/include/cicadalb/platform/CallGate.h
+++ b/packages/services/include/cicadalb/services/CallGate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/BackoffPolicy.h"
+#include "cicadalb/services/BackoffPolicy.h"
 
 /// @file
 /// One host's share of a service's call rate, with a careful return after an outage.
--- a/packages/platform/include/cicadalb/platform/ClaimBatcher.h
+++ b/packages/services/include/cicadalb/services/ClaimBatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cicadalb/base/Clock.h"
-#include "cicadalb/platform/ClaimBucket.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/ClaimBucket.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <deque>
 #include <set>
--- a/packages/platform/include/cicadalb/platform/ClaimLog.h
+++ b/packages/services/include/cicadalb/services/ClaimLog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/ClaimBatcher.h"
+#include "cicadalb/services/ClaimBatcher.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/packages/platform/include/cicadalb/platform/GatedKeyValueService.h
+++ b/packages/services/include/cicadalb/services/GatedKeyValueService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cicadalb/platform/CallGate.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/CallGate.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <mutex>
 
--- a/packages/platform/include/cicadalb/platform/HttpHostList.h
+++ b/packages/services/include/cicadalb/services/HttpHostList.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cicadalb/platform/HostList.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HostList.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <memory>
 
--- a/packages/platform/include/cicadalb/platform/HttpKeyValueService.h
+++ b/packages/services/include/cicadalb/services/HttpKeyValueService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cicadalb/platform/HttpClient.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/HttpClient.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <memory>
 
--- a/packages/platform/include/cicadalb/platform/LeaseHolding.h
+++ b/packages/services/include/cicadalb/services/LeaseHolding.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cicadalb/base/Identifier.h"
-#include "cicadalb/platform/BackoffPolicy.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/BackoffPolicy.h"
+#include "cicadalb/services/KeyValueService.h"
 
 /// @file
 /// What one candidate for a lease knows of it, and what it does next.
--- a/packages/platform/include/cicadalb/platform/LeaseKeeper.h
+++ b/packages/services/include/cicadalb/services/LeaseKeeper.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/LeaseHolding.h"
+#include "cicadalb/services/LeaseHolding.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/packages/platform/src/BackoffPolicy.cpp
+++ b/packages/services/src/BackoffPolicy.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/BackoffPolicy.h"
+#include "cicadalb/services/BackoffPolicy.h"
 
 #include <algorithm>
 
--- a/packages/platform/src/CallGate.cpp
+++ b/packages/services/src/CallGate.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/CallGate.h"
+#include "cicadalb/services/CallGate.h"
 
 #include <algorithm>
 
--- a/packages/platform/src/ClaimBatcher.cpp
+++ b/packages/services/src/ClaimBatcher.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/ClaimBatcher.h"
+#include "cicadalb/services/ClaimBatcher.h"
 
 #include <algorithm>
 
--- a/packages/platform/src/ClaimBucket.cpp
+++ b/packages/services/src/ClaimBucket.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/ClaimBucket.h"
+#include "cicadalb/services/ClaimBucket.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/src/ClaimLog.cpp
+++ b/packages/services/src/ClaimLog.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/ClaimLog.h"
+#include "cicadalb/services/ClaimLog.h"
 
 #include "cicadalb/base/Hash.h"
 #include "cicadalb/base/Random.h"
--- a/packages/platform/src/GatedKeyValueService.cpp
+++ b/packages/services/src/GatedKeyValueService.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/GatedKeyValueService.h"
+#include "cicadalb/services/GatedKeyValueService.h"
 
 #include "cicadalb/base/Event.h"
 
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -1,6 +1,6 @@
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 
-#include "cicadalb/platform/detail/FlatMessage.h"
+#include "cicadalb/services/detail/FlatMessage.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/packages/platform/src/HttpHostList.cpp
+++ b/packages/services/src/HttpHostList.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/HttpHostList.h"
+#include "cicadalb/services/HttpHostList.h"
 
 #include "JsonClient.h"
 #include "cicadalb/base/EnumTable.h"
--- a/packages/platform/src/HttpKeyValueService.cpp
+++ b/packages/services/src/HttpKeyValueService.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/HttpKeyValueService.h"
+#include "cicadalb/services/HttpKeyValueService.h"
 
 #include "JsonClient.h"
 
--- a/packages/platform/src/HttpWeightStore.cpp
+++ b/packages/services/src/HttpWeightStore.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/HttpWeightStore.h"
+#include "cicadalb/services/HttpWeightStore.h"
 
 #include "JsonClient.h"
 
--- a/packages/platform/src/JsonClient.h
+++ b/packages/services/src/JsonClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/src/LeaseHolding.cpp
+++ b/packages/services/src/LeaseHolding.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/LeaseHolding.h"
+#include "cicadalb/services/LeaseHolding.h"
 
 namespace cicadalb {
 
--- a/packages/platform/src/LeaseKeeper.cpp
+++ b/packages/services/src/LeaseKeeper.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/platform/LeaseKeeper.h"
+#include "cicadalb/services/LeaseKeeper.h"
 
 #include "cicadalb/base/Event.h"
 
--- a/packages/platform/tests/support/cicadalb/platform/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include "cicadalb/base/Clock.h"
 
--- a/packages/platform/tests/unit-claim-log.cpp
+++ b/packages/services/tests/unit-claim-log.cpp
@@ -1,6 +1,6 @@
-#include "cicadalb/platform/ClaimLog.h"
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/ClaimLog.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <catch2/catch.hpp>
 
--- a/packages/platform/tests/unit-key-value.cpp
+++ b/packages/services/tests/unit-key-value.cpp
@@ -1,8 +1,8 @@
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/HttpHostList.h"
-#include "cicadalb/platform/HttpKeyValueService.h"
-#include "cicadalb/platform/HttpWeightStore.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/HttpHostList.h"
+#include "cicadalb/services/HttpKeyValueService.h"
+#include "cicadalb/services/HttpWeightStore.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
--- a/packages/platform/tests/unit-lease.cpp
+++ b/packages/services/tests/unit-lease.cpp
@@ -1,6 +1,6 @@
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/LeaseKeeper.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/LeaseKeeper.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/packages/transport/include/cicadalb/transport/ConfigurationWatcher.h
+++ b/packages/transport/include/cicadalb/transport/ConfigurationWatcher.h
@@ -4,7 +4,7 @@
 #include "cicadalb/config/ConfigurationState.h"
 #include "cicadalb/config/RefusedEdits.h"
 #include "cicadalb/membership/Assignment.h"
-#include "cicadalb/platform/KeyValueService.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -2,7 +2,7 @@
 
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Task.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/transport/WorkerPool.h"
 
 #include <cstdint>
--- a/packages/transport/include/cicadalb/transport/KeyedRequests.h
+++ b/packages/transport/include/cicadalb/transport/KeyedRequests.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cicadalb/base/Task.h"
-#include "cicadalb/platform/ClaimLog.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/ClaimLog.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <deque>
 #include <mutex>
--- a/packages/transport/include/cicadalb/transport/RoutingTable.h
+++ b/packages/transport/include/cicadalb/transport/RoutingTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cicadalb/config/AcceptedConfiguration.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/routing/RetryBudget.h"
 #include "cicadalb/routing/RouteMatcher.h"
 #include "cicadalb/routing/TargetSubset.h"
--- a/packages/transport/include/cicadalb/transport/TargetMonitor.h
+++ b/packages/transport/include/cicadalb/transport/TargetMonitor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/platform/HostList.h"
+#include "cicadalb/services/HostList.h"
 #include "cicadalb/transport/RoutingTable.h"
 #include "cicadalb/transport/TargetClients.h"
 
--- a/packages/transport/src/HostOptions.h
+++ b/packages/transport/src/HostOptions.h
@@ -3,8 +3,8 @@
 #include "WeightsController.h"
 
 #include "cicadalb/config/Settings.h"
-#include "cicadalb/platform/ClaimLog.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/ClaimLog.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/transport/HttpListener.h"
 #include "cicadalb/transport/MembershipPort.h"
 #include "cicadalb/transport/PeerLink.h"
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -3,7 +3,7 @@
 #include "Problem.h"
 
 #include "cicadalb/base/Event.h"
-#include "cicadalb/platform/detail/FlatMessage.h"
+#include "cicadalb/services/detail/FlatMessage.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/transport/src/Problem.h
+++ b/packages/transport/src/Problem.h
@@ -2,7 +2,7 @@
 
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Error.h"
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/routing/RunState.h"
 
 #include <string>
--- a/packages/transport/src/StateReport.h
+++ b/packages/transport/src/StateReport.h
@@ -2,8 +2,8 @@
 
 #include "cicadalb/config/RefusedEdits.h"
 #include "cicadalb/membership/Member.h"
-#include "cicadalb/platform/ClaimLog.h"
-#include "cicadalb/platform/GatedKeyValueService.h"
+#include "cicadalb/services/ClaimLog.h"
+#include "cicadalb/services/GatedKeyValueService.h"
 #include "cicadalb/rollout/StepCoordinator.h"
 #include "cicadalb/transport/PoolGate.h"
 
--- a/packages/transport/src/WeightsController.h
+++ b/packages/transport/src/WeightsController.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cicadalb/membership/Assignment.h"
-#include "cicadalb/platform/LeaseKeeper.h"
+#include "cicadalb/services/LeaseKeeper.h"
 #include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRolloutService.h"
--- a/packages/transport/tests/unit-configurationwatcher.cpp
+++ b/packages/transport/tests/unit-configurationwatcher.cpp
@@ -1,7 +1,7 @@
 #include "cicadalb/transport/ConfigurationWatcher.h"
 
-#include "cicadalb/platform/FakeKeyValueService.h"
-#include "cicadalb/platform/RunTask.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/testing/process/Deployment.h
+++ b/testing/process/Deployment.h
@@ -2,7 +2,7 @@
 
 #include "ChildProcess.h"
 
-#include "cicadalb/platform/HttpClient.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
