--- a/apps/cicadalb/main.cpp
+++ b/apps/cicadalb/main.cpp
@@ -1,3 +1,6 @@
+#include "ExitCode.h"
+#include "SiteCommand.h"
+
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/Settings.h"
 #include "cicadalb/transport/HostProcess.h"
@@ -14,13 +17,6 @@
 
 namespace {
 
-enum ExitCode : int {
-    Succeeded = 0,
-    StartFailed = 1,
-    SettingsInvalid = 2,
-    RequestsCutOff = 3,
-};
-
 /// Blocks until the process is asked to end.
 void waitForStopSignal(boost::asio::io_context& context)
 {
@@ -55,7 +51,11 @@
     bool isCheckOnly = false;
     app.add_option("--settings", settingsFile, "Settings file (TOML)")->required();
     app.add_flag("--check", isCheckOnly, "Check the settings and exit");
+    bool isSite = false;
+    app.add_flag("--site", isSite, "Run as a host of a site: the targets register themselves, and submissions are kept in the platform's store");
     CLI11_PARSE(app, argc, argv);
+    if (isSite)
+        return runSiteHost(settingsFile, isCheckOnly);
 
     const auto settings = cicadalb::loadSettings(settingsFile);
     if (!settings) {
--- a/packages/base/include/cicadalb/base/Error.h
+++ b/packages/base/include/cicadalb/base/Error.h
@@ -36,6 +36,7 @@
     Unavailable = 206,
     Cancelled = 207,
     LeaseLost = 208,
+    HistoryLost = 209,
     // 3xx: membership
     DatagramInvalid = 301,
     HostUnknown = 302,
@@ -56,6 +57,8 @@
     CursorInvalid = 503,
     FenceRejected = 506,
     TrainerUnknown = 507,
+    SubmissionInvalid = 508,
+    RecordInvalid = 509,
     // 6xx: links between hosts
     PeerUnreachable = 601,
     PeerUnauthenticated = 602,
--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -17,10 +17,14 @@
     ConfigurationAccepted = 101,
     ConfigurationRefused = 102,
     ConfigurationContradicted = 103,
+    SiteConfigurationInForce = 104,
+    RecordIgnored = 105,
     // 2xx: platform
     PlatformUnavailable = 201,
     PlatformAvailable = 202,
     LeaseLost = 203,
+    WatchLost = 204,
+    WatchRestored = 205,
     // 3xx: membership
     HostJoined = 301,
     HostSuspected = 302,
@@ -29,11 +33,27 @@
     RequestRefused = 401,
     RequestOutcomeUnknown = 402,
     RequestRetried = 403,
+    AttemptEnded = 404,
+    RequestAnswered = 405,
+    TargetsChanged = 406,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
     WeightSwapFailed = 504,
     WeightsInForce = 505,
+    SubmissionAccepted = 506,
+    SubmissionRefused = 507,
+    SubmissionOpened = 508,
+    SubmissionClosed = 509,
+    SampleRunEnded = 510,
+    SampleSettled = 511,
+    ResultsAppended = 512,
+    CoordinationBegun = 513,
+    CoordinationEnded = 514,
+    WeightOrderGiven = 515,
+    RewardCallEnded = 516,
+    VersionNamed = 517,
+    ResultsServed = 518,
     // 6xx: process and links
     ProcessStarted = 601,
     ProcessStopping = 602,
@@ -41,6 +61,7 @@
     PeerLinkOpened = 604,
     PeerLinkLost = 605,
     RequestMalformed = 606,
+    SettingsReloaded = 607,
 };
 
 enum class Level : std::uint8_t { Debug,
@@ -68,8 +89,18 @@
 enum class LogFormat : std::uint8_t { Text,
     Json };
 
-/// @brief Sets up log4cxx to write to standard error.
-void configureLogging(LogFormat, Level minimum);
+enum class LogDestination : std::uint8_t { StandardError,
+    StandardOutput };
+
+/// @brief Sets up log4cxx. Lines are written by a thread of their own; when it falls behind by more than a bounded number of lines, the rest
+/// is dropped and counted, so that a request never waits for its log.
+void configureLogging(LogFormat, Level minimum, LogDestination = LogDestination::StandardError);
+
+/// @brief Changes the lowest level that is written.
+void setLogLevel(Level minimum);
+
+/// @brief Writes what is still queued. Call it before the process ends.
+void finishLogging();
 
 /// @brief Writes one event with its number, name and @p fields. Thread-safe.
 void logEvent(Event, const std::vector<Field>& fields = {});
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -1,12 +1,15 @@
 #include "cicadalb/base/Event.h"
 
-#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
 #include <memory>
 
 namespace cicadalb {
@@ -28,13 +31,52 @@
         return log4cxx::Level::getInfo();
     }
 
+    /// Lines that may wait to be written.
+    constexpr int queuedLines = 4096;
+
+    /// Read by every logEvent(), set once at the start.
+    std::atomic<LogFormat> lineFormat { LogFormat::Text };
+    log4cxx::AsyncAppenderPtr queue;
+
     log4cxx::LayoutPtr layout(LogFormat format)
     {
+        // A JSON line carries its own time and level among its fields.
         if (format == LogFormat::Json)
-            return std::make_shared<log4cxx::JSONLayout>();
+            return std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
         return std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p %m%n"));
     }
 
+    std::string_view name(Level level)
+    {
+        constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
+        return names[static_cast<std::size_t>(level)];
+    }
+
+    double unixSeconds()
+    {
+        return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
+    std::string jsonLine(const EventDescription& row, const std::vector<Field>& fields)
+    {
+        nlohmann::ordered_json line { { "time", unixSeconds() }, { "level", name(row.level) }, { "number", static_cast<int>(row.event) }, { "event", row.name } };
+        for (const auto& field : fields)
+            line[std::string(field.name)] = field.value;
+        return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    std::string textLine(const EventDescription& row, const std::vector<Field>& fields)
+    {
+        std::string line = "E" + std::to_string(static_cast<int>(row.event)) + " ";
+        line += row.name;
+        for (const auto& field : fields) {
+            line += ' ';
+            line += field.name;
+            line += "=" + field.value;
+        }
+        return line;
+    }
+
     const EventDescription& description(Event event)
     {
         const auto& catalogue = eventCatalogue();
@@ -49,36 +91,73 @@
         { Event::ConfigurationAccepted, "configuration-accepted", Level::Info },
         { Event::ConfigurationRefused, "configuration-refused", Level::Warning },
         { Event::ConfigurationContradicted, "configuration-contradicted", Level::Error },
+        { Event::SiteConfigurationInForce, "site-configuration-in-force", Level::Info },
+        { Event::RecordIgnored, "record-ignored", Level::Warning },
         { Event::PlatformUnavailable, "platform-unavailable", Level::Warning },
         { Event::PlatformAvailable, "platform-available", Level::Info },
         { Event::LeaseLost, "lease-lost", Level::Warning },
+        { Event::WatchLost, "watch-lost", Level::Warning },
+        { Event::WatchRestored, "watch-restored", Level::Info },
         { Event::HostJoined, "host-joined", Level::Info },
         { Event::HostSuspected, "host-suspected", Level::Warning },
         { Event::HostLeft, "host-left", Level::Info },
         { Event::RequestRefused, "request-refused", Level::Debug },
         { Event::RequestOutcomeUnknown, "request-outcome-unknown", Level::Warning },
         { Event::RequestRetried, "request-retried", Level::Debug },
+        { Event::AttemptEnded, "attempt-ended", Level::Info },
+        { Event::RequestAnswered, "request-answered", Level::Info },
+        { Event::TargetsChanged, "targets-changed", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
         { Event::WeightsInForce, "weights-in-force", Level::Info },
+        { Event::SubmissionAccepted, "submission-accepted", Level::Info },
+        { Event::SubmissionRefused, "submission-refused", Level::Warning },
+        { Event::SubmissionOpened, "submission-opened", Level::Info },
+        { Event::SubmissionClosed, "submission-closed", Level::Info },
+        { Event::SampleRunEnded, "sample-run-ended", Level::Info },
+        { Event::SampleSettled, "sample-settled", Level::Info },
+        { Event::ResultsAppended, "results-appended", Level::Info },
+        { Event::CoordinationBegun, "coordination-begun", Level::Info },
+        { Event::CoordinationEnded, "coordination-ended", Level::Warning },
+        { Event::WeightOrderGiven, "weight-order-given", Level::Info },
+        { Event::RewardCallEnded, "reward-call-ended", Level::Info },
+        { Event::VersionNamed, "version-named", Level::Info },
+        { Event::ResultsServed, "results-served", Level::Debug },
         { Event::ProcessStarted, "process-started", Level::Info },
         { Event::ProcessStopping, "process-stopping", Level::Info },
         { Event::ProcessStopped, "process-stopped", Level::Info },
         { Event::PeerLinkOpened, "peer-link-opened", Level::Info },
         { Event::PeerLinkLost, "peer-link-lost", Level::Warning },
         { Event::RequestMalformed, "request-malformed", Level::Debug },
+        { Event::SettingsReloaded, "settings-reloaded", Level::Info },
     };
     return catalogue;
 }
 
-void configureLogging(LogFormat format, Level minimum)
+void configureLogging(LogFormat format, Level minimum, LogDestination destination)
 {
+    lineFormat = format;
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout(format), LOG4CXX_STR("System.err"));
-    root->addAppender(appender);
-    root->setLevel(log4cxxLevel(minimum));
+    const auto* stream = destination == LogDestination::StandardOutput ? LOG4CXX_STR("System.out") : LOG4CXX_STR("System.err");
+    queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(queuedLines);
+    queue->setBlocking(false);
+    queue->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout(format), stream));
+    root->addAppender(queue);
+    setLogLevel(minimum);
+}
+
+void setLogLevel(Level minimum)
+{
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxxLevel(minimum));
+}
+
+void finishLogging()
+{
+    if (queue)
+        queue->close();
 }
 
 void logEvent(Event event, const std::vector<Field>& fields)
@@ -88,14 +167,7 @@
     const auto level = log4cxxLevel(row.level);
     if (!logger->isEnabledFor(level))
         return;
-    std::string line = "E" + std::to_string(static_cast<int>(event)) + " ";
-    line += row.name;
-    for (const auto& field : fields) {
-        line += ' ';
-        line += field.name;
-        line += "=" + field.value;
-    }
-    logger->forcedLog(level, line, LOG4CXX_LOCATION);
+    logger->forcedLog(level, lineFormat == LogFormat::Json ? jsonLine(row, fields) : textLine(row, fields), LOG4CXX_LOCATION);
 }
 
 } // namespace cicadalb
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -1,6 +1,6 @@
 #include "cicadalb/config/Settings.h"
 
-#include "TomlReader.h"
+#include "SettingsFields.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -11,29 +11,17 @@
 
 namespace cicadalb {
 
-namespace {
-
-    constexpr auto logFormatNames = std::to_array<EnumName<LogFormat>>({
-        { LogFormat::Text, "text" },
-        { LogFormat::Json, "json" },
-    });
-
-    constexpr auto levelNames = std::to_array<EnumName<Level>>({
-        { Level::Debug, "debug" },
-        { Level::Info, "info" },
-        { Level::Warning, "warning" },
-        { Level::Error, "error" },
-    });
-
-} // namespace
-
-static const auto& enumTable(LogFormat) { return logFormatNames; }
-static const auto& enumTable(Level) { return levelNames; }
-
 namespace {
 
     using detail::Between;
     using detail::Fields;
+    using detail::listenFields;
+    using detail::logFields;
+    using detail::maximumMilliseconds;
+    using detail::maximumPort;
+    using detail::problemOf;
+    using detail::readSection;
+    using detail::shutdownFields;
     using detail::Presence;
     using detail::Problem;
     using detail::TomlReader;
@@ -43,33 +31,13 @@
     constexpr double smallestWeight = 0.001;
     constexpr double maximumWeight = 1000.0;
     constexpr double maximumThreads = 1024.0;
-    constexpr double maximumPort = 65535.0;
     constexpr double minimumHeaderBytes = 1024.0;
     constexpr double maximumHeaderBytes = 1048576.0;
     constexpr double maximumBodyBytes = 1073741824.0;
     constexpr double maximumCount = 1000000.0;
-    constexpr double maximumMilliseconds = 86400000.0;
-
-    Problem problemOf(const Error& error)
-    {
-        return error.message;
-    }
 
 } // namespace
 
-/// A text "IP:PORT".
-static Problem decode(const toml::node& node, SocketAddress& value)
-{
-    std::string text;
-    if (auto problem = detail::decode(node, text); !problem.empty())
-        return problem;
-    auto address = socketAddressFromText(text);
-    if (!address)
-        return problemOf(address.error());
-    value = std::move(address.value());
-    return {};
-}
-
 /// A text "ID@IP:PORT".
 static Problem decode(const toml::node& node, MembershipSeed& value)
 {
@@ -99,16 +67,6 @@
         return fields;
     }
 
-    /// A section that says where to listen. Port 0 asks the system for a free one.
-    const Fields<SocketAddress>& listenFields()
-    {
-        static const Fields<SocketAddress> fields {
-            { "address", &SocketAddress::address, Presence::Optional, detail::checkIpNumber },
-            { "port", &SocketAddress::port, Presence::Optional, Between { 0, maximumPort } },
-        };
-        return fields;
-    }
-
     const Fields<PeerSettings>& peerFields()
     {
         static const Fields<PeerSettings> fields {
@@ -141,36 +99,6 @@
         return fields;
     }
 
-    const Fields<LogSettings>& logFields()
-    {
-        static const Fields<LogSettings> fields {
-            { "format", &LogSettings::format, Presence::Optional },
-            { "level", &LogSettings::level, Presence::Optional },
-        };
-        return fields;
-    }
-
-    const Fields<ShutdownSettings>& shutdownFields()
-    {
-        static const Fields<ShutdownSettings> fields {
-            { "unready-ms", &ShutdownSettings::unready, Presence::Optional, Between { 0, maximumMilliseconds } },
-            { "grace-ms", &ShutdownSettings::grace, Presence::Optional, Between { 0, maximumMilliseconds } },
-        };
-        return fields;
-    }
-
-    /// Reads one section; a missing one is read as empty, so that its required keys are reported.
-    template <typename Section>
-    void readSection(TomlReader& reader, const toml::table& root, std::string_view name, const Fields<Section>& fields, Section& section, const std::vector<std::string_view>& alsoKnown = {})
-    {
-        static const toml::table absent;
-        const auto* node = root.get(name);
-        const auto* table = node ? node->as_table() : &absent;
-        if (!table)
-            return reader.report(ErrorCode::ValueInvalid, std::string(name) + " must be a table", *node);
-        detail::readFields(reader, *table, name, fields, section, alsoKnown);
-    }
-
     const std::vector<std::string_view>& sectionNames()
     {
         static const std::vector<std::string_view> names { "host", "listen", "admin", "peers", "membership", "platform", "limits", "log", "shutdown" };
--- /dev/null
+++ b/packages/config/src/SiteSettings.cpp
@@ -0,0 +1,107 @@
+#include "cicadalb/config/SiteSettings.h"
+
+#include "SettingsFields.h"
+
+namespace cicadalb {
+
+namespace {
+
+    using detail::Between;
+    using detail::Fields;
+    using detail::Presence;
+    using detail::TomlReader;
+
+    constexpr double shortestLease = 1000.0;
+    constexpr double maximumSeconds = 86400.0;
+    constexpr double maximumLoads = 1000.0;
+
+    const Fields<SiteHostSettings>& hostFields()
+    {
+        static const Fields<SiteHostSettings> fields {
+            { "id", &SiteHostSettings::id, Presence::Required, detail::checkIdentifier<HostTag> },
+            { "failure-domain", &SiteHostSettings::failureDomain, Presence::Required, detail::checkIdentifier<FailureDomainTag> },
+        };
+        return fields;
+    }
+
+    const Fields<SiteAddressSettings>& addressFields()
+    {
+        static const Fields<SiteAddressSettings> fields {
+            { "store", &SiteAddressSettings::store, Presence::Required },
+            { "callers", &SiteAddressSettings::callers, Presence::Optional },
+            { "ready", &SiteAddressSettings::ready, Presence::Optional },
+            { "admin", &SiteAddressSettings::admin, Presence::Required },
+        };
+        return fields;
+    }
+
+    const Fields<SitePartSettings>& partFields()
+    {
+        static const Fields<SitePartSettings> fields {
+            { "serving", &SitePartSettings::serving, Presence::Optional },
+            { "coordinating", &SitePartSettings::coordinating, Presence::Optional },
+        };
+        return fields;
+    }
+
+    const Fields<SiteWorkSettings>& workFields()
+    {
+        static const Fields<SiteWorkSettings> fields {
+            { "lease-ms", &SiteWorkSettings::lease, Presence::Optional, Between { shortestLease, detail::maximumMilliseconds } },
+            { "results-kept-s", &SiteWorkSettings::resultsKept, Presence::Optional, Between { 0, maximumSeconds } },
+            { "loads-at-once", &SiteWorkSettings::loadsAtOnce, Presence::Optional, Between { 1, maximumLoads } },
+            { "registry-pause-ms", &SiteWorkSettings::registryPause, Presence::Optional, Between { 0, detail::maximumMilliseconds } },
+        };
+        return fields;
+    }
+
+    const std::vector<std::string_view>& sectionNames()
+    {
+        static const std::vector<std::string_view> names { "host", "addresses", "parts", "work", "log", "shutdown" };
+        return names;
+    }
+
+    void readSections(TomlReader& reader, const toml::table& root, SiteSettings& settings)
+    {
+        detail::readSection(reader, root, "host", hostFields(), settings.host);
+        detail::readSection(reader, root, "addresses", addressFields(), settings.addresses);
+        detail::readSection(reader, root, "parts", partFields(), settings.parts);
+        detail::readSection(reader, root, "work", workFields(), settings.work);
+        detail::readSection(reader, root, "log", detail::logFields(), settings.log);
+        detail::readSection(reader, root, "shutdown", detail::shutdownFields(), settings.shutdown);
+        detail::reportUnknownKeys(reader, root, "settings", sectionNames());
+    }
+
+    void checkParts(const SiteSettings& settings, const std::string& fileName, Errors& errors)
+    {
+        if (!settings.parts.serving && !settings.parts.coordinating)
+            errors.push_back({ ErrorCode::ValueInvalid, "parts: neither serving nor coordinating is true, so that the process would do nothing", fileName });
+        if (settings.parts.serving && (settings.addresses.callers.port == 0 || settings.addresses.ready.port == 0))
+            errors.push_back({ ErrorCode::ValueMissing, "addresses.callers or addresses.ready is missing: a process that serves needs both", fileName });
+    }
+
+} // namespace
+
+CheckedResult<SiteSettings> parseSiteSettings(std::string_view text, const std::string& fileName)
+{
+    TomlReader reader { fileName };
+    const auto root = reader.parse(text);
+    SiteSettings settings;
+    if (reader.errors().empty())
+        readSections(reader, root, settings);
+    if (reader.errors().empty())
+        checkParts(settings, fileName, reader.errors());
+    if (!reader.errors().empty())
+        return std::move(reader.errors());
+    return settings;
+}
+
+CheckedResult<SiteSettings> loadSiteSettings(const std::string& path)
+{
+    const auto text = readTextFile(path);
+    if (!text)
+        return Errors { text.error() };
+    return parseSiteSettings(text.value(), path);
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/src/Coordination.cpp
@@ -0,0 +1,194 @@
+#include "Coordination.h"
+
+#include "cicadalb/base/Event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <ctime>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::string_view holderPrefix = "coordinator/";
+    constexpr std::string_view holderKey = "coordinator/holder";
+    constexpr milliseconds tickInterval { 100 };
+    constexpr milliseconds leaseInterval { 150 };
+    /// No order is begun with less of the lease left.
+    constexpr milliseconds longestOrder { 1000 };
+    /// A new coordinator waits so long with its first order, so that the last one of its predecessor is a whole lease ago.
+    constexpr milliseconds orderPause { 2200 };
+    /// Samples go on so long without a valid lease: nobody can take over while the store is away, and results are safe in any case.
+    constexpr milliseconds longestLapse { 8000 };
+
+    LeaseSettings leaseSettings(const CoordinationSettings& settings)
+    {
+        LeaseSettings lease;
+        lease.key = holderKey;
+        lease.holder = settings.host.value();
+        lease.timeToLive = settings.leaseTime;
+        lease.backoff = { milliseconds(100), milliseconds(500) };
+        return lease;
+    }
+
+} // namespace
+
+TimePoint BootClock::now() const noexcept
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+Coordination::Coordination(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, const Clock& clock, CoordinationSettings settings)
+    : m_executor(std::move(executor))
+    , m_store(store)
+    , m_protocol(protocol)
+    , m_directory(directory)
+    , m_clients(clients)
+    , m_clock(clock)
+    , m_settings(std::move(settings))
+    , m_lease(store, m_bootClock, leaseSettings(m_settings), m_settings.seed)
+{
+}
+
+void Coordination::start()
+{
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(holderPrefix) },
+        RecordWatchHandler { [this](const auto& result, bool) { takeHolder(result.entries, true); }, [this](const auto& result, bool) { takeHolder(result.entries, false); } });
+    m_watch->start();
+    asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->keepLease(); }, asio::detached);
+    asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->keepTime(); }, asio::detached);
+}
+
+void Coordination::takeHolder(const std::vector<KeyValueEntry>& entries, bool isSnapshot)
+{
+    if (isSnapshot)
+        m_holder.clear();
+    m_knowsHolder = true;
+    for (const auto& entry : entries) {
+        if (entry.key == holderKey)
+            m_holder = entry.isDeleted ? std::string() : entry.value;
+    }
+}
+
+Task<void> Coordination::keepLease()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    while (!m_isLeaving) {
+        const bool isVacant = m_knowsHolder && m_holder.empty();
+        const bool isOwn = m_holder.starts_with(m_settings.host.value() + " ");
+        if (isVacant || isOwn || m_lease.fencingNumber())
+            (void)co_await m_lease.step();
+        followLease();
+        boost::system::error_code error;
+        timer.expires_after(leaseInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+/// Goes on while a call for the lease waits for its answer.
+Task<void> Coordination::keepTime()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    while (!m_isLeaving) {
+        followLease();
+        if (m_samples) {
+            m_samples->tick();
+            m_weights->tick();
+        }
+        boost::system::error_code error;
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void Coordination::followLease()
+{
+    if (m_isLeaving)
+        return;
+    const auto number = m_lease.fencingNumber();
+    const auto now = m_bootClock.now();
+    if (m_lease.mayAct(Duration::zero()))
+        m_lastValidAt = now;
+    const bool isHeld = number && now < m_lastValidAt + longestLapse;
+    if (m_samples && !isHeld)
+        end("the lease was lost");
+    if (!m_samples && m_lease.mayAct(Duration::zero()))
+        begin(*number);
+}
+
+void Coordination::begin(FencingNumber fence)
+{
+    m_begunAt = m_bootClock.now();
+    m_wasFenced = false;
+    logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) } });
+    m_samples = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_clock, m_settings.samples);
+    WeightOrderHooks hooks;
+    hooks.mayOrder = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->mayOrder();
+    };
+    hooks.onFenced = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->m_wasFenced = true;
+    };
+    hooks.onChange = [samples = std::weak_ptr(m_samples)] {
+        if (const auto runner = samples.lock())
+            runner->poke();
+    };
+    m_weights = std::make_shared<WeightOrders>(m_executor, m_store, m_protocol, m_directory, m_clients, m_samples->scheduler(), m_clock,
+        WeightOrderSettings { m_settings.host, fence, m_settings.loads }, std::move(hooks));
+    m_samples->start();
+    m_weights->start();
+}
+
+void Coordination::end(std::string_view reason)
+{
+    logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
+    m_weights->stop();
+    m_samples->stop();
+    m_weights.reset();
+    m_samples.reset();
+}
+
+bool Coordination::mayOrder() const
+{
+    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_begunAt + orderPause && m_lease.mayAct(longestOrder);
+}
+
+void Coordination::siteChanged()
+{
+    if (!m_samples)
+        return;
+    m_samples->updateEngines();
+    m_weights->updateEngines();
+}
+
+Task<void> Coordination::handOver(Duration quiet)
+{
+    const auto self = shared_from_this();
+    m_isLeaving = true;
+    m_watch->stop();
+    if (m_samples && quiet > Duration::zero()) {
+        asio::steady_timer timer(m_executor, quiet);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (m_samples)
+        end("the host hands over");
+    if (m_lease.fencingNumber())
+        co_await m_lease.release();
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/src/SampleRunner.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "RequestForwarder.h"
+#include "ResultLog.h"
+#include "SiteDirectory.h"
+
+#include "cicadalb/submissions/SampleScheduler.h"
+
+#include <map>
+#include <memory>
+
+/// @file
+/// Runs the samples of open submissions on engines and has them judged.
+
+namespace cicadalb {
+
+struct SampleRunnerSettings {
+    /// How long after its submission results are kept.
+    std::chrono::milliseconds keepTime { 120000 };
+    /// Results that come within this time share a write.
+    std::chrono::milliseconds appendInterval { 150 };
+};
+
+/// @brief The coordinator's work on submissions. Bound to one event loop; coroutines hold it, so that it outlives their waits.
+class SampleRunner : public std::enable_shared_from_this<SampleRunner> {
+public:
+    SampleRunner(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, SiteDirectory&, TargetClients&, const Clock&, SampleRunnerSettings);
+
+    /// @brief Takes over the stored submissions and follows them.
+    void start();
+    /// @brief Stops all runs at once; nothing is written afterwards.
+    void stop();
+
+    /// @brief Places waiting items; called when anything changed.
+    void poke();
+    /// @brief Called several times a second: retries, moves, ends of life.
+    void tick();
+    void updateEngines();
+
+    SampleScheduler& scheduler() noexcept { return m_scheduler; }
+    std::size_t openSubmissions() const noexcept { return m_open.size(); }
+
+private:
+    struct Open {
+        Submission submission;
+        SubmissionTerms terms;
+        const SiteRoute* route = nullptr;
+        std::shared_ptr<const SiteView> view;
+        std::shared_ptr<ResultLog> log;
+        bool isAppending = false;
+        bool isClosed = false;
+        Revision revision = 0;
+    };
+    using OpenPointer = std::shared_ptr<Open>;
+
+    struct Run {
+        std::shared_ptr<HttpCancellation> cancellation = std::make_shared<HttpCancellation>();
+    };
+
+    struct Stored {
+        UnixTime submittedAt { 0 };
+        bool isEnded = false;
+    };
+
+    void takeRecords(const std::vector<KeyValueEntry>&);
+    void takeText(const KeyValueEntry&);
+    Task<void> open(Submission, Revision);
+    void close(const SubmissionId&, std::string_view reason);
+    Task<void> runItem(ItemKey, TargetId);
+    Task<RunEnd> stream(const OpenPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, std::string& cause);
+    RunEnd takeEvents(const ItemKey&, std::string_view bytes, EventStreamReader&, WeightVersion& version, WeightVersion oldest);
+    Task<void> judge(OpenPointer, ItemKey);
+    void settle(const OpenPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
+    Task<void> append(OpenPointer);
+    void stopRun(const ItemKey&);
+    Task<void> discardOld();
+
+    boost::asio::any_io_executor m_executor;
+    TransactionalStore& m_store;
+    const SiteProtocol& m_protocol;
+    SiteDirectory& m_directory;
+    TargetClients& m_clients;
+    const Clock& m_clock;
+    SampleRunnerSettings m_settings;
+    RequestForwarder m_forwarder;
+    SampleScheduler m_scheduler;
+    std::shared_ptr<RecordWatch> m_watch;
+    std::map<SubmissionId, OpenPointer> m_open;
+    std::map<SubmissionId, Stored> m_stored;
+    std::map<ItemKey, std::shared_ptr<Run>> m_runs;
+    TimePoint m_discardAt;
+    bool m_isStopped = false;
+    bool m_isPoked = false;
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -0,0 +1,136 @@
+#include "SiteDirectory.h"
+
+#include "cicadalb/base/Event.h"
+
+namespace cicadalb {
+
+SiteDirectory::SiteDirectory(boost::asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, const Clock& clock, SiteDirectorySettings settings)
+    : m_protocol(protocol)
+    , m_clock(clock)
+    , m_settings(std::move(settings))
+{
+    const auto takeConfiguration = [this](const WatchResult& result, bool) { this->takeConfiguration(result.entries); };
+    m_configurationWatch = std::make_shared<RecordWatch>(executor, store, clock, RecordWatchSettings { protocol.keys().configuration },
+        RecordWatchHandler { takeConfiguration, takeConfiguration });
+    m_targetsWatch = std::make_shared<RecordWatch>(std::move(executor), store, clock, RecordWatchSettings { protocol.keys().targets, m_settings.registryPause },
+        RecordWatchHandler { [this](const auto& result, bool afterOutage) { takeTargets(result, afterOutage); },
+            [this](const auto& result, bool afterOutage) { takeTargetChanges(result, afterOutage); } });
+}
+
+void SiteDirectory::start()
+{
+    m_configurationWatch->start();
+    m_targetsWatch->start();
+}
+
+void SiteDirectory::stop()
+{
+    m_configurationWatch->stop();
+    m_targetsWatch->stop();
+}
+
+void SiteDirectory::takeConfiguration(const std::vector<KeyValueEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.isDeleted || entry.key != m_protocol.keys().configuration)
+            continue;
+        auto configuration = m_protocol.configuration(entry.value);
+        if (!configuration) {
+            logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", configuration.error().message } });
+            continue;
+        }
+        // A snapshot may be older than a change that a watch has already shown.
+        if (m_view && m_view->configuration.version >= configuration.value().version)
+            continue;
+        auto view = std::make_shared<SiteView>(std::move(configuration.value()));
+        view->revision = entry.revision;
+        m_view = std::move(view);
+        logEvent(Event::SiteConfigurationInForce, { { "version", std::to_string(m_view->configuration.version) }, { "revision", std::to_string(entry.revision) }, { "routes", std::to_string(m_view->configuration.routes.size()) } });
+        if (m_onChange)
+            m_onChange();
+    }
+}
+
+std::optional<RegisteredTarget> SiteDirectory::decodeTarget(const KeyValueEntry& entry) const
+{
+    auto target = m_protocol.target(entry.key, entry.value);
+    if (target)
+        return std::move(target.value());
+    logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", target.error().message } });
+    return std::nullopt;
+}
+
+void SiteDirectory::takeTargets(const WatchResult& result, bool afterOutage)
+{
+    std::vector<RegisteredTarget> targets;
+    for (const auto& entry : result.entries) {
+        if (auto target = decodeTarget(entry))
+            targets.push_back(std::move(*target));
+    }
+    m_registry.replace(std::move(targets), m_clock.now(), afterOutage);
+    m_hasTargets = true;
+    targetsChanged();
+}
+
+void SiteDirectory::takeTargetChanges(const WatchResult& result, bool afterOutage)
+{
+    for (const auto& entry : result.entries) {
+        const TargetId id(entry.key.substr(m_protocol.keys().targets.size()));
+        auto target = entry.isDeleted ? std::nullopt : decodeTarget(entry);
+        if (target)
+            m_registry.put(std::move(*target));
+        else
+            m_registry.remove(id, m_clock.now(), afterOutage && entry.isDeleted);
+    }
+    targetsChanged();
+}
+
+Pool SiteDirectory::poolOf(const PoolName& name) const
+{
+    Pool pool;
+    pool.name = name;
+    pool.maximumInFlight = 1;
+    for (const auto* registered : m_registry.usable(name)) {
+        Target target;
+        target.id = registered->id;
+        target.address = registered->endpoint.address;
+        target.port = registered->endpoint.port;
+        target.failureDomain = registered->failureDomain;
+        pool.targets.push_back(std::move(target));
+        pool.maximumInFlight = std::max(pool.maximumInFlight, registered->slots);
+    }
+    return pool;
+}
+
+void SiteDirectory::targetsChanged()
+{
+    for (auto& [name, gate] : m_gates)
+        gate->update(poolOf(name));
+    logEvent(Event::TargetsChanged, { { "revision", std::to_string(m_targetsWatch->revision()) }, { "targets", std::to_string(m_registry.targets().size()) } });
+    if (m_onChange)
+        m_onChange();
+}
+
+std::shared_ptr<PoolGate> SiteDirectory::gate(const PoolName& name)
+{
+    auto& gate = m_gates[name];
+    if (!gate) {
+        BalancerOptions options;
+        options.ownFailureDomain = m_settings.ownFailureDomain;
+        options.seed = m_settings.seed;
+        gate = std::make_shared<PoolGate>(poolOf(name), options, m_clock);
+    }
+    return gate;
+}
+
+void SiteDirectory::tick()
+{
+    if (m_registry.expire(m_clock.now()))
+        targetsChanged();
+    for (auto& [name, gate] : m_gates) {
+        if (gate->queueLength() > 0)
+            gate->tick();
+    }
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/src/SiteHost.cpp
@@ -0,0 +1,295 @@
+#include "cicadalb/hosting/SiteHost.h"
+
+#include "Coordination.h"
+#include "SiteEndpoints.h"
+
+#include "cicadalb/base/Event.h"
+#include "cicadalb/transport/WorkerPool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Pause between two looks at queues and lapsed targets.
+    constexpr milliseconds tickInterval { 25 };
+    constexpr milliseconds trimInterval { 1000 };
+    constexpr milliseconds drainPollInterval { 20 };
+    /// Idle connections to targets are kept so long: a trainer's next step comes within it.
+    constexpr milliseconds targetIdleTimeout { 4000 };
+    /// Callers reuse connections that have been idle for up to four fifths of the site's limit of 15 s.
+    constexpr milliseconds callerIdleTimeout { 30000 };
+    constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
+    constexpr milliseconds retirementRetry { 300 };
+    /// Time between the last order of a host that is being emptied and its successor's first, with the successor's own pause.
+    constexpr milliseconds retirementQuiet { 1000 };
+
+    std::uint64_t seedOf(const HostId& host)
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return std::hash<HostId> {}(host) ^ static_cast<std::uint64_t>(now.count());
+    }
+
+    HttpClientOptions targetOptions()
+    {
+        HttpClientOptions options;
+        options.idleTimeout = targetIdleTimeout;
+        return options;
+    }
+
+    HttpListenerOptions listenerOptions(const SocketAddress& address)
+    {
+        HttpListenerOptions options;
+        options.address = address.address;
+        options.port = address.port;
+        options.idleTimeout = callerIdleTimeout;
+        options.maximumBodyBytes = maximumBodyBytes;
+        return options;
+    }
+
+    SiteDirectorySettings directorySettings(const SiteSettings& settings, std::uint64_t seed)
+    {
+        // A coordinator places samples by the registry: it sees each change at once.
+        return { settings.host.failureDomain, settings.parts.coordinating ? milliseconds(0) : settings.work.registryPause, seed };
+    }
+
+    CoordinationSettings coordinationSettings(const SiteSettings& settings, std::uint64_t seed)
+    {
+        CoordinationSettings coordination;
+        coordination.host = settings.host.id;
+        coordination.leaseTime = settings.work.lease;
+        coordination.samples.keepTime = settings.work.resultsKept;
+        coordination.loads.loadsAtOnce = settings.work.loadsAtOnce;
+        coordination.seed = seed;
+        return coordination;
+    }
+
+} // namespace
+
+class SiteHost::Implementation {
+public:
+    Implementation(SiteSettings settings, std::unique_ptr<SiteProtocol> protocol, const StoreFactory& makeStore)
+        : m_settings(std::move(settings))
+        , m_seed(seedOf(m_settings.host.id))
+        , m_protocol(std::move(protocol))
+        , m_workers(1)
+        , m_executor(m_workers.context(0).get_executor())
+        , m_store(makeStore(m_executor, Endpoint { m_settings.addresses.store.address, m_settings.addresses.store.port }))
+        , m_clients(m_workers, targetOptions())
+        , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_seed))
+        , m_forwarder(m_directory, *m_protocol, m_clients, m_clock)
+        , m_intake(*m_store)
+        , m_reader(m_executor, *m_store, m_clock)
+        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, m_metrics, m_clock)
+        , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
+    {
+        const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
+        if (m_settings.parts.serving) {
+            m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
+            m_readyListener.emplace(m_workers, listenerOptions(m_settings.addresses.ready), serve);
+        }
+        if (m_settings.parts.coordinating)
+            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_clock, coordinationSettings(m_settings, m_seed));
+    }
+
+    ~Implementation() { m_workers.stop(); }
+
+    Result<void> start()
+    {
+        auto started = m_adminListener.start();
+        if (started && m_readyListener)
+            started = m_readyListener->start();
+        if (started && m_callerListener)
+            started = m_callerListener->start();
+        if (!started)
+            return started;
+        asio::post(m_executor, [this] { startWork(); });
+        logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "failure-domain", m_settings.host.failureDomain.value() }, { "serving", m_settings.parts.serving ? "yes" : "no" }, { "coordinating", m_settings.parts.coordinating ? "yes" : "no" } });
+        return success();
+    }
+
+    void reload(const SiteSettings& settings)
+    {
+        setLogLevel(settings.log.level);
+        logEvent(Event::SettingsReloaded, { { "host", m_settings.host.id.value() } });
+    }
+
+    bool shutDown()
+    {
+        logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() } });
+        if (m_coordination)
+            asio::co_spawn(m_executor, m_coordination->handOver(Duration::zero()), asio::use_future).wait_for(retirementQuiet);
+        bool isDrained = true;
+        if (m_callerListener)
+            isDrained = drain();
+        logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
+        return isDrained;
+    }
+
+private:
+    void startWork()
+    {
+        m_directory.onChange([this] {
+            if (m_coordination)
+                m_coordination->siteChanged();
+        });
+        m_directory.start();
+        asio::co_spawn(m_executor, keepTime(), asio::detached);
+        if (!m_coordination)
+            return;
+        m_coordination->start();
+        const auto take = [this](const WatchResult& result, bool) { takeRetirements(result.entries); };
+        m_retirements = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { m_protocol->keys().retirements }, RecordWatchHandler { take, take });
+        m_retirements->start();
+    }
+
+    bool drain()
+    {
+        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
+        asio::post(m_executor, [this] { m_endpoints.beginStopping(); });
+        m_callerListener->beginDraining();
+        std::this_thread::sleep_for(m_settings.shutdown.unready);
+        m_callerListener->stopAccepting();
+        while (m_callerListener->connections() > 0 && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(drainPollInterval);
+        return m_callerListener->requestsInFlight() == 0;
+    }
+
+    Task<void> keepTime()
+    {
+        asio::steady_timer timer(m_executor);
+        auto trimAt = m_clock.now() + trimInterval;
+        while (true) {
+            boost::system::error_code error;
+            timer.expires_after(tickInterval);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            m_directory.tick();
+            if (m_clock.now() < trimAt)
+                continue;
+            trimAt = m_clock.now() + trimInterval;
+            m_reader.trim();
+        }
+    }
+
+    /// Empties this host when the operator asks for it: it keeps nothing but the coordination.
+    void takeRetirements(const std::vector<KeyValueEntry>& entries)
+    {
+        const auto own = m_protocol->keys().retirements + m_settings.host.id.value();
+        for (const auto& entry : entries) {
+            if (entry.key != own || entry.isDeleted || m_isRetiring)
+                continue;
+            m_isRetiring = true;
+            asio::co_spawn(m_executor, retire(), asio::detached);
+        }
+    }
+
+    Task<void> retire()
+    {
+        co_await m_coordination->handOver(retirementQuiet);
+        asio::steady_timer timer(m_executor);
+        while (true) {
+            Transaction done;
+            done.writes.push_back(m_protocol->retirementStatus(m_settings.host.id, true));
+            const auto written = co_await m_store->commit(std::move(done));
+            if (written)
+                break;
+            boost::system::error_code error;
+            timer.expires_after(retirementRetry);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
+        logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() }, { "reason", "emptied at the operator's wish" } });
+    }
+
+    Task<void> serveAdmin(ServerRequest& request, ServerResponder& responder)
+    {
+        HttpResponse response;
+        response.status = 200;
+        if (request.path == "/metrics") {
+            response.fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+            response.body = metricsText();
+        } else if (request.path == "/state") {
+            response.fields.emplace_back("Content-Type", "application/json");
+            response.body = state().dump();
+        } else {
+            response.status = 404;
+        }
+        co_await responder.send(std::move(response));
+    }
+
+    std::string metricsText()
+    {
+        const auto view = m_directory.view();
+        m_metrics.setGauge("cicadalb_ready", "1 if the host takes work", m_endpoints.isReady() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_configuration_number", "Version of the configuration in force", view ? static_cast<double>(view->configuration.version) : 0);
+        m_metrics.setGauge("cicadalb_targets", "Targets in the registry", static_cast<double>(m_directory.registry().targets().size()));
+        m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_samples_running", "Samples that run on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
+        m_metrics.setGauge("cicadalb_samples_waiting", "Samples that wait for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
+        return m_metrics.text();
+    }
+
+    nlohmann::json state() const
+    {
+        const auto view = m_directory.view();
+        nlohmann::json targets = nlohmann::json::object();
+        for (const auto& [id, target] : m_directory.registry().targets())
+            targets[id.value()] = { { "pool", target.pool.value() }, { "leaving", target.isLeaving }, { "models", target.models } };
+        return {
+            { "host", m_settings.host.id.value() },
+            { "ready", m_endpoints.isReady() },
+            { "configuration", view ? view->configuration.version : 0 },
+            { "registry-revision", m_directory.registryRevision() },
+            { "targets", targets },
+            { "coordinating", m_coordination && m_coordination->isCoordinating() },
+            { "open-submissions", m_coordination ? m_coordination->openSubmissions() : 0 },
+        };
+    }
+
+    SiteSettings m_settings;
+    std::uint64_t m_seed;
+    std::unique_ptr<SiteProtocol> m_protocol;
+    SteadyClock m_clock;
+    Metrics m_metrics;
+    WorkerPool m_workers;
+    asio::any_io_executor m_executor;
+    std::unique_ptr<TransactionalStore> m_store;
+    TargetClients m_clients;
+    SiteDirectory m_directory;
+    RequestForwarder m_forwarder;
+    SubmissionIntake m_intake;
+    ResultReader m_reader;
+    SiteEndpoints m_endpoints;
+    HttpListener m_adminListener;
+    std::optional<HttpListener> m_callerListener;
+    std::optional<HttpListener> m_readyListener;
+    std::shared_ptr<Coordination> m_coordination;
+    std::shared_ptr<RecordWatch> m_retirements;
+    bool m_isRetiring = false;
+};
+
+SiteHost::SiteHost(SiteSettings settings, std::unique_ptr<SiteProtocol> protocol, const StoreFactory& makeStore)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings), std::move(protocol), makeStore))
+{
+}
+
+SiteHost::~SiteHost() = default;
+Result<void> SiteHost::start() { return m_implementation->start(); }
+void SiteHost::reload(const SiteSettings& settings) { m_implementation->reload(settings); }
+bool SiteHost::shutDown() { return m_implementation->shutDown(); }
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -0,0 +1,266 @@
+#include "WeightOrders.h"
+
+#include "cicadalb/base/Event.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Deadline of a report or an order; engines answer both without a slot.
+    constexpr milliseconds callTimeout { 600 };
+    /// A load takes 0.9 s by the users' sheets; reports are some hundred milliseconds old.
+    constexpr milliseconds usualLoadTime { 950 };
+    constexpr milliseconds reportInterval { 120 };
+    /// An order without an answer that has not shown in a report after this time is given again.
+    constexpr milliseconds longestSilence { 1600 };
+    /// An accepted load that takes longer is looked at anew.
+    constexpr milliseconds longestLoad { 8000 };
+    /// Pause before an order that was refused is given again.
+    constexpr milliseconds retryPause { 200 };
+
+    Task<void> pause(const asio::any_io_executor& executor, Duration duration)
+    {
+        asio::steady_timer timer(executor, duration);
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+
+} // namespace
+
+WeightOrders::WeightOrders(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, SampleScheduler& scheduler, const Clock& clock, WeightOrderSettings settings, WeightOrderHooks hooks)
+    : m_executor(std::move(executor))
+    , m_store(store)
+    , m_protocol(protocol)
+    , m_directory(directory)
+    , m_clients(clients)
+    , m_scheduler(scheduler)
+    , m_clock(clock)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void WeightOrders::start()
+{
+    const auto take = [weak = weak_from_this()](const WatchResult& result, bool) {
+        if (const auto self = weak.lock())
+            self->takeVersions(result.entries);
+    };
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { m_protocol.keys().namedVersions }, RecordWatchHandler { take, take });
+    m_watch->start();
+    updateEngines();
+}
+
+void WeightOrders::stop()
+{
+    m_isStopped = true;
+    m_watch->stop();
+}
+
+void WeightOrders::takeVersions(const std::vector<KeyValueEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.isDeleted)
+            continue;
+        const auto named = m_protocol.namedVersion(entry.value);
+        if (!named) {
+            logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", named.error().message } });
+            continue;
+        }
+        auto& newest = m_newest[named.value().model];
+        newest = std::max(newest, named.value().version);
+        logEvent(Event::VersionNamed, { { "model", named.value().model.value() }, { "version", std::to_string(named.value().version) }, { "revision", std::to_string(entry.revision) } });
+    }
+    tick();
+}
+
+void WeightOrders::learn(const TargetId& id, const std::map<std::string, WeightVersion>& models)
+{
+    const auto found = m_engines.find(id);
+    if (m_isStopped || found == m_engines.end())
+        return;
+    for (const auto& [name, version] : models) {
+        const ModelName model(name);
+        auto& known = found->second.versions[model];
+        // Versions only rise, and a report or entry may be older than what is known.
+        if (version <= known)
+            continue;
+        known = version;
+        m_scheduler.setWeights(id, model, version);
+    }
+}
+
+void WeightOrders::updateEngines()
+{
+    std::set<TargetId> present;
+    for (const auto& [id, target] : m_directory.registry().targets()) {
+        if (target.models.empty() || target.isLeaving)
+            continue;
+        present.insert(id);
+        auto& engine = m_engines[id];
+        if (engine.startedAt != target.startedAt)
+            engine.versions.clear();
+        engine.startedAt = target.startedAt;
+        engine.endpoint = target.endpoint;
+        engine.pool = target.pool;
+        learn(id, target.models);
+    }
+    std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && !entry.second.isLoading; });
+    assign();
+    tick();
+}
+
+std::vector<LoadableEngine> WeightOrders::loadable(const PoolName& pool) const
+{
+    std::vector<LoadableEngine> engines;
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.pool != pool)
+            continue;
+        LoadableEngine row { id, engine.versions, engine.isLoading, engine.home, std::chrono::duration<double>(m_scheduler.pace(id)).count() };
+        row.running = m_scheduler.runningOn(id, engine.home);
+        engines.push_back(std::move(row));
+    }
+    return engines;
+}
+
+void WeightOrders::assign()
+{
+    const auto view = m_directory.view();
+    if (!view)
+        return;
+    for (const auto& pool : view->configuration.pools) {
+        std::vector<ModelName> models;
+        for (const auto& model : pool.models)
+            models.emplace_back(model);
+        auto engines = loadable(pool.name);
+        for (auto& engine : engines) {
+            // A new coordinator finds by the versions which model an engine served.
+            const auto newest = std::max_element(engine.versions.begin(), engine.versions.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+            if (engine.home.isEmpty() && newest != engine.versions.end() && newest->second > 1)
+                engine.home = newest->first;
+        }
+        for (const auto& [id, model] : assignHomes(std::move(engines), models)) {
+            m_engines[id].home = model;
+            m_scheduler.setHome(id, model);
+        }
+    }
+}
+
+void WeightOrders::tick()
+{
+    const auto view = m_directory.view();
+    if (m_isStopped || !view || !m_hooks.mayOrder())
+        return;
+    for (const auto& pool : view->configuration.pools) {
+        std::map<ModelName, WeightVersion> newest;
+        std::map<ModelName, WeightVersion> needed;
+        for (const auto& name : pool.models) {
+            const ModelName model(name);
+            if (const auto named = m_newest.find(model); named != m_newest.end())
+                newest[model] = named->second;
+            if (const auto version = m_scheduler.neededVersion(model))
+                needed[model] = *version;
+        }
+        for (auto& decision : planLoads(loadable(pool.name), newest, needed, m_settings.plan)) {
+            m_engines[decision.engine].isLoading = true;
+            asio::co_spawn(m_executor, load(std::move(decision)), asio::detached);
+        }
+    }
+}
+
+Task<void> WeightOrders::load(LoadDecision decision)
+{
+    const auto self = shared_from_this();
+    const auto endpoint = m_engines[decision.engine].endpoint;
+    m_scheduler.setWeights(decision.engine, decision.model, std::nullopt);
+    auto step = OrderStep::Again;
+    while (step == OrderStep::Again && !m_isStopped && m_hooks.mayOrder() && m_directory.registry().find(decision.engine)) {
+        step = co_await order(decision, endpoint);
+        if (step == OrderStep::Again)
+            co_await pause(m_executor, retryPause);
+    }
+    if (m_isStopped)
+        co_return;
+    if (const auto found = m_engines.find(decision.engine); found != m_engines.end()) {
+        found->second.isLoading = false;
+        const auto version = found->second.versions.find(decision.model);
+        if (version != found->second.versions.end())
+            m_scheduler.setWeights(decision.engine, decision.model, version->second);
+    }
+    m_hooks.onChange();
+    tick();
+}
+
+Task<Result<EngineReport>> WeightOrders::report(const Endpoint& endpoint)
+{
+    const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.reportRequest(), m_clock.now() + callTimeout);
+    if (!answer)
+        co_return answer.as_failure();
+    co_return m_protocol.report(answer.value().body);
+}
+
+Task<WeightOrders::OrderStep> WeightOrders::order(const LoadDecision& decision, const Endpoint& endpoint)
+{
+    const auto before = co_await report(endpoint);
+    if (!before || m_isStopped)
+        co_return OrderStep::Again;
+    learn(decision.engine, before.value().models);
+    const auto held = before.value().models.find(decision.model.value());
+    if (held != before.value().models.end() && held->second >= decision.version)
+        co_return OrderStep::Done;
+    if (before.value().isLoading || !m_hooks.mayOrder())
+        co_return OrderStep::Again;
+    LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
+    const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
+    const auto outcome = answer ? std::optional(m_protocol.orderOutcome(answer.value())) : std::nullopt;
+    logEvent(Event::WeightOrderGiven, { { "engine", decision.engine.value() }, { "model", decision.model.value() }, { "version", std::to_string(decision.version) }, { "fence", std::to_string(m_settings.fence) }, { "accepted-orders", std::to_string(order.acceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+    if (m_isStopped)
+        co_return OrderStep::Done;
+    if (!outcome || *outcome == OrderOutcome::Accepted) {
+        const bool isInForce = co_await awaitVersion(decision, endpoint, outcome ? std::nullopt : std::optional(order.acceptedOrders));
+        co_return isInForce ? OrderStep::Done : OrderStep::Again;
+    }
+    if (*outcome == OrderOutcome::Fenced)
+        m_hooks.onFenced();
+    if (*outcome == OrderOutcome::AlreadyHolds)
+        learn(decision.engine, { { decision.model.value(), decision.version } });
+    co_return *outcome == OrderOutcome::Busy || *outcome == OrderOutcome::Refused ? OrderStep::Again : OrderStep::Done;
+}
+
+/// Waits until the engine reports the version. @param countBefore orders that it had accepted, if it is not known whether it accepted this one
+Task<bool> WeightOrders::awaitVersion(const LoadDecision& decision, const Endpoint& endpoint, std::optional<std::uint64_t> countBefore)
+{
+    const auto begun = m_clock.now();
+    if (!countBefore)
+        co_await pause(m_executor, usualLoadTime);
+    while (!m_isStopped && m_clock.now() < begun + longestLoad && m_directory.registry().find(decision.engine)) {
+        const auto now = co_await report(endpoint);
+        if (now) {
+            learn(decision.engine, now.value().models);
+            const auto held = now.value().models.find(decision.model.value());
+            if (held != now.value().models.end() && held->second >= decision.version)
+                co_return true;
+            if (countBefore && now.value().acceptedOrders > *countBefore)
+                countBefore.reset();
+        }
+        if (countBefore && m_clock.now() > begun + longestSilence)
+            co_return false;
+        co_await pause(m_executor, reportInterval);
+    }
+    co_return false;
+}
+
+} // namespace cicadalb
--- a/packages/services/include/cicadalb/services/KeyValueService.h
+++ b/packages/services/include/cicadalb/services/KeyValueService.h
@@ -22,6 +22,8 @@
     std::string key;
     std::string value;
     Revision revision = 0;
+    /// True in a watch if the key went; it has no value then.
+    bool isDeleted = false;
 };
 
 /// @brief Writes @p value if the key still has @p expected.
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -54,7 +54,8 @@
         message.method_string(request.method);
         message.target(request.target);
         message.version(11);
-        message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
+        if (fieldIn(request.fields, "Host").empty())
+            message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
         for (const auto& [name, value] : request.fields)
             message.insert(name, value);
         message.body() = std::move(request.body);
--- /dev/null
+++ b/packages/site/src/SiteConfiguration.cpp
@@ -0,0 +1,56 @@
+#include "cicadalb/site/SiteConfiguration.h"
+
+#include "cicadalb/base/EnumTable.h"
+
+#include <algorithm>
+
+namespace cicadalb {
+
+namespace {
+
+    constexpr auto kindNames = std::to_array<EnumName<RequestKind>>({
+        { RequestKind::Idempotent, "idempotent" },
+        { RequestKind::NonIdempotent, "non-idempotent" },
+        { RequestKind::Stream, "stream" },
+        { RequestKind::Submission, "submission" },
+    });
+
+    bool isLonger(const SiteRoute* left, const SiteRoute* right)
+    {
+        return left->pathPrefix.size() > right->pathPrefix.size();
+    }
+
+} // namespace
+
+std::string_view name(RequestKind kind) noexcept
+{
+    return nameIn(kindNames, kind);
+}
+
+const SitePool* SiteConfiguration::pool(const PoolName& wanted) const noexcept
+{
+    const auto found = std::find_if(pools.begin(), pools.end(), [&](const auto& pool) { return pool.name == wanted; });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+RouteIndex::RouteIndex(const SiteConfiguration& configuration)
+{
+    for (const auto& route : configuration.routes)
+        m_byAuthority[route.authority].push_back(&route);
+    for (auto& [authority, routes] : m_byAuthority)
+        std::stable_sort(routes.begin(), routes.end(), isLonger);
+}
+
+const SiteRoute* RouteIndex::find(std::string_view authority, std::string_view path) const
+{
+    const auto found = m_byAuthority.find(std::string(authority));
+    if (found == m_byAuthority.end())
+        return nullptr;
+    for (const auto* route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/site/src/TargetRegistry.cpp
@@ -0,0 +1,68 @@
+#include "cicadalb/site/TargetRegistry.h"
+
+#include <set>
+
+namespace cicadalb {
+
+void TargetRegistry::replace(std::vector<RegisteredTarget> targets, TimePoint now, bool afterOutage)
+{
+    std::set<TargetId> present;
+    for (auto& target : targets) {
+        present.insert(target.id);
+        put(std::move(target));
+    }
+    std::vector<TargetId> absent;
+    for (const auto& [id, target] : m_targets) {
+        if (!present.contains(id))
+            absent.push_back(id);
+    }
+    for (const auto& id : absent)
+        remove(id, now, afterOutage);
+}
+
+void TargetRegistry::put(RegisteredTarget target)
+{
+    m_missing.erase(target.id);
+    const auto id = target.id;
+    m_targets.insert_or_assign(id, std::move(target));
+}
+
+void TargetRegistry::remove(const TargetId& id, TimePoint now, bool afterOutage)
+{
+    if (afterOutage && m_targets.contains(id)) {
+        m_missing.try_emplace(id, now + returnTime);
+        return;
+    }
+    m_missing.erase(id);
+    m_targets.erase(id);
+}
+
+bool TargetRegistry::expire(TimePoint now)
+{
+    std::vector<TargetId> gone;
+    for (const auto& [id, until] : m_missing) {
+        if (until <= now)
+            gone.push_back(id);
+    }
+    for (const auto& id : gone)
+        remove(id, now, false);
+    return !gone.empty();
+}
+
+const RegisteredTarget* TargetRegistry::find(const TargetId& id) const
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+std::vector<const RegisteredTarget*> TargetRegistry::usable(const PoolName& pool) const
+{
+    std::vector<const RegisteredTarget*> targets;
+    for (const auto& [id, target] : m_targets) {
+        if (target.pool == pool && !target.isLeaving)
+            targets.push_back(&target);
+    }
+    return targets;
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cicadalb/base/Error.h"
+#include "cicadalb/submissions/Submission.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// @file
+/// What is stored of a submission, and under which keys. Records are CBOR.
+///
+///     submissions/<id>/text        the submission, or a mark that it was refused for good
+///     submissions/<id>/end         exists once the trainer ended it
+///     results/<id>/<number>        results in order; a segment is written once and only after the one before it
+
+namespace cicadalb {
+
+inline constexpr std::string_view submissionPrefix = "submissions/";
+inline constexpr std::string_view resultPrefix = "results/";
+
+/// @brief Longest id that fits a key of the store.
+inline constexpr std::size_t maximumIdLength = 128;
+
+enum class SubmissionKeyKind : std::uint8_t { Text,
+    End,
+    Unknown };
+
+struct SubmissionKey {
+    SubmissionId id;
+    SubmissionKeyKind kind = SubmissionKeyKind::Unknown;
+};
+
+std::string textKey(const SubmissionId&);
+std::string endKey(const SubmissionId&);
+std::string resultKeys(const SubmissionId&);
+std::string resultKey(const SubmissionId&, std::size_t segment);
+SubmissionKey parseSubmissionKey(std::string_view key);
+
+/// @brief The record that takes a submission's key so that a late write of its text fails.
+std::string refusalRecord();
+bool isRefusalRecord(std::string_view record);
+
+std::string encodeSubmission(const Submission&);
+/// Errors: RecordInvalid.
+Result<Submission> decodeSubmission(std::string_view record);
+std::string encodeResults(const std::vector<SampleResult>&);
+/// Errors: RecordInvalid.
+Result<std::vector<SampleResult>> decodeResults(std::string_view record);
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/submissions/src/EventStream.cpp
@@ -0,0 +1,51 @@
+#include "cicadalb/submissions/EventStream.h"
+
+#include <charconv>
+#include <utility>
+
+namespace cicadalb {
+
+std::vector<StreamEvent> EventStreamReader::read(std::string_view bytes)
+{
+    std::vector<StreamEvent> events;
+    while (!bytes.empty()) {
+        const auto end = bytes.find('\n');
+        m_line.append(bytes.substr(0, end));
+        if (end == std::string_view::npos)
+            break;
+        bytes.remove_prefix(end + 1);
+        if (!m_line.empty() && m_line.back() == '\r')
+            m_line.pop_back();
+        takeLine(m_line, events);
+        m_line.clear();
+    }
+    return events;
+}
+
+void EventStreamReader::takeLine(std::string_view line, std::vector<StreamEvent>& events)
+{
+    if (line.empty()) {
+        if (m_hasData)
+            events.push_back(std::move(m_event));
+        m_event = {};
+        m_hasData = false;
+        return;
+    }
+    const auto colon = line.find(':');
+    const auto name = line.substr(0, colon);
+    auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    if (name == "data") {
+        if (m_hasData)
+            m_event.data += '\n';
+        m_event.data += value;
+        m_hasData = true;
+    } else if (name == "id") {
+        std::from_chars(value.data(), value.data() + value.size(), m_event.id);
+    } else if (!name.empty()) {
+        m_event.otherFields.emplace_back(name, value);
+    }
+}
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -0,0 +1,175 @@
+#include "cicadalb/submissions/SubmissionRecords.h"
+
+#include "cicadalb/base/Cbor.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+
+namespace cicadalb {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::string_view textSuffix = "/text";
+    constexpr std::string_view endSuffix = "/end";
+    constexpr std::string_view refusal = "refused";
+
+    std::string toRecord(const Json& document)
+    {
+        std::string record;
+        Json::to_cbor(document, record);
+        return record;
+    }
+
+    Json binary(const std::string& bytes)
+    {
+        return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+    }
+
+    std::string bytesOf(const Json& json)
+    {
+        const auto& bytes = json.get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    Json toJson(const RewardCall& reward)
+    {
+        return { reward.id.value(), reward.authority, reward.path, binary(reward.body) };
+    }
+
+    Json toJson(const SampleItem& item)
+    {
+        Json fields = Json::array();
+        for (const auto& [name, value] : item.fields)
+            fields.push_back({ name, value });
+        return { item.id.value(), item.group.value(), item.path, std::move(fields), binary(item.body), item.tokens, item.lengthHint,
+            item.reward ? toJson(*item.reward) : Json() };
+    }
+
+    RewardCall rewardFrom(const Json& json)
+    {
+        return RewardCall { RequestId(json.at(0).get<std::string>()), json.at(1).get<std::string>(), json.at(2).get<std::string>(), bytesOf(json.at(3)) };
+    }
+
+    SampleItem itemFrom(const Json& json)
+    {
+        SampleItem item;
+        item.id = ItemId(json.at(0).get<std::string>());
+        item.group = GroupId(json.at(1).get<std::string>());
+        item.path = json.at(2).get<std::string>();
+        for (const auto& field : json.at(3))
+            item.fields.emplace_back(field.at(0).get<std::string>(), field.at(1).get<std::string>());
+        item.body = bytesOf(json.at(4));
+        item.tokens = json.at(5).get<std::uint64_t>();
+        item.lengthHint = json.at(6).get<double>();
+        if (!json.at(7).is_null())
+            item.reward = rewardFrom(json.at(7));
+        return item;
+    }
+
+    /// Runs @p read on the record; what the JSON library throws becomes an error.
+    template <typename Value, typename Read>
+    Result<Value> readRecord(std::string_view record, Read read)
+    {
+        try {
+            return read(Json::from_cbor(record.begin(), record.end()));
+        } catch (const Json::exception& error) {
+            return failure(ErrorCode::RecordInvalid, error.what(), "stored record");
+        }
+    }
+
+} // namespace
+
+std::string textKey(const SubmissionId& id)
+{
+    return std::string(submissionPrefix) + id.value() + std::string(textSuffix);
+}
+
+std::string endKey(const SubmissionId& id)
+{
+    return std::string(submissionPrefix) + id.value() + std::string(endSuffix);
+}
+
+std::string resultKeys(const SubmissionId& id)
+{
+    return std::string(resultPrefix) + id.value() + "/";
+}
+
+std::string resultKey(const SubmissionId& id, std::size_t segment)
+{
+    std::array<char, 24> number {};
+    std::snprintf(number.data(), number.size(), "%08zu", segment);
+    return resultKeys(id) + number.data();
+}
+
+SubmissionKey parseSubmissionKey(std::string_view key)
+{
+    if (!key.starts_with(submissionPrefix))
+        return {};
+    key.remove_prefix(submissionPrefix.size());
+    for (const auto& [suffix, kind] : { std::pair(textSuffix, SubmissionKeyKind::Text), std::pair(endSuffix, SubmissionKeyKind::End) }) {
+        if (key.ends_with(suffix))
+            return { SubmissionId(std::string(key.substr(0, key.size() - suffix.size()))), kind };
+    }
+    return {};
+}
+
+std::string refusalRecord() { return std::string(refusal); }
+bool isRefusalRecord(std::string_view record) { return record == refusal; }
+
+std::string encodeSubmission(const Submission& submission)
+{
+    Json items = Json::array();
+    for (const auto& item : submission.items)
+        items.push_back(toJson(item));
+    return toRecord({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
+        submission.model.value(), submission.oldestVersion, submission.wantedGroups, std::move(items) });
+}
+
+Result<Submission> decodeSubmission(std::string_view record)
+{
+    return readRecord<Submission>(record, [](const Json& json) {
+        Submission submission;
+        submission.id = SubmissionId(json.at(0).get<std::string>());
+        submission.authority = json.at(1).get<std::string>();
+        submission.path = json.at(2).get<std::string>();
+        submission.submittedAt = UnixTime(json.at(3).get<std::int64_t>());
+        submission.step = json.at(4).get<std::uint64_t>();
+        submission.model = ModelName(json.at(5).get<std::string>());
+        submission.oldestVersion = json.at(6).get<WeightVersion>();
+        submission.wantedGroups = json.at(7).get<std::uint64_t>();
+        for (const auto& item : json.at(8))
+            submission.items.push_back(itemFrom(item));
+        return submission;
+    });
+}
+
+std::string encodeResults(const std::vector<SampleResult>& results)
+{
+    Json list = Json::array();
+    for (const auto& result : results) {
+        list.push_back({ result.item.value(), result.state == ResultState::Succeeded, binary(result.text), result.versions, result.rewardSignature });
+    }
+    return toRecord(list);
+}
+
+Result<std::vector<SampleResult>> decodeResults(std::string_view record)
+{
+    return readRecord<std::vector<SampleResult>>(record, [](const Json& json) {
+        std::vector<SampleResult> results;
+        for (const auto& row : json) {
+            SampleResult result;
+            result.item = ItemId(row.at(0).get<std::string>());
+            result.state = row.at(1).get<bool>() ? ResultState::Succeeded : ResultState::GivenUp;
+            result.text = bytesOf(row.at(2));
+            result.versions = row.at(3).get<std::vector<WeightVersion>>();
+            result.rewardSignature = row.at(4).get<std::string>();
+            results.push_back(std::move(result));
+        }
+        return results;
+    });
+}
+
+} // namespace cicadalb
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -45,6 +45,8 @@
     virtual Task<bool> endStream(HttpFields trailer) = 0;
     /// @brief True once a byte of an answer may have been sent.
     virtual bool hasBegun() const noexcept = 0;
+    /// @brief Calls @p handler, at most once, if the caller closes its connection before the request's handler returns.
+    virtual void onCallerGone(std::function<void()> handler) = 0;
 };
 
 using ServerHandler = std::function<Task<void>(ServerRequest&, ServerResponder&)>;
--- a/packages/transport/include/cicadalb/transport/TargetClients.h
+++ b/packages/transport/include/cicadalb/transport/TargetClients.h
@@ -16,7 +16,7 @@
 /// @brief One client for each pair of worker and endpoint. A client belongs to its worker's thread; each worker's map has its own lock.
 class TargetClients {
 public:
-    explicit TargetClients(WorkerPool&);
+    explicit TargetClients(WorkerPool&, HttpClientOptions = {});
 
     std::shared_ptr<HttpClient> client(std::size_t worker, const Endpoint&);
     boost::asio::io_context& context(std::size_t worker) { return m_workers.context(worker); }
@@ -31,6 +31,7 @@
     };
 
     WorkerPool& m_workers;
+    HttpClientOptions m_options;
     std::vector<std::unique_ptr<Shard>> m_shards;
 };
 
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -174,7 +174,38 @@
 
         bool hasBegun() const noexcept override { return m_hasBegun; }
 
+        void onCallerGone(std::function<void()> handler) override
+        {
+            m_callerWatch = std::make_shared<std::function<void()>>(std::move(handler));
+            m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, [this, watch = std::weak_ptr(m_callerWatch)](const beast::error_code&) {
+                const auto held = watch.lock();
+                if (held && isClosedByCaller())
+                    (*held)();
+            });
+        }
+
     private:
+        /// Whether the caller's end of the connection is closed; bytes of a next request mean that it is not.
+        bool isClosedByCaller()
+        {
+            char byte = 0;
+            beast::error_code error;
+            auto& socket = m_stream.socket();
+            socket.non_blocking(true, error);
+            const auto length = socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+            return error != asio::error::would_block && length == 0;
+        }
+
+        /// Ends the watch that onCallerGone() began.
+        void stopWatchingCaller()
+        {
+            if (!m_callerWatch)
+                return;
+            m_callerWatch.reset();
+            beast::error_code error;
+            m_stream.socket().cancel(error);
+        }
+
         bool mayKeepAlive() const noexcept { return m_requestKeepsAlive && !*m_isDraining; }
 
         /// Waits for the first byte of a request.
@@ -243,6 +274,7 @@
             auto request = toServerRequest(parser, m_worker);
             m_stream.expires_never();
             co_await handler(request, *this);
+            stopWatchingCaller();
             co_return m_isAnswered&& mayKeepAlive();
         }
 
@@ -269,6 +301,8 @@
         bool m_isHeadRequest = false;
         bool m_hasBegun = false;
         bool m_isAnswered = false;
+        /// Held while a handler wants to know of the caller's end.
+        std::shared_ptr<std::function<void()>> m_callerWatch;
     };
 
 } // namespace
--- a/packages/transport/src/TargetClients.cpp
+++ b/packages/transport/src/TargetClients.cpp
@@ -4,8 +4,9 @@
 
 namespace cicadalb {
 
-TargetClients::TargetClients(WorkerPool& workers)
+TargetClients::TargetClients(WorkerPool& workers, HttpClientOptions options)
     : m_workers(workers)
+    , m_options(options)
 {
     for (std::size_t i = 0; i < workers.size(); ++i)
         m_shards.push_back(std::make_unique<Shard>());
@@ -17,7 +18,7 @@
     const std::lock_guard lock(shard.mutex);
     auto& entry = shard.clients[endpoint];
     if (!entry)
-        entry = std::make_shared<HttpClient>(m_workers.context(worker).get_executor(), endpoint);
+        entry = std::make_shared<HttpClient>(m_workers.context(worker).get_executor(), endpoint, m_options);
     return entry;
 }
 
