--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -116,6 +116,13 @@
     return now + std::min(patience, most);
 }
 
+void RequestForwarder::recordAttempt(const ForwardRequest& request, const RegisteredTarget& target, const Attempt& attempt, Duration latency) const
+{
+    logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "target", target.id.value() },
+                                      { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(attempt.answer)) }, { "status", std::to_string(attempt.response.status) },
+                                      { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", attempt.cause } });
+}
+
 /// @return whether another attempt makes sense
 Task<bool> RequestForwarder::attempt(const ForwardRequest& request, Progress& progress)
 {
@@ -123,7 +130,8 @@
     const auto& route = *request.route;
     const bool hasAttemptsLeft = progress.run.attempts() < std::max(1U, route.maximumAttempts) + progress.unrunAttempts;
     if (!progress.run.mayAttempt() || !hasAttemptsLeft || progress.unrunAttempts > maximumUnrunAttempts) {
-        outcome.cause = outcome.cause.empty() ? "no attempts left" : outcome.cause;
+        if (outcome.cause.empty())
+            outcome.cause = "no attempts left";
         co_return false;
     }
     if (request.deadline - m_clock.now() < shortestAttempt) {
@@ -131,6 +139,7 @@
         co_return false;
     }
     const auto gate = m_directory.gate(request.pool);
+    const Completion abandoned { CompletionKind::Abandoned };
     Demand demand;
     demand.priority = priorityOf(route);
     demand.deadline = request.deadline;
@@ -143,12 +152,12 @@
     }
     const auto* registered = m_directory.registry().find(admission.target);
     if (request.cancellation && request.cancellation->isCancelled()) {
-        gate->finished(admission.target, { CompletionKind::Abandoned });
+        gate->finished(admission.target, abandoned);
         outcome.state = ForwardState::Abandoned;
         co_return false;
     }
     if (!registered || registered->isLeaving) {
-        gate->finished(admission.target, { CompletionKind::Abandoned });
+        gate->finished(admission.target, abandoned);
         ++progress.unrunAttempts;
         co_return true;
     }
@@ -160,8 +169,9 @@
     const auto latency = m_clock.now() - begun;
     if (const auto load = m_protocol.load(result.response.fields))
         gate->reportLoad(target.id, *load);
-    gate->finished(target.id, { result.kind, latency, m_clock.now() >= request.deadline });
-    logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", route.name.value() }, { "target", target.id.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(result.answer)) }, { "status", std::to_string(result.response.status) }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", result.cause } });
+    const Completion completion { result.kind, latency, m_clock.now() >= request.deadline };
+    gate->finished(target.id, completion);
+    recordAttempt(request, target, result, latency);
     switch (result.kind) {
     case CompletionKind::ServerError:
         if (isRepeatable(route) && progress.run.attempts() < route.maximumAttempts + progress.unrunAttempts) {
@@ -198,7 +208,8 @@
 {
     Attempt attempt;
     const auto client = m_clients.client(0, target.endpoint);
-    auto message = request.message(AttemptTerms { target.id, std::chrono::duration_cast<milliseconds>(remaining) });
+    const AttemptTerms terms { target.id, std::chrono::duration_cast<milliseconds>(remaining) };
+    auto message = request.message(terms);
     auto response = co_await client->send(std::move(message), deadline, request.cancellation);
     if (!response) {
         const bool isGone = request.cancellation && request.cancellation->isCancelled();
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -60,6 +60,7 @@
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
     Task<Attempt> exchange(const ForwardRequest&, const RegisteredTarget&, TimePoint deadline, Duration remaining);
+    void recordAttempt(const ForwardRequest&, const RegisteredTarget&, const Attempt&, Duration latency) const;
     TimePoint attemptDeadline(const ForwardRequest&, const Progress&, TimePoint now) const;
 
     SiteDirectory& m_directory;
--- a/packages/hosting/src/ResultLog.cpp
+++ b/packages/hosting/src/ResultLog.cpp
@@ -14,7 +14,7 @@
 
 Task<Result<void>> ResultLog::load()
 {
-    auto records = co_await m_store.snapshot(resultKeys(m_id), m_segments == 0 ? std::string() : resultKey(m_id, m_segments - 1));
+    auto records = co_await m_store.snapshot(resultKeys(m_id), lastResultKey(m_id, m_segments));
     if (!records)
         co_return records.as_failure();
     for (const auto& record : records.value().entries) {
--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -79,8 +79,11 @@
 {
     const auto prefix = resultKeys(id);
     const bool mayWatch = entry.revision != 0 && patience.count() > 0;
-    auto read = mayWatch ? co_await m_store.watch(prefix, entry.revision, patience)
-                         : co_await m_store.snapshot(prefix, entry.segments == 0 ? std::string() : resultKey(id, entry.segments - 1));
+    Result<WatchResult> read = WatchResult {};
+    if (mayWatch)
+        read = co_await m_store.watch(prefix, entry.revision, patience);
+    else
+        read = co_await m_store.snapshot(prefix, lastResultKey(id, entry.segments));
     if (!read) {
         if (read.error().code == ErrorCode::HistoryLost) {
             entry.revision = 0;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -161,7 +161,7 @@
     entry->route = entry->view->routes.find(submission.authority, submission.path);
     if (!entry->route) {
         m_open.erase(id);
-        logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", "its route is gone" }, { "configuration", std::to_string(entry->view->configuration.version) } });
+        recordClosed(id, "its route is gone", 0);
         co_return;
     }
     const auto age = std::max(UnixTime(0), unixNow() - submission.submittedAt);
@@ -174,7 +174,7 @@
     entry->submission = std::move(submission);
     entry->revision = revision;
     m_scheduler.add(entry->submission, entry->terms, entry->log->stored());
-    logEvent(Event::SubmissionOpened, { { "id", id.value() }, { "revision", std::to_string(revision) }, { "model", entry->submission.model.value() }, { "step", std::to_string(entry->submission.step) }, { "items", std::to_string(entry->submission.items.size()) }, { "stored", std::to_string(entry->log->stored().size()) }, { "oldest-version", std::to_string(entry->submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) } });
+    recordOpened(*entry, age);
     if (entry->log->stored().size() >= entry->submission.items.size())
         close(id, "all results are stored");
     poke();
@@ -190,7 +190,7 @@
     m_open.erase(found);
     for (const auto& key : m_scheduler.remove(id))
         stopRun(key);
-    logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(entry->log->stored().size()) } });
+    recordClosed(id, reason, entry->log->stored().size());
     poke();
 }
 
@@ -261,9 +261,11 @@
         co_return;
     const auto* text = m_scheduler.text(key);
     const auto events = text ? text->events : 0;
-    const auto versions = text ? versionsText(text->versions) : std::string();
+    std::string versions;
+    if (text)
+        versions = versionsText(text->versions);
     const auto step = m_scheduler.finished(key, end, m_clock.now());
-    logEvent(Event::SampleRunEnded, { { "id", entry->submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", engine.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_clock.now() - begun).count()) }, { "cause", cause } });
+    recordRun(*entry, key, engine, end, events, versions, m_clock.now() - begun, cause);
     if (step == ItemStep::Judge)
         asio::co_spawn(m_executor, judge(entry, key), asio::detached);
     else if (step == ItemStep::GiveUp)
@@ -361,11 +363,12 @@
         request.id = reward.id;
         request.route = &single;
         request.pool = choosePool(*route, 0);
-        request.deadline = m_clock.now() + (route->timeout.count() > 0 ? route->timeout : assumedRewardTimeout);
+        const auto timeout = route->timeout.count() > 0 ? route->timeout : assumedRewardTimeout;
+        request.deadline = m_clock.now() + timeout;
         request.message = [&](const AttemptTerms& terms) { return m_protocol.rewardRequest(reward, terms); };
         const auto outcome = co_await m_forwarder.run(std::move(request));
         const auto isSuccess = outcome.state == ForwardState::Answered && outcome.answer.status >= 200 && outcome.answer.status < 300;
-        logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "configuration", std::to_string(view->configuration.version) }, { "cause", outcome.cause } });
+        recordReward(reward, item, key, outcome);
         if (m_isStopped || entry->isClosed)
             co_return;
         if (isSuccess) {
@@ -404,22 +407,21 @@
 Task<void> SampleRunner::append(OpenPointer entry)
 {
     const auto self = shared_from_this();
-    const auto id = entry->submission.id;
     while (entry->log->hasPending() && !m_isStopped && !entry->isClosed) {
         co_await pause(m_executor, m_settings.appendInterval);
         if (m_isStopped || entry->isClosed)
             break;
         const auto appended = co_await entry->log->append();
         if (!appended) {
-            logEvent(Event::ResultsAppended, { { "submission", id.value() }, { "failed", appended.error().message } });
+            recordAppend(*entry, 0, appended.error().message);
             co_await pause(m_executor, storePause);
             continue;
         }
-        logEvent(Event::ResultsAppended, { { "submission", id.value() }, { "results", std::to_string(appended.value()) }, { "segments", std::to_string(entry->log->segments()) }, { "stored", std::to_string(entry->log->stored().size()) } });
+        recordAppend(*entry, appended.value(), {});
     }
     entry->isAppending = false;
     if (!entry->isClosed && entry->log->stored().size() >= entry->submission.items.size())
-        close(id, "all results are stored");
+        close(entry->submission.id, "all results are stored");
 }
 
 Task<void> SampleRunner::discardOld()
@@ -454,4 +456,36 @@
     }
 }
 
+void SampleRunner::recordOpened(const Open& entry, UnixTime age) const
+{
+    const auto& submission = entry.submission;
+    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() },
+                                          { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) },
+                                          { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) } });
+}
+
+void SampleRunner::recordClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
+{
+    logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) } });
+}
+
+void SampleRunner::recordRun(const Open& entry, const ItemKey& key, const TargetId& engine, RunEnd end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
+{
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", engine.value() },
+                                        { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions },
+                                        { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) }, { "cause", cause } });
+}
+
+void SampleRunner::recordReward(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
+{
+    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) },
+                                         { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
+}
+
+void SampleRunner::recordAppend(const Open& entry, std::size_t results, const std::string& failure) const
+{
+    logEvent(Event::ResultsAppended, { { "submission", entry.submission.id.value() }, { "results", std::to_string(results) }, { "segments", std::to_string(entry.log->segments()) },
+                                         { "stored", std::to_string(entry.log->stored().size()) }, { "failure", failure } });
+}
+
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -75,6 +75,12 @@
     void stopRun(const ItemKey&);
     Task<void> discardOld();
 
+    void recordOpened(const Open&, UnixTime age) const;
+    void recordClosed(const SubmissionId&, std::string_view reason, std::size_t results) const;
+    void recordRun(const Open&, const ItemKey&, const TargetId&, RunEnd, std::size_t events, const std::string& versions, Duration, const std::string& cause) const;
+    void recordReward(const RewardCall&, const SampleItem&, const ItemKey&, const ForwardOutcome&) const;
+    void recordAppend(const Open&, std::size_t results, const std::string& failure) const;
+
     boost::asio::any_io_executor m_executor;
     TransactionalStore& m_store;
     const SiteProtocol& m_protocol;
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -108,14 +108,21 @@
         co_return;
     }
     auto served = co_await answer(message, call, receivedAt, responder);
-    const auto latency = m_clock.now() - receivedAt;
+    recordAnswer(message, call, served, m_clock.now() - receivedAt);
+    co_await responder.send(std::move(served.response));
+}
+
+void SiteEndpoints::recordAnswer(const HttpRequest& request, const CallerCall& call, const Served& served, Duration latency)
+{
     const auto view = m_directory.view();
-    logEvent(call.kind == CallerCallKind::ReadResults && served.response.status == statusOk ? Event::ResultsServed : Event::RequestAnswered,
-        { { "id", call.kind == CallerCallKind::Routed ? m_protocol.attemptId(message.fields).value() : call.submission.value() }, { "method", message.method }, { "target", message.target }, { "route", served.route.value() },
+    const auto id = call.kind == CallerCallKind::Routed ? m_protocol.attemptId(request.fields).value() : call.submission.value();
+    const bool isRoutineRead = call.kind == CallerCallKind::ReadResults && served.response.status == statusOk;
+    logEvent(isRoutineRead ? Event::ResultsServed : Event::RequestAnswered,
+        { { "id", id }, { "method", request.method }, { "target", request.target }, { "route", served.route.value() },
             { "configuration", view ? std::to_string(view->configuration.version) : "none" }, { "status", std::to_string(served.response.status) },
-            { "run-state", std::string(name(served.runState)) }, { "attempts", std::to_string(served.attempts) }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "reason", served.reason } });
+            { "run-state", std::string(name(served.runState)) }, { "attempts", std::to_string(served.attempts) },
+            { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "reason", served.reason } });
     m_metrics.countRequest({ served.route, served.response.status, served.runState, latency });
-    co_await responder.send(std::move(served.response));
 }
 
 Task<SiteEndpoints::Served> SiteEndpoints::answer(const HttpRequest& request, const CallerCall& call, TimePoint receivedAt, ServerResponder& responder)
@@ -143,8 +150,11 @@
     const auto* route = view->routes.find(authorityOf(request), path);
     if (!route)
         co_return refused(statusNotFound, "no route has this authority and path", {});
-    auto served = route->kind == RequestKind::Submission && request.method == "POST" ? co_await submit(request, *route)
-                                                                                   : co_await forward(request, view, *route, receivedAt, responder);
+    Served served;
+    if (route->kind == RequestKind::Submission && request.method == "POST")
+        served = co_await submit(request, *route);
+    else
+        served = co_await forward(request, view, *route, receivedAt, responder);
     served.route = route->name;
     co_return served;
 }
@@ -189,8 +199,7 @@
         co_return refused(statusBadRequest, "the submission's id is missing or too long", {});
     accepted.submittedAt = std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     const auto outcome = co_await m_intake.accept(accepted);
-    logEvent(outcome == IntakeOutcome::Accepted ? Event::SubmissionAccepted : Event::SubmissionRefused,
-        { { "id", accepted.id.value() }, { "route", route.name.value() }, { "model", accepted.model.value() }, { "step", std::to_string(accepted.step) }, { "items", std::to_string(accepted.items.size()) }, { "oldest-version", std::to_string(accepted.oldestVersion) }, { "outcome", std::string(name(outcome)) } });
+    recordIntake(accepted, route, outcome);
     if (outcome == IntakeOutcome::NotAccepted)
         co_return refused(statusUnavailable, "the store did not take the submission", dependencyRetryAfter);
     if (outcome == IntakeOutcome::Unknown)
@@ -201,9 +210,17 @@
     co_return served;
 }
 
+void SiteEndpoints::recordIntake(const Submission& submission, const SiteRoute& route, IntakeOutcome outcome) const
+{
+    logEvent(outcome == IntakeOutcome::Accepted ? Event::SubmissionAccepted : Event::SubmissionRefused,
+        { { "id", submission.id.value() }, { "route", route.name.value() }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) },
+            { "items", std::to_string(submission.items.size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "outcome", std::string(name(outcome)) } });
+}
+
 Task<SiteEndpoints::Served> SiteEndpoints::readResults(const CallerCall& call)
 {
-    const auto known = co_await m_reader.results(call.submission, call.position, m_isStopping ? milliseconds(0) : call.patience);
+    const auto patience = m_isStopping ? milliseconds(0) : call.patience;
+    const auto known = co_await m_reader.results(call.submission, call.position, patience);
     if (!known) {
         if (known.error().code == ErrorCode::StepUnknown)
             co_return refused(statusNotFound, known.error().message, {});
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -45,6 +45,8 @@
     Task<Served> readResults(const CallerCall&);
     Task<Served> readItem(const CallerCall&);
     Task<Served> endSubmission(const CallerCall&);
+    void recordAnswer(const HttpRequest&, const CallerCall&, const Served&, Duration latency);
+    void recordIntake(const Submission&, const SiteRoute&, IntakeOutcome) const;
     Served refused(unsigned status, std::string reason, Duration retryAfter) const;
 
     SiteEndpointsOptions m_options;
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -103,6 +103,18 @@
     }
 }
 
+void WeightOrders::learnOne(const LoadDecision& decision)
+{
+    learn(decision.engine, { { decision.model.value(), decision.version } });
+}
+
+void WeightOrders::recordOrder(const LoadOrder& order, std::optional<OrderOutcome> outcome) const
+{
+    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) },
+                                          { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.acceptedOrders) },
+                                          { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+}
+
 void WeightOrders::updateEngines()
 {
     std::set<TargetId> present;
@@ -225,18 +237,23 @@
         co_return OrderStep::Again;
     LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
     const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
-    const auto outcome = answer ? std::optional(m_protocol.orderOutcome(answer.value())) : std::nullopt;
-    logEvent(Event::WeightOrderGiven, { { "engine", decision.engine.value() }, { "model", decision.model.value() }, { "version", std::to_string(decision.version) }, { "fence", std::to_string(m_settings.fence) }, { "accepted-orders", std::to_string(order.acceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+    std::optional<OrderOutcome> outcome;
+    if (answer)
+        outcome = m_protocol.orderOutcome(answer.value());
+    recordOrder(order, outcome);
     if (m_isStopped)
         co_return OrderStep::Done;
     if (!outcome || *outcome == OrderOutcome::Accepted) {
-        const bool isInForce = co_await awaitVersion(decision, endpoint, outcome ? std::nullopt : std::optional(order.acceptedOrders));
+        std::optional<std::uint64_t> countBefore;
+        if (!outcome)
+            countBefore = order.acceptedOrders;
+        const bool isInForce = co_await awaitVersion(decision, endpoint, countBefore);
         co_return isInForce ? OrderStep::Done : OrderStep::Again;
     }
     if (*outcome == OrderOutcome::Fenced)
         m_hooks.onFenced();
     if (*outcome == OrderOutcome::AlreadyHolds)
-        learn(decision.engine, { { decision.model.value(), decision.version } });
+        learnOne(decision);
     co_return *outcome == OrderOutcome::Busy || *outcome == OrderOutcome::Refused ? OrderStep::Again : OrderStep::Done;
 }
 
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -65,6 +65,8 @@
     Task<bool> awaitVersion(const LoadDecision&, const Endpoint&, std::optional<std::uint64_t> countBefore);
     Task<Result<EngineReport>> report(const Endpoint&);
     void learn(const TargetId&, const std::map<std::string, WeightVersion>&);
+    void learnOne(const LoadDecision&);
+    void recordOrder(const LoadOrder&, std::optional<OrderOutcome>) const;
 
     boost::asio::any_io_executor m_executor;
     TransactionalStore& m_store;
--- a/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -35,6 +35,8 @@
 std::string endKey(const SubmissionId&);
 std::string resultKeys(const SubmissionId&);
 std::string resultKey(const SubmissionId&, std::size_t segment);
+/// @brief Key of the last of @p segments segments, or an empty text if there is none.
+std::string lastResultKey(const SubmissionId&, std::size_t segments);
 SubmissionKey parseSubmissionKey(std::string_view key);
 
 /// @brief The record that takes a submission's key so that a late write of its text fails.
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -104,6 +104,11 @@
     return resultKeys(id) + number.data();
 }
 
+std::string lastResultKey(const SubmissionId& id, std::size_t segments)
+{
+    return segments == 0 ? std::string() : resultKey(id, segments - 1);
+}
+
 SubmissionKey parseSubmissionKey(std::string_view key)
 {
     if (!key.starts_with(submissionPrefix))
