--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -38,13 +38,15 @@
 
 struct SiteWorkSettings {
     /// Time to live of the coordinator's lease.
-    std::chrono::milliseconds lease { 3000 };
+    std::chrono::milliseconds lease { 1500 };
+    /// Time without weight orders between two coordinators.
+    std::chrono::milliseconds orderQuiet { 3000 };
     /// How long after its submission results are kept.
     std::chrono::seconds resultsKept { 120 };
     /// Weight loads at the same time; more of them slow each other down.
     unsigned loadsAtOnce = 2;
     /// Pause after a change of the registry, so that several changes share one call.
-    std::chrono::milliseconds registryPause { 700 };
+    std::chrono::milliseconds registryPause { 1200 };
 };
 
 struct SiteSettings {
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -23,9 +23,7 @@
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseInterval { 150 };
     /// No order is begun with less of the lease left.
-    constexpr milliseconds longestOrder { 1000 };
-    /// A new coordinator waits so long with its first order, so that the last one of its predecessor is a whole lease ago.
-    constexpr milliseconds orderPause { 2200 };
+    constexpr milliseconds longestOrder { 500 };
     /// Samples go on so long without a valid lease: nobody can take over while the store is away, and results are safe in any case.
     constexpr milliseconds longestLapse { 8000 };
 
@@ -164,7 +162,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_begunAt + orderPause && m_lease.mayAct(longestOrder);
+    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_begunAt + m_settings.orderQuiet - longestOrder && m_lease.mayAct(longestOrder);
 }
 
 void Coordination::siteChanged()
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -20,7 +20,9 @@
 
 struct CoordinationSettings {
     HostId host;
-    std::chrono::milliseconds leaseTime { 3000 };
+    std::chrono::milliseconds leaseTime { 1500 };
+    /// Time without orders between two holders.
+    std::chrono::milliseconds orderQuiet { 3000 };
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
     std::uint64_t seed = 0;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -37,7 +37,7 @@
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
     constexpr milliseconds retirementRetry { 300 };
     /// Time between the last order of a host that is being emptied and its successor's first, with the successor's own pause.
-    constexpr milliseconds retirementQuiet { 1000 };
+    constexpr milliseconds retirementQuiet { 500 };
 
     std::uint64_t seedOf(const HostId& host)
     {
@@ -73,6 +73,7 @@
         CoordinationSettings coordination;
         coordination.host = settings.host.id;
         coordination.leaseTime = settings.work.lease;
+        coordination.orderQuiet = settings.work.orderQuiet;
         coordination.samples.keepTime = settings.work.resultsKept;
         coordination.loads.loadsAtOnce = settings.work.loadsAtOnce;
         coordination.seed = seed;
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -28,6 +29,8 @@
     constexpr milliseconds longestSilence { 1600 };
     /// An accepted load that takes longer is looked at anew.
     constexpr milliseconds longestLoad { 8000 };
+    /// All engines but one in so many have to be measured before they are shared by speed.
+    constexpr std::size_t measuredShare = 5;
     /// Pause before an order that was refused is given again.
     constexpr milliseconds retryPause { 200 };
 
@@ -70,6 +73,17 @@
     m_watch->stop();
 }
 
+/// Engines are shared anew when they come or go, and once when the paces of most and the models' demands are known.
+void WeightOrders::assignWhenKnown()
+{
+    if (m_isShared)
+        return;
+    const auto measured = std::count_if(m_engines.begin(), m_engines.end(), [this](const auto& entry) { return m_scheduler.isMeasured(entry.first); });
+    m_isShared = !m_engines.empty() && static_cast<std::size_t>(measured) * measuredShare >= m_engines.size() * (measuredShare - 1);
+    if (m_isShared)
+        assign();
+}
+
 void WeightOrders::takeVersions(const std::vector<KeyValueEntry>& entries)
 {
     for (const auto& entry : entries) {
@@ -131,7 +145,12 @@
         learn(id, target.models);
     }
     std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && !entry.second.isLoading; });
-    assign();
+    std::set<TargetId> known;
+    for (const auto& [id, engine] : m_engines)
+        known.insert(id);
+    if (known != m_sharedEngines)
+        assign();
+    m_sharedEngines = std::move(known);
     tick();
 }
 
@@ -164,7 +183,7 @@
             if (engine.home.isEmpty() && newest != engine.versions.end() && newest->second > 1)
                 engine.home = newest->first;
         }
-        for (const auto& [id, model] : assignHomes(std::move(engines), models)) {
+        for (const auto& [id, model] : assignHomes(std::move(engines), models, m_scheduler.demand())) {
             m_engines[id].home = model;
             m_scheduler.setHome(id, model);
         }
@@ -174,19 +193,19 @@
 void WeightOrders::tick()
 {
     const auto view = m_directory.view();
-    if (m_isStopped || !view || !m_hooks.mayOrder())
+    if (m_isStopped || !view)
+        return;
+    assignWhenKnown();
+    if (!m_hooks.mayOrder())
         return;
     for (const auto& pool : view->configuration.pools) {
-        std::map<ModelName, WeightVersion> newest;
-        std::map<ModelName, WeightVersion> needed;
+        std::vector<ModelNeed> needs;
         for (const auto& name : pool.models) {
             const ModelName model(name);
             if (const auto named = m_newest.find(model); named != m_newest.end())
-                newest[model] = named->second;
-            if (const auto version = m_scheduler.neededVersion(model))
-                needed[model] = *version;
+                needs.push_back({ model, named->second, m_scheduler.neededVersion(model).value_or(0), m_scheduler.waiting(model) });
         }
-        for (auto& decision : planLoads(loadable(pool.name), newest, needed, m_settings.plan)) {
+        for (auto& decision : planLoads(loadable(pool.name), needs, m_settings.plan)) {
             m_engines[decision.engine].isLoading = true;
             asio::co_spawn(m_executor, load(std::move(decision)), asio::detached);
         }
@@ -206,14 +225,25 @@
     }
     if (m_isStopped)
         co_return;
-    if (const auto found = m_engines.find(decision.engine); found != m_engines.end()) {
-        found->second.isLoading = false;
-        const auto version = found->second.versions.find(decision.model);
-        if (version != found->second.versions.end())
-            m_scheduler.setWeights(decision.engine, decision.model, version->second);
-    }
+    endLoad(decision);
     m_hooks.onChange();
-    tick();
+    // Posted, since a load that ends at once would otherwise begin the next one on its own stack.
+    asio::post(m_executor, [self] { self->tick(); });
+}
+
+void WeightOrders::endLoad(const LoadDecision& decision)
+{
+    const auto found = m_engines.find(decision.engine);
+    if (found == m_engines.end())
+        return;
+    found->second.isLoading = false;
+    if (!m_directory.registry().find(decision.engine)) {
+        m_engines.erase(found);
+        return;
+    }
+    const auto version = found->second.versions.find(decision.model);
+    if (version != found->second.versions.end())
+        m_scheduler.setWeights(decision.engine, decision.model, version->second);
 }
 
 Task<Result<EngineReport>> WeightOrders::report(const Endpoint& endpoint)
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 /// @file
 /// Moves engines to the versions that trainers name.
@@ -59,8 +60,10 @@
 
     void takeVersions(const std::vector<KeyValueEntry>&);
     void assign();
+    void assignWhenKnown();
     std::vector<LoadableEngine> loadable(const PoolName&) const;
     Task<void> load(LoadDecision);
+    void endLoad(const LoadDecision&);
     Task<OrderStep> order(const LoadDecision&, const Endpoint&);
     Task<bool> awaitVersion(const LoadDecision&, const Endpoint&, std::optional<std::uint64_t> countBefore);
     Task<Result<EngineReport>> report(const Endpoint&);
@@ -80,6 +83,9 @@
     std::shared_ptr<RecordWatch> m_watch;
     std::map<ModelName, WeightVersion> m_newest;
     std::map<TargetId, Engine> m_engines;
+    /// Whether the engines are shared by their measured speed.
+    bool m_isShared = false;
+    std::set<TargetId> m_sharedEngines;
     bool m_isStopped = false;
 };
 
--- a/packages/submissions/include/cicadalb/submissions/LoadPlan.h
+++ b/packages/submissions/include/cicadalb/submissions/LoadPlan.h
@@ -37,15 +37,27 @@
     unsigned allowedLag = 1;
 };
 
-/// @brief Shares engines among models so that each gets as many and as fast ones as the others, and keeps an engine where it is as far as
-/// that allows. Load that it answers: several models whose versions change every few seconds, so that each change concerns the model's
-/// own engines alone.
-std::map<TargetId, ModelName> assignHomes(std::vector<LoadableEngine>, const std::vector<ModelName>& models);
-
-/// @brief Loads to begin now. An engine too old for the next submission goes first; of the others, at most half of a model's engines move
-/// to the newest version, so that the rest serve while they load and at the next change it is the others' turn.
-/// @param newest the version that was named last, by model; @param needed the oldest that open submissions allow
-std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>&, const std::map<ModelName, WeightVersion>& newest,
-    const std::map<ModelName, WeightVersion>& needed, const LoadPlanSettings&);
+/// @brief Shares engines among models: each model gets a part of the engines' speed that grows with the square root of its demand, so that
+/// a model with short texts still has enough engines to change versions in turns. An engine stays where it is among engines of like speed.
+/// Load that it answers: several models whose versions change every few seconds and whose texts differ in length by a factor of three, on
+/// engines that differ in speed by two and a half, so that each change concerns the model's own engines alone.
+/// @param demand events that a model's submissions ask for; models without one count as the least of the others
+std::map<TargetId, ModelName> assignHomes(std::vector<LoadableEngine>, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand);
+
+/// @brief What one model's submissions ask of its engines.
+struct ModelNeed {
+    ModelName model;
+    /// The version that was named last.
+    WeightVersion newest = 0;
+    /// The oldest that open submissions allow; 0: none is open.
+    WeightVersion oldestAllowed = 0;
+    /// Samples that wait for an engine.
+    std::size_t waiting = 0;
+};
+
+/// @brief Loads to begin now. Engines too old for the next submission go first, fast ones before slow ones. Of the others at most half of a
+/// model's engines move to the newest version, and only while no sample of the model waits: the rest serve meanwhile, and at the next
+/// change it is their turn.
+std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>&, const std::vector<ModelNeed>&, const LoadPlanSettings&);
 
 } // namespace cicadalb
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -120,6 +120,11 @@
     bool isOpen(const ItemKey&) const;
     std::size_t running() const;
     std::size_t waiting() const;
+    std::size_t waiting(const ModelName&) const;
+    /// @brief Events that a submission of each model asks for, as a running mean of estimates.
+    const std::map<ModelName, double>& demand() const noexcept { return m_demand; }
+    /// @brief Whether the pace of an engine was measured.
+    bool isMeasured(const TargetId&) const;
     /// @brief Runs of one model on an engine.
     std::size_t runningOn(const TargetId&, const ModelName&) const;
     Duration pace(const TargetId&) const;
@@ -173,13 +178,15 @@
     const Engine* engine(const TargetId&) const;
     std::optional<TargetId> bestEngine(const Open&, const Item&, TimePoint now) const;
     double seconds(const Engine&) const;
-    void release(Item&, bool measure, TimePoint now);
+    void release(Item&);
+    void measure(const Item&, TimePoint now);
     void keepText(const Open&, Item&) const;
 
     std::map<SubmissionId, Open> m_open;
     std::map<TargetId, Engine> m_engines;
     /// Text of items whose submission ended before they were complete.
     std::map<ItemId, PartialText> m_leftover;
+    std::map<ModelName, double> m_demand;
 };
 
 } // namespace cicadalb
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -1,50 +1,97 @@
 #include "cicadalb/submissions/LoadPlan.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
 
 namespace cicadalb {
 
 namespace {
 
+    /// Engines count as equally fast up to this ratio of their paces.
+    constexpr double likePaces = 1.25;
+    /// Engines slower than the fastest by more than this are loaded after all others.
+    constexpr double slowPaces = 1.8;
+
     WeightVersion versionOf(const LoadableEngine& engine, const ModelName& model)
     {
         const auto found = engine.versions.find(model);
         return found == engine.versions.end() ? 0 : found->second;
     }
 
-    WeightVersion valueOf(const std::map<ModelName, WeightVersion>& values, const ModelName& model)
+    double speedOf(const LoadableEngine& engine) { return engine.pace > 0 ? 1.0 / engine.pace : 1.0; }
+
+    /// Part of the engines' speed that each model should have.
+    std::map<ModelName, double> targetSpeeds(const std::vector<LoadableEngine>& engines, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand)
     {
-        const auto found = values.find(model);
-        return found == values.end() ? 0 : found->second;
+        auto least = std::numeric_limits<double>::infinity();
+        for (const auto& [model, events] : demand)
+            least = std::min(least, std::max(1.0, events));
+        std::map<ModelName, double> targets;
+        double total = 0;
+        for (const auto& model : models) {
+            const auto found = demand.find(model);
+            const auto events = found != demand.end() ? std::max(1.0, found->second) : std::isfinite(least) ? least : 1.0;
+            total += targets[model] = std::sqrt(events);
+        }
+        double speed = 0;
+        for (const auto& engine : engines)
+            speed += speedOf(engine);
+        for (auto& [model, target] : targets)
+            target *= speed / total;
+        return targets;
     }
 
-    /// Engines that a model may keep.
-    std::size_t quota(std::size_t engines, std::size_t models) { return (engines + models - 1) / models; }
+    /// The engine that @p model should get next: the fastest that is left, or one of like speed that it has already.
+    std::size_t nextEngine(const std::vector<LoadableEngine>& engines, const ModelName& model)
+    {
+        std::size_t best = 0;
+        const auto rank = [&](const LoadableEngine& engine) {
+            const bool isLike = engine.pace <= engines.front().pace * likePaces;
+            const bool isOwn = engine.home == model;
+            return std::tuple(!isLike, !isOwn, -static_cast<std::int64_t>(versionOf(engine, model)));
+        };
+        for (std::size_t i = 1; i < engines.size(); ++i) {
+            if (rank(engines[i]) < rank(engines[best]))
+                best = i;
+        }
+        return best;
+    }
 
     struct Wish {
         LoadDecision decision;
         /// Too old for what is asked for now or next.
         bool isNeeded = false;
+        bool isSlow = false;
         std::size_t running = 0;
+
+        auto order() const { return std::tuple(!isNeeded, isSlow, running); }
     };
 
-    /// Loads that one model's engines want, in no order.
-    std::vector<Wish> wishesOf(const ModelName& model, WeightVersion newest, WeightVersion needed, const std::vector<const LoadableEngine*>& own, const LoadPlanSettings& settings)
+    /// Loads that one model's engines want.
+    std::vector<Wish> wishesOf(const ModelNeed& need, const std::vector<const LoadableEngine*>& own, const LoadPlanSettings& settings)
     {
-        const auto oldestUseful = std::max(needed, newest > settings.allowedLag ? newest - settings.allowedLag : 0);
+        const auto oldestUseful = std::max(need.oldestAllowed, need.newest > settings.allowedLag ? need.newest - settings.allowedLag : 0);
+        auto bestPace = std::numeric_limits<double>::infinity();
+        for (const auto* engine : own)
+            bestPace = std::min(bestPace, engine->pace);
         std::vector<Wish> needs;
         std::vector<Wish> others;
         std::size_t current = 0;
         for (const auto* engine : own) {
-            const auto version = versionOf(*engine, model);
-            if (version >= newest || engine->isLoading) {
+            const auto version = versionOf(*engine, need.model);
+            if (version >= need.newest || engine->isLoading) {
                 ++current;
                 continue;
             }
             const bool isNeeded = version < oldestUseful;
-            (isNeeded ? needs : others).push_back({ { engine->id, model, newest }, isNeeded, engine->running });
+            const bool isSlow = engine->pace > bestPace * slowPaces;
+            (isNeeded ? needs : others).push_back({ { engine->id, need.model, need.newest }, isNeeded, isSlow, engine->running });
         }
-        std::sort(others.begin(), others.end(), [](const auto& left, const auto& right) { return left.running < right.running; });
+        if (need.waiting > 0)
+            return needs;
+        std::sort(others.begin(), others.end(), [](const auto& left, const auto& right) { return left.order() < right.order(); });
         for (const auto& wish : others) {
             if (current + needs.size() >= own.size() / 2)
                 break;
@@ -55,50 +102,42 @@
 
 } // namespace
 
-std::map<TargetId, ModelName> assignHomes(std::vector<LoadableEngine> engines, const std::vector<ModelName>& models)
+std::map<TargetId, ModelName> assignHomes(std::vector<LoadableEngine> engines, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand)
 {
     std::map<TargetId, ModelName> homes;
     if (models.empty())
         return homes;
+    auto missing = targetSpeeds(engines, models, demand);
     std::map<ModelName, std::size_t> counts;
-    const auto most = quota(engines.size(), models.size());
-    for (const auto& engine : engines) {
-        if (!engine.home.isEmpty() && counts[engine.home] < most && std::find(models.begin(), models.end(), engine.home) != models.end()) {
-            homes[engine.id] = engine.home;
-            ++counts[engine.home];
-        }
-    }
     std::stable_sort(engines.begin(), engines.end(), [](const auto& left, const auto& right) { return left.pace < right.pace; });
-    for (const auto& engine : engines) {
-        if (homes.contains(engine.id))
-            continue;
-        // The model with the fewest engines; among equals the one whose weights the engine holds best.
+    while (!engines.empty()) {
+        // A model without any engine comes first, then the one that lacks most.
         const auto model = *std::min_element(models.begin(), models.end(), [&](const auto& left, const auto& right) {
-            return std::tuple(counts[left], -static_cast<std::int64_t>(versionOf(engine, left))) < std::tuple(counts[right], -static_cast<std::int64_t>(versionOf(engine, right)));
+            return std::tuple(counts[left] > 0, -missing[left]) < std::tuple(counts[right] > 0, -missing[right]);
         });
-        homes[engine.id] = model;
+        const auto index = nextEngine(engines, model);
+        homes[engines[index].id] = model;
+        missing[model] -= speedOf(engines[index]);
         ++counts[model];
+        engines.erase(engines.begin() + static_cast<std::ptrdiff_t>(index));
     }
     return homes;
 }
 
-std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>& engines, const std::map<ModelName, WeightVersion>& newest,
-    const std::map<ModelName, WeightVersion>& needed, const LoadPlanSettings& settings)
+std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>& engines, const std::vector<ModelNeed>& needs, const LoadPlanSettings& settings)
 {
     const auto loading = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return engine.isLoading; }));
     std::vector<Wish> wishes;
-    for (const auto& [model, version] : newest) {
+    for (const auto& need : needs) {
         std::vector<const LoadableEngine*> own;
         for (const auto& engine : engines) {
-            if (engine.home == model)
+            if (engine.home == need.model)
                 own.push_back(&engine);
         }
-        const auto more = wishesOf(model, version, valueOf(needed, model), own, settings);
+        const auto more = wishesOf(need, own, settings);
         wishes.insert(wishes.end(), more.begin(), more.end());
     }
-    std::stable_sort(wishes.begin(), wishes.end(), [](const auto& left, const auto& right) {
-        return std::tuple(!left.isNeeded, left.running) < std::tuple(!right.isNeeded, right.running);
-    });
+    std::stable_sort(wishes.begin(), wishes.end(), [](const auto& left, const auto& right) { return left.order() < right.order(); });
     std::vector<LoadDecision> decisions;
     for (const auto& wish : wishes) {
         if (loading + decisions.size() >= settings.loadsAtOnce)
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -11,10 +11,13 @@
 
     using Seconds = std::chrono::duration<double>;
 
-    /// Weight of the newest run in an engine's pace.
-    constexpr double paceGain = 0.4;
-    /// Events of a run from which on it tells the engine's pace.
-    constexpr std::size_t measurableEvents = 3;
+    /// Weight of the newest event in an engine's pace: some 25 events, a quarter of a second of a busy engine, tell it.
+    constexpr double paceGain = 0.04;
+    /// Weight of the newest submission in a model's demand.
+    constexpr double demandGain = 0.3;
+    /// A text that is longer than expected is expected to be as long again by this share of what it has.
+    constexpr double surpriseShare = 0.5;
+    constexpr double fewestEventsLeft = 5;
     /// Items of this expected length are assumed where no hint is given.
     constexpr double assumedEvents = 20;
     /// Output tokens of one event; hints are in tokens. Only the order and rough size of estimates depend on it.
@@ -114,6 +117,11 @@
         open.items.push_back(std::move(item));
     }
     rank(open, submission.wantedGroups);
+    double events = 0;
+    for (const auto& item : open.items)
+        events += item.expectedEvents;
+    auto& demand = m_demand[open.model];
+    demand = demand > 0 ? demand + demandGain * (events - demand) : events;
     m_open.emplace(submission.id, std::move(open));
 }
 
@@ -235,22 +243,27 @@
     auto* item = find(key);
     if (!item || item->state != ItemState::Running)
         return;
+    measure(*item, now);
     item->text.append(event, data, version);
     item->lastEventAt = now;
 }
 
-void SampleScheduler::release(Item& item, bool measure, TimePoint now)
+void SampleScheduler::release(Item& item)
+{
+    if (const auto found = m_engines.find(item.engine); found != m_engines.end())
+        --found->second.running;
+}
+
+/// Takes the time since a run's last event into its engine's pace.
+void SampleScheduler::measure(const Item& item, TimePoint now)
 {
     const auto found = m_engines.find(item.engine);
-    if (found == m_engines.end())
+    // The first event includes the wait for a slot and the reading of the prompt.
+    if (found == m_engines.end() || item.text.events <= item.eventsAtStart)
         return;
-    auto& engine = found->second;
-    --engine.running;
-    const auto events = item.text.events - std::min(item.text.events, item.eventsAtStart);
-    if (measure && events >= measurableEvents) {
-        const auto pace = Seconds(now - item.startedAt).count() / static_cast<double>(events);
-        engine.pace = engine.pace > 0 ? engine.pace + paceGain * (pace - engine.pace) : pace;
-    }
+    auto& pace = found->second.pace;
+    const auto gap = Seconds(now - item.lastEventAt).count();
+    pace = pace > 0 ? pace + paceGain * (gap - pace) : gap;
 }
 
 /// Drops text that the submission's weights do not allow.
@@ -268,7 +281,7 @@
     if (!item || item->state != ItemState::Running)
         return ItemStep::Nothing;
     auto& open = m_open[key.submission];
-    release(*item, end == RunEnd::Complete || end == RunEnd::Abandoned, now);
+    release(*item);
     item->state = ItemState::Waiting;
     item->notBefore = now;
     const auto eventsBefore = item->text.events;
@@ -308,10 +321,13 @@
 
 void SampleScheduler::settle(const ItemKey& key)
 {
-    if (auto* item = find(key)) {
-        item->state = ItemState::Settled;
-        item->text = {};
-    }
+    auto* item = find(key);
+    if (!item)
+        return;
+    if (item->state == ItemState::Running)
+        release(*item);
+    item->state = ItemState::Settled;
+    item->text = {};
 }
 
 std::vector<ItemKey> SampleScheduler::expired(TimePoint now) const
@@ -346,7 +362,8 @@
                 keys.push_back({ id, index });
                 continue;
             }
-            const auto rest = std::max(5.0, item.expectedEvents - static_cast<double>(item.text.events));
+            const auto made = static_cast<double>(item.text.events);
+            const auto rest = std::max({ fewestEventsLeft, item.expectedEvents - made, surpriseShare * made });
             if (Seconds(rest * seconds(*own)) < movableRest || Seconds(now - item.startedAt) < movableRest)
                 continue;
             const auto better = bestEngine(open, item, now);
@@ -409,6 +426,22 @@
     return count;
 }
 
+std::size_t SampleScheduler::waiting(const ModelName& model) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, open] : m_open) {
+        if (open.model == model)
+            count += static_cast<std::size_t>(std::count_if(open.items.begin(), open.items.end(), [](const auto& item) { return item.state == ItemState::Waiting; }));
+    }
+    return count;
+}
+
+bool SampleScheduler::isMeasured(const TargetId& id) const
+{
+    const auto* found = engine(id);
+    return found && found->pace > 0;
+}
+
 std::size_t SampleScheduler::runningOn(const TargetId& engine, const ModelName& model) const
 {
     std::size_t count = 0;
