--- a/packages/client/include/cicadalb/client/TrainerClient.h
+++ b/packages/client/include/cicadalb/client/TrainerClient.h
@@ -5,9 +5,9 @@
 #include "cicadalb/base/Random.h"
 #include "cicadalb/base/Task.h"
 #include "cicadalb/client/StepReceiver.h"
-#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/rollout/Step.h"
 #include "cicadalb/rollout/StepJson.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -19,11 +19,11 @@
     using detail::logFields;
     using detail::maximumMilliseconds;
     using detail::maximumPort;
+    using detail::Presence;
+    using detail::Problem;
     using detail::problemOf;
     using detail::readSection;
     using detail::shutdownFields;
-    using detail::Presence;
-    using detail::Problem;
     using detail::TomlReader;
 
     constexpr std::size_t minimumSecretLength = 16;
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -63,8 +63,10 @@
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(holderPrefix) },
         RecordWatchHandler { [this](const auto& result, bool) { takeHolder(result.entries, true); }, [this](const auto& result, bool) { takeHolder(result.entries, false); } });
     m_watch->start();
-    asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->keepLease(); }, asio::detached);
-    asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->keepTime(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self = shared_from_this()]() { return self->keepLease(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self = shared_from_this()]() { return self->keepTime(); }, asio::detached);
 }
 
 void Coordination::takeHolder(const std::vector<KeyValueEntry>& entries, bool isSnapshot)
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -34,7 +34,8 @@
 
 void RecordWatch::start()
 {
-    asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->run(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self = shared_from_this()]() { return self->run(); }, asio::detached);
 }
 
 void RecordWatch::stop()
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -118,9 +118,7 @@
 
 void RequestForwarder::recordAttempt(const ForwardRequest& request, const RegisteredTarget& target, const Attempt& attempt, Duration latency) const
 {
-    logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "target", target.id.value() },
-                                      { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(attempt.answer)) }, { "status", std::to_string(attempt.response.status) },
-                                      { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", attempt.cause } });
+    logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "target", target.id.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(attempt.answer)) }, { "status", std::to_string(attempt.response.status) }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", attempt.cause } });
 }
 
 /// @return whether another attempt makes sense
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -139,7 +139,8 @@
     auto& stored = m_stored[submission.value().id];
     stored.submittedAt = submission.value().submittedAt;
     if (!stored.isEnded && !m_open.contains(submission.value().id))
-        asio::co_spawn(m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
 }
 
 Task<void> SampleRunner::open(Submission submission, Revision revision)
@@ -234,7 +235,8 @@
     }
     if (now >= m_discardAt) {
         m_discardAt = now + discardInterval;
-        asio::co_spawn(m_executor, [self = shared_from_this()]() { return self->discardOld(); }, asio::detached);
+        asio::co_spawn(
+            m_executor, [self = shared_from_this()]() { return self->discardOld(); }, asio::detached);
     }
     poke();
 }
@@ -336,7 +338,7 @@
         co_return RunEnd::Impossible;
     if (status >= firstServerErrorStatus)
         co_return RunEnd::ServerError;
-    co_return kind == AnswerKind::Answered && status == statusOk ? RunEnd::Complete : RunEnd::Broken;
+    co_return kind == AnswerKind::Answered&& status == statusOk ? RunEnd::Complete : RunEnd::Broken;
 }
 
 Task<void> SampleRunner::judge(OpenPointer entry, ItemKey key)
@@ -459,9 +461,7 @@
 void SampleRunner::recordOpened(const Open& entry, UnixTime age) const
 {
     const auto& submission = entry.submission;
-    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() },
-                                          { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) },
-                                          { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) } });
+    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) } });
 }
 
 void SampleRunner::recordClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
@@ -471,21 +471,17 @@
 
 void SampleRunner::recordRun(const Open& entry, const ItemKey& key, const TargetId& engine, RunEnd end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
 {
-    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", engine.value() },
-                                        { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions },
-                                        { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) }, { "cause", cause } });
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", engine.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) }, { "cause", cause } });
 }
 
 void SampleRunner::recordReward(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
 {
-    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) },
-                                         { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
+    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
 }
 
 void SampleRunner::recordAppend(const Open& entry, std::size_t results, const std::string& failure) const
 {
-    logEvent(Event::ResultsAppended, { { "submission", entry.submission.id.value() }, { "results", std::to_string(results) }, { "segments", std::to_string(entry.log->segments()) },
-                                         { "stored", std::to_string(entry.log->stored().size()) }, { "failure", failure } });
+    logEvent(Event::ResultsAppended, { { "submission", entry.submission.id.value() }, { "results", std::to_string(results) }, { "segments", std::to_string(entry.log->segments()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "failure", failure } });
 }
 
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -18,7 +18,7 @@
     /// How long after its submission results are kept.
     std::chrono::milliseconds keepTime { 120000 };
     /// Results that come within this time share a write.
-    std::chrono::milliseconds appendInterval { 250 };
+    std::chrono::milliseconds appendInterval { 400 };
 };
 
 /// @brief The coordinator's work on submissions. Bound to one event loop; coroutines hold it, so that it outlives their waits.
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -124,9 +124,7 @@
 
 void WeightOrders::recordOrder(const LoadOrder& order, std::optional<OrderOutcome> outcome) const
 {
-    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) },
-                                          { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.acceptedOrders) },
-                                          { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.acceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
 }
 
 void WeightOrders::updateEngines()
--- /dev/null
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "cicadalb/site/SiteProtocol.h"
+
+#include <sstream>
+
+/// @file
+/// A site's messages as plain words, for tests. Only records and orders are filled in.
+
+namespace cicadalb {
+
+/// @brief Records: configuration "VERSION POOL MODEL...", target "POOL IP:PORT ready|leaving MODEL VERSION", named version "MODEL VERSION".
+class FakeSiteProtocol final : public SiteProtocol {
+public:
+    CallerCall callerCall(const HttpRequest&) const override { return {}; }
+    RequestId attemptId(const HttpFields& fields) const override { return RequestId(std::string(fieldIn(fields, "Id"))); }
+    std::optional<std::chrono::milliseconds> callerPatience(const HttpFields&) const override { return std::nullopt; }
+    HttpRequest forwarded(const HttpRequest& request, const AttemptTerms&) const override { return request; }
+    HttpFields answerFields(const HttpFields& fields) const override { return fields; }
+    Result<Submission> submission(const HttpRequest&) const override { return failure(ErrorCode::SubmissionInvalid, "not used"); }
+    std::string resultsPage(std::size_t, std::size_t, const std::vector<const SampleResult*>&) const override { return {}; }
+    AnswerKind judge(const HttpResponse& head, const RequestId& attempt) const override
+    {
+        if (!head.field("Not-Run").empty())
+            return AnswerKind::NotRun;
+        return head.field("Id") == attempt.value() ? AnswerKind::Answered : AnswerKind::Unusable;
+    }
+    std::optional<LoadReport> load(const HttpFields&) const override { return std::nullopt; }
+    std::string signature(const HttpFields& fields) const override { return std::string(fieldIn(fields, "Signature")); }
+    HttpRequest sampleRequest(const Submission&, const SampleItem&, const SampleAttempt&) const override { return {}; }
+    HttpRequest rewardRequest(const RewardCall&, const AttemptTerms&) const override { return {}; }
+    std::optional<WeightVersion> answerWeights(const HttpFields&) const override { return std::nullopt; }
+    std::optional<WeightVersion> eventWeights(const StreamEvent&) const override { return std::nullopt; }
+    HttpRequest reportRequest() const override { return {}; }
+    Result<EngineReport> report(std::string_view) const override { return failure(ErrorCode::AnswerInvalid, "not used"); }
+    HttpRequest loadOrder(const LoadOrder&) const override { return {}; }
+    OrderOutcome orderOutcome(const HttpResponse&) const override { return OrderOutcome::Refused; }
+
+    const SiteKeys& keys() const override
+    {
+        static const SiteKeys keys { "site/configuration", "targets/", "versions/", "retire/" };
+        return keys;
+    }
+
+    Result<SiteConfiguration> configuration(std::string_view record) const override
+    {
+        std::istringstream words { std::string(record) };
+        SiteConfiguration configuration;
+        SitePool pool;
+        std::string poolName;
+        if (!(words >> configuration.version >> poolName))
+            return failure(ErrorCode::RecordInvalid, "not a configuration");
+        pool.name = PoolName(poolName);
+        for (std::string model; words >> model;)
+            pool.models.push_back(model);
+        configuration.pools.push_back(std::move(pool));
+        return configuration;
+    }
+
+    Result<RegisteredTarget> target(std::string_view key, std::string_view record) const override
+    {
+        std::istringstream words { std::string(record) };
+        std::string pool;
+        std::string address;
+        std::string state;
+        std::string model;
+        WeightVersion version = 0;
+        if (!(words >> pool >> address >> state))
+            return failure(ErrorCode::RecordInvalid, "not a target");
+        RegisteredTarget target;
+        target.id = TargetId(std::string(key.substr(keys().targets.size())));
+        target.pool = PoolName(pool);
+        target.endpoint = { address.substr(0, address.find(':')), static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) };
+        target.isLeaving = state == "leaving";
+        if (words >> model >> version)
+            target.models[model] = version;
+        return target;
+    }
+
+    Result<NamedVersion> namedVersion(std::string_view record) const override
+    {
+        std::istringstream words { std::string(record) };
+        std::string model;
+        NamedVersion named;
+        if (!(words >> model >> named.version))
+            return failure(ErrorCode::RecordInvalid, "not a version");
+        named.model = ModelName(model);
+        return named;
+    }
+
+    StoreWrite retirementStatus(const HostId& host, bool isDone) const override { return { "retired/" + host.value(), isDone ? "done" : "begun" }; }
+};
+
+} // namespace cicadalb
--- /dev/null
+++ b/packages/hosting/tests/unit-result-log.cpp
@@ -0,0 +1,170 @@
+#include "ResultLog.h"
+#include "ResultReader.h"
+
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
+#include "cicadalb/submissions/SubmissionRecords.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SubmissionId id("7c41e0");
+
+SampleResult result(int item, const std::string& text)
+{
+    return { ItemId("item-" + std::to_string(item)), ResultState::Succeeded, text, { 1 }, "signature" };
+}
+
+/// Coordinators that write the log of one submission, none of which knows of the others.
+struct LogFixture {
+    boost::asio::io_context context;
+    ManualClock clock;
+    FakeKeyValueService store { context.get_executor(), clock };
+    std::vector<std::unique_ptr<ResultLog>> logs;
+
+    explicit LogFixture(std::size_t writers = 2)
+    {
+        for (std::size_t i = 0; i < writers; ++i)
+            logs.push_back(std::make_unique<ResultLog>(store, id));
+    }
+
+    template <typename T>
+    T run(Task<T> task)
+    {
+        const auto pending = startTask(context.get_executor(), std::move(task));
+        context.restart();
+        context.poll();
+        if (!*pending)
+            throw std::runtime_error("the task waits for something");
+        return std::move(**pending);
+    }
+
+    /// Texts by position, as a reader would see them.
+    std::vector<std::pair<std::string, std::string>> stored() const
+    {
+        std::vector<std::pair<std::string, std::string>> rows;
+        for (const auto& [key, entry] : store.entries()) {
+            const auto results = decodeResults(entry.value);
+            for (const auto& row : results.value())
+                rows.emplace_back(row.item.value(), row.text);
+        }
+        return rows;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LogFixture, "result log, of two coordinators with the same item, keeps the first result only")
+{
+    logs[0]->add(result(1, "first"));
+    logs[1]->add(result(1, "second"));
+    logs[1]->add(result(2, "other"));
+    CHECK(run(logs[0]->append()));
+    CHECK(run(logs[1]->append()));
+    CHECK(stored() == std::vector<std::pair<std::string, std::string>> { { "item-1", "first" }, { "item-2", "other" } });
+}
+
+TEST_CASE_METHOD(LogFixture, "result log, of a write that takes effect late, does not write the item again")
+{
+    store.faultOf = [](CallKind kind) { return kind == CallKind::Write ? CallFault::AppliedLate : CallFault::None; };
+    logs[0]->add(result(1, "one"));
+    CHECK_FALSE(run(logs[0]->append()));
+    store.faultOf = [](CallKind) { return CallFault::None; };
+    store.advance(store.lateBy);
+    logs[0]->add(result(2, "two"));
+    CHECK(run(logs[0]->append()));
+    CHECK(stored() == std::vector<std::pair<std::string, std::string>> { { "item-1", "one" }, { "item-2", "two" } });
+    CHECK_FALSE(logs[0]->hasPending());
+}
+
+TEST_CASE_METHOD(LogFixture, "result log, of results larger than a segment, writes several")
+{
+    for (int i = 0; i < 3; ++i)
+        logs[0]->add(result(i, std::string(ResultLog::segmentBytes / 2 + 1, 'x')));
+    CHECK(run(logs[0]->append()));
+    CHECK(logs[0]->segments() == 3);
+}
+
+TEST_CASE("result log, of coordinators at once with lost, late and refused writes, never moves a position and never lists an item twice")
+{
+    CHECK(rc::check([] {
+        LogFixture fixture(3);
+        std::vector<std::pair<std::string, std::string>> seen;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+        int number = 0;
+        for (const auto step : steps) {
+            ++number;
+            const auto fault = std::array { CallFault::None, CallFault::None, CallFault::AnswerLost, CallFault::AppliedLate, CallFault::Unavailable, CallFault::RequestLost }[static_cast<std::size_t>(step) % 6];
+            fixture.store.faultOf = [fault](CallKind kind) { return kind == CallKind::Write ? fault : CallFault::None; };
+            auto& log = fixture.logs[static_cast<std::size_t>(step / 6) % fixture.logs.size()];
+            if (step % 7 == 0)
+                log = std::make_unique<ResultLog>(fixture.store, id);
+            log->add(result(step / 18 % 12, "text " + std::to_string(number)));
+            (void)fixture.run(log->append());
+            if (step % 5 == 0)
+                fixture.store.advance(1s);
+            const auto now = fixture.stored();
+            RC_ASSERT(now.size() >= seen.size());
+            RC_ASSERT(std::equal(seen.begin(), seen.end(), now.begin()));
+            std::set<std::string> items;
+            for (const auto& [item, text] : now)
+                RC_ASSERT(items.insert(item).second);
+            seen = now;
+        }
+    }));
+}
+
+TEST_CASE_METHOD(LogFixture, "result reader, of a submission that grows, gives what is stored and knows none that was refused")
+{
+    ResultReader reader(context.get_executor(), store, clock);
+    const auto read = [&](std::size_t position) { return run(reader.results(id, position, 0ms)); };
+    CHECK(read(0).error().code == ErrorCode::StepUnknown);
+    store.put(textKey(id), refusalRecord());
+    CHECK(read(0).error().code == ErrorCode::StepUnknown);
+
+    Submission submission;
+    submission.id = id;
+    submission.items.resize(2);
+    store.put(textKey(id), encodeSubmission(submission));
+    REQUIRE(read(0));
+    CHECK(read(0).value()->results.empty());
+    logs[0]->add(result(1, "one"));
+    CHECK(run(logs[0]->append()));
+    CHECK(read(0).value()->results.size() == 1);
+    logs[0]->add(result(2, "two"));
+    CHECK(run(logs[0]->append()));
+    const auto all = read(1);
+    REQUIRE(all.value()->results.size() == 2);
+    CHECK(all.value()->results[1].text == "two");
+    store.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    CHECK(read(1));
+    CHECK(run(reader.submission(SubmissionId("unknown"))).error().code == ErrorCode::Unavailable);
+}
+
+TEST_CASE_METHOD(LogFixture, "result reader, waiting when history is lost, reads the results anew")
+{
+    ResultReader reader(context.get_executor(), store, clock);
+    Submission submission;
+    submission.id = id;
+    submission.items.resize(2);
+    store.put(textKey(id), encodeSubmission(submission));
+    REQUIRE(run(reader.results(id, 0, 0ms)));
+    const auto waiting = startTask(context.get_executor(), reader.results(id, 0, 1000ms));
+    context.restart();
+    context.poll();
+    CHECK_FALSE(*waiting);
+    logs[0]->add(result(1, "one"));
+    store.faultOf = [](CallKind) { return CallFault::None; };
+    const auto append = startTask(context.get_executor(), logs[0]->append());
+    context.poll();
+    store.forgetHistory();
+    context.poll();
+    REQUIRE(*waiting);
+    CHECK((**waiting).value()->results.size() == 1);
+    CHECK(append->has_value());
+}
--- /dev/null
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -0,0 +1,194 @@
+#include "Coordination.h"
+#include "FakeSiteProtocol.h"
+#include "RequestForwarder.h"
+#include "SiteDirectory.h"
+#include "WeightOrders.h"
+
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What a host knows of a site whose store is in memory. Pauses after failures are real and short.
+struct SiteFixture {
+    boost::asio::io_context context;
+    ManualClock clock;
+    FakeKeyValueService store { context.get_executor(), clock };
+    FakeSiteProtocol protocol;
+    SiteDirectory directory { context.get_executor(), store, protocol, clock, {} };
+
+    SiteFixture()
+    {
+        store.put("site/configuration", "4 ledger draft");
+        store.put("targets/a", "ledger 127.0.0.1:1 ready draft 1");
+    }
+
+    ~SiteFixture()
+    {
+        directory.stop();
+        store.advance(60s);
+        settle();
+    }
+
+    void settle()
+    {
+        context.restart();
+        context.poll();
+    }
+
+    /// Runs real time until @p condition holds, for ten seconds at most.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        for (int turn = 0; turn < 1000 && !condition(); ++turn) {
+            store.advance(0ms);
+            context.restart();
+            context.run_for(10ms);
+        }
+        return condition();
+    }
+
+    void start()
+    {
+        directory.start();
+        settle();
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SiteFixture, "site directory, of a configuration and targets, follows their changes")
+{
+    CHECK_FALSE(directory.isReady());
+    start();
+    REQUIRE(directory.isReady());
+    CHECK(directory.view()->configuration.version == 4);
+    CHECK(directory.gate(PoolName("ledger"))->targets().size() == 1);
+    store.put("targets/b", "ledger 127.0.0.1:2 ready");
+    store.put("site/configuration", "9 ledger");
+    settle();
+    CHECK(directory.view()->configuration.version == 9);
+    CHECK(directory.gate(PoolName("ledger"))->targets().size() == 2);
+    store.put("targets/a", "ledger 127.0.0.1:1 leaving");
+    settle();
+    CHECK(directory.gate(PoolName("ledger"))->targets().size() == 1);
+}
+
+TEST_CASE_METHOD(SiteFixture, "site directory, of records of other writers, ignores them and goes on")
+{
+    store.put("targets/odd", "garbage");
+    start();
+    CHECK(directory.registry().targets().size() == 1);
+    store.put("site/configuration", "no number");
+    store.put("targets/a", "garbage");
+    settle();
+    CHECK(directory.view()->configuration.version == 4);
+    CHECK(directory.registry().targets().empty());
+}
+
+TEST_CASE_METHOD(SiteFixture, "site directory, of an older configuration after a newer one, keeps the newer one")
+{
+    start();
+    store.put("site/configuration", "3 ledger");
+    settle();
+    CHECK(directory.view()->configuration.version == 4);
+}
+
+TEST_CASE_METHOD(SiteFixture, "site directory, when history is lost while a target leaves, finds out by a snapshot")
+{
+    start();
+    CHECK(directory.registry().targets().size() == 1);
+    const auto lease = startTask(context.get_executor(), store.grantLease(1000ms));
+    settle();
+    REQUIRE(lease->has_value());
+    store.put("targets/b", "ledger 127.0.0.1:2 ready");
+    settle();
+    store.put("targets/a", "ledger 127.0.0.1:1 leaving");
+    store.forgetHistory();
+    settle();
+    CHECK(directory.registry().usable(PoolName("ledger")).size() == 1);
+}
+
+TEST_CASE_METHOD(SiteFixture, "site directory, while the store is away, keeps what it knows and follows again afterwards")
+{
+    start();
+    store.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    store.advance(26s);
+    settle();
+    CHECK(directory.isReady());
+    CHECK(directory.registry().targets().size() == 1);
+    store.put("site/configuration", "5 ledger");
+    store.faultOf = [](CallKind) { return CallFault::None; };
+    CHECK(runUntil([&] { return directory.view()->configuration.version == 5; }));
+}
+
+TEST_CASE_METHOD(SiteFixture, "weight orders, of an engine that leaves the registry during its load, end the load and begin no other")
+{
+    WorkerPool worker(1);
+    TargetClients clients(worker);
+    SampleScheduler scheduler;
+    scheduler.setEngines({ { TargetId("a"), 4, { { "draft", 1 } } } });
+    store.put("versions/draft", "draft 3");
+    start();
+    int ended = 0;
+    WeightOrderHooks hooks { [] { return true; }, [] {}, [&] { ++ended; } };
+    SteadyClock steadyClock;
+    const auto orders = std::make_shared<WeightOrders>(context.get_executor(), store, protocol, directory, clients, scheduler, steadyClock, WeightOrderSettings {}, hooks);
+    directory.onChange([&] { orders->updateEngines(); });
+    orders->start();
+    settle();
+    CHECK(ended == 0);
+    store.put("targets/a", "garbage");
+    CHECK(runUntil([&] { return ended == 1; }));
+    for (int turn = 0; turn < 30; ++turn) {
+        orders->tick();
+        settle();
+    }
+    CHECK(ended == 1);
+    orders->stop();
+    directory.onChange({});
+}
+
+TEST_CASE_METHOD(SiteFixture, "coordination, of two candidates, passes to the other one when the holder hands over")
+{
+    WorkerPool worker(1);
+    TargetClients clients(worker);
+    start();
+    const auto candidate = [&](const std::string& name) {
+        CoordinationSettings settings;
+        settings.host = HostId(name);
+        return std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
+    };
+    const auto first = candidate("first");
+    const auto second = candidate("second");
+    first->start();
+    REQUIRE(runUntil([&] { return first->isCoordinating(); }));
+    second->start();
+    settle();
+    CHECK_FALSE(second->isCoordinating());
+    const auto leave = [](std::shared_ptr<Coordination> leaving) -> Task<bool> {
+        co_await leaving->handOver(Duration::zero());
+        co_return true;
+    };
+    const auto left = startTask(context.get_executor(), leave(first));
+    CHECK(runUntil([&] { return second->isCoordinating(); }));
+    CHECK(left->has_value());
+    CHECK_FALSE(first->isCoordinating());
+    const auto ended = startTask(context.get_executor(), leave(second));
+    CHECK(runUntil([&] { return ended->has_value(); }));
+}
+
+TEST_CASE("pool choice, of a split route, follows the weights")
+{
+    SiteRoute route;
+    route.pools = { { PoolName("a"), 90 }, { PoolName("b"), 10 } };
+    CHECK(choosePool(route, 0.0).value() == "a");
+    CHECK(choosePool(route, 0.89).value() == "a");
+    CHECK(choosePool(route, 0.91).value() == "b");
+    CHECK(choosePool({}, 0.5).isEmpty());
+}
--- a/packages/rollout/include/cicadalb/rollout/WeightRegistry.h
+++ b/packages/rollout/include/cicadalb/rollout/WeightRegistry.h
@@ -2,8 +2,8 @@
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Task.h"
-#include "cicadalb/services/KeyValueService.h"
 #include "cicadalb/rollout/StepJson.h"
+#include "cicadalb/services/KeyValueService.h"
 
 #include <optional>
 #include <string>
--- a/packages/rollout/tests/unit-weight-rollout.cpp
+++ b/packages/rollout/tests/unit-weight-rollout.cpp
@@ -1,8 +1,8 @@
-#include "cicadalb/services/FakeKeyValueService.h"
-#include "cicadalb/services/RunTask.h"
 #include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRollout.h"
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cicadalb/services/KeyValueService.h"
+#include "cicadalb/services/TransactionalStore.h"
 
 #include "cicadalb/base/Clock.h"
 
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <utility>
 
 /// @file
 /// The key-value service in memory, on a paused clock, with faults on demand. For one thread.
@@ -27,7 +28,9 @@
     /// It took effect, the answer was lost.
     AnswerLost,
     /// It was lost on its way; the client cannot tell this from AnswerLost.
-    RequestLost };
+    RequestLost,
+    /// Writes only: no answer comes, and it takes effect some seconds later if its conditions hold then.
+    AppliedLate };
 
 enum class CallKind : std::uint8_t { Read,
     Write,
@@ -43,7 +46,7 @@
     std::size_t total() const { return reads + writes + leases + watches; }
 };
 
-class FakeKeyValueService final : public KeyValueService {
+class FakeKeyValueService final : public TransactionalStore {
 public:
     FakeKeyValueService(boost::asio::any_io_executor executor, ManualClock& clock)
         : m_executor(std::move(executor))
@@ -55,6 +58,8 @@
     std::function<CallFault(CallKind)> faultOf = [](CallKind) { return CallFault::None; };
     /// Time by which each answer is late.
     Duration delay { 0 };
+    /// When a write with AppliedLate takes effect.
+    Duration lateBy { std::chrono::seconds(3) };
 
     const CallCounts& counts() const { return m_counts; }
     const std::map<std::string, KeyValueEntry>& entries() const { return m_entries; }
@@ -64,6 +69,15 @@
     {
         m_clock.advance(by);
         dropLapsedLeases();
+        applyLate();
+        wake();
+    }
+
+    /// @brief Forgets which changes were made so far: watches from before fail with HistoryLost.
+    void forgetHistory()
+    {
+        m_historyFrom = m_revision;
+        m_removed.clear();
         wake();
     }
 
@@ -96,13 +110,44 @@
         const auto fault = begin(CallKind::Write, m_counts.writes);
         if (const auto error = refusal(fault))
             co_return failure(*error, "fault");
-        auto result = apply(std::move(swap));
+        if (fault == CallFault::AppliedLate) {
+            m_late.push_back({ m_clock.now() + lateBy, toTransaction(std::move(swap)) });
+            co_return failure(ErrorCode::OutcomeUnknown, "late");
+        }
+        auto result = apply(toTransaction(std::move(swap)));
+        co_await waitFor(delay);
+        if (fault == CallFault::AnswerLost)
+            co_return failure(ErrorCode::OutcomeUnknown, "answer lost");
+        co_return std::move(result);
+    }
+
+    Task<Result<Revision>> commit(Transaction transaction) override
+    {
+        const auto fault = begin(CallKind::Write, m_counts.writes);
+        if (const auto error = refusal(fault))
+            co_return failure(*error, "fault");
+        if (fault == CallFault::AppliedLate) {
+            m_late.push_back({ m_clock.now() + lateBy, std::move(transaction) });
+            co_return failure(ErrorCode::OutcomeUnknown, "late");
+        }
+        auto result = apply(std::move(transaction));
         co_await waitFor(delay);
         if (fault == CallFault::AnswerLost)
             co_return failure(ErrorCode::OutcomeUnknown, "answer lost");
         co_return std::move(result);
     }
 
+    Task<Result<WatchResult>> snapshot(std::string prefix, std::string after) override
+    {
+        const auto fault = begin(CallKind::Read, m_counts.reads);
+        co_await waitFor(delay);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        WatchResult result { changedAfter(prefix, 0), m_revision };
+        std::erase_if(result.entries, [&](const auto& entry) { return entry.key <= after; });
+        co_return result;
+    }
+
     Task<Result<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) override
     {
         const auto fault = begin(CallKind::Lease, m_counts.leases);
@@ -149,9 +194,12 @@
         if (fault != CallFault::None)
             co_return failure(ErrorCode::Unavailable, "fault");
         const auto deadline = m_clock.now() + patience;
-        while (m_clock.now() < deadline && changedAfter(prefix, after).empty())
+        while (m_clock.now() < deadline && after >= m_historyFrom && eventsAfter(prefix, after).empty())
             co_await untilWoken();
-        co_return WatchResult { changedAfter(prefix, after), std::max(after, m_revision) };
+        if (after < m_historyFrom)
+            co_return failure(ErrorCode::HistoryLost, "forgotten");
+        WatchResult result { eventsAfter(prefix, after), std::max(after, m_revision) };
+        co_return result;
     }
 
 private:
@@ -178,21 +226,57 @@
         return std::nullopt;
     }
 
-    Result<Revision> apply(CompareAndSwap swap)
+    static Transaction toTransaction(CompareAndSwap swap)
+    {
+        Transaction transaction;
+        transaction.conditions.push_back({ swap.key, swap.expected });
+        transaction.writes.push_back({ std::move(swap.key), std::move(swap.value), swap.lease });
+        return transaction;
+    }
+
+    Result<Revision> apply(Transaction transaction)
+    {
+        for (const auto& condition : transaction.conditions) {
+            const auto found = m_entries.find(condition.key);
+            const Revision present = found == m_entries.end() ? 0 : found->second.revision;
+            if (present != condition.revision)
+                return failure(ErrorCode::Conflict, "the revision differs", condition.key);
+        }
+        for (const auto& write : transaction.writes) {
+            if (write.lease != 0 && !m_leases.contains(write.lease))
+                return failure(ErrorCode::LeaseLost, "lapsed", write.key);
+        }
+        for (auto& write : transaction.writes)
+            store(std::move(write.key), std::move(write.value), write.lease);
+        for (const auto& key : transaction.removals)
+            remove(key);
+        return m_revision;
+    }
+
+    void applyLate()
+    {
+        auto due = std::exchange(m_late, {});
+        for (auto& late : due) {
+            if (late.at > m_clock.now())
+                m_late.push_back(std::move(late));
+            else
+                (void)apply(std::move(late.transaction));
+        }
+    }
+
+    void remove(const std::string& key)
     {
-        const auto found = m_entries.find(swap.key);
-        const Revision present = found == m_entries.end() ? 0 : found->second.revision;
-        if (present != swap.expected)
-            return failure(ErrorCode::Conflict, "the revision differs", swap.key);
-        if (swap.lease != 0 && !m_leases.contains(swap.lease))
-            return failure(ErrorCode::LeaseLost, "lapsed", swap.key);
-        return store(std::move(swap.key), std::move(swap.value), swap.lease);
+        if (m_entries.erase(key) == 0)
+            return;
+        m_removed[key] = ++m_revision;
+        wake();
     }
 
     Revision store(std::string key, std::string value, LeaseId lease)
     {
         ++m_revision;
         m_holders[key] = lease;
+        m_removed.erase(key);
         m_entries[key] = KeyValueEntry { key, std::move(value), m_revision };
         wake();
         return m_revision;
@@ -208,10 +292,27 @@
         return changed;
     }
 
+    /// What a watch shows: changes and removals.
+    std::vector<KeyValueEntry> eventsAfter(const std::string& prefix, Revision after) const
+    {
+        auto events = changedAfter(prefix, after);
+        for (const auto& [key, revision] : m_removed) {
+            if (key.starts_with(prefix) && revision > after)
+                events.push_back({ key, {}, revision, true });
+        }
+        return events;
+    }
+
     void drop(LeaseId lease)
     {
         m_leases.erase(lease);
-        std::erase_if(m_entries, [&](const auto& row) { return m_holders[row.first] == lease; });
+        std::vector<std::string> lapsed;
+        for (const auto& [key, entry] : m_entries) {
+            if (m_holders[key] == lease)
+                lapsed.push_back(key);
+        }
+        for (const auto& key : lapsed)
+            remove(key);
     }
 
     void dropLapsedLeases()
@@ -259,6 +360,14 @@
     std::map<std::string, LeaseId> m_holders;
     std::map<LeaseId, Lease> m_leases;
     std::vector<boost::asio::steady_timer*> m_waiting;
+    struct Late {
+        TimePoint at;
+        Transaction transaction;
+    };
+    std::vector<Late> m_late;
+    std::map<std::string, Revision> m_removed;
+    /// Changes up to here are forgotten.
+    Revision m_historyFrom = 0;
     CallCounts m_counts;
     Revision m_revision = 0;
     LeaseId m_lastLease = 0;
--- /dev/null
+++ b/packages/site/tests/unit-site.cpp
@@ -0,0 +1,74 @@
+#include "cicadalb/site/SiteConfiguration.h"
+#include "cicadalb/site/TargetRegistry.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+SiteRoute route(const std::string& name, const std::string& authority, const std::string& prefix)
+{
+    SiteRoute result;
+    result.name = RouteName(name);
+    result.authority = authority;
+    result.pathPrefix = prefix;
+    return result;
+}
+
+RegisteredTarget target(const std::string& id, bool isLeaving = false)
+{
+    RegisteredTarget result;
+    result.id = TargetId(id);
+    result.pool = PoolName("ledger");
+    result.isLeaving = isLeaving;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("route index, of nested prefixes, finds the longest one of the authority")
+{
+    SiteConfiguration configuration;
+    configuration.routes = { route("outer", "a.example", "/x/"), route("inner", "a.example", "/x/y/"), route("other", "b.example", "/") };
+    const RouteIndex index(configuration);
+    REQUIRE(index.find("a.example", "/x/y/z"));
+    CHECK(index.find("a.example", "/x/y/z")->name.value() == "inner");
+    CHECK(index.find("a.example", "/x/yz")->name.value() == "outer");
+    CHECK_FALSE(index.find("a.example", "/other"));
+    CHECK_FALSE(index.find("c.example", "/x/"));
+    CHECK(index.find("b.example", "/")->name.value() == "other");
+}
+
+TEST_CASE("target registry, of a leaving target, gives it no new requests")
+{
+    TargetRegistry registry;
+    registry.replace({ target("a"), target("b", true) }, {}, false);
+    REQUIRE(registry.usable(PoolName("ledger")).size() == 1);
+    CHECK(registry.usable(PoolName("ledger"))[0]->id.value() == "a");
+    CHECK(registry.find(TargetId("b")));
+}
+
+TEST_CASE("target registry, of entries missing right after an outage, waits for their return before it drops them")
+{
+    ManualClock clock;
+    TargetRegistry registry;
+    registry.replace({ target("a"), target("b") }, clock.now(), false);
+    registry.replace({}, clock.now(), true);
+    CHECK(registry.targets().size() == 2);
+    registry.put(target("a"));
+    clock.advance(TargetRegistry::returnTime);
+    CHECK(registry.expire(clock.now()));
+    REQUIRE(registry.targets().size() == 1);
+    CHECK(registry.find(TargetId("a")));
+    CHECK_FALSE(registry.expire(clock.now()));
+}
+
+TEST_CASE("target registry, of an entry removed in quiet times, drops it at once")
+{
+    TargetRegistry registry;
+    registry.replace({ target("a") }, {}, false);
+    registry.remove(TargetId("a"), {}, false);
+    CHECK(registry.targets().empty());
+}
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -32,7 +32,8 @@
         double total = 0;
         for (const auto& model : models) {
             const auto found = demand.find(model);
-            const auto events = found != demand.end() ? std::max(1.0, found->second) : std::isfinite(least) ? least : 1.0;
+            const auto events = found != demand.end() ? std::max(1.0, found->second) : std::isfinite(least) ? least
+                                                                                                            : 1.0;
             total += targets[model] = std::sqrt(events);
         }
         double speed = 0;
--- /dev/null
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -0,0 +1,84 @@
+#include "cicadalb/submissions/SubmissionRecords.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+
+namespace {
+
+Submission sampleSubmission()
+{
+    Submission submission;
+    submission.id = SubmissionId("7c41e0");
+    submission.authority = "train.example";
+    submission.path = "/drafts/";
+    submission.submittedAt = UnixTime(1781007254016);
+    submission.step = 7;
+    submission.model = ModelName("draft");
+    submission.oldestVersion = 6;
+    submission.wantedGroups = 12;
+    SampleItem item;
+    item.id = ItemId("e5b2");
+    item.group = GroupId("g1");
+    item.path = "/drafts/3";
+    item.fields = { { "X-One", "1" }, { "X-Two", "2" } };
+    item.body = std::string("\x00\xff\x80text", 7);
+    item.tokens = 940;
+    item.lengthHint = 400;
+    item.reward = RewardCall { RequestId("40c8"), "ledger.example", "/check", std::string("\xde\x00", 2) };
+    submission.items = { item, SampleItem {} };
+    return submission;
+}
+
+} // namespace
+
+TEST_CASE("submission record, of a submission with binary bodies, gives it back")
+{
+    const auto source = sampleSubmission();
+    const auto decoded = decodeSubmission(encodeSubmission(source));
+    REQUIRE(decoded);
+    const auto& copy = decoded.value();
+    CHECK(copy.id == source.id);
+    CHECK(copy.authority == source.authority);
+    CHECK(copy.submittedAt == source.submittedAt);
+    CHECK(copy.oldestVersion == 6);
+    REQUIRE(copy.items.size() == 2);
+    CHECK(copy.items[0].body == source.items[0].body);
+    CHECK(copy.items[0].fields == source.items[0].fields);
+    REQUIRE(copy.items[0].reward);
+    CHECK(copy.items[0].reward->body == source.items[0].reward->body);
+    CHECK_FALSE(copy.items[1].reward);
+}
+
+TEST_CASE("submission record, of other writers, is refused with an error")
+{
+    CHECK(decodeSubmission("").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmission("{\"items\":[]}").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmission(encodeSubmission(sampleSubmission()).substr(0, 40)).error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeResults("\xff\xff").error().code == ErrorCode::RecordInvalid);
+}
+
+TEST_CASE("results record, of results with and without text, gives them back in order")
+{
+    std::vector<SampleResult> results(2);
+    results[0] = { ItemId("a"), ResultState::Succeeded, "one\ntwo", { 6, 7 }, "3e1b" };
+    results[1] = { ItemId("b"), ResultState::GivenUp, "", {}, "" };
+    const auto decoded = decodeResults(encodeResults(results));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().size() == 2);
+    CHECK(decoded.value()[0].text == "one\ntwo");
+    CHECK(decoded.value()[0].versions == std::vector<WeightVersion> { 6, 7 });
+    CHECK(decoded.value()[1].state == ResultState::GivenUp);
+}
+
+TEST_CASE("submission keys, of texts, ends and others, are told apart")
+{
+    const SubmissionId id("7c41e0");
+    CHECK(parseSubmissionKey(textKey(id)).kind == SubmissionKeyKind::Text);
+    CHECK(parseSubmissionKey(endKey(id)).id == id);
+    CHECK(parseSubmissionKey(endKey(id)).kind == SubmissionKeyKind::End);
+    CHECK(parseSubmissionKey("elsewhere/7c41e0/text").kind == SubmissionKeyKind::Unknown);
+    CHECK(resultKey(id, 9) < resultKey(id, 10));
+    CHECK(lastResultKey(id, 0).empty());
+    CHECK(lastResultKey(id, 3) == resultKey(id, 2));
+}
--- a/packages/transport/include/cicadalb/transport/RoutingTable.h
+++ b/packages/transport/include/cicadalb/transport/RoutingTable.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "cicadalb/config/AcceptedConfiguration.h"
-#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/routing/RetryBudget.h"
 #include "cicadalb/routing/RouteMatcher.h"
 #include "cicadalb/routing/TargetSubset.h"
+#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/transport/PoolGate.h"
 
 #include <functional>
--- a/packages/transport/src/EngineProtocol.h
+++ b/packages/transport/src/EngineProtocol.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/rollout/EngineClient.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <string>
 #include <string_view>
--- a/packages/transport/src/Problem.h
+++ b/packages/transport/src/Problem.h
@@ -2,8 +2,8 @@
 
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Error.h"
-#include "cicadalb/services/HttpClient.h"
 #include "cicadalb/routing/RunState.h"
+#include "cicadalb/services/HttpClient.h"
 
 #include <string>
 
--- a/packages/transport/src/StateReport.h
+++ b/packages/transport/src/StateReport.h
@@ -2,9 +2,9 @@
 
 #include "cicadalb/config/RefusedEdits.h"
 #include "cicadalb/membership/Member.h"
+#include "cicadalb/rollout/StepCoordinator.h"
 #include "cicadalb/services/ClaimLog.h"
 #include "cicadalb/services/GatedKeyValueService.h"
-#include "cicadalb/rollout/StepCoordinator.h"
 #include "cicadalb/transport/PoolGate.h"
 
 #include <nlohmann/json.hpp>
--- a/packages/transport/src/WeightsController.h
+++ b/packages/transport/src/WeightsController.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "cicadalb/membership/Assignment.h"
-#include "cicadalb/services/LeaseKeeper.h"
 #include "cicadalb/rollout/OrderPermit.h"
 #include "cicadalb/rollout/WeightRegistry.h"
 #include "cicadalb/rollout/WeightRolloutService.h"
+#include "cicadalb/services/LeaseKeeper.h"
 #include "cicadalb/transport/RoutingTable.h"
 
 #include <boost/asio/any_io_executor.hpp>
