--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -43,10 +43,10 @@
     std::chrono::milliseconds orderQuiet { 3000 };
     /// How long after its submission results are kept.
     std::chrono::seconds resultsKept { 120 };
-    /// Weight loads at the same time; more of them slow each other down.
-    unsigned loadsAtOnce = 2;
-    /// Pause after a change of the registry, so that several changes share one call.
-    std::chrono::milliseconds registryPause { 1200 };
+    /// Weight loads at the same time; more of them slow each other down. 0: one for every five engines, two at least.
+    unsigned loadsAtOnce = 0;
+    /// How long a target goes on serving after it said that it leaves.
+    std::chrono::milliseconds leavingTime { 2000 };
 };
 
 struct SiteSettings {
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -50,8 +50,8 @@
             { "lease-ms", &SiteWorkSettings::lease, Presence::Optional, Between { shortestLease, detail::maximumMilliseconds } },
             { "order-quiet-ms", &SiteWorkSettings::orderQuiet, Presence::Optional, Between { 0, detail::maximumMilliseconds } },
             { "results-kept-s", &SiteWorkSettings::resultsKept, Presence::Optional, Between { 0, maximumSeconds } },
-            { "loads-at-once", &SiteWorkSettings::loadsAtOnce, Presence::Optional, Between { 1, maximumLoads } },
-            { "registry-pause-ms", &SiteWorkSettings::registryPause, Presence::Optional, Between { 0, detail::maximumMilliseconds } },
+            { "loads-at-once", &SiteWorkSettings::loadsAtOnce, Presence::Optional, Between { 0, maximumLoads } },
+            { "leaving-ms", &SiteWorkSettings::leavingTime, Presence::Optional, Between { 0, detail::maximumMilliseconds } },
         };
         return fields;
     }
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -149,6 +149,8 @@
     };
     m_weights = std::make_shared<WeightOrders>(m_executor, m_store, m_protocol, m_directory, m_clients, m_samples->scheduler(), m_clock,
         WeightOrderSettings { m_settings.host, fence, m_settings.loads }, std::move(hooks));
+    // Samples are placed by the registry.
+    m_directory.followClosely(true);
     m_samples->start();
     m_weights->start();
 }
@@ -160,6 +162,7 @@
     m_samples->stop();
     m_weights.reset();
     m_samples.reset();
+    m_directory.followClosely(false);
 }
 
 bool Coordination::mayOrder() const
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -44,6 +44,12 @@
     m_timer.cancel();
 }
 
+void RecordWatch::setPause(std::chrono::milliseconds pause)
+{
+    m_settings.pause = pause;
+    m_timer.cancel();
+}
+
 Task<void> RecordWatch::wait(Duration duration)
 {
     boost::system::error_code error;
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -37,6 +37,8 @@
 
     void start();
     void stop();
+    /// @brief Changes the pause after a change; a pause that has begun ends now.
+    void setPause(std::chrono::milliseconds);
     /// @brief Whether the last call succeeded.
     bool isCurrent() const noexcept { return m_isCurrent; }
     /// @brief Revision of the newest change that was seen.
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -29,6 +29,11 @@
     m_targetsWatch->stop();
 }
 
+void SiteDirectory::followClosely(bool isClose)
+{
+    m_targetsWatch->setPause(isClose ? std::chrono::milliseconds(0) : m_settings.registryPause);
+}
+
 void SiteDirectory::takeConfiguration(const std::vector<KeyValueEntry>& entries)
 {
     for (const auto& entry : entries) {
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -42,6 +42,8 @@
 
     void start();
     void stop();
+    /// @brief From now on every change of the registry is seen at once, or several share a call again.
+    void followClosely(bool isClose);
     /// @brief Called after each change of the configuration or of the targets.
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
 
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -30,6 +30,8 @@
     constexpr milliseconds tickInterval { 25 };
     constexpr milliseconds trimInterval { 1000 };
     constexpr milliseconds drainPollInterval { 20 };
+    /// Longest usual time from a change in the store to its news here, on the store's slow days.
+    constexpr milliseconds slowStoreTime { 800 };
     /// Idle connections to targets are kept so long: a trainer's next step comes within it.
     constexpr milliseconds targetIdleTimeout { 4000 };
     /// Callers reuse connections that have been idle for up to four fifths of the site's limit of 15 s.
@@ -64,8 +66,9 @@
 
     SiteDirectorySettings directorySettings(const SiteSettings& settings, std::uint64_t seed)
     {
-        // A coordinator places samples by the registry: it sees each change at once.
-        return { settings.host.failureDomain, settings.parts.coordinating ? milliseconds(0) : settings.work.registryPause, seed };
+        // Changes share a call for as long as a target that leaves still serves, less the time that a slow store takes.
+        const auto pause = std::max(milliseconds(0), settings.work.leavingTime - slowStoreTime);
+        return { settings.host.failureDomain, pause, seed };
     }
 
     CoordinationSettings coordinationSettings(const SiteSettings& settings, std::uint64_t seed)
--- a/packages/hosting/src/SubmissionIntake.cpp
+++ b/packages/hosting/src/SubmissionIntake.cpp
@@ -70,11 +70,16 @@
 
 Task<Result<void>> SubmissionIntake::end(const SubmissionId& id)
 {
+    if (m_ended.contains(id))
+        co_return success();
     Transaction transaction;
     transaction.writes.push_back({ endKey(id), "ended" });
     const auto written = co_await m_store.commit(std::move(transaction));
     if (!written)
         co_return written.as_failure();
+    if (m_ended.size() >= rememberedEnds)
+        m_ended.clear();
+    m_ended.insert(id);
     co_return success();
 }
 
--- a/packages/hosting/src/SubmissionIntake.h
+++ b/packages/hosting/src/SubmissionIntake.h
@@ -4,6 +4,8 @@
 #include "cicadalb/services/TransactionalStore.h"
 #include "cicadalb/submissions/Submission.h"
 
+#include <set>
+
 /// @file
 /// Accepts submissions durably, and ends them.
 
@@ -36,7 +38,11 @@
 private:
     Task<IntakeOutcome> foreclose(const SubmissionId&);
 
+    /// Ends that are remembered, so that a repeated one costs no call.
+    static constexpr std::size_t rememberedEnds = 1024;
+
     TransactionalStore& m_store;
+    std::set<SubmissionId> m_ended;
 };
 
 } // namespace cicadalb
--- a/packages/submissions/include/cicadalb/submissions/LoadPlan.h
+++ b/packages/submissions/include/cicadalb/submissions/LoadPlan.h
@@ -31,8 +31,9 @@
 };
 
 struct LoadPlanSettings {
-    /// Loads at the same time; more of them slow each other down.
-    unsigned loadsAtOnce = 2;
+    /// Loads at the same time; more of them slow each other down. 0: one for every five engines, two at least, which is what the users'
+    /// sheets allow at each of their sites.
+    unsigned loadsAtOnce = 0;
     /// Versions behind the newest that submissions still allow.
     unsigned allowedLag = 1;
 };
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -60,6 +60,15 @@
         return best;
     }
 
+    /// Engines for each load that runs without slowing the others.
+    constexpr std::size_t enginesForLoad = 5;
+    constexpr std::size_t fewestLoads = 2;
+
+    std::size_t loadsAtOnce(const LoadPlanSettings& settings, std::size_t engines)
+    {
+        return settings.loadsAtOnce > 0 ? settings.loadsAtOnce : std::max(fewestLoads, engines / enginesForLoad);
+    }
+
     struct Wish {
         LoadDecision decision;
         /// Too old for what is asked for now or next.
@@ -141,7 +150,7 @@
     std::stable_sort(wishes.begin(), wishes.end(), [](const auto& left, const auto& right) { return left.order() < right.order(); });
     std::vector<LoadDecision> decisions;
     for (const auto& wish : wishes) {
-        if (loading + decisions.size() >= settings.loadsAtOnce)
+        if (loading + decisions.size() >= loadsAtOnce(settings, engines.size()))
             break;
         decisions.push_back(wish.decision);
     }
