--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -27,8 +27,8 @@
     , m_clock(clock)
     , m_settings(std::move(settings))
     , m_handler(std::move(handler))
-    , m_executor(executor)
-    , m_timer(std::move(executor))
+    , m_executor(std::move(executor))
+    , m_timer(m_executor)
 {
 }
 
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -26,7 +26,7 @@
     /// Wait between a change and the next call: several changes share one call then.
     std::chrono::milliseconds pause { 0 };
     /// Longest wait of one call. A silent connection is noticed by its keep-alive probes before that.
-    std::chrono::milliseconds patience { 25000 };
+    std::chrono::milliseconds patience { 30000 };
 };
 
 /// @brief Snapshot, then changes, for as long as it is not stopped. While the store is away it tries again with growing pauses; when history
--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -28,41 +28,42 @@
 {
 }
 
-Task<Result<std::shared_ptr<KnownSubmission>>> ResultReader::known(const SubmissionId& id)
+std::shared_ptr<KnownSubmission> ResultReader::known(const SubmissionId& id)
 {
-    if (const auto found = m_known.find(id); found != m_known.end()) {
-        found->second->lastUsed = m_clock.now();
-        co_return found->second;
-    }
-    const auto record = co_await m_store.read(textKey(id));
-    if (!record)
-        co_return failure(ErrorCode::Unavailable, record.error().message, id.value());
-    if (!record.value() || isRefusalRecord(record.value()->value))
-        co_return absent(id);
-    auto decoded = decodeSubmission(record.value()->value);
-    if (!decoded)
-        co_return failure(ErrorCode::Unavailable, decoded.error().message, id.value());
     auto& entry = m_known[id];
     if (!entry) {
         entry = std::make_shared<KnownSubmission>();
-        entry->submission = std::make_shared<const Submission>(std::move(decoded.value()));
         entry->changed = std::make_shared<asio::steady_timer>(m_executor, asio::steady_timer::time_point::max());
     }
     entry->lastUsed = m_clock.now();
-    co_return entry;
+    return entry;
 }
 
 Task<Result<std::shared_ptr<const Submission>>> ResultReader::submission(const SubmissionId& id)
 {
-    auto entry = co_await known(id);
-    if (!entry)
-        co_return entry.as_failure();
-    co_return entry.value()->submission;
+    const auto entry = known(id);
+    if (entry->submission)
+        co_return entry->submission;
+    const auto record = co_await m_store.read(textKey(id));
+    if (!record)
+        co_return failure(ErrorCode::Unavailable, record.error().message, id.value());
+    if (!record.value() || isRefusalRecord(record.value()->value))
+        co_return absent(id);
+    auto decoded = decodeSubmission(record.value()->value);
+    if (!decoded)
+        co_return failure(ErrorCode::Unavailable, decoded.error().message, id.value());
+    entry->submission = std::make_shared<const Submission>(std::move(decoded.value()));
+    co_return entry->submission;
 }
 
 void ResultReader::append(const SubmissionId& id, KnownSubmission& entry, const std::vector<KeyValueEntry>& records)
 {
     for (const auto& record : records) {
+        if (!record.isDeleted && record.key == totalKey(id)) {
+            const auto total = decodeTotal(record.value);
+            if (total)
+                entry.total = total.value();
+        }
         if (record.isDeleted || record.key != resultKey(id, entry.segments))
             continue;
         auto results = decodeResults(record.value);
@@ -78,12 +79,15 @@
 Task<Result<void>> ResultReader::readMore(const SubmissionId& id, KnownSubmission& entry, std::chrono::milliseconds patience)
 {
     const auto prefix = resultKeys(id);
-    const bool mayWatch = entry.revision != 0 && patience.count() > 0;
+    const bool mayWatch = entry.total && entry.revision != 0 && patience.count() > 0;
+    std::string after;
+    if (entry.total)
+        after = lastResultKey(id, entry.segments);
     Result<WatchResult> read = WatchResult {};
     if (mayWatch)
         read = co_await m_store.watch(prefix, entry.revision, patience);
     else
-        read = co_await m_store.snapshot(prefix, lastResultKey(id, entry.segments));
+        read = co_await m_store.snapshot(prefix, after);
     if (!read) {
         if (read.error().code == ErrorCode::HistoryLost) {
             entry.revision = 0;
@@ -99,20 +103,17 @@
 Task<Result<std::shared_ptr<const KnownSubmission>>> ResultReader::results(const SubmissionId& id, std::size_t position, std::chrono::milliseconds patience)
 {
     const auto deadline = m_clock.now() + std::max<Duration>(Duration::zero(), patience - answerMargin);
-    auto found = co_await known(id);
-    if (!found)
-        co_return found.as_failure();
-    const auto entry = found.value();
+    const auto entry = known(id);
     bool hasRead = false;
     while (entry->results.size() <= position) {
         const auto left = deadline - m_clock.now();
-        const bool isComplete = entry->results.size() >= entry->submission->items.size();
+        const bool isComplete = entry->total && entry->results.size() >= *entry->total;
         if (isComplete || (hasRead && left <= Duration::zero()))
             break;
         if (entry->isReading) {
             boost::system::error_code error;
             co_await entry->changed->async_wait(asio::redirect_error(asio::use_awaitable, error));
-            hasRead = true;
+            hasRead = entry->total.has_value();
             continue;
         }
         entry->isReading = true;
@@ -122,6 +123,8 @@
         entry->changed->cancel();
         if (!outcome)
             co_return outcome.as_failure();
+        if (!entry->total)
+            co_return absent(id);
         hasRead = true;
     }
     co_return std::shared_ptr<const KnownSubmission>(entry);
--- a/packages/hosting/src/ResultReader.h
+++ b/packages/hosting/src/ResultReader.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 /// @file
@@ -18,6 +19,9 @@
 
 /// @brief What this host knows of a submission. Results never change their position, so that they are kept and only the end is read anew.
 struct KnownSubmission {
+    /// Number of its items; not known before the first read.
+    std::optional<std::size_t> total;
+    /// Read when an item's body is asked for.
     std::shared_ptr<const Submission> submission;
     std::vector<SampleResult> results;
     std::size_t segments = 0;
@@ -43,7 +47,7 @@
     void trim();
 
 private:
-    Task<Result<std::shared_ptr<KnownSubmission>>> known(const SubmissionId&);
+    std::shared_ptr<KnownSubmission> known(const SubmissionId&);
     Task<Result<void>> readMore(const SubmissionId&, KnownSubmission&, std::chrono::milliseconds patience);
     void append(const SubmissionId&, KnownSubmission&, const std::vector<KeyValueEntry>&);
 
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -236,7 +236,7 @@
         page.push_back(&entry.results[index]);
     }
     Served served;
-    served.response = jsonAnswer(m_protocol.resultsPage(entry.submission->items.size(), call.position, page));
+    served.response = jsonAnswer(m_protocol.resultsPage(entry.total.value_or(0), call.position, page));
     served.runState = RunState::Answered;
     co_return served;
 }
--- a/packages/hosting/src/SubmissionIntake.cpp
+++ b/packages/hosting/src/SubmissionIntake.cpp
@@ -31,8 +31,11 @@
     const auto record = encodeSubmission(submission);
     Revision expected = 0;
     for (int race = 0; race < maximumRaces; ++race) {
-        CompareAndSwap write { key, record, expected };
-        const auto written = co_await m_store.compareAndSwap(std::move(write));
+        Transaction write;
+        write.conditions.push_back({ key, expected });
+        write.writes.push_back({ key, record });
+        write.writes.push_back({ totalKey(submission.id), encodeTotal(submission.items.size()) });
+        const auto written = co_await m_store.commit(std::move(write));
         if (written)
             co_return IntakeOutcome::Accepted;
         if (isHarmless(written.error()))
--- a/packages/hosting/tests/unit-result-log.cpp
+++ b/packages/hosting/tests/unit-result-log.cpp
@@ -49,6 +49,8 @@
     {
         std::vector<std::pair<std::string, std::string>> rows;
         for (const auto& [key, entry] : store.entries()) {
+            if (key == totalKey(id))
+                continue;
             const auto results = decodeResults(entry.value);
             for (const auto& row : results.value())
                 rows.emplace_back(row.item.value(), row.text);
@@ -126,11 +128,13 @@
     CHECK(read(0).error().code == ErrorCode::StepUnknown);
     store.put(textKey(id), refusalRecord());
     CHECK(read(0).error().code == ErrorCode::StepUnknown);
+    CHECK(run(reader.submission(id)).error().code == ErrorCode::StepUnknown);
 
     Submission submission;
     submission.id = id;
     submission.items.resize(2);
     store.put(textKey(id), encodeSubmission(submission));
+    store.put(totalKey(id), encodeTotal(submission.items.size()));
     REQUIRE(read(0));
     CHECK(read(0).value()->results.empty());
     logs[0]->add(result(1, "one"));
@@ -153,6 +157,7 @@
     submission.id = id;
     submission.items.resize(2);
     store.put(textKey(id), encodeSubmission(submission));
+    store.put(totalKey(id), encodeTotal(submission.items.size()));
     REQUIRE(run(reader.results(id, 0, 0ms)));
     const auto waiting = startTask(context.get_executor(), reader.results(id, 0, 1000ms));
     context.restart();
--- a/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -12,6 +12,7 @@
 ///
 ///     submissions/<id>/text        the submission, or a mark that it was refused for good
 ///     submissions/<id>/end         exists once the trainer ended it
+///     results/<id>/00000000        the number of its items, written together with the text: one call reads it and the results
 ///     results/<id>/<number>        results in order; a segment is written once and only after the one before it
 
 namespace cicadalb {
@@ -34,8 +35,11 @@
 std::string textKey(const SubmissionId&);
 std::string endKey(const SubmissionId&);
 std::string resultKeys(const SubmissionId&);
+/// @brief Key of the number of items.
+std::string totalKey(const SubmissionId&);
+/// @param segment from 0
 std::string resultKey(const SubmissionId&, std::size_t segment);
-/// @brief Key of the last of @p segments segments, or an empty text if there is none.
+/// @brief Key of the last of @p segments segments, or that of the number of items if there is none.
 std::string lastResultKey(const SubmissionId&, std::size_t segments);
 SubmissionKey parseSubmissionKey(std::string_view key);
 
@@ -46,6 +50,9 @@
 std::string encodeSubmission(const Submission&);
 /// Errors: RecordInvalid.
 Result<Submission> decodeSubmission(std::string_view record);
+std::string encodeTotal(std::size_t items);
+/// Errors: RecordInvalid.
+Result<std::size_t> decodeTotal(std::string_view record);
 std::string encodeResults(const std::vector<SampleResult>&);
 /// Errors: RecordInvalid.
 Result<std::vector<SampleResult>> decodeResults(std::string_view record);
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -80,6 +80,13 @@
         }
     }
 
+    std::string numberedKey(const SubmissionId& id, std::size_t number)
+    {
+        std::array<char, 24> text {};
+        std::snprintf(text.data(), text.size(), "%08zu", number);
+        return resultKeys(id) + text.data();
+    }
+
 } // namespace
 
 std::string textKey(const SubmissionId& id)
@@ -97,16 +104,19 @@
     return std::string(resultPrefix) + id.value() + "/";
 }
 
+std::string totalKey(const SubmissionId& id)
+{
+    return numberedKey(id, 0);
+}
+
 std::string resultKey(const SubmissionId& id, std::size_t segment)
 {
-    std::array<char, 24> number {};
-    std::snprintf(number.data(), number.size(), "%08zu", segment);
-    return resultKeys(id) + number.data();
+    return numberedKey(id, segment + 1);
 }
 
 std::string lastResultKey(const SubmissionId& id, std::size_t segments)
 {
-    return segments == 0 ? std::string() : resultKey(id, segments - 1);
+    return numberedKey(id, segments);
 }
 
 SubmissionKey parseSubmissionKey(std::string_view key)
@@ -151,6 +161,16 @@
     });
 }
 
+std::string encodeTotal(std::size_t items)
+{
+    return toRecord(items);
+}
+
+Result<std::size_t> decodeTotal(std::string_view record)
+{
+    return readRecord<std::size_t>(record, [](const Json& json) { return json.get<std::size_t>(); });
+}
+
 std::string encodeResults(const std::vector<SampleResult>& results)
 {
     Json list = Json::array();
