A coordinator whose lease lapsed goes on with its work; renewals are repeated soon; logs end before statics do

Cause: a renewal whose answer was lost took 1.5 s of a lease of 1.5 s, and after an outage in which leases lapsed another host began all samples anew. Two process tests of graceful stops failed at exit: log4cxx was gone before the queue of lines; finishLogging() empties it first.

--- a/apps/cicadalb/SiteCommand.cpp
+++ b/apps/cicadalb/SiteCommand.cpp
@@ -84,6 +84,20 @@
     boost::asio::steady_timer m_timer { m_context };
 };
 
+int serve(const cicadalb::SiteSettings& settings, const std::string& settingsFile)
+{
+    cicadalb::SiteHost host(settings, std::make_unique<cicadalb::platform::PlatformProtocol>(),
+        [](auto executor, const auto& endpoint) { return std::make_unique<cicadalb::platform::PlatformStore>(std::move(executor), endpoint); });
+    SignalLoop signals(host, settingsFile);
+    const auto started = host.start();
+    if (!started) {
+        std::cerr << cicadalb::describe(started.error()) << '\n';
+        return StartFailed;
+    }
+    signals.run();
+    return host.shutDown() ? Succeeded : RequestsCutOff;
+}
+
 } // namespace
 
 int runSiteHost(const std::string& settingsFile, bool isCheckOnly)
@@ -99,16 +113,7 @@
         return Succeeded;
     }
     cicadalb::configureLogging(settings.value().log.format, settings.value().log.level, cicadalb::LogDestination::StandardOutput);
-    cicadalb::SiteHost host(settings.value(), std::make_unique<cicadalb::platform::PlatformProtocol>(),
-        [](auto executor, const auto& endpoint) { return std::make_unique<cicadalb::platform::PlatformStore>(std::move(executor), endpoint); });
-    SignalLoop signals(host, settingsFile);
-    const auto started = host.start();
-    if (!started) {
-        std::cerr << cicadalb::describe(started.error()) << '\n';
-        return StartFailed;
-    }
-    signals.run();
-    const bool isDrained = host.shutDown();
+    const int exitCode = serve(settings.value(), settingsFile);
     cicadalb::finishLogging();
-    return isDrained ? Succeeded : RequestsCutOff;
+    return exitCode;
 }
--- a/apps/cicadalb/main.cpp
+++ b/apps/cicadalb/main.cpp
@@ -25,9 +25,8 @@
     context.run();
 }
 
-int run(const cicadalb::Settings& settings)
+int serve(const cicadalb::Settings& settings)
 {
-    cicadalb::configureLogging(settings.log.format, settings.log.level);
     boost::asio::io_context context;
     cicadalb::HostProcess host(settings);
     const auto started = host.start();
@@ -41,6 +40,14 @@
     return host.shutDown() ? Succeeded : RequestsCutOff;
 }
 
+int run(const cicadalb::Settings& settings)
+{
+    cicadalb::configureLogging(settings.log.format, settings.log.level);
+    const int exitCode = serve(settings);
+    cicadalb::finishLogging();
+    return exitCode;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -141,6 +141,7 @@
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     const auto* stream = destination == LogDestination::StandardOutput ? LOG4CXX_STR("System.out") : LOG4CXX_STR("System.err");
+    finishLogging();
     queue = std::make_shared<log4cxx::AsyncAppender>();
     queue->setBufferSize(queuedLines);
     queue->setBlocking(false);
@@ -156,8 +157,11 @@
 
 void finishLogging()
 {
-    if (queue)
-        queue->close();
+    if (!queue)
+        return;
+    log4cxx::Logger::getRootLogger()->removeAllAppenders();
+    queue->close();
+    queue.reset();
 }
 
 void logEvent(Event event, const std::vector<Field>& fields)
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -38,7 +38,7 @@
 
 struct SiteWorkSettings {
     /// Time to live of the coordinator's lease.
-    std::chrono::milliseconds lease { 1500 };
+    std::chrono::milliseconds lease { 1600 };
     /// Time without weight orders between two coordinators.
     std::chrono::milliseconds orderQuiet { 3000 };
     /// How long after its submission results are kept.
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -24,6 +24,12 @@
     constexpr milliseconds leaseInterval { 150 };
     /// No order is begun with less of the lease left.
     constexpr milliseconds longestOrder { 500 };
+    /// How long candidates leave a vacant lease to the holder who lost it.
+    constexpr milliseconds incumbentTime { 350 };
+    /// A holder whose lease lapsed tries so long to win it again before it drops its work.
+    constexpr milliseconds regainTime { 2500 };
+    /// Five renewals in a lease, so that lost answers do not end it.
+    constexpr double renewalShare = 0.2;
     /// Samples go on so long without a valid lease: nobody can take over while the store is away, and results are safe in any case.
     constexpr milliseconds longestLapse { 8000 };
 
@@ -33,7 +39,8 @@
         lease.key = holderKey;
         lease.holder = settings.host.value();
         lease.timeToLive = settings.leaseTime;
-        lease.backoff = { milliseconds(100), milliseconds(500) };
+        lease.renewalShare = renewalShare;
+    lease.backoff = { milliseconds(30), milliseconds(300) };
         return lease;
     }
 
@@ -71,6 +78,7 @@
 
 void Coordination::takeHolder(const std::vector<KeyValueEntry>& entries, bool isSnapshot)
 {
+    const bool wasVacant = m_knowsHolder && m_holder.empty();
     if (isSnapshot)
         m_holder.clear();
     m_knowsHolder = true;
@@ -78,6 +86,20 @@
         if (entry.key == holderKey)
             m_holder = entry.isDeleted ? std::string() : entry.value;
     }
+    if (!m_holder.empty() || wasVacant)
+        return;
+    m_vacantSince = m_bootClock.now();
+    if (m_samples)
+        m_lease.hasten();
+}
+
+bool Coordination::mayCampaign() const
+{
+    if (m_samples || m_lease.fencingNumber())
+        return true;
+    const bool isOwn = m_holder.starts_with(m_settings.host.value() + " ");
+    const bool isVacant = m_knowsHolder && m_holder.empty();
+    return isOwn || (isVacant && m_bootClock.now() >= m_vacantSince + incumbentTime);
 }
 
 Task<void> Coordination::keepLease()
@@ -85,9 +107,7 @@
     const auto self = shared_from_this();
     asio::steady_timer timer(m_executor);
     while (!m_isLeaving) {
-        const bool isVacant = m_knowsHolder && m_holder.empty();
-        const bool isOwn = m_holder.starts_with(m_settings.host.value() + " ");
-        if (isVacant || isOwn || m_lease.fencingNumber())
+        if (mayCampaign())
             (void)co_await m_lease.step();
         followLease();
         boost::system::error_code error;
@@ -117,20 +137,39 @@
 {
     if (m_isLeaving)
         return;
-    const auto number = m_lease.fencingNumber();
     const auto now = m_bootClock.now();
     if (m_lease.mayAct(Duration::zero()))
         m_lastValidAt = now;
-    const bool isHeld = number && now < m_lastValidAt + longestLapse;
-    if (m_samples && !isHeld)
+    if (m_samples && isLost(now))
         end("the lease was lost");
-    if (!m_samples && m_lease.mayAct(Duration::zero()))
+    const auto number = m_lease.fencingNumber();
+    if (!m_samples && number && m_lease.mayAct(Duration::zero()))
         begin(*number);
+    if (m_samples && number && *number != m_fence) {
+        m_fence = *number;
+        m_weights->setFence(m_fence);
+        logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(m_fence) }, { "again", "yes" } });
+    }
+}
+
+/// Whether the holder has to drop its work: another one holds the lease, or it could not be won again or renewed for long.
+bool Coordination::isLost(TimePoint now)
+{
+    const bool isHeldByOther = !m_holder.empty() && !m_holder.starts_with(m_settings.host.value() + " ");
+    if (m_lease.fencingNumber()) {
+        m_lostAt.reset();
+        return isHeldByOther || now >= m_lastValidAt + longestLapse;
+    }
+    if (!m_lostAt)
+        m_lostAt = now;
+    return isHeldByOther || now >= *m_lostAt + regainTime;
 }
 
 void Coordination::begin(FencingNumber fence)
 {
     m_begunAt = m_bootClock.now();
+    m_fence = fence;
+    m_lostAt.reset();
     m_wasFenced = false;
     logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) } });
     m_samples = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_clock, m_settings.samples);
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -20,7 +20,7 @@
 
 struct CoordinationSettings {
     HostId host;
-    std::chrono::milliseconds leaseTime { 1500 };
+    std::chrono::milliseconds leaseTime { 1600 };
     /// Time without orders between two holders.
     std::chrono::milliseconds orderQuiet { 3000 };
     SampleRunnerSettings samples;
@@ -28,7 +28,9 @@
     std::uint64_t seed = 0;
 };
 
-/// @brief A candidate for coordination. It asks for the lease only when nobody holds it, which a watch shows. Bound to one event loop.
+/// @brief A candidate for coordination. It asks for the lease only when nobody holds it, which a watch shows. A holder whose lease lapsed
+/// while the store was away is the first to ask again, and goes on with its work if nobody else held it meanwhile.
+/// Bound to one event loop.
 class Coordination : public std::enable_shared_from_this<Coordination> {
 public:
     Coordination(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, SiteDirectory&, TargetClients&, const Clock&, CoordinationSettings);
@@ -46,7 +48,9 @@
     Task<void> keepLease();
     Task<void> keepTime();
     void takeHolder(const std::vector<KeyValueEntry>&, bool isSnapshot);
+    bool mayCampaign() const;
     void followLease();
+    bool isLost(TimePoint now);
     void begin(FencingNumber);
     void end(std::string_view reason);
     bool mayOrder() const;
@@ -64,6 +68,11 @@
     /// Who holds the lease as the store last said; empty: nobody.
     std::string m_holder;
     bool m_knowsHolder = false;
+    /// Since when the store is known to name no holder.
+    TimePoint m_vacantSince;
+    FencingNumber m_fence = 0;
+    /// When a holder found that its lease had lapsed.
+    std::optional<TimePoint> m_lostAt;
     bool m_isLeaving = false;
     bool m_wasFenced = false;
     TimePoint m_begunAt;
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -42,6 +42,8 @@
     void start();
     void stop();
     void updateEngines();
+    /// @brief The lease was lost and won again without another holder in between.
+    void setFence(FencingNumber fence) noexcept { m_settings.fence = fence; }
     /// @brief Begins the loads that are due.
     void tick();
 
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -183,6 +183,40 @@
     CHECK(runUntil([&] { return ended->has_value(); }));
 }
 
+TEST_CASE_METHOD(SiteFixture, "coordination, whose lease lapsed while nobody else held it, goes on with its work under a new number")
+{
+    WorkerPool worker(1);
+    TargetClients clients(worker);
+    start();
+    const auto candidate = [&](const std::string& name) {
+        CoordinationSettings settings;
+        settings.host = HostId(name);
+        return std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
+    };
+    const auto first = candidate("first");
+    const auto second = candidate("second");
+    first->start();
+    REQUIRE(runUntil([&] { return first->isCoordinating(); }));
+    second->start();
+    settle();
+    const auto holder = store.entries().at("coordinator/holder");
+    store.advance(10s);
+    CHECK(runUntil([&] {
+        const auto found = store.entries().find("coordinator/holder");
+        CHECK(first->isCoordinating());
+        return found != store.entries().end() && found->second.revision > holder.revision;
+    }));
+    CHECK(store.entries().at("coordinator/holder").value.starts_with("first "));
+    CHECK_FALSE(second->isCoordinating());
+    const auto leave = [](std::shared_ptr<Coordination> leaving) -> Task<bool> {
+        co_await leaving->handOver(Duration::zero());
+        co_return true;
+    };
+    const auto ended = startTask(context.get_executor(), leave(second));
+    const auto left = startTask(context.get_executor(), leave(first));
+    CHECK(runUntil([&] { return ended->has_value() && left->has_value(); }));
+}
+
 TEST_CASE("pool choice, of a split route, follows the weights")
 {
     SiteRoute route;
--- a/packages/services/include/cicadalb/services/LeaseHolding.h
+++ b/packages/services/include/cicadalb/services/LeaseHolding.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "cicadalb/base/Identifier.h"
 #include "cicadalb/services/BackoffPolicy.h"
 #include "cicadalb/services/KeyValueService.h"
@@ -17,6 +19,8 @@
     std::chrono::milliseconds timeToLive { 10000 };
     /// Share of the time to live that is not used, for clocks that run at different rates.
     double clockMargin = 0.02;
+    /// Part of the time to live after which the lease is renewed.
+    double renewalShare = 1.0 / 3.0;
     BackoffSettings backoff { std::chrono::milliseconds(200), std::chrono::milliseconds(3000) };
 };
 
@@ -39,6 +43,8 @@
 
     /// @brief The call to make now; the time of the call starts here.
     LeaseCall next(TimePoint now);
+    /// @brief Makes the next call due now, e.g. because the key was seen to be gone.
+    void hasten(TimePoint now) { m_due = std::min(m_due, now); }
     /// @brief When to ask next() again.
     TimePoint nextDue() const noexcept { return m_due; }
 
--- a/packages/services/include/cicadalb/services/LeaseKeeper.h
+++ b/packages/services/include/cicadalb/services/LeaseKeeper.h
@@ -27,6 +27,8 @@
 
     /// @brief Makes the call that is due, if any. @return when to call again
     Task<TimePoint> step();
+    /// @brief The next step() makes its call now.
+    void hasten();
     /// @brief Steps until stop() and then gives the lease back. Waits on the steady clock.
     Task<void> run(boost::asio::any_io_executor);
     void stop() noexcept { m_isStopped = true; }
--- a/packages/services/src/LeaseHolding.cpp
+++ b/packages/services/src/LeaseHolding.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-    /// Part of the time to live after which a lease is renewed.
-    constexpr double renewalShare = 1.0 / 3.0;
-
     Duration share(Duration whole, double part)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(whole) * part);
@@ -78,7 +75,7 @@
     if (result) {
         m_validUntil = m_calledAt + usableTime();
         m_backoff.reset();
-        m_due = now + share(m_settings.timeToLive, renewalShare * (0.75 + 0.5 * randomUnit(m_random)));
+        m_due = now + share(m_settings.timeToLive, m_settings.renewalShare * (0.75 + 0.5 * randomUnit(m_random)));
         return;
     }
     if (result.error().code == ErrorCode::LeaseLost)
@@ -127,7 +124,7 @@
     m_wonAt = now;
     m_backoff.reset();
     m_call = LeaseCall::Renew;
-    m_due = now + share(m_settings.timeToLive, renewalShare * randomUnit(m_random));
+    m_due = now + share(m_settings.timeToLive, m_settings.renewalShare * randomUnit(m_random));
 }
 
 void LeaseHolding::lose(TimePoint now)
--- a/packages/services/src/LeaseKeeper.cpp
+++ b/packages/services/src/LeaseKeeper.cpp
@@ -32,6 +32,12 @@
     co_return m_holding.nextDue();
 }
 
+void LeaseKeeper::hasten()
+{
+    const std::lock_guard lock(m_mutex);
+    m_holding.hasten(m_clock.now());
+}
+
 Task<void> LeaseKeeper::run(asio::any_io_executor executor)
 {
     constexpr std::chrono::milliseconds longestWait { 200 };
