--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -77,7 +77,7 @@
     {
         if (!settings.parts.serving && !settings.parts.coordinating)
             errors.push_back({ ErrorCode::ValueInvalid, "parts: neither serving nor coordinating is true, so that the process would do nothing", fileName });
-        if (settings.parts.serving && (settings.addresses.callers.port == 0 || settings.addresses.ready.port == 0))
+        if (settings.parts.serving && (settings.addresses.callers.address.empty() || settings.addresses.ready.address.empty()))
             errors.push_back({ ErrorCode::ValueMissing, "addresses.callers or addresses.ready is missing: a process that serves needs both", fileName });
     }
 
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -1,12 +1,11 @@
 #include "Coordination.h"
 
+#include "Pause.h"
+
 #include "cicadalb/base/Event.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <ctime>
 
@@ -40,7 +39,7 @@
         lease.holder = settings.host.value();
         lease.timeToLive = settings.leaseTime;
         lease.renewalShare = renewalShare;
-    lease.backoff = { milliseconds(30), milliseconds(300) };
+        lease.backoff = { milliseconds(30), milliseconds(300) };
         return lease;
     }
 
@@ -105,14 +104,11 @@
 Task<void> Coordination::keepLease()
 {
     const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
     while (!m_isLeaving) {
         if (mayCampaign())
             (void)co_await m_lease.step();
         followLease();
-        boost::system::error_code error;
-        timer.expires_after(leaseInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_await pause(m_executor, leaseInterval);
     }
 }
 
@@ -120,16 +116,13 @@
 Task<void> Coordination::keepTime()
 {
     const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
     while (!m_isLeaving) {
         followLease();
         if (m_samples) {
             m_samples->tick();
             m_weights->tick();
         }
-        boost::system::error_code error;
-        timer.expires_after(tickInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_await pause(m_executor, tickInterval);
     }
 }
 
@@ -223,9 +216,7 @@
     m_isLeaving = true;
     m_watch->stop();
     if (m_samples && quiet > Duration::zero()) {
-        asio::steady_timer timer(m_executor, quiet);
-        boost::system::error_code error;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_await pause(m_executor, quiet);
     }
     if (m_samples)
         end("the host hands over");
--- /dev/null
+++ b/packages/hosting/src/Pause.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/Task.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+/// @file
+/// Waits of coroutines.
+
+namespace cicadalb {
+
+/// @brief Suspends the current coroutine for @p duration of the steady clock.
+Task<void> pause(boost::asio::any_io_executor, Duration);
+
+} // namespace cicadalb
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -1,14 +1,13 @@
 #include "SampleRunner.h"
 
+#include "Pause.h"
+
 #include "cicadalb/base/Event.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -44,13 +43,6 @@
         return std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     }
 
-    Task<void> pause(const asio::any_io_executor& executor, Duration duration)
-    {
-        asio::steady_timer timer(executor, duration);
-        boost::system::error_code error;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
-
     std::string versionsText(const std::set<WeightVersion>& versions)
     {
         std::string text;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -1,6 +1,7 @@
 #include "cicadalb/hosting/SiteHost.h"
 
 #include "Coordination.h"
+#include "Pause.h"
 #include "SiteEndpoints.h"
 
 #include "cicadalb/base/Event.h"
@@ -8,9 +9,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <nlohmann/json.hpp>
@@ -64,6 +62,12 @@
         return options;
     }
 
+    /// Port of a listener, or "none".
+    std::string portText(const std::optional<HttpListener>& listener)
+    {
+        return listener ? std::to_string(listener->port()) : "none";
+    }
+
     SiteDirectorySettings directorySettings(const SiteSettings& settings, std::uint64_t seed)
     {
         // Changes share a call for as long as a target that leaves still serves, less the time that a slow store takes.
@@ -123,7 +127,7 @@
         if (!started)
             return started;
         asio::post(m_executor, [this] { startWork(); });
-        logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "failure-domain", m_settings.host.failureDomain.value() }, { "serving", m_settings.parts.serving ? "yes" : "no" }, { "coordinating", m_settings.parts.coordinating ? "yes" : "no" } });
+        logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "failure-domain", m_settings.host.failureDomain.value() }, { "coordinating", m_settings.parts.coordinating ? "yes" : "no" }, { "callers", portText(m_callerListener) }, { "ready", portText(m_readyListener) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
 
@@ -176,12 +180,9 @@
 
     Task<void> keepTime()
     {
-        asio::steady_timer timer(m_executor);
         auto trimAt = m_clock.now() + trimInterval;
         while (true) {
-            boost::system::error_code error;
-            timer.expires_after(tickInterval);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            co_await pause(m_executor, tickInterval);
             m_directory.tick();
             if (m_clock.now() < trimAt)
                 continue;
@@ -205,16 +206,13 @@
     Task<void> retire()
     {
         co_await m_coordination->handOver(retirementQuiet);
-        asio::steady_timer timer(m_executor);
         while (true) {
             Transaction done;
             done.writes.push_back(m_protocol->retirementStatus(m_settings.host.id, true));
             const auto written = co_await m_store->commit(std::move(done));
             if (written)
                 break;
-            boost::system::error_code error;
-            timer.expires_after(retirementRetry);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            co_await pause(m_executor, retirementRetry);
         }
         logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() }, { "reason", "emptied at the operator's wish" } });
     }
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -1,13 +1,12 @@
 #include "WeightOrders.h"
 
+#include "Pause.h"
+
 #include "cicadalb/base/Event.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <set>
@@ -34,13 +33,6 @@
     /// Pause before an order that was refused is given again.
     constexpr milliseconds retryPause { 200 };
 
-    Task<void> pause(const asio::any_io_executor& executor, Duration duration)
-    {
-        asio::steady_timer timer(executor, duration);
-        boost::system::error_code error;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
-
 } // namespace
 
 WeightOrders::WeightOrders(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, SampleScheduler& scheduler, const Clock& clock, WeightOrderSettings settings, WeightOrderHooks hooks)
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -60,6 +60,36 @@
     }
 };
 
+/// Two candidates for coordination, the first of which holds it.
+struct CandidatesFixture : SiteFixture {
+    WorkerPool worker { 1 };
+    TargetClients clients { worker };
+    std::shared_ptr<Coordination> first = candidate("first");
+    std::shared_ptr<Coordination> second = candidate("second");
+
+    std::shared_ptr<Coordination> candidate(const std::string& name)
+    {
+        CoordinationSettings settings;
+        settings.host = HostId(name);
+        return std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
+    }
+
+    void startBoth()
+    {
+        start();
+        first->start();
+        REQUIRE(runUntil([&] { return first->isCoordinating(); }));
+        second->start();
+        settle();
+    }
+
+    static Task<bool> leave(std::shared_ptr<Coordination> leaving)
+    {
+        co_await leaving->handOver(Duration::zero());
+        co_return true;
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(SiteFixture, "site directory, of a configuration and targets, follows their changes")
@@ -154,27 +184,10 @@
     directory.onChange({});
 }
 
-TEST_CASE_METHOD(SiteFixture, "coordination, of two candidates, passes to the other one when the holder hands over")
+TEST_CASE_METHOD(CandidatesFixture, "coordination, of two candidates, passes to the other one when the holder hands over")
 {
-    WorkerPool worker(1);
-    TargetClients clients(worker);
-    start();
-    const auto candidate = [&](const std::string& name) {
-        CoordinationSettings settings;
-        settings.host = HostId(name);
-        return std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
-    };
-    const auto first = candidate("first");
-    const auto second = candidate("second");
-    first->start();
-    REQUIRE(runUntil([&] { return first->isCoordinating(); }));
-    second->start();
-    settle();
+    startBoth();
     CHECK_FALSE(second->isCoordinating());
-    const auto leave = [](std::shared_ptr<Coordination> leaving) -> Task<bool> {
-        co_await leaving->handOver(Duration::zero());
-        co_return true;
-    };
     const auto left = startTask(context.get_executor(), leave(first));
     CHECK(runUntil([&] { return second->isCoordinating(); }));
     CHECK(left->has_value());
@@ -183,22 +196,9 @@
     CHECK(runUntil([&] { return ended->has_value(); }));
 }
 
-TEST_CASE_METHOD(SiteFixture, "coordination, whose lease lapsed while nobody else held it, goes on with its work under a new number")
+TEST_CASE_METHOD(CandidatesFixture, "coordination, whose lease lapsed while nobody else held it, goes on with its work under a new number")
 {
-    WorkerPool worker(1);
-    TargetClients clients(worker);
-    start();
-    const auto candidate = [&](const std::string& name) {
-        CoordinationSettings settings;
-        settings.host = HostId(name);
-        return std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
-    };
-    const auto first = candidate("first");
-    const auto second = candidate("second");
-    first->start();
-    REQUIRE(runUntil([&] { return first->isCoordinating(); }));
-    second->start();
-    settle();
+    startBoth();
     const auto holder = store.entries().at("coordinator/holder");
     store.advance(10s);
     CHECK(runUntil([&] {
@@ -208,10 +208,6 @@
     }));
     CHECK(store.entries().at("coordinator/holder").value.starts_with("first "));
     CHECK_FALSE(second->isCoordinating());
-    const auto leave = [](std::shared_ptr<Coordination> leaving) -> Task<bool> {
-        co_await leaving->handOver(Duration::zero());
-        co_return true;
-    };
     const auto ended = startTask(context.get_executor(), leave(second));
     const auto left = startTask(context.get_executor(), leave(first));
     CHECK(runUntil([&] { return ended->has_value() && left->has_value(); }));
--- a/packages/services/src/HttpKeyValueService.cpp
+++ b/packages/services/src/HttpKeyValueService.cpp
@@ -2,6 +2,8 @@
 
 #include "JsonClient.h"
 
+#include "cicadalb/services/PercentEncoding.h"
+
 namespace cicadalb {
 
 namespace {
@@ -58,7 +60,7 @@
 
 Task<Result<std::optional<KeyValueEntry>>> HttpKeyValueService::read(std::string key)
 {
-    std::string target = "/kv/" + encodeKey(key);
+    std::string target = "/kv/" + percentEncoded(key);
     auto answer = co_await m_client->read(std::move(target), callTimeout);
     if (!answer)
         co_return answer.as_failure();
@@ -72,7 +74,7 @@
 
 Task<Result<std::vector<KeyValueEntry>>> HttpKeyValueService::list(std::string prefix)
 {
-    std::string target = "/kv?prefix=" + encodeKey(prefix);
+    std::string target = "/kv?prefix=" + percentEncoded(prefix);
     auto answer = co_await m_client->read(std::move(target), callTimeout);
     if (!answer)
         co_return answer.as_failure();
@@ -84,7 +86,7 @@
 
 Task<Result<Revision>> HttpKeyValueService::compareAndSwap(CompareAndSwap swap)
 {
-    std::string target = "/kv/" + encodeKey(swap.key);
+    std::string target = "/kv/" + percentEncoded(swap.key);
     nlohmann::json body { { "value", std::move(swap.value) }, { "expected", swap.expected }, { "lease", swap.lease } };
     auto answer = co_await m_client->exchange("PUT", std::move(target), std::move(body), callTimeout);
     if (!answer)
@@ -138,7 +140,7 @@
 
 Task<Result<WatchResult>> HttpKeyValueService::watch(std::string prefix, Revision after, std::chrono::milliseconds patience)
 {
-    std::string target = "/watch?prefix=" + encodeKey(prefix) + "&after=" + std::to_string(after);
+    std::string target = "/watch?prefix=" + percentEncoded(prefix) + "&after=" + std::to_string(after);
     target += "&wait-ms=" + std::to_string(patience.count());
     auto answer = co_await m_client->read(std::move(target), patience + callTimeout);
     if (!answer)
--- a/packages/services/src/HttpWeightStore.cpp
+++ b/packages/services/src/HttpWeightStore.cpp
@@ -2,6 +2,8 @@
 
 #include "JsonClient.h"
 
+#include "cicadalb/services/PercentEncoding.h"
+
 namespace cicadalb {
 
 HttpWeightStore::HttpWeightStore(boost::asio::any_io_executor executor, Endpoint endpoint, HttpClientOptions options)
@@ -13,7 +15,7 @@
 
 Task<Result<WeightVersion>> HttpWeightStore::latestVersion(std::string model)
 {
-    std::string target = "/weights/" + encodeKey(model);
+    std::string target = "/weights/" + percentEncoded(model);
     auto answer = co_await m_client->read(std::move(target), callTimeout);
     if (!answer)
         co_return answer.as_failure();
--- a/packages/services/src/JsonClient.cpp
+++ b/packages/services/src/JsonClient.cpp
@@ -15,11 +15,6 @@
         return found == object.end() ? nullptr : &*found;
     }
 
-    bool isUnreserved(char c)
-    {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~';
-    }
-
 } // namespace
 
 JsonClient::JsonClient(boost::asio::any_io_executor executor, Endpoint endpoint, HttpClientOptions options)
@@ -66,24 +61,6 @@
     co_return std::move(answer);
 }
 
-std::string encodeKey(std::string_view key)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    encoded.reserve(key.size());
-    for (const char c : key) {
-        if (isUnreserved(c) || c == '/') {
-            encoded += c;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        encoded += '%';
-        encoded += digits[byte >> 4U];
-        encoded += digits[byte & 15U];
-    }
-    return encoded;
-}
-
 std::optional<std::uint64_t> numberIn(const nlohmann::json& object, const char* name)
 {
     const auto* member = memberOf(object, name);
--- a/packages/services/src/JsonClient.h
+++ b/packages/services/src/JsonClient.h
@@ -36,9 +36,6 @@
 /// Deadline of a call that does not wait on the server.
 inline constexpr std::chrono::milliseconds callTimeout { 2000 };
 
-/// @brief Percent-encodes all but unreserved characters and '/'.
-std::string encodeKey(std::string_view key);
-
 /// @brief Unsigned member @p name of @p object, if it is there.
 std::optional<std::uint64_t> numberIn(const nlohmann::json& object, const char* name);
 /// @brief Text member @p name of @p object, if it is there.
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -136,6 +136,7 @@
             wanted.insert(item.group);
     }
     std::vector<std::pair<double, GroupId>> order;
+    order.reserve(lengths.size());
     for (const auto& [group, length] : lengths)
         order.emplace_back(length, group);
     std::sort(order.begin(), order.end());
--- a/packages/submissions/tests/unit-load-plan.cpp
+++ b/packages/submissions/tests/unit-load-plan.cpp
@@ -27,6 +27,7 @@
 std::vector<LoadableEngine> siteEngines()
 {
     std::vector<LoadableEngine> engines;
+    engines.reserve(9);
     for (int i = 0; i < 9; ++i)
         engines.push_back(engine("e" + std::to_string(i), i % 3 == 2 ? slowPace : fastPace));
     return engines;
@@ -69,6 +70,7 @@
 TEST_CASE("homes, without measured paces or demand, are shared evenly")
 {
     std::vector<LoadableEngine> engines;
+    engines.reserve(8);
     for (int i = 0; i < 8; ++i)
         engines.push_back(engine("e" + std::to_string(i), 0.04));
     const auto homes = assignHomes(engines, { shortTexts, longTexts }, {});
@@ -91,6 +93,7 @@
 TEST_CASE("load plan, of engines one version behind, loads half of them, and none while samples wait")
 {
     std::vector<LoadableEngine> engines;
+    engines.reserve(4);
     for (int i = 0; i < 4; ++i)
         engines.push_back(engine("e" + std::to_string(i), fastPace, 3, longTexts));
     LoadPlanSettings settings;
--- a/packages/transport/tests/unit-peer-link.cpp
+++ b/packages/transport/tests/unit-peer-link.cpp
@@ -1,4 +1,4 @@
-#include "TcpRelay.h"
+#include "common/TcpRelay.h"
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/transport/PeerLink.h"
--- a/testing/common/StandInServer.h
+++ b/testing/common/StandInServer.h
@@ -95,6 +95,8 @@
 
     StandInServer(boost::asio::io_context&, std::uint16_t port);
 
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     /// @brief Handles @p method (empty: every method) on paths that start with @p prefix. The first match counts.
     void route(std::string method, std::string prefix, Handler);
     /// @brief Called with the words of POST /control.
--- a/testing/process/ChildProcess.cpp
+++ b/testing/process/ChildProcess.cpp
@@ -13,14 +13,14 @@
 
 namespace cicadalb::testing {
 
-ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile, Output output)
 {
     int pipe[2] = { -1, -1 };
     REQUIRE(::pipe2(pipe, O_CLOEXEC) == 0);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, output == Output::Lines ? pipe[1] : STDERR_FILENO, STDOUT_FILENO);
     std::vector<std::string> words { CICADALB_BUILD_FOLDER "/" + program };
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
--- a/testing/process/ChildProcess.h
+++ b/testing/process/ChildProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -10,8 +11,12 @@
 /// @brief A program that the test starts; killed at the end of its scope.
 class ChildProcess {
 public:
+    /// @brief Where its standard output goes: to readLine(), or into the log file with its standard error.
+    enum class Output : std::uint8_t { Lines,
+        LogFile };
+
     /// @param program file below the build folder
-    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile);
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile, Output = Output::Lines);
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
