Texts in the making are stored each second for a coordinator's successor

Cause: each change of coordinator made all running samples anew, two to four seconds of the longest ones.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -32,6 +32,10 @@
     constexpr milliseconds rewardPause { 200 };
     /// Pause after a failed call to the store.
     constexpr milliseconds storePause { 200 };
+    /// Shorter texts are made again sooner than they are worth storing.
+    constexpr std::size_t fewestStoredEvents = 12;
+    /// A value of the store holds a megabyte, of which base64 takes a quarter.
+    constexpr std::size_t storedTextBytes = std::size_t { 600 } << 10U;
     /// Old submissions are looked for so often, and kept for so much longer than promised.
     constexpr std::chrono::seconds discardInterval { 10 };
     constexpr std::chrono::seconds discardMargin { 60 };
@@ -74,9 +78,41 @@
             self->takeRecords(result.entries);
     };
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { take, take });
+    asio::co_spawn(m_executor, takeOver(), asio::detached);
+}
+
+/// Adopts what the last coordinator's engines had made, then follows the submissions.
+Task<void> SampleRunner::takeOver()
+{
+    const auto self = shared_from_this();
+    const auto record = co_await m_store.read(std::string(textsKey));
+    if (m_isStopped)
+        co_return;
+    if (record && record.value())
+        adoptTexts(*record.value());
+    else if (!record)
+        recordIgnored(std::string(textsKey), 0, record.error());
     m_watch->start();
 }
 
+void SampleRunner::adoptTexts(const KeyValueEntry& record)
+{
+    auto texts = decodeTexts(record.value);
+    if (!texts)
+        return recordIgnored(record.key, record.revision, texts.error());
+    m_scheduler.adopt(std::move(texts.value()));
+}
+
+Task<void> SampleRunner::storeTexts(std::vector<ItemText> texts)
+{
+    const auto self = shared_from_this();
+    Transaction write;
+    write.writes.push_back({ std::string(textsKey), encodeTexts(texts) });
+    // A failure costs a successor some work and nothing else; the next time is soon.
+    (void)co_await m_store.commit(std::move(write));
+    m_isStoringTexts = false;
+}
+
 void SampleRunner::stop()
 {
     m_isStopped = true;
@@ -125,7 +161,7 @@
 {
     auto submission = decodeSubmission(entry.value);
     if (!submission) {
-        logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", submission.error().message } });
+        recordIgnored(entry.key, entry.revision, submission.error());
         return;
     }
     auto& stored = m_stored[submission.value().id];
@@ -225,6 +261,13 @@
         if (found != m_runs.end())
             found->second->cancellation->cancel();
     }
+    if (now >= m_textsAt && !m_isStoringTexts) {
+        m_textsAt = now + m_settings.textsInterval;
+        auto texts = m_scheduler.texts(fewestStoredEvents, storedTextBytes);
+        m_isStoringTexts = !texts.empty();
+        if (m_isStoringTexts)
+            asio::co_spawn(m_executor, storeTexts(std::move(texts)), asio::detached);
+    }
     if (now >= m_discardAt) {
         m_discardAt = now + discardInterval;
         asio::co_spawn(
@@ -450,6 +493,11 @@
     }
 }
 
+void SampleRunner::recordIgnored(const std::string& key, Revision revision, const Error& error)
+{
+    logEvent(Event::RecordIgnored, { { "key", key }, { "revision", std::to_string(revision) }, { "cause", error.message } });
+}
+
 void SampleRunner::recordOpened(const Open& entry, UnixTime age) const
 {
     const auto& submission = entry.submission;
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds keepTime { 120000 };
     /// Results that come within this time share a write.
     std::chrono::milliseconds appendInterval { 400 };
+    /// How often texts in the making are stored for a successor.
+    std::chrono::milliseconds textsInterval { 1000 };
 };
 
 /// @brief The coordinator's work on submissions. Bound to one event loop; coroutines hold it, so that it outlives their waits.
@@ -74,7 +76,11 @@
     Task<void> append(OpenPointer);
     void stopRun(const ItemKey&);
     Task<void> discardOld();
+    Task<void> takeOver();
+    Task<void> storeTexts(std::vector<ItemText>);
 
+    void adoptTexts(const KeyValueEntry&);
+    static void recordIgnored(const std::string& key, Revision, const Error&);
     void recordOpened(const Open&, UnixTime age) const;
     void recordClosed(const SubmissionId&, std::string_view reason, std::size_t results) const;
     void recordRun(const Open&, const ItemKey&, const TargetId&, RunEnd, std::size_t events, const std::string& versions, Duration, const std::string& cause) const;
@@ -95,6 +101,8 @@
     std::map<SubmissionId, Stored> m_stored;
     std::map<ItemKey, std::shared_ptr<Run>> m_runs;
     TimePoint m_discardAt;
+    TimePoint m_textsAt;
+    bool m_isStoringTexts = false;
     bool m_isStopped = false;
     bool m_isPoked = false;
 };
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cicadalb/base/Clock.h"
+#include "cicadalb/submissions/PartialText.h"
 #include "cicadalb/submissions/Submission.h"
 
 #include <map>
@@ -21,16 +22,6 @@
     std::map<std::string, WeightVersion> models;
 };
 
-/// @brief Text of a sample that is known so far.
-struct PartialText {
-    std::string text;
-    std::optional<std::uint64_t> lastEvent;
-    std::size_t events = 0;
-    std::set<WeightVersion> versions;
-
-    void append(std::uint64_t event, std::string_view data, WeightVersion version);
-};
-
 /// @brief Rules of the route that a submission came by.
 struct SubmissionTerms {
     /// When the trainer wants all results.
@@ -116,6 +107,10 @@
     std::vector<ItemKey> misplaced(TimePoint now) const;
 
     const PartialText* text(const ItemKey&) const;
+    /// @brief Texts of open items from @p fewestEvents events on, the longest first, up to @p bytes in all.
+    std::vector<ItemText> texts(std::size_t fewestEvents, std::size_t bytes) const;
+    /// @brief Texts that another coordinator had; items that are added go on with them if their weights allow.
+    void adopt(std::vector<ItemText>);
     /// @brief Whether an item waits, runs or is judged.
     bool isOpen(const ItemKey&) const;
     std::size_t running() const;
--- a/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cicadalb/base/Error.h"
+#include "cicadalb/submissions/PartialText.h"
 #include "cicadalb/submissions/Submission.h"
 
 #include <string>
@@ -14,11 +15,13 @@
 ///     submissions/<id>/end         exists once the trainer ended it
 ///     results/<id>/00000000        the number of its items, written together with the text: one call reads it and the results
 ///     results/<id>/<number>        results in order; a segment is written once and only after the one before it
+///     texts/latest                 texts that the coordinator's engines are making, for its successor
 
 namespace cicadalb {
 
 inline constexpr std::string_view submissionPrefix = "submissions/";
 inline constexpr std::string_view resultPrefix = "results/";
+inline constexpr std::string_view textsKey = "texts/latest";
 
 /// @brief Longest id that fits a key of the store.
 inline constexpr std::size_t maximumIdLength = 128;
@@ -53,6 +56,9 @@
 std::string encodeTotal(std::size_t items);
 /// Errors: RecordInvalid.
 Result<std::size_t> decodeTotal(std::string_view record);
+std::string encodeTexts(const std::vector<ItemText>&);
+/// Errors: RecordInvalid.
+Result<std::vector<ItemText>> decodeTexts(std::string_view record);
 std::string encodeResults(const std::vector<SampleResult>&);
 /// Errors: RecordInvalid.
 Result<std::vector<SampleResult>> decodeResults(std::string_view record);
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -411,6 +411,29 @@
     return item && item->state != ItemState::Settled;
 }
 
+std::vector<ItemText> SampleScheduler::texts(std::size_t fewestEvents, std::size_t bytes) const
+{
+    std::vector<ItemText> texts;
+    for (const auto& [id, open] : m_open) {
+        for (const auto& item : open.items) {
+            const bool isOpen = item.state == ItemState::Waiting || item.state == ItemState::Running;
+            if (isOpen && item.text.events >= std::max<std::size_t>(1, fewestEvents))
+                texts.push_back({ item.id, item.text });
+        }
+    }
+    std::sort(texts.begin(), texts.end(), [](const auto& left, const auto& right) { return left.text.events > right.text.events; });
+    std::size_t total = 0;
+    const auto end = std::find_if(texts.begin(), texts.end(), [&](const auto& row) { return (total += row.text.text.size()) > bytes; });
+    texts.erase(end, texts.end());
+    return texts;
+}
+
+void SampleScheduler::adopt(std::vector<ItemText> texts)
+{
+    for (auto& row : texts)
+        m_leftover.try_emplace(row.item, std::move(row.text));
+}
+
 std::size_t SampleScheduler::running() const
 {
     std::size_t count = 0;
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -171,6 +171,30 @@
     return readRecord<std::size_t>(record, [](const Json& json) { return json.get<std::size_t>(); });
 }
 
+std::string encodeTexts(const std::vector<ItemText>& texts)
+{
+    Json list = Json::array();
+    for (const auto& [item, text] : texts)
+        list.push_back({ item.value(), binary(text.text), text.lastEvent.value_or(0), text.events, text.versions });
+    return toRecord(list);
+}
+
+Result<std::vector<ItemText>> decodeTexts(std::string_view record)
+{
+    return readRecord<std::vector<ItemText>>(record, [](const Json& json) {
+        std::vector<ItemText> texts;
+        for (const auto& row : json) {
+            ItemText text { ItemId(row.at(0).get<std::string>()), {} };
+            text.text.text = bytesOf(row.at(1));
+            text.text.lastEvent = row.at(2).get<std::uint64_t>();
+            text.text.events = row.at(3).get<std::size_t>();
+            text.text.versions = row.at(4).get<std::set<WeightVersion>>();
+            texts.push_back(std::move(text));
+        }
+        return texts;
+    });
+}
+
 std::string encodeResults(const std::vector<SampleResult>& results)
 {
     Json list = Json::array();
--- a/packages/submissions/tests/unit-sample-scheduler.cpp
+++ b/packages/submissions/tests/unit-sample-scheduler.cpp
@@ -189,6 +189,31 @@
     CHECK(scheduler.text(key(1))->events == 0);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of another coordinator's texts, goes on with those whose weights are allowed, the longest stored first")
+{
+    item("long", "g");
+    item("short", "g");
+    add();
+    REQUIRE(placed().size() == 2);
+    events(0, 1, 6, 20ms);
+    events(1, 1, 2, 20ms);
+    CHECK(scheduler.texts(3, 1000).size() == 1);
+    const auto texts = scheduler.texts(1, 1000);
+    REQUIRE(texts.size() == 2);
+    CHECK(texts[0].item.value() == "long");
+    CHECK(scheduler.texts(1, texts[0].text.text.size()).size() == 1);
+
+    SampleScheduler successor;
+    successor.adopt(texts);
+    successor.add(submission, terms, {});
+    CHECK(successor.text(key(0))->lastEvent == 6);
+    SampleScheduler later;
+    later.adopt(texts);
+    submission.oldestVersion = 2;
+    later.add(submission, terms, {});
+    CHECK(later.text(key(0))->events == 0);
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a run that is silent or could be faster elsewhere, moves it")
 {
     learnPaces();
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -71,6 +71,20 @@
     CHECK(decoded.value()[1].state == ResultState::GivenUp);
 }
 
+TEST_CASE("texts record, of unfinished texts, gives them back")
+{
+    PartialText text;
+    text.append(1, "one", 3);
+    text.append(2, "two", 4);
+    const auto decoded = decodeTexts(encodeTexts({ { ItemId("a"), text } }));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().size() == 1);
+    CHECK(decoded.value()[0].text.text == "one\ntwo");
+    CHECK(decoded.value()[0].text.lastEvent == 2);
+    CHECK(decoded.value()[0].text.versions == std::set<WeightVersion> { 3, 4 });
+    CHECK(decodeTexts("odd").error().code == ErrorCode::RecordInvalid);
+}
+
 TEST_CASE("submission keys, of texts, ends and others, are told apart")
 {
     const SubmissionId id("7c41e0");
