Items go to the pools of their route only; only answers of 500 count against an item or its reward call

Cause, found by reading: the scheduler placed items on any engine that holds the model, also of a pool that the route does not name (two such pools at a site would break the rule of routes), and a target's own timeout counted as a failure of the item.

--- a/packages/hosting/src/Pause.cpp
+++ b/packages/hosting/src/Pause.cpp
@@ -6,9 +6,9 @@
 
 namespace cicadalb {
 
-Task<void> pause(boost::asio::any_io_executor executor, Duration duration)
+Task<void> pause(const boost::asio::any_io_executor& executor, Duration duration)
 {
-    boost::asio::steady_timer timer(std::move(executor), duration);
+    boost::asio::steady_timer timer(executor, duration);
     boost::system::error_code error;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
 }
--- a/packages/hosting/src/Pause.h
+++ b/packages/hosting/src/Pause.h
@@ -10,7 +10,7 @@
 
 namespace cicadalb {
 
-/// @brief Suspends the current coroutine for @p duration of the steady clock.
-Task<void> pause(boost::asio::any_io_executor, Duration);
+/// @brief Suspends the current coroutine for a duration of the steady clock. The executor has to outlive the wait.
+Task<void> pause(const boost::asio::any_io_executor&, Duration);
 
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -3,6 +3,7 @@
 #include "Pause.h"
 
 #include "cicadalb/base/Event.h"
+#include "cicadalb/base/Hash.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,7 +22,7 @@
 
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusUnprocessable = 422;
-    constexpr unsigned firstServerErrorStatus = 500;
+    constexpr unsigned statusServerError = 500;
     /// Longest time between two events of a run; the scheduler moves silent runs sooner.
     constexpr milliseconds stallTimeout { 5000 };
     /// Items are given up so much later than allowed, for clocks of hosts that differ.
@@ -47,6 +48,25 @@
         return std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     }
 
+    /// Pools that a route sends to; none for a route that is gone.
+    std::vector<PoolName> poolsOf(const SiteRoute* route)
+    {
+        std::vector<PoolName> pools;
+        if (!route)
+            return pools;
+        pools.reserve(route->pools.size());
+        for (const auto& share : route->pools)
+            pools.push_back(share.pool);
+        return pools;
+    }
+
+    /// A number in [0, 1) that belongs to a request, so that its attempts go to one pool of a split route.
+    double drawOf(const RequestId& id)
+    {
+        constexpr std::uint64_t steps = 1000;
+        return static_cast<double>(placementHash(id.value()) % steps) / static_cast<double>(steps);
+    }
+
     std::string versionsText(const std::set<WeightVersion>& versions)
     {
         std::string text;
@@ -57,6 +77,20 @@
 
 } // namespace
 
+RunEnd runEndOf(AnswerKind kind, unsigned status) noexcept
+{
+    if (kind == AnswerKind::NotRun || kind == AnswerKind::Misdirected)
+        return RunEnd::NotRun;
+    if (kind != AnswerKind::Answered)
+        return RunEnd::Broken;
+    if (status == statusUnprocessable)
+        return RunEnd::Impossible;
+    // Any other error, such as a target's own timeout, says nothing of the item.
+    if (status == statusServerError)
+        return RunEnd::ServerError;
+    return status == statusOk ? RunEnd::Complete : RunEnd::Broken;
+}
+
 SampleRunner::SampleRunner(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, const Clock& clock, SampleRunnerSettings settings)
     : m_executor(std::move(executor))
     , m_store(store)
@@ -108,9 +142,11 @@
     const auto self = shared_from_this();
     Transaction write;
     write.writes.push_back({ std::string(textsKey), encodeTexts(texts) });
-    // A failure costs a successor some work and nothing else; the next time is soon.
-    (void)co_await m_store.commit(std::move(write));
+    const auto written = co_await m_store.commit(std::move(write));
     m_isStoringTexts = false;
+    // It costs a successor some work and nothing else; the next time is soon.
+    if (!written)
+        recordIgnored(std::string(textsKey), 0, written.error());
 }
 
 void SampleRunner::stop()
@@ -129,9 +165,13 @@
     std::vector<SchedulableEngine> engines;
     for (const auto& [id, target] : m_directory.registry().targets()) {
         if (!target.isLeaving && !target.models.empty())
-            engines.push_back({ id, target.slots, target.models });
+            engines.push_back({ id, target.pool, target.slots, target.models });
     }
     m_scheduler.setEngines(engines);
+    if (const auto view = m_directory.view()) {
+        for (const auto& [id, entry] : m_open)
+            m_scheduler.setPools(id, poolsOf(view->routes.find(entry->submission.authority, entry->submission.path)));
+    }
     poke();
 }
 
@@ -200,6 +240,7 @@
     entry->terms.requiresSingleVersion = entry->route->requiresSingleVersion;
     entry->terms.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
     entry->terms.priority = entry->route->priority;
+    entry->terms.pools = poolsOf(entry->route);
     entry->submission = std::move(submission);
     entry->revision = revision;
     m_scheduler.add(entry->submission, entry->terms, entry->log->stored());
@@ -367,13 +408,7 @@
         co_return response.error().code == ErrorCode::NotSent ? RunEnd::NotRun : RunEnd::Broken;
     }
     cause = "status " + std::to_string(status) + " " + std::string(name(kind));
-    if (kind == AnswerKind::NotRun || kind == AnswerKind::Misdirected)
-        co_return RunEnd::NotRun;
-    if (status == statusUnprocessable)
-        co_return RunEnd::Impossible;
-    if (status >= firstServerErrorStatus)
-        co_return RunEnd::ServerError;
-    co_return kind == AnswerKind::Answered&& status == statusOk ? RunEnd::Complete : RunEnd::Broken;
+    co_return runEndOf(kind, status);
 }
 
 Task<void> SampleRunner::judge(OpenPointer entry, ItemKey key)
@@ -399,7 +434,7 @@
         ForwardRequest request;
         request.id = reward.id;
         request.route = &single;
-        request.pool = choosePool(*route, 0);
+        request.pool = choosePool(*route, drawOf(reward.id));
         const auto timeout = route->timeout.count() > 0 ? route->timeout : assumedRewardTimeout;
         request.deadline = m_clock.now() + timeout;
         request.message = [&](const AttemptTerms& terms) { return m_protocol.rewardRequest(reward, terms); };
@@ -412,11 +447,12 @@
             settle(entry, key, ResultState::Succeeded, m_protocol.signature(outcome.answer.fields), "judged");
             co_return;
         }
-        if (outcome.state == ForwardState::Answered && ++failures >= std::max(1U, route->maximumAttempts)) {
+        const bool hasFailed = outcome.state == ForwardState::Answered && outcome.answer.status == statusServerError;
+        if (hasFailed && ++failures >= std::max(1U, route->maximumAttempts)) {
             settle(entry, key, ResultState::GivenUp, {}, "its reward call failed");
             co_return;
         }
-        if (outcome.state == ForwardState::NotRun)
+        if (!hasFailed)
             co_await pause(m_executor, std::max<Duration>(rewardPause, outcome.retryAfter));
     }
 }
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -23,6 +23,9 @@
     std::chrono::milliseconds textsInterval { 1000 };
 };
 
+/// @brief How a run ended whose whole answer came.
+RunEnd runEndOf(AnswerKind, unsigned status) noexcept;
+
 /// @brief The coordinator's work on submissions. Bound to one event loop; coroutines hold it, so that it outlives their waits.
 class SampleRunner : public std::enable_shared_from_this<SampleRunner> {
 public:
@@ -37,6 +40,7 @@
     void poke();
     /// @brief Called several times a second: retries, moves, ends of life.
     void tick();
+    /// @brief Takes over the present configuration and registry.
     void updateEngines();
 
     SampleScheduler& scheduler() noexcept { return m_scheduler; }
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -162,7 +162,7 @@
     WorkerPool worker(1);
     TargetClients clients(worker);
     SampleScheduler scheduler;
-    scheduler.setEngines({ { TargetId("a"), 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ { TargetId("a"), PoolName("ledger"), 4, { { "draft", 1 } } } });
     store.put("versions/draft", "draft 3");
     start();
     int ended = 0;
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -18,6 +18,7 @@
 /// @brief A model engine as the scheduler sees it.
 struct SchedulableEngine {
     TargetId id;
+    PoolName pool;
     unsigned slots = 1;
     std::map<std::string, WeightVersion> models;
 };
@@ -31,6 +32,8 @@
     bool requiresSingleVersion = false;
     unsigned maximumServerErrors = 3;
     unsigned priority = 0;
+    /// Pools whose engines may run its items; changes with the configuration.
+    std::vector<PoolName> pools;
 };
 
 struct ItemKey {
@@ -90,6 +93,8 @@
 
     /// @param done items whose results are already stored
     void add(const Submission&, const SubmissionTerms&, const std::set<ItemId>& done);
+    /// @brief Takes over a configuration that sends a submission's route elsewhere; an empty list lets nothing more run.
+    void setPools(const SubmissionId&, std::vector<PoolName>);
     /// @brief Forgets a submission. @return its running items, which are to be stopped
     std::vector<ItemKey> remove(const SubmissionId&);
 
@@ -156,6 +161,7 @@
     };
 
     struct Engine {
+        PoolName pool;
         unsigned slots = 1;
         unsigned running = 0;
         bool isPresent = true;
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -75,6 +75,7 @@
     for (const auto& present : engines) {
         auto& engine = m_engines[present.id];
         engine.isPresent = true;
+        engine.pool = present.pool;
         engine.slots = std::max(1U, present.slots);
         for (const auto& [model, version] : present.models)
             engine.weights.try_emplace(ModelName(model), version);
@@ -148,6 +149,12 @@
         item.isWanted = wanted.contains(item.group);
 }
 
+void SampleScheduler::setPools(const SubmissionId& id, std::vector<PoolName> pools)
+{
+    if (const auto found = m_open.find(id); found != m_open.end())
+        found->second.terms.pools = std::move(pools);
+}
+
 std::vector<ItemKey> SampleScheduler::remove(const SubmissionId& id)
 {
     std::vector<ItemKey> stopped;
@@ -208,6 +215,8 @@
 {
     if (!engine.isPresent || engine.running >= engine.slots || engine.pausedUntil > now)
         return false;
+    if (std::find(open.terms.pools.begin(), open.terms.pools.end(), engine.pool) == open.terms.pools.end())
+        return false;
     const auto weights = engine.weights.find(open.model);
     if (weights == engine.weights.end() || !weights->second || *weights->second < open.oldestVersion)
         return false;
--- a/packages/submissions/tests/unit-sample-scheduler.cpp
+++ b/packages/submissions/tests/unit-sample-scheduler.cpp
@@ -12,6 +12,7 @@
 const TargetId fast("fast");
 const TargetId slow("slow");
 const ModelName model("draft");
+const PoolName pool("engines");
 
 /// Two engines of four slots; items are added by group and expected tokens.
 struct SchedulerFixture {
@@ -22,9 +23,10 @@
 
     SchedulerFixture()
     {
-        scheduler.setEngines({ { fast, 4, { { "draft", 1 } } }, { slow, 4, { { "draft", 1 } } } });
+        scheduler.setEngines({ { fast, pool, 4, { { "draft", 1 } } }, { slow, pool, 4, { { "draft", 1 } } } });
         terms.due = clock.now() + 7500ms;
         terms.giveUpAt = clock.now() + 40s;
+        terms.pools = { pool };
         submission.id = SubmissionId("step-1");
         submission.model = model;
         submission.oldestVersion = 1;
@@ -124,9 +126,22 @@
     CHECK(scheduler.neededVersion(model) == 2);
 }
 
+TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a route that is sent to another pool, uses that pool's engines only")
+{
+    item("i", "g");
+    terms.pools = { PoolName("elsewhere") };
+    add();
+    CHECK(placed().empty());
+    scheduler.setPools(submission.id, { PoolName("elsewhere"), pool });
+    CHECK(placed().size() == 1);
+    scheduler.finished(key(0), RunEnd::Abandoned, clock.now());
+    scheduler.setPools(submission.id, {});
+    CHECK(placed().empty());
+}
+
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, after a broken run, goes on with the text and leaves the engine alone for a while")
 {
-    scheduler.setEngines({ { fast, 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ { fast, pool, 4, { { "draft", 1 } } } });
     item("i", "g");
     add();
     REQUIRE(placed().size() == 1);
@@ -144,7 +159,7 @@
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, on a route of single versions, drops text of two versions and continues on the same one only")
 {
     terms.requiresSingleVersion = true;
-    scheduler.setEngines({ { fast, 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ { fast, pool, 4, { { "draft", 1 } } } });
     item("i", "g");
     add();
     REQUIRE(placed().size() == 1);
