A load of weights belongs to one life of its engine and gives its turn up when no report comes

Ruled out: the lease (held), fencing (no order refused), the event loop (answers). Tests fail without the change.

--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -28,6 +28,9 @@
     constexpr milliseconds longestSilence { 1600 };
     /// An accepted load that takes longer is looked at anew.
     constexpr milliseconds longestLoad { 8000 };
+    /// A load is given up after so many reports in a row that did not come, and its engine left alone for a while.
+    constexpr unsigned mostFailures = 3;
+    constexpr milliseconds failurePause { 1000 };
     /// All engines but one in so many have to be measured before they are shared by speed.
     constexpr std::size_t measuredShare = 5;
     /// Pause before an order that was refused is given again.
@@ -148,7 +151,7 @@
 {
     std::vector<LoadableEngine> engines;
     for (const auto& [id, engine] : m_engines) {
-        if (engine.pool != pool)
+        if (engine.pool != pool || (!engine.isLoading && engine.pausedUntil > m_clock.now()))
             continue;
         LoadableEngine row { id, engine.versions, engine.isLoading, engine.home, std::chrono::duration<double>(m_scheduler.pace(id)).count() };
         row.running = m_scheduler.runningOn(id, engine.home);
@@ -205,28 +208,39 @@
 Task<void> WeightOrders::load(LoadDecision decision)
 {
     const auto self = shared_from_this();
-    const auto endpoint = m_engines[decision.engine].endpoint;
+    const auto& engine = m_engines[decision.engine];
+    Load load { decision, engine.endpoint, engine.startedAt };
     m_scheduler.setWeights(decision.engine, decision.model, std::nullopt);
     auto step = OrderStep::Again;
-    while (step == OrderStep::Again && !m_isStopped && m_hooks.mayOrder() && m_directory.registry().find(decision.engine)) {
-        step = co_await order(decision, endpoint);
+    while (step == OrderStep::Again && m_hooks.mayOrder() && mayGoOn(load)) {
+        step = co_await order(load);
         if (step == OrderStep::Again)
             co_await pause(m_executor, retryPause);
     }
     if (m_isStopped)
         co_return;
-    endLoad(decision);
+    endLoad(load);
     m_hooks.onChange();
     // Posted, since a load that ends at once would otherwise begin the next one on its own stack.
     asio::post(m_executor, [self] { self->tick(); });
 }
 
-void WeightOrders::endLoad(const LoadDecision& decision)
+/// Whether the engine is still there, in the life in which the load began, and answers.
+bool WeightOrders::mayGoOn(const Load& load) const
 {
+    const auto* registered = m_directory.registry().find(load.decision.engine);
+    return !m_isStopped && registered && registered->startedAt == load.startedAt && registered->endpoint == load.endpoint && load.failures < mostFailures;
+}
+
+void WeightOrders::endLoad(const Load& load)
+{
+    const auto& decision = load.decision;
     const auto found = m_engines.find(decision.engine);
     if (found == m_engines.end())
         return;
     found->second.isLoading = false;
+    if (load.failures > 0)
+        found->second.pausedUntil = m_clock.now() + failurePause;
     if (!m_directory.registry().find(decision.engine)) {
         m_engines.erase(found);
         return;
@@ -244,9 +258,12 @@
     co_return m_protocol.report(answer.value().body);
 }
 
-Task<WeightOrders::OrderStep> WeightOrders::order(const LoadDecision& decision, const Endpoint& endpoint)
+Task<WeightOrders::OrderStep> WeightOrders::order(Load& load)
 {
+    const auto& decision = load.decision;
+    const auto& endpoint = load.endpoint;
     const auto before = co_await report(endpoint);
+    load.failures = before ? 0 : load.failures + 1;
     if (!before || m_isStopped)
         co_return OrderStep::Again;
     learn(decision.engine, before.value().models);
@@ -255,7 +272,7 @@
         co_return OrderStep::Done;
     if (before.value().isLoading || !m_hooks.mayOrder())
         co_return OrderStep::Again;
-    LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
+    const LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
     const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
     std::optional<OrderOutcome> outcome;
     if (answer)
@@ -267,7 +284,7 @@
         std::optional<std::uint64_t> countBefore;
         if (!outcome)
             countBefore = order.acceptedOrders;
-        const bool isInForce = co_await awaitVersion(decision, endpoint, countBefore);
+        const bool isInForce = co_await awaitVersion(load, countBefore);
         co_return isInForce ? OrderStep::Done : OrderStep::Again;
     }
     if (*outcome == OrderOutcome::Fenced)
@@ -278,13 +295,14 @@
 }
 
 /// Waits until the engine reports the version. @param countBefore orders that it had accepted, if it is not known whether it accepted this one
-Task<bool> WeightOrders::awaitVersion(const LoadDecision& decision, const Endpoint& endpoint, std::optional<std::uint64_t> countBefore)
+Task<bool> WeightOrders::awaitVersion(const Load& load, std::optional<std::uint64_t> countBefore)
 {
+    const auto& decision = load.decision;
     const auto begun = m_clock.now();
     if (!countBefore)
         co_await pause(m_executor, usualLoadTime);
-    while (!m_isStopped && m_clock.now() < begun + longestLoad && m_directory.registry().find(decision.engine)) {
-        const auto now = co_await report(endpoint);
+    while (mayGoOn(load) && m_clock.now() < begun + longestLoad) {
+        const auto now = co_await report(load.endpoint);
         if (now) {
             learn(decision.engine, now.value().models);
             const auto held = now.value().models.find(decision.model.value());
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -55,6 +55,17 @@
         std::map<ModelName, WeightVersion> versions;
         ModelName home;
         bool isLoading = false;
+        /// After a load that failed it waits so long, so that others take its turn.
+        TimePoint pausedUntil;
+    };
+
+    /// A load, for one life of its engine.
+    struct Load {
+        LoadDecision decision;
+        Endpoint endpoint;
+        Incarnation startedAt = 0;
+        /// Reports in a row that failed.
+        unsigned failures = 0;
     };
 
     enum class OrderStep : std::uint8_t { Done,
@@ -65,9 +76,10 @@
     void assignWhenKnown();
     std::vector<LoadableEngine> loadable(const PoolName&) const;
     Task<void> load(LoadDecision);
-    void endLoad(const LoadDecision&);
-    Task<OrderStep> order(const LoadDecision&, const Endpoint&);
-    Task<bool> awaitVersion(const LoadDecision&, const Endpoint&, std::optional<std::uint64_t> countBefore);
+    void endLoad(const Load&);
+    bool mayGoOn(const Load&) const;
+    Task<OrderStep> order(Load&);
+    Task<bool> awaitVersion(const Load&, std::optional<std::uint64_t> countBefore);
     Task<Result<EngineReport>> report(const Endpoint&);
     void learn(const TargetId&, const std::map<std::string, WeightVersion>&);
     void learnOne(const LoadDecision&);
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -9,7 +9,7 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL MODEL...", target "POOL IP:PORT ready|leaving MODEL VERSION", named version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL MODEL...", target "POOL IP:PORT ready|leaving MODEL VERSION START", named version "MODEL VERSION".
 class FakeSiteProtocol final : public SiteProtocol {
 public:
     CallerCall callerCall(const HttpRequest&) const override { return {}; }
@@ -74,6 +74,7 @@
         target.isLeaving = state == "leaving";
         if (words >> model >> version)
             target.models[model] = version;
+        words >> target.startedAt;
         return target;
     }
 
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -60,6 +60,34 @@
     }
 };
 
+/// Orders for engine "a", which does not answer; a newer version is named.
+struct OrdersFixture : SiteFixture {
+    WorkerPool worker { 1 };
+    TargetClients clients { worker };
+    SampleScheduler scheduler;
+    SteadyClock steadyClock;
+    int ended = 0;
+    std::shared_ptr<WeightOrders> orders;
+
+    void startOrders()
+    {
+        scheduler.setEngines({ { TargetId("a"), PoolName("ledger"), 4, { { "draft", 1 } } } });
+        store.put("versions/draft", "draft 3");
+        start();
+        WeightOrderHooks hooks { [] { return true; }, [] {}, [this] { ++ended; } };
+        orders = std::make_shared<WeightOrders>(context.get_executor(), store, protocol, directory, clients, scheduler, steadyClock, WeightOrderSettings {}, hooks);
+        directory.onChange([this] { orders->updateEngines(); });
+        orders->start();
+        settle();
+    }
+
+    ~OrdersFixture()
+    {
+        orders->stop();
+        directory.onChange({});
+    }
+};
+
 /// Two candidates for coordination, the first of which holds it.
 struct CandidatesFixture : SiteFixture {
     WorkerPool worker { 1 };
@@ -157,21 +185,9 @@
     CHECK(runUntil([&] { return directory.view()->configuration.version == 5; }));
 }
 
-TEST_CASE_METHOD(SiteFixture, "weight orders, of an engine that leaves the registry during its load, end the load and begin no other")
+TEST_CASE_METHOD(OrdersFixture, "weight orders, of an engine that leaves the registry during its load, end the load and begin no other")
 {
-    WorkerPool worker(1);
-    TargetClients clients(worker);
-    SampleScheduler scheduler;
-    scheduler.setEngines({ { TargetId("a"), PoolName("ledger"), 4, { { "draft", 1 } } } });
-    store.put("versions/draft", "draft 3");
-    start();
-    int ended = 0;
-    WeightOrderHooks hooks { [] { return true; }, [] {}, [&] { ++ended; } };
-    SteadyClock steadyClock;
-    const auto orders = std::make_shared<WeightOrders>(context.get_executor(), store, protocol, directory, clients, scheduler, steadyClock, WeightOrderSettings {}, hooks);
-    directory.onChange([&] { orders->updateEngines(); });
-    orders->start();
-    settle();
+    startOrders();
     CHECK(ended == 0);
     store.put("targets/a", "garbage");
     CHECK(runUntil([&] { return ended == 1; }));
@@ -180,8 +196,19 @@
         settle();
     }
     CHECK(ended == 1);
-    orders->stop();
-    directory.onChange({});
+}
+
+TEST_CASE_METHOD(OrdersFixture, "weight orders, of an engine that starts again elsewhere during its load, end that load")
+{
+    startOrders();
+    store.put("targets/a", "ledger 127.0.0.1:2 ready draft 1 99");
+    CHECK(runUntil([&] { return ended >= 1; }));
+}
+
+TEST_CASE_METHOD(OrdersFixture, "weight orders, of an engine that does not answer, give its turn to another")
+{
+    startOrders();
+    CHECK(runUntil([&] { return ended >= 1; }));
 }
 
 TEST_CASE_METHOD(CandidatesFixture, "coordination, of two candidates, passes to the other one when the holder hands over")
