Hosts follow the registry and the configuration at mirrors instead of the store

A trial with a line for each call: 1,699 watches of the registry and 753 of the configuration by 51 hosts, each change waking each host, and calls repeated every half second by hosts that the store turned away. Ruled out: lease renewals (203, a tenth of the price), appends (573). A mirror states how long ago the store served it (a renewed lease shows it); a host that gets no answer, or one older than 700 ms, asks the store itself for five seconds. Retries while the store is away grow to 1.5 s.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -25,6 +25,8 @@
     LeaseLost = 203,
     WatchLost = 204,
     WatchRestored = 205,
+    MirrorFollowed = 206,
+    MirrorLost = 207,
     // 3xx: membership
     HostJoined = 301,
     HostSuspected = 302,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -98,6 +98,8 @@
         { Event::LeaseLost, "lease-lost", Level::Warning },
         { Event::WatchLost, "watch-lost", Level::Warning },
         { Event::WatchRestored, "watch-restored", Level::Info },
+        { Event::MirrorFollowed, "mirror-followed", Level::Info },
+        { Event::MirrorLost, "mirror-lost", Level::Warning },
         { Event::HostJoined, "host-joined", Level::Info },
         { Event::HostSuspected, "host-suspected", Level::Warning },
         { Event::HostLeft, "host-left", Level::Info },
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -26,6 +26,10 @@
     SocketAddress ready;
     /// Metrics and state.
     SocketAddress admin;
+    /// Where this process passes the store's records on to others; empty: it does not.
+    SocketAddress mirror;
+    /// Processes that pass the store's records on to this one; they may be down, or not theirs any more.
+    std::vector<SocketAddress> mirrors;
 };
 
 /// @brief Which parts of the product run in the process.
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -31,6 +31,8 @@
             { "callers", &SiteAddressSettings::callers, Presence::Optional },
             { "ready", &SiteAddressSettings::ready, Presence::Optional },
             { "admin", &SiteAddressSettings::admin, Presence::Required },
+            { "mirror", &SiteAddressSettings::mirror, Presence::Optional },
+            { "mirrors", &SiteAddressSettings::mirrors, Presence::Optional },
         };
         return fields;
     }
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -16,9 +16,16 @@
 
 namespace {
 
-    /// Pauses between calls while the store is away: short, since a change has to be in force within two seconds of its return.
+    /// Pause after the first call that failed.
     constexpr std::chrono::milliseconds firstRetry { 100 };
-    constexpr std::chrono::milliseconds longestRetry { 500 };
+    /// The pause grows no more after so many failures.
+    constexpr unsigned mostDoublings = 8;
+
+    Duration retryPause(unsigned failures, Duration longest)
+    {
+        const auto doublings = std::min(mostDoublings, std::max(1U, failures) - 1);
+        return std::min<Duration>(longest, firstRetry * (1U << doublings));
+    }
 
 } // namespace
 
@@ -66,11 +73,45 @@
             co_return;
         recordOutcome(outcome);
         if (!outcome)
-            co_await wait(std::min<Duration>(longestRetry, firstRetry * m_failures));
+            co_await wait(retryPause(m_failures, m_settings.longestRetry));
     }
 }
 
 Task<Result<void>> RecordWatch::step()
+{
+    const bool usesMirror = m_settings.mirror && m_settings.mirror->isUsable();
+    if (usesMirror && co_await stepFromMirror())
+        co_return success();
+    auto outcome = co_await stepFromStore();
+    if (!outcome && m_settings.mirror)
+        m_settings.mirror->storeFailed();
+    co_return outcome;
+}
+
+Task<bool> RecordWatch::stepFromMirror()
+{
+    std::optional<Revision> after;
+    if (m_hasSnapshot)
+        after = m_revision;
+    const auto reply = co_await m_settings.mirror->follow(m_settings.prefix, after);
+    if (m_isStopped)
+        co_return true;
+    // A mirror may lag behind what the store told this host.
+    if (!reply || (reply.value().isSnapshot && reply.value().records.revision < m_revision))
+        co_return false;
+    const auto& [records, isSnapshot, isAfterItsOutage, age] = reply.value();
+    recordOutcome(success());
+    m_hasSnapshot = true;
+    m_revision = std::max(m_revision, records.revision);
+    const bool isAfterAnOutage = isAfterItsOutage || isAfterOutage();
+    if (isSnapshot)
+        m_handler.onSnapshot(records, isAfterAnOutage);
+    else if (!records.entries.empty())
+        m_handler.onChanges(records, isAfterAnOutage);
+    co_return true;
+}
+
+Task<Result<void>> RecordWatch::stepFromStore()
 {
     if (!m_hasSnapshot) {
         auto snapshot = co_await m_store.snapshot(m_settings.prefix, {});
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "MirrorClient.h"
+
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/services/TransactionalStore.h"
 
@@ -21,16 +23,30 @@
     std::function<void(const WatchResult&, bool afterOutage)> onChanges;
 };
 
+/// @brief What a watch has seen.
+struct RecordNews {
+    std::string prefix;
+    WatchResult records;
+    /// All records under the prefix; others are gone.
+    bool isSnapshot = false;
+    /// A record may be missing only because the store was away.
+    bool isAfterOutage = false;
+};
+
 struct RecordWatchSettings {
     std::string prefix;
-    /// Wait between a change and the next call: several changes share one call then.
+    /// Wait between a change and the next call to the store: several changes share one call then.
     std::chrono::milliseconds pause { 0 };
     /// Longest wait of one call. A silent connection is noticed by its keep-alive probes before that.
     std::chrono::milliseconds patience { 30000 };
+    /// Longest pause between two calls while the store is away; each pause is twice the one before.
+    std::chrono::milliseconds longestRetry { 500 };
+    /// Mirrors that are asked instead of the store, if any; outlives the watch.
+    MirrorClient* mirror = nullptr;
 };
 
 /// @brief Snapshot, then changes, for as long as it is not stopped. While the store is away it tries again with growing pauses; when history
-/// was lost it takes a new snapshot. Bound to one event loop.
+/// was lost it takes a new snapshot. Where there are mirrors, the store is asked only when none can be relied on. Bound to one event loop.
 class RecordWatch : public std::enable_shared_from_this<RecordWatch> {
 public:
     RecordWatch(boost::asio::any_io_executor, TransactionalStore&, const Clock&, RecordWatchSettings, RecordWatchHandler);
@@ -47,6 +63,9 @@
 private:
     Task<void> run();
     Task<Result<void>> step();
+    Task<Result<void>> stepFromStore();
+    /// @return false if the store has to be asked
+    Task<bool> stepFromMirror();
     void recordOutcome(const Result<void>&);
     bool isAfterOutage() const;
     Task<void> wait(Duration);
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -4,17 +4,51 @@
 
 namespace cicadalb {
 
+namespace {
+
+    /// A change has to be in force two seconds after its acknowledgement at hosts that have reached the store for three seconds.
+    constexpr std::chrono::milliseconds longestRetry { 1500 };
+
+    RecordWatchSettings watchSettings(std::string prefix, std::chrono::milliseconds pause, MirrorClient* mirror)
+    {
+        RecordWatchSettings settings;
+        settings.prefix = std::move(prefix);
+        settings.pause = pause;
+        settings.longestRetry = longestRetry;
+        settings.mirror = mirror;
+        return settings;
+    }
+
+} // namespace
+
 SiteDirectory::SiteDirectory(boost::asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, const Clock& clock, SiteDirectorySettings settings)
     : m_protocol(protocol)
     , m_clock(clock)
     , m_settings(std::move(settings))
 {
     const auto takeConfiguration = [this](const WatchResult& result, bool) { this->takeConfiguration(result.entries); };
-    m_configurationWatch = std::make_shared<RecordWatch>(executor, store, clock, RecordWatchSettings { protocol.keys().configuration },
-        RecordWatchHandler { takeConfiguration, takeConfiguration });
-    m_targetsWatch = std::make_shared<RecordWatch>(std::move(executor), store, clock, RecordWatchSettings { protocol.keys().targets, m_settings.registryPause },
-        RecordWatchHandler { [this](const auto& result, bool afterOutage) { takeTargets(result, afterOutage); },
-            [this](const auto& result, bool afterOutage) { takeTargetChanges(result, afterOutage); } });
+    const auto takeTargets = [this](const WatchResult& result, bool afterOutage) { this->takeTargets(result, afterOutage); };
+    const auto takeTargetChanges = [this](const WatchResult& result, bool afterOutage) { this->takeTargetChanges(result, afterOutage); };
+    m_configurationWatch = makeWatch(executor, store, watchSettings(protocol.keys().configuration, std::chrono::milliseconds(0), m_settings.mirror), takeConfiguration, takeConfiguration);
+    m_targetsWatch = makeWatch(executor, store, watchSettings(protocol.keys().targets, m_settings.registryPause, m_settings.mirror), takeTargets, takeTargetChanges);
+}
+
+std::shared_ptr<RecordWatch> SiteDirectory::makeWatch(const boost::asio::any_io_executor& executor, TransactionalStore& store, RecordWatchSettings settings, TakeRecords take, TakeRecords takeChanges)
+{
+    const auto handler = [this, prefix = settings.prefix](TakeRecords next, bool isSnapshot) {
+        return [this, prefix, next = std::move(next), isSnapshot](const WatchResult& records, bool afterOutage) {
+            if (m_onNews)
+                m_onNews({ prefix, records, isSnapshot, afterOutage });
+            next(records, afterOutage);
+        };
+    };
+    return std::make_shared<RecordWatch>(executor, store, m_clock, std::move(settings), RecordWatchHandler { handler(std::move(take), true), handler(std::move(takeChanges), false) });
+}
+
+bool SiteDirectory::isFollowing(const std::string& prefix) const
+{
+    const auto& watch = prefix == m_protocol.keys().configuration ? m_configurationWatch : m_targetsWatch;
+    return watch->isCurrent();
 }
 
 void SiteDirectory::start()
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -30,8 +30,10 @@
 
 struct SiteDirectorySettings {
     FailureDomain ownFailureDomain;
-    /// Pause after a change of the registry. A target serves for two seconds after it said that it leaves.
+    /// Pause after a change of the registry that the store told. A target serves for two seconds after it said that it leaves.
     std::chrono::milliseconds registryPause { 0 };
+    /// Mirrors that are asked instead of the store, if any; outlives the directory.
+    MirrorClient* mirror = nullptr;
     std::uint64_t seed = 0;
 };
 
@@ -46,6 +48,10 @@
     void followClosely(bool isClose);
     /// @brief Called after each change of the configuration or of the targets.
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
+    /// @brief Called with all that is seen in the store.
+    void onNews(std::function<void(const RecordNews&)> handler) { m_onNews = std::move(handler); }
+    /// @brief Whether the records under a prefix are followed now.
+    bool isFollowing(const std::string& prefix) const;
 
     /// @brief The configuration in force, or null before the first one.
     std::shared_ptr<const SiteView> view() const noexcept { return m_view; }
@@ -58,6 +64,9 @@
     void tick();
 
 private:
+    using TakeRecords = std::function<void(const WatchResult&, bool afterOutage)>;
+    /// A watch whose records go to @p take, or to @p takeChanges after the first ones, and to the handler of onNews().
+    std::shared_ptr<RecordWatch> makeWatch(const boost::asio::any_io_executor&, TransactionalStore&, RecordWatchSettings, TakeRecords take, TakeRecords takeChanges);
     void takeConfiguration(const std::vector<KeyValueEntry>&);
     void takeTargets(const WatchResult&, bool afterOutage);
     void takeTargetChanges(const WatchResult&, bool afterOutage);
@@ -75,6 +84,7 @@
     bool m_hasTargets = false;
     std::map<PoolName, std::shared_ptr<PoolGate>> m_gates;
     std::function<void()> m_onChange;
+    std::function<void(const RecordNews&)> m_onNews;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -1,10 +1,13 @@
 #include "cicadalb/hosting/SiteHost.h"
 
 #include "Coordination.h"
+#include "MirrorClient.h"
 #include "Pause.h"
+#include "RecordMirror.h"
 #include "SiteEndpoints.h"
 
 #include "cicadalb/base/Event.h"
+#include "cicadalb/base/Hash.h"
 #include "cicadalb/transport/WorkerPool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,8 +33,13 @@
     constexpr milliseconds drainPollInterval { 20 };
     /// Longest usual time from a change in the store to its news here, on the store's slow days.
     constexpr milliseconds slowStoreTime { 800 };
+    /// Changes of the registry share a call for so long at a process whose word other hosts rely on, beside the time that they do without it
+    /// (MirrorClient.h).
+    constexpr milliseconds mirrorPause { 500 };
     /// Idle connections to targets are kept so long: a trainer's next step comes within it.
     constexpr milliseconds targetIdleTimeout { 4000 };
+    /// ... and so long by a target that states how long it keeps them itself.
+    constexpr milliseconds longestTargetIdleTimeout { 30000 };
     /// Callers reuse connections that have been idle for up to four fifths of the site's limit of 15 s.
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
@@ -49,6 +57,7 @@
     {
         HttpClientOptions options;
         options.idleTimeout = targetIdleTimeout;
+        options.longestIdleTimeout = longestTargetIdleTimeout;
         return options;
     }
 
@@ -68,11 +77,21 @@
         return listener ? std::to_string(listener->port()) : "none";
     }
 
-    SiteDirectorySettings directorySettings(const SiteSettings& settings, std::uint64_t seed)
+    bool hasMirror(const SiteSettings& settings) { return !settings.addresses.mirror.address.empty(); }
+
+    SiteDirectorySettings directorySettings(const SiteSettings& settings, MirrorClient& mirror, std::uint64_t seed)
     {
         // Changes share a call for as long as a target that leaves still serves, less the time that a slow store takes.
-        const auto pause = std::max(milliseconds(0), settings.work.leavingTime - slowStoreTime);
-        return { settings.host.failureDomain, pause, seed };
+        const auto usualPause = std::max(milliseconds(0), settings.work.leavingTime - slowStoreTime);
+        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualPause, mirrorPause) : usualPause, &mirror, seed };
+    }
+
+    MirrorClient makeMirrorClient(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
+    {
+        std::vector<Endpoint> endpoints;
+        for (const auto& address : settings.addresses.mirrors)
+            endpoints.push_back({ address.address, address.port });
+        return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), httpMirrorExchange(executor, endpoints), clock };
     }
 
     CoordinationSettings coordinationSettings(const SiteSettings& settings, std::uint64_t seed)
@@ -99,7 +118,8 @@
         , m_executor(m_workers.context(0).get_executor())
         , m_store(makeStore(m_executor, Endpoint { m_settings.addresses.store.address, m_settings.addresses.store.port }))
         , m_clients(m_workers, targetOptions())
-        , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_seed))
+        , m_mirrorClient(makeMirrorClient(m_executor, m_settings, m_clock))
+        , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_clock)
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
@@ -111,6 +131,10 @@
             m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
             m_readyListener.emplace(m_workers, listenerOptions(m_settings.addresses.ready), serve);
         }
+        if (hasMirror(m_settings)) {
+            m_mirror = std::make_shared<RecordMirror>(m_executor, *m_store, m_bootClock);
+            m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirror), [this](auto& request, auto& responder) { return m_mirror->serve(request, responder); });
+        }
         if (m_settings.parts.coordinating)
             m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_clock, coordinationSettings(m_settings, m_seed));
     }
@@ -124,6 +148,8 @@
             started = m_readyListener->start();
         if (started && m_callerListener)
             started = m_callerListener->start();
+        if (started && m_mirrorListener)
+            started = m_mirrorListener->start();
         if (!started)
             return started;
         asio::post(m_executor, [this] { startWork(); });
@@ -156,6 +182,11 @@
             if (m_coordination)
                 m_coordination->siteChanged();
         });
+        if (m_mirror) {
+            m_mirror->setFollowed([this](const auto& prefix) { return m_directory.isFollowing(prefix); });
+            m_directory.onNews([this](const auto& news) { m_mirror->take(news); });
+            m_mirror->start();
+        }
         m_directory.start();
         asio::co_spawn(m_executor, keepTime(), asio::detached);
         if (!m_coordination)
@@ -271,12 +302,16 @@
     asio::any_io_executor m_executor;
     std::unique_ptr<TransactionalStore> m_store;
     TargetClients m_clients;
+    BootClock m_bootClock;
+    MirrorClient m_mirrorClient;
     SiteDirectory m_directory;
     RequestForwarder m_forwarder;
     SubmissionIntake m_intake;
     ResultReader m_reader;
     SiteEndpoints m_endpoints;
     HttpListener m_adminListener;
+    std::shared_ptr<RecordMirror> m_mirror;
+    std::optional<HttpListener> m_mirrorListener;
     std::optional<HttpListener> m_callerListener;
     std::optional<HttpListener> m_readyListener;
     std::shared_ptr<Coordination> m_coordination;
