--- a/packages/services/include/cicadalb/services/TransactionalStore.h
+++ b/packages/services/include/cicadalb/services/TransactionalStore.h
@@ -39,6 +39,11 @@
     virtual Task<Result<Revision>> commit(Transaction) = 0;
     /// @brief All entries under @p prefix whose key is above @p after, and a revision from which a watch misses nothing.
     virtual Task<Result<WatchResult>> snapshot(std::string prefix, std::string after) = 0;
+    /// @brief As snapshot(), as of some moment of the last seconds: cheaper, and enough for records that never change once they exist. The
+    /// revision is that of the newest record found.
+    virtual Task<Result<WatchResult>> staleSnapshot(std::string prefix, std::string after) = 0;
+    /// @brief As read(), as of some moment of the last seconds.
+    virtual Task<Result<std::optional<KeyValueEntry>>> staleRead(std::string key) = 0;
 };
 
 } // namespace cicadalb
--- a/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -42,8 +43,9 @@
     std::size_t writes = 0;
     std::size_t leases = 0;
     std::size_t watches = 0;
+    std::size_t staleReads = 0;
 
-    std::size_t total() const { return reads + writes + leases + watches; }
+    std::size_t total() const { return reads + writes + leases + watches + staleReads; }
 };
 
 class FakeKeyValueService final : public TransactionalStore {
@@ -58,6 +60,8 @@
     std::function<CallFault(CallKind)> faultOf = [](CallKind) { return CallFault::None; };
     /// Time by which each answer is late.
     Duration delay { 0 };
+    /// Newest change that stale reads see.
+    Revision staleRevision = std::numeric_limits<Revision>::max();
     /// When a write with AppliedLate takes effect.
     Duration lateBy { std::chrono::seconds(3) };
 
@@ -148,6 +152,31 @@
         co_return result;
     }
 
+    Task<Result<WatchResult>> staleSnapshot(std::string prefix, std::string after) override
+    {
+        const auto fault = begin(CallKind::Read, m_counts.staleReads);
+        co_await waitFor(delay);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        WatchResult result { changedAfter(prefix, 0), 0 };
+        std::erase_if(result.entries, [&](const auto& entry) { return entry.key <= after || entry.revision > staleRevision; });
+        for (const auto& entry : result.entries)
+            result.revision = std::max(result.revision, entry.revision);
+        co_return result;
+    }
+
+    Task<Result<std::optional<KeyValueEntry>>> staleRead(std::string key) override
+    {
+        const auto fault = begin(CallKind::Read, m_counts.staleReads);
+        co_await waitFor(delay);
+        if (fault != CallFault::None)
+            co_return failure(ErrorCode::Unavailable, "fault");
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end() || found->second.revision > staleRevision)
+            co_return std::optional<KeyValueEntry>();
+        co_return std::optional<KeyValueEntry>(found->second);
+    }
+
     Task<Result<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) override
     {
         const auto fault = begin(CallKind::Lease, m_counts.leases);
--- /dev/null
+++ b/packages/services/tests/support/cicadalb/services/ResettingServer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cicadalb/base/Task.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+
+/// @file
+/// An HTTP server for tests of clients.
+
+namespace cicadalb {
+
+/// @brief Answers a fixed number of requests on each connection and resets it when one more comes. For requests without a body.
+class ResettingServer {
+public:
+    explicit ResettingServer(boost::asio::io_context& context)
+        : m_context(context)
+        , m_acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+    {
+        boost::asio::co_spawn(m_context, accept(), boost::asio::detached);
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    /// Field of each answer, with its line's end.
+    std::string keepAlive = "Keep-Alive: timeout=10\r\n";
+    std::string body = "ok";
+    int answersOnConnection = 100;
+    int connections = 0;
+    int requests = 0;
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    Task<void> accept()
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            ++connections;
+            boost::asio::co_spawn(m_context, serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    Task<void> serve(Socket socket)
+    {
+        for (int answers = 0;; ++answers) {
+            std::string request;
+            co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", boost::asio::use_awaitable);
+            ++requests;
+            if (answers >= answersOnConnection) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+                co_return;
+            }
+            const auto answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + keepAlive + "\r\n" + body;
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::use_awaitable);
+        }
+    }
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace cicadalb
