Results and submissions are read stale where that is enough

Results never change their position, so that an answer from seconds ago is as good if it holds the position; if not, or if the submission is not found, the store is asked for the present.

--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace cicadalb {
 
 namespace asio = boost::asio;
@@ -44,7 +46,11 @@
     const auto entry = known(id);
     if (entry->submission)
         co_return entry->submission;
-    const auto record = co_await m_store.read(textKey(id));
+    // A text never changes; what a stale read does not show may have come since.
+    auto record = co_await m_store.staleRead(textKey(id));
+    const bool isShown = record && record.value() && !isRefusalRecord(record.value()->value);
+    if (!isShown)
+        record = co_await m_store.read(textKey(id));
     if (!record)
         co_return failure(ErrorCode::Unavailable, record.error().message, id.value());
     if (!record.value() || isRefusalRecord(record.value()->value))
@@ -76,19 +82,25 @@
     }
 }
 
-Task<Result<void>> ResultReader::readMore(const SubmissionId& id, KnownSubmission& entry, std::chrono::milliseconds patience)
+Task<Result<WatchResult>> ResultReader::readRecords(const SubmissionId& id, const KnownSubmission& entry, std::chrono::milliseconds patience, bool mayBeStale)
 {
     const auto prefix = resultKeys(id);
-    const bool mayWatch = entry.total && entry.revision != 0 && patience.count() > 0;
     std::string after;
     if (entry.total)
         after = lastResultKey(id, entry.segments);
-    Result<WatchResult> read = WatchResult {};
-    if (mayWatch)
-        read = co_await m_store.watch(prefix, entry.revision, patience);
-    else
-        read = co_await m_store.snapshot(prefix, after);
+    if (mayBeStale)
+        return m_store.staleSnapshot(prefix, after);
+    if (entry.total && entry.revision != 0 && patience.count() > 0)
+        return m_store.watch(prefix, entry.revision, patience);
+    return m_store.snapshot(prefix, after);
+}
+
+Task<Result<void>> ResultReader::readMore(const SubmissionId& id, KnownSubmission& entry, std::chrono::milliseconds patience, bool mayBeStale)
+{
+    const auto read = co_await readRecords(id, entry, patience, mayBeStale);
     if (!read) {
+        if (mayBeStale)
+            co_return success();
         if (read.error().code == ErrorCode::HistoryLost) {
             entry.revision = 0;
             co_return success();
@@ -104,28 +116,34 @@
 {
     const auto deadline = m_clock.now() + std::max<Duration>(Duration::zero(), patience - answerMargin);
     const auto entry = known(id);
-    bool hasRead = false;
+    // Results never change their position, so that those of some seconds ago are as good where they are enough. A caller that waits for
+    // the next one is served by a watch.
+    bool mayBeStale = !entry->total || patience.count() == 0;
+    const auto readsBefore = entry->currentReads;
     while (entry->results.size() <= position) {
         const auto left = deadline - m_clock.now();
         const bool isComplete = entry->total && entry->results.size() >= *entry->total;
+        const bool hasRead = entry->currentReads > readsBefore;
         if (isComplete || (hasRead && left <= Duration::zero()))
             break;
         if (entry->isReading) {
             boost::system::error_code error;
             co_await entry->changed->async_wait(asio::redirect_error(asio::use_awaitable, error));
-            hasRead = entry->total.has_value();
             continue;
         }
         entry->isReading = true;
         const auto wait = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(left));
-        const auto outcome = co_await readMore(id, *entry, wait);
+        const auto outcome = co_await readMore(id, *entry, wait, mayBeStale);
         entry->isReading = false;
         entry->changed->cancel();
         if (!outcome)
             co_return outcome.as_failure();
+        const bool wasStale = std::exchange(mayBeStale, false);
+        if (wasStale)
+            continue;
+        ++entry->currentReads;
         if (!entry->total)
             co_return absent(id);
-        hasRead = true;
     }
     co_return std::shared_ptr<const KnownSubmission>(entry);
 }
--- a/packages/hosting/src/ResultReader.h
+++ b/packages/hosting/src/ResultReader.h
@@ -30,6 +30,8 @@
     TimePoint lastUsed;
     /// One read of the store at a time serves all callers that wait.
     bool isReading = false;
+    /// Reads that showed all that was stored when they began.
+    std::size_t currentReads = 0;
     std::shared_ptr<boost::asio::steady_timer> changed;
 };
 
@@ -48,7 +50,9 @@
 
 private:
     std::shared_ptr<KnownSubmission> known(const SubmissionId&);
-    Task<Result<void>> readMore(const SubmissionId&, KnownSubmission&, std::chrono::milliseconds patience);
+    /// Reads what came after the known results. @param mayBeStale whether results of some seconds ago may be enough
+    Task<Result<void>> readMore(const SubmissionId&, KnownSubmission&, std::chrono::milliseconds patience, bool mayBeStale);
+    Task<Result<WatchResult>> readRecords(const SubmissionId&, const KnownSubmission&, std::chrono::milliseconds patience, bool mayBeStale);
     void append(const SubmissionId&, KnownSubmission&, const std::vector<KeyValueEntry>&);
 
     boost::asio::any_io_executor m_executor;
--- a/packages/hosting/tests/unit-result-log.cpp
+++ b/packages/hosting/tests/unit-result-log.cpp
@@ -173,3 +173,59 @@
     CHECK((**waiting).value()->results.size() == 1);
     CHECK(append->has_value());
 }
+
+TEST_CASE_METHOD(LogFixture, "result reader, of results that a stale read shows, makes no other call")
+{
+    ResultReader reader(context.get_executor(), store, clock);
+    store.put(totalKey(id), encodeTotal(2));
+    logs[0]->add(result(1, "one"));
+    CHECK(run(logs[0]->append()));
+    const auto before = store.counts();
+    const auto known = run(reader.results(id, 0, 0ms));
+    REQUIRE(known);
+    CHECK(known.value()->results.size() == 1);
+    CHECK(store.counts().staleReads == before.staleReads + 1);
+    CHECK(store.counts().reads == before.reads);
+}
+
+TEST_CASE_METHOD(LogFixture, "result reader, of a submission that a stale read does not show yet, reads it anew")
+{
+    ResultReader reader(context.get_executor(), store, clock);
+    store.staleRevision = 0;
+    Submission submission;
+    submission.id = id;
+    submission.items.resize(2);
+    store.put(textKey(id), encodeSubmission(submission));
+    store.put(totalKey(id), encodeTotal(2));
+    CHECK(run(reader.submission(id)));
+    REQUIRE(run(reader.results(id, 0, 0ms)));
+    logs[0]->add(result(1, "one"));
+    CHECK(run(logs[0]->append()));
+    CHECK(run(reader.results(id, 0, 0ms)).value()->results.size() == 1);
+}
+
+TEST_CASE_METHOD(LogFixture, "result reader, of a caller that comes while a stale read runs, answers it with what is stored now")
+{
+    ResultReader reader(context.get_executor(), store, clock);
+    store.put(totalKey(id), encodeTotal(2));
+    store.staleRevision = store.put("other", "");
+    logs[0]->add(result(1, "one"));
+    CHECK(run(logs[0]->append()));
+    REQUIRE(run(reader.results(id, 0, 0ms)));
+    logs[0]->add(result(2, "two"));
+    CHECK(run(logs[0]->append()));
+    store.delay = 10ms;
+    const auto first = startTask(context.get_executor(), reader.results(id, 1, 0ms));
+    const auto second = startTask(context.get_executor(), reader.results(id, 1, 0ms));
+    for (int turn = 0; turn < 6; ++turn) {
+        context.restart();
+        context.poll();
+        store.advance(10ms);
+    }
+    context.restart();
+    context.poll();
+    REQUIRE(first->has_value());
+    REQUIRE(second->has_value());
+    CHECK((*first)->value()->results.size() == 2);
+    CHECK((*second)->value()->results.size() == 2);
+}
