A coordinator that the store turns away learns of its successor from the other candidates; shorter pauses between coordinators

Now a coordinator without a valid lease asks the other candidates' mirrors who holds it. With it: an earlier process' own record is replaced at once instead of waited for; the pause without orders counts from the moment when the lease was seen to be vacant, and an order needs 900 ms of the lease instead of 500, so that the pause after it is shorter; a hand-over waits until its last order is as old.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -21,8 +21,10 @@
     constexpr std::string_view holderKey = "coordinator/holder";
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseInterval { 150 };
-    /// No order is begun with less of the lease left.
-    constexpr milliseconds longestOrder { 500 };
+    /// No order is begun with less of the lease left. A call for an order takes 600 ms at most.
+    constexpr milliseconds orderMargin = Coordination::handOverTime;
+    /// Pause between two questions to other candidates.
+    constexpr milliseconds askInterval { 300 };
     /// How long candidates leave a vacant lease to the holder who lost it.
     constexpr milliseconds incumbentTime { 350 };
     /// A holder whose lease lapsed tries so long to win it again before it drops its work.
@@ -67,7 +69,7 @@
 void Coordination::start()
 {
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(holderPrefix) },
-        RecordWatchHandler { [this](const auto& result, bool) { takeHolder(result.entries, true); }, [this](const auto& result, bool) { takeHolder(result.entries, false); } });
+        RecordWatchHandler { [this](const auto& result, bool) { takeHolder(result, true); }, [this](const auto& result, bool) { takeHolder(result, false); } });
     m_watch->start();
     asio::co_spawn(
         m_executor, [self = shared_from_this()]() { return self->keepLease(); }, asio::detached);
@@ -75,15 +77,25 @@
         m_executor, [self = shared_from_this()]() { return self->keepTime(); }, asio::detached);
 }
 
-void Coordination::takeHolder(const std::vector<KeyValueEntry>& entries, bool isSnapshot)
+std::string Coordination::holderRecords() { return std::string(holderPrefix); }
+
+bool Coordination::isOwnRecord(const std::string& holder) const { return holder.starts_with(m_settings.host.value() + " "); }
+
+void Coordination::takeHolder(const WatchResult& records, bool isSnapshot)
 {
+    if (m_onNews)
+        m_onNews({ holderRecords(), records, isSnapshot, false });
     const bool wasVacant = m_knowsHolder && m_holder.empty();
     if (isSnapshot)
         m_holder.clear();
     m_knowsHolder = true;
-    for (const auto& entry : entries) {
-        if (entry.key == holderKey)
-            m_holder = entry.isDeleted ? std::string() : entry.value;
+    for (const auto& entry : records.entries) {
+        if (entry.key != holderKey)
+            continue;
+        m_holder = entry.isDeleted ? std::string() : entry.value;
+        m_holderRevision = entry.revision;
+        if (!entry.isDeleted)
+            m_lastHolder = entry.value;
     }
     if (!m_holder.empty() || wasVacant)
         return;
@@ -92,13 +104,17 @@
         m_lease.hasten();
 }
 
-bool Coordination::mayCampaign() const
+bool Coordination::mayCampaign()
 {
     if (m_samples || m_lease.fencingNumber())
         return true;
-    const bool isOwn = m_holder.starts_with(m_settings.host.value() + " ");
+    // Left behind by an earlier process of this host: its work ended with it.
+    if (isOwnRecord(m_holder)) {
+        m_lease.replace(m_holderRevision);
+        return true;
+    }
     const bool isVacant = m_knowsHolder && m_holder.empty();
-    return isOwn || (isVacant && m_bootClock.now() >= m_vacantSince + incumbentTime);
+    return (isVacant && m_bootClock.now() >= m_vacantSince + incumbentTime);
 }
 
 Task<void> Coordination::keepLease()
@@ -122,10 +138,33 @@
             m_samples->tick();
             m_weights->tick();
         }
+        const bool mayBeReplaced = m_samples && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
+        if (mayBeReplaced && !m_isAsking && m_bootClock.now() >= m_askAt) {
+            m_isAsking = true;
+            asio::co_spawn(m_executor, askOthers(), asio::detached);
+        }
         co_await pause(m_executor, tickInterval);
     }
 }
 
+Task<void> Coordination::askOthers()
+{
+    const auto self = shared_from_this();
+    const auto reply = co_await m_settings.mirrors->follow(holderRecords(), std::nullopt);
+    m_isAsking = false;
+    m_askAt = m_bootClock.now() + askInterval;
+    if (!reply || m_isLeaving)
+        co_return;
+    for (const auto& entry : reply.value().records.entries) {
+        if (entry.key != holderKey || entry.revision <= m_fence || isOwnRecord(entry.value))
+            continue;
+        m_holder = entry.value;
+        m_holderRevision = entry.revision;
+        m_lastHolder = entry.value;
+    }
+    followLease();
+}
+
 void Coordination::followLease()
 {
     if (m_isLeaving)
@@ -148,7 +187,7 @@
 /// Whether the holder has to drop its work: another one holds the lease, or it could not be won again or renewed for long.
 bool Coordination::isLost(TimePoint now)
 {
-    const bool isHeldByOther = !m_holder.empty() && !m_holder.starts_with(m_settings.host.value() + " ");
+    const bool isHeldByOther = !m_holder.empty() && !isOwnRecord(m_holder);
     if (m_lease.fencingNumber()) {
         m_lostAt.reset();
         return isHeldByOther || now >= m_lastValidAt + longestLapse;
@@ -160,7 +199,9 @@
 
 void Coordination::begin(FencingNumber fence)
 {
-    m_begunAt = m_bootClock.now();
+    // Another host gave its last order before the end of its lease, less the margin. Orders of this one need no pause between them.
+    if (!isOwnRecord(m_lastHolder))
+        m_quietUntil = m_vacantSince + m_settings.orderQuiet - orderMargin;
     m_fence = fence;
     m_lostAt.reset();
     m_wasFenced = false;
@@ -199,7 +240,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_begunAt + m_settings.orderQuiet - longestOrder && m_lease.mayAct(longestOrder);
+    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_quietUntil && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::siteChanged()
@@ -210,14 +251,15 @@
     m_weights->updateEngines();
 }
 
-Task<void> Coordination::handOver(Duration quiet)
+Task<void> Coordination::handOver()
 {
     const auto self = shared_from_this();
     m_isLeaving = true;
     m_watch->stop();
-    if (m_samples && quiet > Duration::zero()) {
-        co_await pause(m_executor, quiet);
-    }
+    const auto now = m_clock.now();
+    const auto lastOrderAt = m_weights ? m_weights->lastOrderAt() : std::nullopt;
+    if (lastOrderAt && now < *lastOrderAt + orderMargin)
+        co_await pause(m_executor, *lastOrderAt + orderMargin - now);
     if (m_samples)
         end("the host hands over");
     if (m_lease.fencingNumber())
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -26,19 +26,29 @@
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
     std::uint64_t seed = 0;
+    /// Mirrors of other candidates, if any; outlives the coordination.
+    MirrorClient* mirrors = nullptr;
 };
 
 /// @brief A candidate for coordination. It asks for the lease only when nobody holds it, which a watch shows. A holder whose lease lapsed
-/// while the store was away is the first to ask again, and goes on with its work if nobody else held it meanwhile.
+/// while the store was away is the first to ask again, and goes on with its work if nobody else held it meanwhile. One that cannot reach the
+/// store asks the other candidates who holds the lease, since the store may turn away this host alone.
 /// Bound to one event loop.
 class Coordination : public std::enable_shared_from_this<Coordination> {
 public:
     Coordination(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, SiteDirectory&, TargetClients&, const Clock&, CoordinationSettings);
 
     void start();
-    /// @brief Gives coordination up, and does not ask for it again. @param quiet time between the last order and the lease's end
-    Task<void> handOver(Duration quiet);
+    /// Longest time that handOver() takes beyond a call to the store.
+    static constexpr std::chrono::milliseconds handOverTime { 900 };
+    /// @brief Gives coordination up, and does not ask for it again. The lease ends handOverTime after the last order at the earliest.
+    Task<void> handOver();
     void siteChanged();
+    /// @brief Prefix of the record that names the holder.
+    static std::string holderRecords();
+    /// @brief Called with what is seen of the holder in the store.
+    void onNews(std::function<void(const RecordNews&)> handler) { m_onNews = std::move(handler); }
+    bool isFollowingHolder() const { return m_watch && m_watch->isCurrent(); }
     bool isCoordinating() const noexcept { return m_samples != nullptr; }
     std::size_t openSubmissions() const { return m_samples ? m_samples->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_samples ? m_samples->scheduler().running() : 0; }
@@ -47,8 +57,12 @@
 private:
     Task<void> keepLease();
     Task<void> keepTime();
-    void takeHolder(const std::vector<KeyValueEntry>&, bool isSnapshot);
-    bool mayCampaign() const;
+    void takeHolder(const WatchResult&, bool isSnapshot);
+    bool isOwnRecord(const std::string& holder) const;
+    /// Whether to ask for the lease now.
+    bool mayCampaign();
+    /// Asks another candidate who holds the lease.
+    Task<void> askOthers();
     void followLease();
     bool isLost(TimePoint now);
     void begin(FencingNumber);
@@ -67,6 +81,9 @@
     std::shared_ptr<RecordWatch> m_watch;
     /// Who holds the lease as the store last said; empty: nobody.
     std::string m_holder;
+    Revision m_holderRevision = 0;
+    /// The last one that was named.
+    std::string m_lastHolder;
     bool m_knowsHolder = false;
     /// Since when the store is known to name no holder.
     TimePoint m_vacantSince;
@@ -75,8 +92,12 @@
     std::optional<TimePoint> m_lostAt;
     bool m_isLeaving = false;
     bool m_wasFenced = false;
-    TimePoint m_begunAt;
+    /// No order before this moment.
+    TimePoint m_quietUntil;
     TimePoint m_lastValidAt;
+    bool m_isAsking = false;
+    TimePoint m_askAt;
+    std::function<void(const RecordNews&)> m_onNews;
     std::shared_ptr<SampleRunner> m_samples;
     std::shared_ptr<WeightOrders> m_weights;
 };
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -44,8 +44,8 @@
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
     constexpr milliseconds retirementRetry { 300 };
-    /// Time between the last order of a host that is being emptied and its successor's first, with the successor's own pause.
-    constexpr milliseconds retirementQuiet { 500 };
+    /// Longest time for a coordinator's hand-over at shutdown, with a call to the store.
+    constexpr milliseconds handOverLimit = Coordination::handOverTime + milliseconds(600);
 
     std::uint64_t seedOf(const HostId& host)
     {
@@ -83,18 +83,20 @@
     {
         // Changes share a call for as long as a target that leaves still serves, less the time that a slow store takes.
         const auto usualPause = std::max(milliseconds(0), settings.work.leavingTime - slowStoreTime);
-        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualPause, mirrorPause) : usualPause, &mirror, seed };
+        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualPause, mirrorPause) : usualPause, hasMirror(settings) ? nullptr : &mirror, seed };
     }
 
     MirrorClient makeMirrorClient(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
     {
         std::vector<Endpoint> endpoints;
-        for (const auto& address : settings.addresses.mirrors)
-            endpoints.push_back({ address.address, address.port });
+        for (const auto& address : settings.addresses.mirrors) {
+            if (address != settings.addresses.mirror)
+                endpoints.push_back({ address.address, address.port });
+        }
         return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), httpMirrorExchange(executor, endpoints), clock };
     }
 
-    CoordinationSettings coordinationSettings(const SiteSettings& settings, std::uint64_t seed)
+    CoordinationSettings coordinationSettings(const SiteSettings& settings, MirrorClient& mirrors, std::uint64_t seed)
     {
         CoordinationSettings coordination;
         coordination.host = settings.host.id;
@@ -103,6 +105,7 @@
         coordination.samples.keepTime = settings.work.resultsKept;
         coordination.loads.loadsAtOnce = settings.work.loadsAtOnce;
         coordination.seed = seed;
+        coordination.mirrors = &mirrors;
         return coordination;
     }
 
@@ -136,7 +139,7 @@
             m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirror), [this](auto& request, auto& responder) { return m_mirror->serve(request, responder); });
         }
         if (m_settings.parts.coordinating)
-            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_clock, coordinationSettings(m_settings, m_seed));
+            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_clock, coordinationSettings(m_settings, m_mirrorClient, m_seed));
     }
 
     ~Implementation() { m_workers.stop(); }
@@ -167,7 +170,7 @@
     {
         logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() } });
         if (m_coordination)
-            asio::co_spawn(m_executor, m_coordination->handOver(Duration::zero()), asio::use_future).wait_for(retirementQuiet);
+            asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverLimit);
         bool isDrained = true;
         if (m_callerListener)
             isDrained = drain();
@@ -183,8 +186,11 @@
                 m_coordination->siteChanged();
         });
         if (m_mirror) {
-            m_mirror->setFollowed([this](const auto& prefix) { return m_directory.isFollowing(prefix); });
-            m_directory.onNews([this](const auto& news) { m_mirror->take(news); });
+            m_mirror->setFollowed([this](const auto& prefix) { return isFollowing(prefix); });
+            const auto take = [this](const auto& news) { m_mirror->take(news); };
+            m_directory.onNews(take);
+            if (m_coordination)
+                m_coordination->onNews(take);
             m_mirror->start();
         }
         m_directory.start();
@@ -197,6 +203,13 @@
         m_retirements->start();
     }
 
+    bool isFollowing(const std::string& prefix) const
+    {
+        if (prefix == Coordination::holderRecords())
+            return m_coordination && m_coordination->isFollowingHolder();
+        return m_directory.isFollowing(prefix);
+    }
+
     bool drain()
     {
         const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.grace;
@@ -236,7 +249,7 @@
 
     Task<void> retire()
     {
-        co_await m_coordination->handOver(retirementQuiet);
+        co_await m_coordination->handOver();
         while (true) {
             Transaction done;
             done.writes.push_back(m_protocol->retirementStatus(m_settings.host.id, true));
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -275,6 +275,7 @@
     if (before.value().isLoading || !m_hooks.mayOrder())
         co_return OrderStep::Again;
     const LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
+    m_lastOrderAt = m_clock.now();
     const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
     std::optional<OrderOutcome> outcome;
     if (answer)
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -44,6 +44,8 @@
     void updateEngines();
     /// @brief The lease was lost and won again without another holder in between.
     void setFence(FencingNumber fence) noexcept { m_settings.fence = fence; }
+    /// @brief When the last order was sent, or nothing.
+    std::optional<TimePoint> lastOrderAt() const noexcept { return m_lastOrderAt; }
     /// @brief Begins the loads that are due.
     void tick();
 
@@ -100,6 +102,7 @@
     /// Whether the engines are shared by their measured speed.
     bool m_isShared = false;
     std::set<TargetId> m_sharedEngines;
+    std::optional<TimePoint> m_lastOrderAt;
     bool m_isStopped = false;
 };
 
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -113,7 +113,7 @@
 
     static Task<bool> leave(std::shared_ptr<Coordination> leaving)
     {
-        co_await leaving->handOver(Duration::zero());
+        co_await leaving->handOver();
         co_return true;
     }
 };
@@ -240,6 +240,47 @@
     CHECK(runUntil([&] { return ended->has_value() && left->has_value(); }));
 }
 
+TEST_CASE_METHOD(CandidatesFixture, "coordination, of a host whose earlier process left its record behind, takes it over at once")
+{
+    start();
+    const auto left = store.put("coordinator/holder", "first 1-1");
+    first->start();
+    CHECK(runUntil([&] { return first->isCoordinating(); }));
+    CHECK(store.entries().at("coordinator/holder").revision > left);
+    const auto ended = startTask(context.get_executor(), leave(first));
+    CHECK(runUntil([&] { return ended->has_value(); }));
+}
+
+TEST_CASE_METHOD(CandidatesFixture, "coordination, of a host that the store turns away, ends when another candidate says who took over")
+{
+    Revision rivalAt = 0;
+    MirrorClient others { 1, 0, [&](std::size_t, MirrorQuery query) -> Task<Result<MirrorReply>> {
+                             MirrorReply reply;
+                             reply.isSnapshot = true;
+                             reply.records.entries.push_back({ query.prefix + "holder", "second 1-1", rivalAt });
+                             co_return reply;
+                         },
+        clock };
+    CoordinationSettings settings;
+    settings.host = HostId("first");
+    settings.mirrors = &others;
+    const auto cut = std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
+    start();
+    cut->start();
+    REQUIRE(runUntil([&] { return cut->isCoordinating(); }));
+    const auto own = store.entries().at("coordinator/holder").revision;
+    store.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    // An older record says nothing.
+    rivalAt = own - 1;
+    context.restart();
+    context.run_for(2200ms);
+    CHECK(cut->isCoordinating());
+    rivalAt = own + 1;
+    CHECK(runUntil([&] { return !cut->isCoordinating(); }));
+    const auto ended = startTask(context.get_executor(), leave(cut));
+    CHECK(runUntil([&] { return ended->has_value(); }));
+}
+
 TEST_CASE("pool choice, of a split route, follows the weights")
 {
     SiteRoute route;
--- a/packages/services/include/cicadalb/services/LeaseHolding.h
+++ b/packages/services/include/cicadalb/services/LeaseHolding.h
@@ -45,6 +45,8 @@
     LeaseCall next(TimePoint now);
     /// @brief Makes the next call due now, e.g. because the key was seen to be gone.
     void hasten(TimePoint now) { m_due = std::min(m_due, now); }
+    /// @brief The key may be taken from the record at @p earlier, which an earlier process of this candidate left behind.
+    void replace(Revision earlier) noexcept { m_replaced = earlier; }
     /// @brief When to ask next() again.
     TimePoint nextDue() const noexcept { return m_due; }
 
@@ -75,6 +77,7 @@
     Random m_random;
     LeaseCall m_call = LeaseCall::Grant;
     LeaseId m_lease = 0;
+    Revision m_replaced = 0;
     std::optional<FencingNumber> m_fencingNumber;
     std::string m_mark;
     std::uint64_t m_attempts = 0;
--- a/packages/services/include/cicadalb/services/LeaseKeeper.h
+++ b/packages/services/include/cicadalb/services/LeaseKeeper.h
@@ -29,6 +29,8 @@
     Task<TimePoint> step();
     /// @brief The next step() makes its call now.
     void hasten();
+    /// @brief The lease may be taken over from the record at @p earlier, which an earlier process of this candidate left behind.
+    void replace(Revision earlier);
     /// @brief Steps until stop() and then gives the lease back. Waits on the steady clock.
     Task<void> run(boost::asio::any_io_executor);
     void stop() noexcept { m_isStopped = true; }
--- a/packages/services/src/LeaseHolding.cpp
+++ b/packages/services/src/LeaseHolding.cpp
@@ -47,6 +47,7 @@
         win(result.value(), now);
         return;
     }
+    m_replaced = 0;
     const auto code = result.error().code;
     m_call = code == ErrorCode::OutcomeUnknown ? LeaseCall::ReadBack : LeaseCall::Release;
     m_due = now;
@@ -105,7 +106,7 @@
 
 CompareAndSwap LeaseHolding::takeWrite() const
 {
-    return CompareAndSwap { m_settings.key, m_mark, 0, m_lease };
+    return CompareAndSwap { m_settings.key, m_mark, m_replaced, m_lease };
 }
 
 Duration LeaseHolding::usableTime() const
@@ -121,6 +122,7 @@
 void LeaseHolding::win(Revision revision, TimePoint now)
 {
     m_fencingNumber = revision;
+    m_replaced = 0;
     m_wonAt = now;
     m_backoff.reset();
     m_call = LeaseCall::Renew;
--- a/packages/services/src/LeaseKeeper.cpp
+++ b/packages/services/src/LeaseKeeper.cpp
@@ -38,6 +38,12 @@
     m_holding.hasten(m_clock.now());
 }
 
+void LeaseKeeper::replace(Revision earlier)
+{
+    const std::lock_guard lock(m_mutex);
+    m_holding.replace(earlier);
+}
+
 Task<void> LeaseKeeper::run(asio::any_io_executor executor)
 {
     constexpr std::chrono::milliseconds longestWait { 200 };
