Watches that wait since an outage are made anew; hosts wait for a mirror at their start

The store went silent from 3 to 6 s; the mirrors said so, 51 hosts made their own watches, which the store took and never answered, and waited 31.5 s for them. Hosts beside mirrors wait one second a call now. A process that others rely on has no mirror: its renewals every quarter of a second show when the store answers again, and it makes all its watches anew then. Ruled out: mirrors that pass on too little (all five followed the new version at 7 s). A coordinator that lost its lease asks all candidates at once.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -79,6 +79,15 @@
 
 std::string Coordination::holderRecords() { return std::string(holderPrefix); }
 
+void Coordination::restartWatches()
+{
+    m_watch->restart();
+    if (m_samples) {
+        m_samples->restartWatch();
+        m_weights->restartWatch();
+    }
+}
+
 bool Coordination::isOwnRecord(const std::string& holder) const { return holder.starts_with(m_settings.host.value() + " "); }
 
 void Coordination::takeHolder(const WatchResult& records, bool isSnapshot)
@@ -139,20 +148,24 @@
             m_weights->tick();
         }
         const bool mayBeReplaced = m_samples && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
-        if (mayBeReplaced && !m_isAsking && m_bootClock.now() >= m_askAt) {
-            m_isAsking = true;
-            asio::co_spawn(m_executor, askOthers(), asio::detached);
-        }
+        if (mayBeReplaced && m_bootClock.now() >= m_askAt)
+            askOthers();
         co_await pause(m_executor, tickInterval);
     }
 }
 
-Task<void> Coordination::askOthers()
+/// All of them at once: some may be as cut off as this host.
+void Coordination::askOthers()
 {
-    const auto self = shared_from_this();
-    const auto reply = co_await m_settings.mirrors->follow(holderRecords(), std::nullopt);
-    m_isAsking = false;
     m_askAt = m_bootClock.now() + askInterval;
+    for (std::size_t mirror = 0; mirror < m_settings.mirrors->mirrors(); ++mirror)
+        asio::co_spawn(m_executor, askOther(mirror), asio::detached);
+}
+
+Task<void> Coordination::askOther(std::size_t mirror)
+{
+    const auto self = shared_from_this();
+    const auto reply = co_await m_settings.mirrors->ask(mirror, holderRecords());
     if (!reply || m_isLeaving)
         co_return;
     for (const auto& entry : reply.value().records.entries) {
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -48,6 +48,8 @@
     static std::string holderRecords();
     /// @brief Called with what is seen of the holder in the store.
     void onNews(std::function<void(const RecordNews&)> handler) { m_onNews = std::move(handler); }
+    /// @brief See RecordWatch::restart().
+    void restartWatches();
     bool isFollowingHolder() const { return m_watch && m_watch->isCurrent(); }
     bool isCoordinating() const noexcept { return m_samples != nullptr; }
     std::size_t openSubmissions() const { return m_samples ? m_samples->openSubmissions() : 0; }
@@ -62,7 +64,8 @@
     /// Whether to ask for the lease now.
     bool mayCampaign();
     /// Asks another candidate who holds the lease.
-    Task<void> askOthers();
+    Task<void> askOther(std::size_t mirror);
+    void askOthers();
     void followLease();
     bool isLost(TimePoint now);
     void begin(FencingNumber);
@@ -95,7 +98,6 @@
     /// No order before this moment.
     TimePoint m_quietUntil;
     TimePoint m_lastValidAt;
-    bool m_isAsking = false;
     TimePoint m_askAt;
     std::function<void(const RecordNews&)> m_onNews;
     std::shared_ptr<SampleRunner> m_samples;
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -30,6 +30,10 @@
     static constexpr std::chrono::milliseconds longestAge { 700 };
     /// After a failure the store is asked for so long.
     static constexpr std::chrono::seconds directTime { 5 };
+    /// A host that starts waits so long for a mirror before it asks the store: where all hosts start together, a mirror is there a moment later.
+    static constexpr std::chrono::milliseconds startTime { 600 };
+    /// Pause between two attempts meanwhile.
+    static constexpr std::chrono::milliseconds startPause { 50 };
 
     /// @param mirrors how many there are; 0: the store is always asked
     /// @param first index of the one to begin with, so that hosts spread over the mirrors
@@ -39,6 +43,11 @@
     bool isUsable() const;
     /// @brief Errors: Unavailable. The next mirror is asked next time then, and not before directTime is over.
     Task<Result<MirrorReply>> follow(std::string prefix, std::optional<Revision> after);
+    /// @brief Asks one mirror for all records, without a wait and whatever became of earlier questions. Errors: Unavailable.
+    Task<Result<MirrorReply>> ask(std::size_t mirror, std::string prefix);
+    std::size_t mirrors() const noexcept { return m_mirrors; }
+    /// @brief Whether a failure at the start is to be followed by another attempt instead of a call to the store.
+    bool isStarting() const { return m_mirrors > 0 && !m_hasFollowed && m_clock.now() < m_startedAt + startTime; }
     /// @brief The store could not be reached either: a mirror may be asked at once.
     void storeFailed() noexcept { m_directUntil.reset(); }
 
@@ -48,7 +57,9 @@
     MirrorExchange m_exchange;
     const Clock& m_clock;
     std::optional<TimePoint> m_directUntil;
+    TimePoint m_startedAt;
     bool m_isFollowing = false;
+    bool m_hasFollowed = false;
 };
 
 /// @brief Exchanges over HTTP.
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalb {
 
@@ -54,6 +55,7 @@
     : m_executor(std::move(executor))
     , m_store(store)
     , m_clock(clock)
+    , m_usedAt(clock.now())
 {
 }
 
@@ -73,7 +75,7 @@
 {
     const auto self = shared_from_this();
     while (!m_isStopped) {
-        if (m_usedAt && m_clock.now() < *m_usedAt + unusedTime)
+        if (m_clock.now() < m_usedAt + unusedTime)
             co_await prove();
         co_await pause(m_executor, proofInterval);
     }
@@ -84,15 +86,21 @@
     const auto begunAt = m_clock.now();
     if (m_lease == 0) {
         const auto granted = co_await m_store.grantLease(leaseTime);
-        if (!granted)
+        if (!granted) {
+            m_hasMissed = true;
             co_return;
+        }
         m_lease = granted.value();
     } else if (const auto renewed = co_await m_store.renewLease(m_lease); !renewed) {
         if (renewed.error().code == ErrorCode::LeaseLost)
             m_lease = 0;
+        else
+            m_hasMissed = true;
         co_return;
     }
     m_provedAt = begunAt;
+    if (std::exchange(m_hasMissed, false) && m_onReturn)
+        m_onReturn();
 }
 
 void RecordMirror::take(const RecordNews& news)
--- a/packages/hosting/src/RecordMirror.h
+++ b/packages/hosting/src/RecordMirror.h
@@ -33,6 +33,9 @@
     /// @brief Whether the watch of a prefix follows the store now.
     void setFollowed(std::function<bool(const std::string& prefix)> isFollowed) { m_isFollowed = std::move(isFollowed); }
 
+    /// @brief Called when the store answers again after a renewal that it did not answer.
+    void onReturn(std::function<void()> handler) { m_onReturn = std::move(handler); }
+
     /// @brief Waits for a change. Errors: Unavailable if the records are not known or not followed now.
     Task<Result<MirrorReply>> follow(MirrorQuery);
     /// @brief follow() over HTTP.
@@ -66,7 +69,10 @@
     std::set<boost::asio::steady_timer*> m_waiting;
     LeaseId m_lease = 0;
     std::optional<TimePoint> m_provedAt;
-    std::optional<TimePoint> m_usedAt;
+    /// Last question of a client, or the start.
+    TimePoint m_usedAt;
+    bool m_hasMissed = false;
+    std::function<void()> m_onReturn;
     bool m_isStopped = false;
 };
 
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -18,6 +18,8 @@
 
     /// Pause after the first call that failed.
     constexpr std::chrono::milliseconds firstRetry { 100 };
+    /// Longest wait of a call where a mirror is asked again soon anyway: a store that does not answer is noticed by its deadline.
+    constexpr std::chrono::milliseconds patienceBesideMirrors { 1000 };
     /// The pause grows no more after so many failures.
     constexpr unsigned mostDoublings = 8;
 
@@ -51,6 +53,39 @@
     m_timer.cancel();
 }
 
+void RecordWatch::restart()
+{
+    if (m_pending)
+        m_pending->done.cancel();
+}
+
+Task<void> RecordWatch::makeCall(TransactionalStore& store, std::string prefix, Revision after, std::chrono::milliseconds patience, std::shared_ptr<PendingCall> pending)
+{
+    auto result = co_await store.watch(std::move(prefix), after, patience);
+    pending->result.emplace(std::move(result));
+    pending->done.cancel();
+}
+
+Task<Result<WatchResult>> RecordWatch::awaitChanges()
+{
+    const auto pending = std::make_shared<PendingCall>(m_executor);
+    m_pending = pending;
+    const auto patience = m_settings.mirror ? std::min(m_settings.patience, patienceBesideMirrors) : m_settings.patience;
+    asio::co_spawn(m_executor, makeCall(m_store, m_settings.prefix, m_revision, patience, pending), asio::detached);
+    // It may have ended before this coroutine waits.
+    if (!pending->result) {
+        boost::system::error_code error;
+        co_await pending->done.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    m_pending.reset();
+    if (!pending->result) {
+        WatchResult unchanged;
+        unchanged.revision = m_revision;
+        co_return unchanged;
+    }
+    co_return std::move(*pending->result);
+}
+
 void RecordWatch::setPause(std::chrono::milliseconds pause)
 {
     m_settings.pause = pause;
@@ -82,6 +117,10 @@
     const bool usesMirror = m_settings.mirror && m_settings.mirror->isUsable();
     if (usesMirror && co_await stepFromMirror())
         co_return success();
+    if (usesMirror && m_settings.mirror->isStarting()) {
+        co_await wait(MirrorClient::startPause);
+        co_return success();
+    }
     auto outcome = co_await stepFromStore();
     if (!outcome && m_settings.mirror)
         m_settings.mirror->storeFailed();
@@ -125,7 +164,7 @@
         m_handler.onSnapshot(snapshot.value(), isAfterOutage());
         co_return success();
     }
-    auto changes = co_await m_store.watch(m_settings.prefix, m_revision, m_settings.patience);
+    auto changes = co_await awaitChanges();
     if (!changes) {
         if (changes.error().code == ErrorCode::HistoryLost) {
             m_hasSnapshot = false;
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -37,7 +37,8 @@
     std::string prefix;
     /// Wait between a change and the next call to the store: several changes share one call then.
     std::chrono::milliseconds pause { 0 };
-    /// Longest wait of one call. A silent connection is noticed by its keep-alive probes before that.
+    /// Longest wait of one call. A silent connection is noticed by its keep-alive probes before that, a store that accepts calls and
+    /// answers none by restart().
     std::chrono::milliseconds patience { 30000 };
     /// Longest pause between two calls while the store is away; each pause is twice the one before.
     std::chrono::milliseconds longestRetry { 500 };
@@ -55,6 +56,8 @@
     void stop();
     /// @brief Changes the pause after a change; a pause that has begun ends now.
     void setPause(std::chrono::milliseconds);
+    /// @brief Gives up a call that waits and makes it anew: one from before or within an outage may never be answered.
+    void restart();
     /// @brief Whether the last call succeeded.
     bool isCurrent() const noexcept { return m_isCurrent; }
     /// @brief Revision of the newest change that was seen.
@@ -64,18 +67,32 @@
     Task<void> run();
     Task<Result<void>> step();
     Task<Result<void>> stepFromStore();
+    /// Waits for changes, or for restart(): then there are none.
+    Task<Result<WatchResult>> awaitChanges();
     /// @return false if the store has to be asked
     Task<bool> stepFromMirror();
     void recordOutcome(const Result<void>&);
     bool isAfterOutage() const;
     Task<void> wait(Duration);
 
+    /// A call that waits. It outlives a watch that gave it up.
+    struct PendingCall {
+        explicit PendingCall(const boost::asio::any_io_executor& executor)
+            : done(executor, boost::asio::steady_timer::time_point::max())
+        {
+        }
+        boost::asio::steady_timer done;
+        std::optional<Result<WatchResult>> result;
+    };
+    static Task<void> makeCall(TransactionalStore&, std::string prefix, Revision after, std::chrono::milliseconds patience, std::shared_ptr<PendingCall>);
+
     TransactionalStore& m_store;
     const Clock& m_clock;
     RecordWatchSettings m_settings;
     RecordWatchHandler m_handler;
     boost::asio::any_io_executor m_executor;
     boost::asio::steady_timer m_timer;
+    std::shared_ptr<PendingCall> m_pending;
     Revision m_revision = 0;
     bool m_hasSnapshot = false;
     bool m_isCurrent = false;
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -35,6 +35,8 @@
     void start();
     /// @brief Stops all runs at once; nothing is written afterwards.
     void stop();
+    /// @brief See RecordWatch::restart().
+    void restartWatch() { m_watch->restart(); }
 
     /// @brief Places waiting items; called when anything changed.
     void poke();
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -45,6 +45,12 @@
     return std::make_shared<RecordWatch>(executor, store, m_clock, std::move(settings), RecordWatchHandler { handler(std::move(take), true), handler(std::move(takeChanges), false) });
 }
 
+void SiteDirectory::restartWatches()
+{
+    m_configurationWatch->restart();
+    m_targetsWatch->restart();
+}
+
 bool SiteDirectory::isFollowing(const std::string& prefix) const
 {
     const auto& watch = prefix == m_protocol.keys().configuration ? m_configurationWatch : m_targetsWatch;
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -50,6 +50,8 @@
     void onChange(std::function<void()> handler) { m_onChange = std::move(handler); }
     /// @brief Called with all that is seen in the store.
     void onNews(std::function<void(const RecordNews&)> handler) { m_onNews = std::move(handler); }
+    /// @brief See RecordWatch::restart().
+    void restartWatches();
     /// @brief Whether the records under a prefix are followed now.
     bool isFollowing(const std::string& prefix) const;
 
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -191,6 +191,7 @@
             m_directory.onNews(take);
             if (m_coordination)
                 m_coordination->onNews(take);
+            m_mirror->onReturn([this] { restartWatches(); });
             m_mirror->start();
         }
         m_directory.start();
@@ -203,6 +204,15 @@
         m_retirements->start();
     }
 
+    void restartWatches()
+    {
+        m_directory.restartWatches();
+        if (m_coordination)
+            m_coordination->restartWatches();
+        if (m_retirements)
+            m_retirements->restart();
+    }
+
     bool isFollowing(const std::string& prefix) const
     {
         if (prefix == Coordination::holderRecords())
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -41,6 +41,8 @@
 
     void start();
     void stop();
+    /// @brief See RecordWatch::restart().
+    void restartWatch() { m_watch->restart(); }
     void updateEngines();
     /// @brief The lease was lost and won again without another holder in between.
     void setFence(FencingNumber fence) noexcept { m_settings.fence = fence; }
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -198,6 +198,18 @@
     CHECK(ask(7).value().age == 0ms);
 }
 
+TEST_CASE_METHOD(MirrorFixture, "mirror client, that starts before its mirrors, tries again for a moment before it goes to the store")
+{
+    isReachable = false;
+    CHECK_FALSE(finish(client.follow(targetsPrefix, std::nullopt)));
+    CHECK(client.isUsable());
+    CHECK(client.isStarting());
+    clock.advance(MirrorClient::startTime);
+    CHECK_FALSE(finish(client.follow(targetsPrefix, std::nullopt)));
+    CHECK_FALSE(client.isUsable());
+    CHECK_FALSE(client.isStarting());
+}
+
 TEST_CASE_METHOD(MirrorFixture, "mirror client, of a mirror that has not reached the store, goes to the store and later to the next mirror")
 {
     fill();
@@ -215,11 +227,30 @@
 TEST_CASE_METHOD(MirrorFixture, "mirror client, when the store is away too, asks the next mirror at once")
 {
     isReachable = false;
+    clock.advance(MirrorClient::startTime);
     CHECK_FALSE(finish(client.follow(targetsPrefix, std::nullopt)));
+    CHECK_FALSE(client.isUsable());
     client.storeFailed();
     CHECK(client.isUsable());
 }
 
+// A store that accepts calls and answers none leaves a watch waiting long after it is back.
+TEST_CASE_METHOD(MirroredSiteFixture, "site directory, of a watch that waits since an outage, makes it anew when the store answers again")
+{
+    mirror->onReturn([this] { source.restartWatches(); });
+    const auto before = store.counts().watches;
+    store.faultOf = [](CallKind kind) { return kind == CallKind::Lease ? CallFault::RequestLost : CallFault::None; };
+    prove();
+    CHECK(store.counts().watches == before);
+    store.faultOf = [](CallKind) { return CallFault::None; };
+    prove();
+    settle();
+    CHECK(store.counts().watches == before + 2);
+    store.put("site/configuration", "9 ledger");
+    settle();
+    CHECK(source.view()->configuration.version == 9);
+}
+
 TEST_CASE_METHOD(MirroredSiteFixture, "site directory, with a mirror, follows the site without a call to the store")
 {
     subject.start();
@@ -251,6 +282,7 @@
 {
     isReachable = false;
     hostStore.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    clock.advance(MirrorClient::startTime);
     subject.start();
     settle();
     CHECK_FALSE(subject.isReady());
