A coordinator that reaches neither the store nor another candidate drops its work

While the store is away for all, the other candidates answer and say that they do not reach it either: then it goes on as before. The clock of the lease can be set, so that the tests pause it.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -25,6 +25,8 @@
     constexpr milliseconds orderMargin = Coordination::handOverTime;
     /// Pause between two questions to other candidates.
     constexpr milliseconds askInterval { 300 };
+    /// A coordinator without a valid lease that hears of no other candidate for so long drops its work; an answer takes 250 ms at most.
+    constexpr milliseconds aloneTime { 1200 };
     /// How long candidates leave a vacant lease to the holder who lost it.
     constexpr milliseconds incumbentTime { 350 };
     /// A holder whose lease lapsed tries so long to win it again before it drops its work.
@@ -62,7 +64,8 @@
     , m_clients(clients)
     , m_clock(clock)
     , m_settings(std::move(settings))
-    , m_lease(store, m_bootClock, leaseSettings(m_settings), m_settings.seed)
+    , m_leaseClock(m_settings.leaseClock ? *m_settings.leaseClock : m_bootClock)
+    , m_lease(store, m_leaseClock, leaseSettings(m_settings), m_settings.seed)
 {
 }
 
@@ -108,7 +111,7 @@
     }
     if (!m_holder.empty() || wasVacant)
         return;
-    m_vacantSince = m_bootClock.now();
+    m_vacantSince = m_leaseClock.now();
     if (m_samples)
         m_lease.hasten();
 }
@@ -123,7 +126,7 @@
         return true;
     }
     const bool isVacant = m_knowsHolder && m_holder.empty();
-    return (isVacant && m_bootClock.now() >= m_vacantSince + incumbentTime);
+    return (isVacant && m_leaseClock.now() >= m_vacantSince + incumbentTime);
 }
 
 Task<void> Coordination::keepLease()
@@ -148,7 +151,7 @@
             m_weights->tick();
         }
         const bool mayBeReplaced = m_samples && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
-        if (mayBeReplaced && m_bootClock.now() >= m_askAt)
+        if (mayBeReplaced && m_leaseClock.now() >= m_askAt)
             askOthers();
         co_await pause(m_executor, tickInterval);
     }
@@ -157,7 +160,9 @@
 /// All of them at once: some may be as cut off as this host.
 void Coordination::askOthers()
 {
-    m_askAt = m_bootClock.now() + askInterval;
+    m_askAt = m_leaseClock.now() + askInterval;
+    if (!m_heardAt)
+        m_heardAt = m_leaseClock.now();
     for (std::size_t mirror = 0; mirror < m_settings.mirrors->mirrors(); ++mirror)
         asio::co_spawn(m_executor, askOther(mirror), asio::detached);
 }
@@ -166,6 +171,9 @@
 {
     const auto self = shared_from_this();
     const auto reply = co_await m_settings.mirrors->ask(mirror, holderRecords());
+    const bool isReached = reply || reply.error().code == ErrorCode::Unavailable;
+    if (isReached && m_heardAt)
+        m_heardAt = m_leaseClock.now();
     if (!reply || m_isLeaving)
         co_return;
     for (const auto& entry : reply.value().records.entries) {
@@ -182,11 +190,15 @@
 {
     if (m_isLeaving)
         return;
-    const auto now = m_bootClock.now();
-    if (m_lease.mayAct(Duration::zero()))
+    const auto now = m_leaseClock.now();
+    if (m_lease.mayAct(Duration::zero())) {
         m_lastValidAt = now;
+        m_heardAt.reset();
+    }
     if (m_samples && isLost(now))
         end("the lease was lost");
+    else if (m_samples && isAlone(now))
+        end("neither the store nor another candidate can be reached");
     const auto number = m_lease.fencingNumber();
     if (!m_samples && number && m_lease.mayAct(Duration::zero()))
         begin(*number);
@@ -210,6 +222,12 @@
     return isHeldByOther || now >= *m_lostAt + regainTime;
 }
 
+bool Coordination::isAlone(TimePoint now) const
+{
+    const bool hasOthers = m_settings.mirrors && m_settings.mirrors->mirrors() > 0;
+    return hasOthers && m_heardAt && now >= *m_heardAt + aloneTime;
+}
+
 void Coordination::begin(FencingNumber fence)
 {
     // Another host gave its last order before the end of its lease, less the margin. Orders of this one need no pause between them.
@@ -217,6 +235,7 @@
         m_quietUntil = m_vacantSince + m_settings.orderQuiet - orderMargin;
     m_fence = fence;
     m_lostAt.reset();
+    m_heardAt.reset();
     m_wasFenced = false;
     logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) } });
     m_samples = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_clock, m_settings.samples);
@@ -253,7 +272,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !m_wasFenced && m_samples && m_bootClock.now() >= m_quietUntil && m_lease.mayAct(orderMargin);
+    return !m_isLeaving && !m_wasFenced && m_samples && m_leaseClock.now() >= m_quietUntil && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::siteChanged()
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -28,6 +28,8 @@
     std::uint64_t seed = 0;
     /// Mirrors of other candidates, if any; outlives the coordination.
     MirrorClient* mirrors = nullptr;
+    /// Time of the lease; empty: the steady time that goes on while the machine is suspended. Outlives the coordination.
+    const Clock* leaseClock = nullptr;
 };
 
 /// @brief A candidate for coordination. It asks for the lease only when nobody holds it, which a watch shows. A holder whose lease lapsed
@@ -68,6 +70,8 @@
     void askOthers();
     void followLease();
     bool isLost(TimePoint now);
+    /// Whether neither the store nor another candidate can be reached, so that others may well have taken over.
+    bool isAlone(TimePoint now) const;
     void begin(FencingNumber);
     void end(std::string_view reason);
     bool mayOrder() const;
@@ -80,6 +84,7 @@
     const Clock& m_clock;
     CoordinationSettings m_settings;
     BootClock m_bootClock;
+    const Clock& m_leaseClock;
     LeaseKeeper m_lease;
     std::shared_ptr<RecordWatch> m_watch;
     /// Who holds the lease as the store last said; empty: nobody.
@@ -99,6 +104,8 @@
     TimePoint m_quietUntil;
     TimePoint m_lastValidAt;
     TimePoint m_askAt;
+    /// When another candidate answered last, or since when they are asked; empty while the lease is valid.
+    std::optional<TimePoint> m_heardAt;
     std::function<void(const RecordNews&)> m_onNews;
     std::shared_ptr<SampleRunner> m_samples;
     std::shared_ptr<WeightOrders> m_weights;
--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -26,7 +26,7 @@
         request.mayRepeat = true;
         const auto response = co_await client->send(std::move(request), std::chrono::steady_clock::now() + query.patience + MirrorClient::answerTime);
         if (!response)
-            co_return failure(ErrorCode::Unavailable, response.error().message, response.error().where);
+            co_return response.as_failure();
         if (response.value().status != statusOk)
             co_return failure(ErrorCode::Unavailable, "answered with status " + std::to_string(response.value().status), "mirror");
         co_return decodeMirrorReply(response.value().body);
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -43,7 +43,8 @@
     bool isUsable() const;
     /// @brief Errors: Unavailable. The next mirror is asked next time then, and not before directTime is over.
     Task<Result<MirrorReply>> follow(std::string prefix, std::optional<Revision> after);
-    /// @brief Asks one mirror for all records, without a wait and whatever became of earlier questions. Errors: Unavailable.
+    /// @brief Asks one mirror for all records, without a wait and whatever became of earlier questions. Errors: Unavailable (it answers but
+    /// has not reached the store lately), others (it does not answer).
     Task<Result<MirrorReply>> ask(std::size_t mirror, std::string prefix);
     std::size_t mirrors() const noexcept { return m_mirrors; }
     /// @brief Whether a failure at the start is to be followed by another attempt instead of a call to the store.
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -9,6 +9,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 using namespace cicadalb;
 using namespace std::chrono_literals;
 
@@ -118,6 +120,57 @@
     }
 };
 
+/// A coordinator that can be cut from the store, with one other candidate, which does not answer at first.
+struct CutCandidateFixture : CandidatesFixture {
+    Result<MirrorReply> reply = failure(ErrorCode::NotSent, "cannot connect", "mirror");
+    MirrorClient others { 1, 0, [this](std::size_t, MirrorQuery) -> Task<Result<MirrorReply>> { co_return reply; }, clock };
+    std::shared_ptr<Coordination> cut;
+    Revision own = 0;
+
+    void startAndCut()
+    {
+        CoordinationSettings settings;
+        settings.host = HostId("first");
+        settings.mirrors = &others;
+        settings.leaseClock = &clock;
+        cut = std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
+        start();
+        cut->start();
+        REQUIRE(advanceUntil([&] { return cut->isCoordinating(); }, 3s));
+        own = store.entries().at("coordinator/holder").revision;
+        store.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    }
+
+    static MirrorReply holderRecord(const std::string& holder, Revision revision)
+    {
+        MirrorReply made;
+        made.isSnapshot = true;
+        made.records.entries.push_back({ "coordinator/holder", holder, revision });
+        return made;
+    }
+
+    /// Advances the paused clock in steps, each of which lets the coordination look at it once.
+    bool advanceUntil(const std::function<bool()>& condition, Duration time)
+    {
+        for (Duration passed {}; passed < time && !condition(); passed += step) {
+            store.advance(step);
+            context.restart();
+            context.run_for(step + 10ms);
+        }
+        return condition();
+    }
+
+    bool isOver() const { return !cut->isCoordinating(); }
+
+    static constexpr std::chrono::milliseconds step { 100 };
+
+    ~CutCandidateFixture()
+    {
+        const auto ended = startTask(context.get_executor(), leave(cut));
+        CHECK(runUntil([&] { return ended->has_value(); }));
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(SiteFixture, "site directory, of a configuration and targets, follows their changes")
@@ -251,34 +304,27 @@
     CHECK(runUntil([&] { return ended->has_value(); }));
 }
 
-TEST_CASE_METHOD(CandidatesFixture, "coordination, of a host that the store turns away, ends when another candidate says who took over")
+TEST_CASE_METHOD(CutCandidateFixture, "coordination, of a host that the store turns away, ends when another candidate says who took over")
 {
-    Revision rivalAt = 0;
-    MirrorClient others { 1, 0, [&](std::size_t, MirrorQuery query) -> Task<Result<MirrorReply>> {
-                             MirrorReply reply;
-                             reply.isSnapshot = true;
-                             reply.records.entries.push_back({ query.prefix + "holder", "second 1-1", rivalAt });
-                             co_return reply;
-                         },
-        clock };
-    CoordinationSettings settings;
-    settings.host = HostId("first");
-    settings.mirrors = &others;
-    const auto cut = std::make_shared<Coordination>(context.get_executor(), store, protocol, directory, clients, clock, settings);
-    start();
-    cut->start();
-    REQUIRE(runUntil([&] { return cut->isCoordinating(); }));
-    const auto own = store.entries().at("coordinator/holder").revision;
-    store.faultOf = [](CallKind) { return CallFault::Unavailable; };
+    startAndCut();
     // An older record says nothing.
-    rivalAt = own - 1;
-    context.restart();
-    context.run_for(2200ms);
-    CHECK(cut->isCoordinating());
-    rivalAt = own + 1;
-    CHECK(runUntil([&] { return !cut->isCoordinating(); }));
-    const auto ended = startTask(context.get_executor(), leave(cut));
-    CHECK(runUntil([&] { return ended->has_value(); }));
+    reply = holderRecord("second 1-1", own - 1);
+    CHECK_FALSE(advanceUntil([&] { return isOver(); }, 3s));
+    reply = holderRecord("second 1-1", own + 1);
+    CHECK(advanceUntil([&] { return isOver(); }, 1s));
+}
+
+TEST_CASE_METHOD(CutCandidateFixture, "coordination, of a host that reaches neither the store nor another candidate, ends")
+{
+    startAndCut();
+    CHECK(advanceUntil([&] { return isOver(); }, 4s));
+}
+
+TEST_CASE_METHOD(CutCandidateFixture, "coordination, while the other candidates do not reach the store either, goes on")
+{
+    startAndCut();
+    reply = failure(ErrorCode::Unavailable, "not followed now", "mirror");
+    CHECK_FALSE(advanceUntil([&] { return isOver(); }, 5s));
 }
 
 TEST_CASE("pool choice, of a split route, follows the weights")
