--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -21,20 +21,10 @@
 
     /// Deadline of a report or an order; engines answer both without a slot.
     constexpr milliseconds callTimeout { 600 };
-    /// A load takes 0.9 s by the users' sheets; reports are some hundred milliseconds old.
-    constexpr milliseconds usualLoadTime { 950 };
-    constexpr milliseconds reportInterval { 120 };
-    /// An order without an answer that has not shown in a report after this time is given again.
-    constexpr milliseconds longestSilence { 1600 };
-    /// An accepted load that takes longer is looked at anew.
-    constexpr milliseconds longestLoad { 8000 };
-    /// A load is given up after so many reports in a row that did not come, and its engine left alone for a while.
-    constexpr unsigned mostFailures = 3;
+    /// An engine whose load was given up is left alone for a while.
     constexpr milliseconds failurePause { 1000 };
     /// All engines but one in so many have to be measured before they are shared by speed.
     constexpr std::size_t measuredShare = 5;
-    /// Pause before an order that was refused is given again.
-    constexpr milliseconds retryPause { 200 };
 
 } // namespace
 
@@ -209,14 +199,10 @@
 {
     const auto self = shared_from_this();
     const auto& engine = m_engines[decision.engine];
-    Load load { decision, engine.endpoint, engine.startedAt };
+    Load load { LoadAttempt(decision), engine.endpoint, engine.startedAt };
     m_scheduler.setWeights(decision.engine, decision.model, std::nullopt);
-    auto step = OrderStep::Again;
-    while (step == OrderStep::Again && m_hooks.mayOrder() && mayGoOn(load)) {
-        step = co_await order(load);
-        if (step == OrderStep::Again)
-            co_await pause(m_executor, retryPause);
-    }
+    while (!load.attempt.isOver() && mayGoOn(load))
+        co_await step(load);
     if (m_isStopped)
         co_return;
     endLoad(load);
@@ -225,21 +211,45 @@
     asio::post(m_executor, [self] { self->tick(); });
 }
 
-/// Whether the engine is still there, in the life in which the load began, and answers.
+Task<void> WeightOrders::step(Load& load)
+{
+    auto& attempt = load.attempt;
+    switch (attempt.due(m_clock.now())) {
+    case LoadCall::None:
+        co_await pause(m_executor, attempt.nextDue() - m_clock.now());
+        break;
+    case LoadCall::Report: {
+        const auto reported = co_await report(load.endpoint);
+        if (reported)
+            learn(attempt.decision().engine, reported.value().models);
+        attempt.onReport(reported ? std::optional(reported.value()) : std::nullopt, m_clock.now());
+        break;
+    }
+    case LoadCall::Order: {
+        const auto outcome = co_await order(load);
+        attempt.onOrder(outcome, m_clock.now());
+        break;
+    }
+    }
+}
+
+/// Whether the engine is still there, in the life in which the load began, and an order may be given or was given.
 bool WeightOrders::mayGoOn(const Load& load) const
 {
-    const auto* registered = m_directory.registry().find(load.decision.engine);
-    return !m_isStopped && registered && registered->startedAt == load.startedAt && registered->endpoint == load.endpoint && load.failures < mostFailures;
+    if (m_isStopped || (!load.attempt.isOrdered() && !m_hooks.mayOrder()))
+        return false;
+    const auto* registered = m_directory.registry().find(load.attempt.decision().engine);
+    return registered && registered->startedAt == load.startedAt && registered->endpoint == load.endpoint;
 }
 
 void WeightOrders::endLoad(const Load& load)
 {
-    const auto& decision = load.decision;
+    const auto& decision = load.attempt.decision();
     const auto found = m_engines.find(decision.engine);
     if (found == m_engines.end())
         return;
     found->second.isLoading = false;
-    if (load.failures > 0)
+    if (load.attempt.failures() > 0)
         found->second.pausedUntil = m_clock.now() + failurePause;
     if (!m_directory.registry().find(decision.engine)) {
         m_engines.erase(found);
@@ -260,65 +270,23 @@
     co_return m_protocol.report(answer.value().body);
 }
 
-Task<WeightOrders::OrderStep> WeightOrders::order(Load& load)
+Task<std::optional<OrderOutcome>> WeightOrders::order(const Load& load)
 {
-    const auto& decision = load.decision;
-    const auto& endpoint = load.endpoint;
-    const auto before = co_await report(endpoint);
-    load.failures = before ? 0 : load.failures + 1;
-    if (!before || m_isStopped)
-        co_return OrderStep::Again;
-    learn(decision.engine, before.value().models);
-    const auto held = before.value().models.find(decision.model.value());
-    if (held != before.value().models.end() && held->second >= decision.version)
-        co_return OrderStep::Done;
-    if (before.value().isLoading || !m_hooks.mayOrder())
-        co_return OrderStep::Again;
-    const LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, before.value().acceptedOrders };
+    const auto& decision = load.attempt.decision();
+    const LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, load.attempt.acceptedOrders() };
     m_lastOrderAt = m_clock.now();
-    const auto answer = co_await m_clients.client(0, endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
+    const auto answer = co_await m_clients.client(0, load.endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
     std::optional<OrderOutcome> outcome;
     if (answer)
         outcome = m_protocol.orderOutcome(answer.value());
     recordOrder(order, outcome);
     if (m_isStopped)
-        co_return OrderStep::Done;
-    if (!outcome || *outcome == OrderOutcome::Accepted) {
-        std::optional<std::uint64_t> countBefore;
-        if (!outcome)
-            countBefore = order.acceptedOrders;
-        const bool isInForce = co_await awaitVersion(load, countBefore);
-        co_return isInForce ? OrderStep::Done : OrderStep::Again;
-    }
-    if (*outcome == OrderOutcome::Fenced)
+        co_return outcome;
+    if (outcome == OrderOutcome::Fenced)
         m_hooks.onFenced();
-    if (*outcome == OrderOutcome::AlreadyHolds)
+    if (outcome == OrderOutcome::AlreadyHolds)
         learnOne(decision);
-    co_return *outcome == OrderOutcome::Busy || *outcome == OrderOutcome::Refused ? OrderStep::Again : OrderStep::Done;
-}
-
-/// Waits until the engine reports the version. @param countBefore orders that it had accepted, if it is not known whether it accepted this one
-Task<bool> WeightOrders::awaitVersion(const Load& load, std::optional<std::uint64_t> countBefore)
-{
-    const auto& decision = load.decision;
-    const auto begun = m_clock.now();
-    if (!countBefore)
-        co_await pause(m_executor, usualLoadTime);
-    while (mayGoOn(load) && m_clock.now() < begun + longestLoad) {
-        const auto now = co_await report(load.endpoint);
-        if (now) {
-            learn(decision.engine, now.value().models);
-            const auto held = now.value().models.find(decision.model.value());
-            if (held != now.value().models.end() && held->second >= decision.version)
-                co_return true;
-            if (countBefore && now.value().acceptedOrders > *countBefore)
-                countBefore.reset();
-        }
-        if (countBefore && m_clock.now() > begun + longestSilence)
-            co_return false;
-        co_await pause(m_executor, reportInterval);
-    }
-    co_return false;
+    co_return outcome;
 }
 
 } // namespace cicadalb
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -4,6 +4,7 @@
 #include "SiteDirectory.h"
 
 #include "cicadalb/site/SiteProtocol.h"
+#include "cicadalb/submissions/LoadAttempt.h"
 #include "cicadalb/submissions/LoadPlan.h"
 #include "cicadalb/submissions/SampleScheduler.h"
 #include "cicadalb/transport/TargetClients.h"
@@ -65,16 +66,11 @@
 
     /// A load, for one life of its engine.
     struct Load {
-        LoadDecision decision;
+        LoadAttempt attempt;
         Endpoint endpoint;
         Incarnation startedAt = 0;
-        /// Reports in a row that failed.
-        unsigned failures = 0;
     };
 
-    enum class OrderStep : std::uint8_t { Done,
-        Again };
-
     void takeVersions(const std::vector<KeyValueEntry>&);
     void assign();
     void assignWhenKnown();
@@ -82,8 +78,9 @@
     Task<void> load(LoadDecision);
     void endLoad(const Load&);
     bool mayGoOn(const Load&) const;
-    Task<OrderStep> order(Load&);
-    Task<bool> awaitVersion(const Load&, std::optional<std::uint64_t> countBefore);
+    /// Makes the call that is due, or waits for it.
+    Task<void> step(Load&);
+    Task<std::optional<OrderOutcome>> order(const Load&);
     Task<Result<EngineReport>> report(const Endpoint&);
     void learn(const TargetId&, const std::map<std::string, WeightVersion>&);
     void learnOne(const LoadDecision&);
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -323,6 +323,9 @@
         pause(breakPause);
         return ItemStep::RunAgain;
     case RunEnd::WrongWeights:
+        // It holds other weights than were reported, and will refuse or waste whatever comes next as well.
+        pause(breakPause);
+        return ItemStep::RunAgain;
     case RunEnd::Abandoned:
         return ItemStep::RunAgain;
     }
--- a/packages/submissions/tests/unit-sample-scheduler.cpp
+++ b/packages/submissions/tests/unit-sample-scheduler.cpp
@@ -266,3 +266,15 @@
     REQUIRE(placed().size() == 1);
     CHECK_FALSE(scheduler.isOpen(key(0)));
 }
+
+TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of an engine whose weights are not those reported, leaves it alone for a while")
+{
+    scheduler.setEngines({ { fast, pool, 4, { { "draft", 1 } } } });
+    item("a", "g");
+    add();
+    REQUIRE(placed() == std::vector<std::string> { "a@fast" });
+    CHECK(scheduler.finished(key(0), RunEnd::WrongWeights, clock.now()) == ItemStep::RunAgain);
+    CHECK(placed().empty());
+    clock.advance(SampleScheduler::breakPause + 1ms);
+    CHECK(placed() == std::vector<std::string> { "a@fast" });
+}
