Trial: slots of fast engines are kept for runs that would be done much sooner there

Cause sought: a step is done when its longest texts are; 27% of the engines' slots are used on the grown sites, but a slot that a fast engine frees goes to whatever waits before a long text on a slow engine can move there. Each poke moves such runs first and keeps the slot for them.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -274,6 +274,13 @@
     run->cancellation->cancel();
 }
 
+/// Ends a run whose item goes on elsewhere.
+void SampleRunner::abandonRun(const ItemKey& key)
+{
+    if (const auto found = m_runs.find(key); found != m_runs.end())
+        found->second->cancellation->cancel();
+}
+
 void SampleRunner::poke()
 {
     if (m_isPoked || m_isStopped)
@@ -283,6 +290,8 @@
         self->m_isPoked = false;
         if (self->m_isStopped)
             return;
+        for (const auto& key : self->m_scheduler.promote(self->m_clock.now()))
+            self->abandonRun(key);
         for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
             asio::co_spawn(self->m_executor, self->runItem(placement.item, placement.engine), asio::detached);
     });
@@ -297,11 +306,8 @@
         if (found != m_open.end())
             settle(found->second, key, ResultState::GivenUp, {}, "its time is up");
     }
-    for (const auto& key : m_scheduler.misplaced(now)) {
-        const auto found = m_runs.find(key);
-        if (found != m_runs.end())
-            found->second->cancellation->cancel();
-    }
+    for (const auto& key : m_scheduler.silent(now))
+        abandonRun(key);
     if (now >= m_textsAt && !m_isStoringTexts) {
         m_textsAt = now + m_settings.textsInterval;
         auto texts = m_scheduler.texts(fewestStoredEvents, storedTextBytes);
