--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -274,13 +274,6 @@
     run->cancellation->cancel();
 }
 
-/// Ends a run whose item goes on elsewhere.
-void SampleRunner::abandonRun(const ItemKey& key)
-{
-    if (const auto found = m_runs.find(key); found != m_runs.end())
-        found->second->cancellation->cancel();
-}
-
 void SampleRunner::poke()
 {
     if (m_isPoked || m_isStopped)
@@ -290,8 +283,6 @@
         self->m_isPoked = false;
         if (self->m_isStopped)
             return;
-        for (const auto& key : self->m_scheduler.promote(self->m_clock.now()))
-            self->abandonRun(key);
         for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
             asio::co_spawn(self->m_executor, self->runItem(placement.item, placement.engine), asio::detached);
     });
@@ -306,8 +297,11 @@
         if (found != m_open.end())
             settle(found->second, key, ResultState::GivenUp, {}, "its time is up");
     }
-    for (const auto& key : m_scheduler.silent(now))
-        abandonRun(key);
+    for (const auto& key : m_scheduler.misplaced(now)) {
+        const auto found = m_runs.find(key);
+        if (found != m_runs.end())
+            found->second->cancellation->cancel();
+    }
     if (now >= m_textsAt && !m_isStoringTexts) {
         m_textsAt = now + m_settings.textsInterval;
         auto texts = m_scheduler.texts(fewestStoredEvents, storedTextBytes);
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -81,7 +81,6 @@
     void settle(const OpenPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
     Task<void> append(OpenPointer);
     void stopRun(const ItemKey&);
-    void abandonRun(const ItemKey&);
     Task<void> discardOld();
     Task<void> takeOver();
     Task<void> storeTexts(std::vector<ItemText>);
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -98,10 +98,6 @@
     /// @brief Forgets a submission. @return its running items, which are to be stopped
     std::vector<ItemKey> remove(const SubmissionId&);
 
-    /// @brief Chooses runs that would be done much sooner on an engine with a free slot, longest rest first, unless a longer item waits for it. The
-    /// slot is kept for the run, which is to be stopped; place() begins it there. Load that it answers: a text that turns out far longer
-    /// than its hint, on a slow engine, while each slot that a fast one frees would go to a short item that waits.
-    std::vector<ItemKey> promote(TimePoint now);
     /// @brief Chooses runs for the free slots. Each of them counts as running. Complexity: items waiting times engines.
     std::vector<Placement> place(TimePoint now);
     /// @brief Text that came from a run.
@@ -112,8 +108,8 @@
     void settle(const ItemKey&);
     /// @brief Items that have to be given up now.
     std::vector<ItemKey> expired(TimePoint now) const;
-    /// @brief Runs that have been silent for so long that they are begun again.
-    std::vector<ItemKey> silent(TimePoint now) const;
+    /// @brief Runs that do better elsewhere: silent, or on an engine so slow that a faster one with room would be done sooner.
+    std::vector<ItemKey> misplaced(TimePoint now) const;
 
     const PartialText* text(const ItemKey&) const;
     /// @brief Texts of open items from @p fewestEvents events on, the longest first, up to @p bytes in all.
@@ -155,8 +151,6 @@
         TimePoint startedAt;
         TimePoint lastEventAt;
         std::size_t eventsAtStart = 0;
-        /// Engine that keeps a slot for it, or none.
-        TargetId reserved;
     };
 
     struct Open {
@@ -185,16 +179,7 @@
     const Engine* engine(const TargetId&) const;
     std::optional<TargetId> bestEngine(const Open&, const Item&, TimePoint now) const;
     double seconds(const Engine&) const;
-    /// Events that an item still needs, as far as is known.
-    static double rest(const Item&);
-    /// Seconds for an event of the fastest engine with a free slot, or infinity.
-    double fastestFree(TimePoint now) const;
-    /// Longest rest of the items of a model that wait.
-    std::map<ModelName, double> longestWaiting() const;
     void release(Item&);
-    void dropReservation(Item&);
-    /// The engine that keeps a slot for the item, which it gives up, if it may still serve it; otherwise the best one.
-    std::optional<TargetId> engineFor(const Open&, Item&, TimePoint now);
     void measure(const Item&, TimePoint now);
     void keepText(const Open&, Item&) const;
 
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -27,10 +27,8 @@
     constexpr Seconds shortestSilence { 0.7 };
     /// A run is moved only to an engine that is faster by this factor.
     constexpr double moveFactor = 1.6;
-    /// ... after it has run for so long, which shows whether it is longer than its hint,
+    /// ... and only if at least so much time of it is expected to be left.
     constexpr Seconds movableRest { 0.4 };
-    /// ... and if it is done sooner by so much: a move costs the prompt's reading and a new connection.
-    constexpr Seconds smallestGain { 0.4 };
     /// Texts of ended submissions that are kept for a later one.
     constexpr std::size_t maximumLeftover = 4096;
 
@@ -165,7 +163,6 @@
         return stopped;
     for (std::size_t index = 0; index < found->second.items.size(); ++index) {
         auto& item = found->second.items[index];
-        dropReservation(item);
         if (item.state == ItemState::Running) {
             stopped.push_back({ id, index });
             if (const auto engine = m_engines.find(item.engine); engine != m_engines.end())
@@ -195,13 +192,12 @@
     }
     const auto order = [](const Candidate& candidate) {
         const auto rest = candidate.item->expectedEvents - static_cast<double>(candidate.item->text.events);
-        // A slot that is kept for an item is free for others only after its turn.
-        return std::tuple(candidate.item->reserved.isEmpty(), !candidate.item->isWanted, candidate.open->terms.due, -rest);
+        return std::tuple(!candidate.item->isWanted, candidate.open->terms.due, -rest);
     };
     std::sort(waiting.begin(), waiting.end(), [&](const auto& left, const auto& right) { return order(left) < order(right); });
     std::vector<Placement> placements;
     for (auto& [key, open, item] : waiting) {
-        const auto engineId = engineFor(*open, *item, now);
+        const auto engineId = bestEngine(*open, *item, now);
         if (!engineId)
             continue;
         ++m_engines[*engineId].running;
@@ -309,16 +305,13 @@
     case RunEnd::Complete:
         if (hasLostText || item->text.events == 0)
             return ItemStep::RunAgain;
-        dropReservation(*item);
         item->state = ItemState::Judging;
         return ItemStep::Judge;
     case RunEnd::Impossible:
-        dropReservation(*item);
         item->state = ItemState::Judging;
         return ItemStep::GiveUp;
     case RunEnd::ServerError:
         if (++item->serverErrors >= open.terms.maximumServerErrors) {
-            dropReservation(*item);
             item->state = ItemState::Judging;
             return ItemStep::GiveUp;
         }
@@ -346,7 +339,6 @@
         return;
     if (item->state == ItemState::Running)
         release(*item);
-    dropReservation(*item);
     item->state = ItemState::Settled;
     item->text = {};
 }
@@ -365,105 +357,40 @@
     return keys;
 }
 
-std::vector<ItemKey> SampleScheduler::silent(TimePoint now) const
+std::vector<ItemKey> SampleScheduler::misplaced(TimePoint now) const
 {
     std::vector<ItemKey> keys;
+    /// Places that moves of this round take, by engine.
+    std::map<TargetId, unsigned> taken;
     for (const auto& [id, open] : m_open) {
         for (std::size_t index = 0; index < open.items.size(); ++index) {
             const auto& item = open.items[index];
-            const auto* own = item.state == ItemState::Running ? engine(item.engine) : nullptr;
+            if (item.state != ItemState::Running)
+                continue;
+            const auto* own = engine(item.engine);
+            if (!own)
+                continue;
             const auto silence = Seconds(now - item.lastEventAt);
-            if (own && silence > shortestSilence && silence.count() > silentFactor * seconds(*own))
+            if (silence > shortestSilence && silence.count() > silentFactor * seconds(*own)) {
                 keys.push_back({ id, index });
-        }
-    }
-    return keys;
-}
-
-double SampleScheduler::rest(const Item& item)
-{
-    const auto made = static_cast<double>(item.text.events);
-    return std::max({ fewestEventsLeft, item.expectedEvents - made, surpriseShare * made });
-}
-
-double SampleScheduler::fastestFree(TimePoint now) const
-{
-    auto fastest = std::numeric_limits<double>::infinity();
-    for (const auto& [id, engine] : m_engines) {
-        if (engine.isPresent && engine.running < engine.slots && engine.pausedUntil <= now)
-            fastest = std::min(fastest, seconds(engine));
-    }
-    return fastest;
-}
-
-std::map<ModelName, double> SampleScheduler::longestWaiting() const
-{
-    std::map<ModelName, double> longest;
-    for (const auto& [id, open] : m_open) {
-        for (const auto& item : open.items) {
-            if (item.state == ItemState::Waiting && item.reserved.isEmpty())
-                longest[open.model] = std::max(longest[open.model], rest(item));
-        }
-    }
-    return longest;
-}
-
-std::vector<ItemKey> SampleScheduler::promote(TimePoint now)
-{
-    struct Candidate {
-        double rest;
-        ItemKey key;
-        Open* open;
-        Item* item;
-    };
-    const auto slowest = moveFactor * fastestFree(now);
-    std::vector<Candidate> candidates;
-    for (auto& [id, open] : m_open) {
-        for (std::size_t index = 0; index < open.items.size(); ++index) {
-            auto& item = open.items[index];
-            if (item.state != ItemState::Running || !item.reserved.isEmpty() || Seconds(now - item.startedAt) < movableRest)
                 continue;
-            const auto* own = engine(item.engine);
-            if (own && seconds(*own) > slowest)
-                candidates.push_back({ rest(item), { id, index }, &open, &item });
+            }
+            const auto made = static_cast<double>(item.text.events);
+            const auto rest = std::max({ fewestEventsLeft, item.expectedEvents - made, surpriseShare * made });
+            if (Seconds(rest * seconds(*own)) < movableRest || Seconds(now - item.startedAt) < movableRest)
+                continue;
+            const auto better = bestEngine(open, item, now);
+            if (!better || *better == item.engine)
+                continue;
+            const auto* other = engine(*better);
+            const bool hasRoom = other->running + taken[*better] + 1 < other->slots;
+            if (hasRoom && seconds(*own) > moveFactor * seconds(*other)) {
+                ++taken[*better];
+                keys.push_back({ id, index });
+            }
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.rest > right.rest; });
-    const auto waiting = candidates.empty() ? std::map<ModelName, double>() : longestWaiting();
-    std::vector<ItemKey> promoted;
-    for (auto& [rest, key, open, item] : candidates) {
-        const auto longer = waiting.find(open->model);
-        if (longer != waiting.end() && longer->second > rest)
-            continue;
-        const auto better = bestEngine(*open, *item, now);
-        if (!better || *better == item->engine)
-            continue;
-        const auto own = seconds(m_engines[item->engine]);
-        const auto other = seconds(m_engines[*better]);
-        if (own <= moveFactor * other || Seconds(rest * (own - other)) < smallestGain)
-            continue;
-        ++m_engines[*better].running;
-        item->reserved = *better;
-        promoted.push_back(key);
-    }
-    return promoted;
-}
-
-void SampleScheduler::dropReservation(Item& item)
-{
-    if (const auto found = m_engines.find(item.reserved); !item.reserved.isEmpty() && found != m_engines.end())
-        --found->second.running;
-    item.reserved = {};
-}
-
-std::optional<TargetId> SampleScheduler::engineFor(const Open& open, Item& item, TimePoint now)
-{
-    const auto reserved = item.reserved;
-    dropReservation(item);
-    const auto* kept = reserved.isEmpty() ? nullptr : engine(reserved);
-    if (kept && mayServe(*kept, open, item, now))
-        return reserved;
-    return bestEngine(open, item, now);
+    return keys;
 }
 
 SampleScheduler::Item* SampleScheduler::find(const ItemKey& key)
--- a/packages/submissions/tests/unit-sample-scheduler.cpp
+++ b/packages/submissions/tests/unit-sample-scheduler.cpp
@@ -229,7 +229,7 @@
     CHECK(later.text(key(0))->events == 0);
 }
 
-TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a run that could be done much sooner elsewhere, keeps the slot for it and moves it")
+TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a run that is silent or could be faster elsewhere, moves it")
 {
     learnPaces();
     scheduler.setWeights(fast, model, std::nullopt);
@@ -237,74 +237,12 @@
     add();
     REQUIRE(placed() == std::vector<std::string> { "i@slow" });
     events(0, 1, 10, 60ms);
-    CHECK(scheduler.promote(clock.now()).empty());
+    CHECK(scheduler.misplaced(clock.now()).empty());
     scheduler.setWeights(fast, model, 1);
-    REQUIRE(scheduler.promote(clock.now()).size() == 1);
-    CHECK(scheduler.running() == 2);
-    CHECK(scheduler.promote(clock.now()).empty());
-    CHECK(scheduler.finished(key(0), RunEnd::Abandoned, clock.now()) == ItemStep::RunAgain);
-    CHECK(placed() == std::vector<std::string> { "i@fast" });
-    CHECK(scheduler.running() == 1);
-}
-
-TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a run that is silent, begins it again")
-{
-    learnPaces();
-    item("i", "g", 8000);
-    add();
-    REQUIRE(placed().size() == 1);
-    events(0, 1, 10, 20ms);
-    CHECK(scheduler.silent(clock.now()).empty());
-    clock.advance(2s);
-    CHECK(scheduler.silent(clock.now()).size() == 1);
-}
-
-TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a text far longer than its hint on a slow engine, gives it the fast slot before a short item that waits")
-{
-    learnPaces();
-    scheduler.setEngines({ { fast, pool, 1, { { "draft", 1 } } }, { slow, pool, 1, { { "draft", 1 } } } });
-    submission.id = SubmissionId("step-2");
-    submission.items.clear();
-    item("long", "g", 1500);
-    item("surprise", "g", 1000);
-    item("short", "g", 300);
-    add();
-    REQUIRE(placed() == std::vector<std::string> { "long@fast", "surprise@slow" });
-    events(1, 1, 60, 60ms);
-    CHECK(scheduler.finished(key(0), RunEnd::Complete, clock.now()) == ItemStep::RunAgain);
-    events(0, 1, 1, 20ms);
-    scheduler.settle(key(0));
-    REQUIRE(scheduler.promote(clock.now()).size() == 1);
-    CHECK(placed().empty());
-    CHECK(scheduler.finished(key(1), RunEnd::Abandoned, clock.now()) == ItemStep::RunAgain);
-    CHECK(placed() == std::vector<std::string> { "surprise@fast", "short@slow" });
-}
-
-TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, of a run that ends before its move, gives the kept slot back")
-{
-    learnPaces();
+    CHECK(scheduler.misplaced(clock.now()).size() == 1);
     scheduler.setWeights(fast, model, std::nullopt);
-    submission.id = SubmissionId("step-2");
-    submission.items.clear();
-    item("i", "g", 8000);
-    add();
-    REQUIRE(placed() == std::vector<std::string> { "i@slow" });
-    events(0, 1, 10, 60ms);
-    scheduler.setWeights(fast, model, 1);
-    REQUIRE(scheduler.promote(clock.now()).size() == 1);
-    SECTION("complete")
-    {
-        CHECK(scheduler.finished(key(0), RunEnd::Complete, clock.now()) == ItemStep::Judge);
-    }
-    SECTION("settled")
-    {
-        scheduler.settle(key(0));
-    }
-    SECTION("its submission ended")
-    {
-        scheduler.remove(submission.id);
-    }
-    CHECK(scheduler.running() == 0);
+    clock.advance(2s);
+    CHECK(scheduler.misplaced(clock.now()).size() == 1);
 }
 
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler, when a running item is settled from outside, frees its slot")
