--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -37,6 +37,7 @@
 MirrorExchange httpMirrorExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
 {
     std::vector<std::shared_ptr<HttpClient>> clients;
+    clients.reserve(endpoints.size());
     for (const auto& endpoint : endpoints)
         clients.push_back(std::make_shared<HttpClient>(executor, endpoint));
     return [clients = std::move(clients)](std::size_t mirror, MirrorQuery query) { return exchangeWith(clients[mirror], std::move(query)); };
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -320,10 +320,8 @@
         pause(refusalPause);
         return ItemStep::RunAgain;
     case RunEnd::Broken:
-        pause(breakPause);
-        return ItemStep::RunAgain;
     case RunEnd::WrongWeights:
-        // It holds other weights than were reported, and will refuse or waste whatever comes next as well.
+        // An engine that holds other weights than were reported wastes whatever comes next as well.
         pause(breakPause);
         return ItemStep::RunAgain;
     case RunEnd::Abandoned:
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -1,8 +1,6 @@
 #include "cicadalb/submissions/SubmissionRecords.h"
 
-#include "cicadalb/base/Cbor.h"
-
-#include <nlohmann/json.hpp>
+#include "cicadalb/base/CborRecord.h"
 
 #include <cstdio>
 
@@ -16,27 +14,9 @@
     constexpr std::string_view endSuffix = "/end";
     constexpr std::string_view refusal = "refused";
 
-    std::string toRecord(const Json& document)
-    {
-        std::string record;
-        Json::to_cbor(document, record);
-        return record;
-    }
-
-    Json binary(const std::string& bytes)
-    {
-        return Json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
-    }
-
-    std::string bytesOf(const Json& json)
-    {
-        const auto& bytes = json.get_binary();
-        return { bytes.begin(), bytes.end() };
-    }
-
     Json toJson(const RewardCall& reward)
     {
-        return { reward.id.value(), reward.authority, reward.path, binary(reward.body) };
+        return { reward.id.value(), reward.authority, reward.path, cborBytes(reward.body) };
     }
 
     Json toJson(const SampleItem& item)
@@ -44,13 +24,13 @@
         Json fields = Json::array();
         for (const auto& [name, value] : item.fields)
             fields.push_back({ name, value });
-        return { item.id.value(), item.group.value(), item.path, std::move(fields), binary(item.body), item.tokens, item.lengthHint,
+        return { item.id.value(), item.group.value(), item.path, std::move(fields), cborBytes(item.body), item.tokens, item.lengthHint,
             item.reward ? toJson(*item.reward) : Json() };
     }
 
     RewardCall rewardFrom(const Json& json)
     {
-        return RewardCall { RequestId(json.at(0).get<std::string>()), json.at(1).get<std::string>(), json.at(2).get<std::string>(), bytesOf(json.at(3)) };
+        return RewardCall { RequestId(json.at(0).get<std::string>()), json.at(1).get<std::string>(), json.at(2).get<std::string>(), bytesFromCbor(json.at(3)) };
     }
 
     SampleItem itemFrom(const Json& json)
@@ -61,7 +41,7 @@
         item.path = json.at(2).get<std::string>();
         for (const auto& field : json.at(3))
             item.fields.emplace_back(field.at(0).get<std::string>(), field.at(1).get<std::string>());
-        item.body = bytesOf(json.at(4));
+        item.body = bytesFromCbor(json.at(4));
         item.tokens = json.at(5).get<std::uint64_t>();
         item.lengthHint = json.at(6).get<double>();
         if (!json.at(7).is_null())
@@ -69,17 +49,6 @@
         return item;
     }
 
-    /// Runs @p read on the record; what the JSON library throws becomes an error.
-    template <typename Value, typename Read>
-    Result<Value> readRecord(std::string_view record, Read read)
-    {
-        try {
-            return read(Json::from_cbor(record.begin(), record.end()));
-        } catch (const Json::exception& error) {
-            return failure(ErrorCode::RecordInvalid, error.what(), "stored record");
-        }
-    }
-
     std::string numberedKey(const SubmissionId& id, std::size_t number)
     {
         std::array<char, 24> text {};
@@ -139,13 +108,13 @@
     Json items = Json::array();
     for (const auto& item : submission.items)
         items.push_back(toJson(item));
-    return toRecord({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
+    return toCbor({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
         submission.model.value(), submission.oldestVersion, submission.wantedGroups, std::move(items) });
 }
 
 Result<Submission> decodeSubmission(std::string_view record)
 {
-    return readRecord<Submission>(record, [](const Json& json) {
+    return readCbor<Submission>(record, "stored record", [](const Json& json) {
         Submission submission;
         submission.id = SubmissionId(json.at(0).get<std::string>());
         submission.authority = json.at(1).get<std::string>();
@@ -163,29 +132,29 @@
 
 std::string encodeTotal(std::size_t items)
 {
-    return toRecord(items);
+    return toCbor(items);
 }
 
 Result<std::size_t> decodeTotal(std::string_view record)
 {
-    return readRecord<std::size_t>(record, [](const Json& json) { return json.get<std::size_t>(); });
+    return readCbor<std::size_t>(record, "stored record", [](const Json& json) { return json.get<std::size_t>(); });
 }
 
 std::string encodeTexts(const std::vector<ItemText>& texts)
 {
     Json list = Json::array();
     for (const auto& [item, text] : texts)
-        list.push_back({ item.value(), binary(text.text), text.lastEvent.value_or(0), text.events, text.versions });
-    return toRecord(list);
+        list.push_back({ item.value(), cborBytes(text.text), text.lastEvent.value_or(0), text.events, text.versions });
+    return toCbor(list);
 }
 
 Result<std::vector<ItemText>> decodeTexts(std::string_view record)
 {
-    return readRecord<std::vector<ItemText>>(record, [](const Json& json) {
+    return readCbor<std::vector<ItemText>>(record, "stored record", [](const Json& json) {
         std::vector<ItemText> texts;
         for (const auto& row : json) {
             ItemText text { ItemId(row.at(0).get<std::string>()), {} };
-            text.text.text = bytesOf(row.at(1));
+            text.text.text = bytesFromCbor(row.at(1));
             text.text.lastEvent = row.at(2).get<std::uint64_t>();
             text.text.events = row.at(3).get<std::size_t>();
             text.text.versions = row.at(4).get<std::set<WeightVersion>>();
@@ -199,20 +168,20 @@
 {
     Json list = Json::array();
     for (const auto& result : results) {
-        list.push_back({ result.item.value(), result.state == ResultState::Succeeded, binary(result.text), result.versions, result.rewardSignature });
+        list.push_back({ result.item.value(), result.state == ResultState::Succeeded, cborBytes(result.text), result.versions, result.rewardSignature });
     }
-    return toRecord(list);
+    return toCbor(list);
 }
 
 Result<std::vector<SampleResult>> decodeResults(std::string_view record)
 {
-    return readRecord<std::vector<SampleResult>>(record, [](const Json& json) {
+    return readCbor<std::vector<SampleResult>>(record, "stored record", [](const Json& json) {
         std::vector<SampleResult> results;
         for (const auto& row : json) {
             SampleResult result;
             result.item = ItemId(row.at(0).get<std::string>());
             result.state = row.at(1).get<bool>() ? ResultState::Succeeded : ResultState::GivenUp;
-            result.text = bytesOf(row.at(2));
+            result.text = bytesFromCbor(row.at(2));
             result.versions = row.at(3).get<std::vector<WeightVersion>>();
             result.rewardSignature = row.at(4).get<std::string>();
             results.push_back(std::move(result));
