A new coordinator knows whether it held the lease before; no short watches where there are no mirrors

Read-through: a coordinator skips the pause before its first order if its host held the lease before, by the last holder that it saw. A host whose list of mirrors is empty would have made a call each second for each watch (test).

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <ctime>
+#include <iterator>
 
 namespace cicadalb {
 
@@ -21,8 +22,6 @@
     constexpr std::string_view holderKey = "coordinator/holder";
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseInterval { 150 };
-    /// No order is begun with less of the lease left. A call for an order takes 600 ms at most.
-    constexpr milliseconds orderMargin = Coordination::handOverTime;
     /// Pause between two questions to other candidates.
     constexpr milliseconds askInterval { 300 };
     /// A coordinator without a valid lease that hears of no other candidate for so long drops its work; an answer takes 250 ms at most.
@@ -93,13 +92,31 @@
 
 bool Coordination::isOwnRecord(const std::string& holder) const { return holder.starts_with(m_settings.host.value() + " "); }
 
+void Coordination::recordHolder(const std::string& holder, Revision revision)
+{
+    // The present holder and the one before it.
+    constexpr std::size_t remembered = 2;
+    m_namedHolders[revision] = holder;
+    while (m_namedHolders.size() > remembered)
+        m_namedHolders.erase(m_namedHolders.begin());
+}
+
+bool Coordination::isOwnPredecessor(FencingNumber number) const
+{
+    // The own new record may have been seen already.
+    const auto own = m_namedHolders.lower_bound(number);
+    return own != m_namedHolders.begin() && isOwnRecord(std::prev(own)->second);
+}
+
 void Coordination::takeHolder(const WatchResult& records, bool isSnapshot)
 {
     if (m_onNews)
         m_onNews({ holderRecords(), records, isSnapshot, false });
     const bool wasVacant = m_knowsHolder && m_holder.empty();
-    if (isSnapshot)
+    if (isSnapshot) {
         m_holder.clear();
+        m_namedHolders.clear();
+    }
     m_knowsHolder = true;
     for (const auto& entry : records.entries) {
         if (entry.key != holderKey)
@@ -107,9 +124,10 @@
         m_holder = entry.isDeleted ? std::string() : entry.value;
         m_holderRevision = entry.revision;
         if (!entry.isDeleted)
-            m_lastHolder = entry.value;
+            recordHolder(entry.value, entry.revision);
     }
-    if (!m_holder.empty() || wasVacant)
+    // Another holder may have come and gone before a snapshot.
+    if (!m_holder.empty() || (wasVacant && !isSnapshot))
         return;
     m_vacantSince = m_leaseClock.now();
     if (m_samples)
@@ -126,7 +144,7 @@
         return true;
     }
     const bool isVacant = m_knowsHolder && m_holder.empty();
-    return (isVacant && m_leaseClock.now() >= m_vacantSince + incumbentTime);
+    return isVacant && m_leaseClock.now() >= m_vacantSince + incumbentTime;
 }
 
 Task<void> Coordination::keepLease()
@@ -181,7 +199,7 @@
             continue;
         m_holder = entry.value;
         m_holderRevision = entry.revision;
-        m_lastHolder = entry.value;
+        recordHolder(entry.value, entry.revision);
     }
     followLease();
 }
@@ -231,8 +249,8 @@
 void Coordination::begin(FencingNumber fence)
 {
     // Another host gave its last order before the end of its lease, less the margin. Orders of this one need no pause between them.
-    if (!isOwnRecord(m_lastHolder))
-        m_quietUntil = m_vacantSince + m_settings.orderQuiet - orderMargin;
+    if (!isOwnPredecessor(fence))
+        m_ordersFrom = m_vacantSince + m_settings.orderQuiet - orderMargin;
     m_fence = fence;
     m_lostAt.reset();
     m_heardAt.reset();
@@ -272,7 +290,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !m_wasFenced && m_samples && m_leaseClock.now() >= m_quietUntil && m_lease.mayAct(orderMargin);
+    return !m_isLeaving && !m_wasFenced && m_samples && m_leaseClock.now() >= m_ordersFrom && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::siteChanged()
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -5,6 +5,7 @@
 
 #include "cicadalb/services/LeaseKeeper.h"
 
+#include <map>
 #include <memory>
 
 /// @file
@@ -41,9 +42,10 @@
     Coordination(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, SiteDirectory&, TargetClients&, const Clock&, CoordinationSettings);
 
     void start();
-    /// Longest time that handOver() takes beyond a call to the store.
-    static constexpr std::chrono::milliseconds handOverTime { 900 };
-    /// @brief Gives coordination up, and does not ask for it again. The lease ends handOverTime after the last order at the earliest.
+    /// No order is begun with less of the lease left, so that the last one is as old when another host can have it. A call for an order takes
+    /// 600 ms at most.
+    static constexpr std::chrono::milliseconds orderMargin { 900 };
+    /// @brief Gives coordination up, and does not ask for it again. The lease ends orderMargin after the last order at the earliest.
     Task<void> handOver();
     void siteChanged();
     /// @brief Prefix of the record that names the holder.
@@ -54,6 +56,8 @@
     void restartWatches();
     bool isFollowingHolder() const { return m_watch && m_watch->isCurrent(); }
     bool isCoordinating() const noexcept { return m_samples != nullptr; }
+    /// @brief No order is given before this moment of the lease's clock.
+    TimePoint ordersFrom() const noexcept { return m_ordersFrom; }
     std::size_t openSubmissions() const { return m_samples ? m_samples->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_samples ? m_samples->scheduler().running() : 0; }
     std::size_t waitingSamples() const { return m_samples ? m_samples->scheduler().waiting() : 0; }
@@ -63,6 +67,9 @@
     Task<void> keepTime();
     void takeHolder(const WatchResult&, bool isSnapshot);
     bool isOwnRecord(const std::string& holder) const;
+    void recordHolder(const std::string& holder, Revision);
+    /// Whether the holder before the one with this number is known to be this host.
+    bool isOwnPredecessor(FencingNumber) const;
     /// Whether to ask for the lease now.
     bool mayCampaign();
     /// Asks another candidate who holds the lease.
@@ -90,8 +97,8 @@
     /// Who holds the lease as the store last said; empty: nobody.
     std::string m_holder;
     Revision m_holderRevision = 0;
-    /// The last one that was named.
-    std::string m_lastHolder;
+    /// Holders by the revision of their record, the last ones; emptied by a snapshot, which does not show who came and went.
+    std::map<Revision, std::string> m_namedHolders;
     bool m_knowsHolder = false;
     /// Since when the store is known to name no holder.
     TimePoint m_vacantSince;
@@ -100,8 +107,7 @@
     std::optional<TimePoint> m_lostAt;
     bool m_isLeaving = false;
     bool m_wasFenced = false;
-    /// No order before this moment.
-    TimePoint m_quietUntil;
+    TimePoint m_ordersFrom;
     TimePoint m_lastValidAt;
     TimePoint m_askAt;
     /// When another candidate answered last, or since when they are asked; empty while the lease is valid.
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -70,7 +70,8 @@
 {
     const auto pending = std::make_shared<PendingCall>(m_executor);
     m_pending = pending;
-    const auto patience = m_settings.mirror ? std::min(m_settings.patience, patienceBesideMirrors) : m_settings.patience;
+    const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrors() > 0;
+    const auto patience = hasMirrors ? std::min(m_settings.patience, patienceBesideMirrors) : m_settings.patience;
     asio::co_spawn(m_executor, makeCall(m_store, m_settings.prefix, m_revision, patience, pending), asio::detached);
     // It may have ended before this coroutine waits.
     if (!pending->result) {
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -45,7 +45,7 @@
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
     constexpr milliseconds retirementRetry { 300 };
     /// Longest time for a coordinator's hand-over at shutdown, with a call to the store.
-    constexpr milliseconds handOverLimit = Coordination::handOverTime + milliseconds(600);
+    constexpr milliseconds handOverLimit = Coordination::orderMargin + milliseconds(600);
 
     std::uint64_t seedOf(const HostId& host)
     {
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -265,6 +265,22 @@
     CHECK(hostStore.counts().total() == 0);
 }
 
+TEST_CASE_METHOD(MirroredSiteFixture, "site directory, without any mirror, waits long for a change in one call")
+{
+    MirrorClient none { 0, 0, {}, clock };
+    SiteDirectory alone { context.get_executor(), hostStore, protocol, clock, { {}, 0ms, &none, 0 } };
+    hostStore.put("site/configuration", "4 ledger");
+    alone.start();
+    settle();
+    const auto before = hostStore.counts().watches;
+    hostStore.advance(20s);
+    settle();
+    CHECK(hostStore.counts().watches == before);
+    alone.stop();
+    hostStore.advance(60s);
+    settle();
+}
+
 TEST_CASE_METHOD(MirroredSiteFixture, "site directory, whose mirror lost the store, asks the store itself")
 {
     subject.start();
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -320,6 +320,17 @@
     CHECK(advanceUntil([&] { return isOver(); }, 4s));
 }
 
+TEST_CASE_METHOD(CutCandidateFixture, "coordination, of a host that does not know who held the lease meanwhile, waits with its orders")
+{
+    startAndCut();
+    REQUIRE(advanceUntil([&] { return isOver(); }, 4s));
+    store.faultOf = [](CallKind) { return CallFault::None; };
+    store.advance(10s);
+    store.forgetHistory();
+    REQUIRE(advanceUntil([&] { return cut->isCoordinating(); }, 5s));
+    CHECK(cut->ordersFrom() > clock.now());
+}
+
 TEST_CASE_METHOD(CutCandidateFixture, "coordination, while the other candidates do not reach the store either, goes on")
 {
     startAndCut();
