A new coordinator shortens its pause only once the watch has shown who held the lease before

Looking for it showed that the vacancy known at a coordinator's begin may itself be old. Seen to fail with the pause left out for any predecessor.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <iterator>
 
@@ -103,7 +104,6 @@
 
 bool Coordination::isOwnPredecessor(FencingNumber number) const
 {
-    // The own new record may have been seen already.
     const auto own = m_namedHolders.lower_bound(number);
     return own != m_namedHolders.begin() && isOwnRecord(std::prev(own)->second);
 }
@@ -126,12 +126,19 @@
         if (!entry.isDeleted)
             recordHolder(entry.value, entry.revision);
     }
-    // Another holder may have come and gone before a snapshot.
-    if (!m_holder.empty() || (wasVacant && !isSnapshot))
+    if (m_holder.empty()) {
+        // Another holder may have come and gone before a snapshot.
+        if (wasVacant && !isSnapshot)
+            return;
+        m_vacantSince = m_leaseClock.now();
+        if (m_samples)
+            m_lease.hasten();
         return;
-    m_vacantSince = m_leaseClock.now();
+    }
+    if (isSnapshot)
+        m_vacantSince.reset();
     if (m_samples)
-        m_lease.hasten();
+        shortenPause();
 }
 
 bool Coordination::mayCampaign()
@@ -144,7 +151,7 @@
         return true;
     }
     const bool isVacant = m_knowsHolder && m_holder.empty();
-    return isVacant && m_leaseClock.now() >= m_vacantSince + incumbentTime;
+    return isVacant && m_leaseClock.now() >= m_vacantSince.value_or(TimePoint()) + incumbentTime;
 }
 
 Task<void> Coordination::keepLease()
@@ -248,10 +255,9 @@
 
 void Coordination::begin(FencingNumber fence)
 {
-    // Another host gave its last order before the end of its lease, less the margin. Orders of this one need no pause between them.
-    if (!isOwnPredecessor(fence))
-        m_ordersFrom = m_vacantSince + m_settings.orderQuiet - orderMargin;
     m_fence = fence;
+    m_ordersFrom = m_leaseClock.now() + m_settings.orderQuiet - orderMargin;
+    shortenPause();
     m_lostAt.reset();
     m_heardAt.reset();
     m_wasFenced = false;
@@ -278,6 +284,17 @@
     m_weights->start();
 }
 
+void Coordination::shortenPause()
+{
+    if (!m_namedHolders.contains(m_fence))
+        return;
+    // Another host gave its last order before the end of its lease, less the margin. Orders of the same host need no pause between them.
+    if (isOwnPredecessor(m_fence))
+        m_ordersFrom = m_leaseClock.now();
+    else if (m_vacantSince)
+        m_ordersFrom = std::min(m_ordersFrom, *m_vacantSince + m_settings.orderQuiet - orderMargin);
+}
+
 void Coordination::end(std::string_view reason)
 {
     logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -70,6 +70,8 @@
     void recordHolder(const std::string& holder, Revision);
     /// Whether the holder before the one with this number is known to be this host.
     bool isOwnPredecessor(FencingNumber) const;
+    /// Shortens the pause before the first order once the watch has shown the own record, and so who held the lease before.
+    void shortenPause();
     /// Whether to ask for the lease now.
     bool mayCampaign();
     /// Asks another candidate who holds the lease.
@@ -100,8 +102,8 @@
     /// Holders by the revision of their record, the last ones; emptied by a snapshot, which does not show who came and went.
     std::map<Revision, std::string> m_namedHolders;
     bool m_knowsHolder = false;
-    /// Since when the store is known to name no holder.
-    TimePoint m_vacantSince;
+    /// Since when the store is known to have named no holder before the present one; empty after a snapshot that names one.
+    std::optional<TimePoint> m_vacantSince;
     FencingNumber m_fence = 0;
     /// When a holder found that its lease had lapsed.
     std::optional<TimePoint> m_lostAt;
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -325,8 +325,13 @@
     startAndCut();
     REQUIRE(advanceUntil([&] { return isOver(); }, 4s));
     store.faultOf = [](CallKind) { return CallFault::None; };
-    store.advance(10s);
+    store.put("coordinator/holder", "second 1-1");
     store.forgetHistory();
+    Transaction removal;
+    removal.removals.push_back("coordinator/holder");
+    const auto removed = startTask(context.get_executor(), store.commit(std::move(removal)));
+    settle();
+    REQUIRE(removed->has_value());
     REQUIRE(advanceUntil([&] { return cut->isCoordinating(); }, 5s));
     CHECK(cut->ordersFrom() > clock.now());
 }
