--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -27,6 +27,8 @@
     WatchRestored = 205,
     MirrorFollowed = 206,
     MirrorLost = 207,
+    RecordsOutdated = 208,
+    RecordsCurrent = 209,
     // 3xx: membership
     HostJoined = 301,
     HostSuspected = 302,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -100,6 +100,8 @@
         { Event::WatchRestored, "watch-restored", Level::Info },
         { Event::MirrorFollowed, "mirror-followed", Level::Info },
         { Event::MirrorLost, "mirror-lost", Level::Warning },
+        { Event::RecordsOutdated, "records-outdated", Level::Warning },
+        { Event::RecordsCurrent, "records-current", Level::Info },
         { Event::HostJoined, "host-joined", Level::Info },
         { Event::HostSuspected, "host-suspected", Level::Warning },
         { Event::HostLeft, "host-left", Level::Info },
--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -71,7 +71,7 @@
     auto reply = rejectStale(co_await m_exchange(mirror, std::move(query)));
     if (reply) {
         if (!m_isConnected)
-            logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) } });
+            logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) }, { "copy-age-ms", std::to_string(reply.value().copyAge.count()) } });
         m_isConnected = true;
         m_hasBeenConnected = true;
         co_return reply;
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -34,6 +34,10 @@
     bool isAfterOutage = false;
     /// Time since the mirror's last successful lease renewal at the store. Changes made since then may be missing.
     std::chrono::milliseconds age { 0 };
+    /// Time since the records were known to be complete.
+    std::chrono::milliseconds copyAge { 0 };
+    /// Time for which the mirror waited for a change before it replied.
+    std::chrono::milliseconds waited { 0 };
 };
 
 std::string encodeMirrorQuery(const MirrorQuery&);
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -6,8 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -137,8 +135,9 @@
 }
 
 /// @return the reply, or nothing if there are no changes yet and the wait is not over
-Result<std::optional<MirrorReply>> RecordMirror::findChanges(const MirrorQuery& query, bool isWaitOver)
+Result<std::optional<MirrorReply>> RecordMirror::findChanges(const MirrorQuery& query, TimePoint receivedAt, bool isWaitOver)
 {
+    const auto now = m_clock.now();
     const auto found = m_caches.find(query.prefix);
     if (m_isStopped || found == m_caches.end() || !m_renewedAt || !m_isWatchConnected(query.prefix))
         return failure(ErrorCode::Unavailable, "this mirror has no current copy of the records", query.prefix);
@@ -153,27 +152,30 @@
     if (reply.records.entries.empty() && !reply.isSnapshot && !isWaitOver)
         return std::optional<MirrorReply>();
     reply.records.revision = cache.revision;
-    reply.isAfterOutage = cache.isAfterOutage && m_clock.now() < cache.outageReportedAt + TargetRegistry::reregistrationGracePeriod;
-    reply.age = std::chrono::duration_cast<milliseconds>(m_clock.now() - *m_renewedAt);
+    reply.isAfterOutage = cache.isAfterOutage && now < cache.outageReportedAt + TargetRegistry::reregistrationGracePeriod;
+    reply.age = std::chrono::duration_cast<milliseconds>(now - *m_renewedAt);
+    const auto completeAsOf = m_completeAsOf ? m_completeAsOf(query.prefix) : std::nullopt;
+    reply.copyAge = completeAsOf ? std::chrono::duration_cast<milliseconds>(now - *completeAsOf) : reply.age;
+    reply.waited = std::chrono::duration_cast<milliseconds>(now - receivedAt);
     return std::optional(std::move(reply));
 }
 
 Task<void> RecordMirror::waitForUpdate(TimePoint until)
 {
-    asio::steady_timer timer(m_executor, std::max<Duration>(Duration::zero(), until - m_clock.now()));
+    ClockTimer timer(m_executor, m_clock);
     m_waitingTimers.insert(&timer);
-    boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    co_await timer.waitUntil(until);
     m_waitingTimers.erase(&timer);
 }
 
 Task<Result<MirrorReply>> RecordMirror::waitForChanges(MirrorQuery query)
 {
     const auto self = shared_from_this();
-    m_lastQueryAt = m_clock.now();
-    const auto until = m_clock.now() + std::min(query.maximumWait, longestWait);
+    const auto receivedAt = m_clock.now();
+    m_lastQueryAt = receivedAt;
+    const auto until = receivedAt + std::min(query.maximumWait, longestWait);
     while (true) {
-        auto reply = findChanges(query, m_clock.now() >= until);
+        auto reply = findChanges(query, receivedAt, m_clock.now() >= until);
         if (!reply)
             co_return reply.as_failure();
         if (reply.value())
--- a/packages/hosting/src/RecordMirror.h
+++ b/packages/hosting/src/RecordMirror.h
@@ -3,10 +3,9 @@
 #include "MirrorMessages.h"
 #include "RecordWatch.h"
 
+#include "cicadalb/base/ClockTimer.h"
 #include "cicadalb/transport/HttpListener.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +32,9 @@
     /// @brief Sets the check whether the watch of a prefix is connected to the store now.
     void setWatchConnectedCheck(std::function<bool(const std::string& prefix)> isWatchConnected) { m_isWatchConnected = std::move(isWatchConnected); }
 
+    /// @brief Sets the source of the time as of which the records of a prefix are known to be complete, on the mirror's clock.
+    void setCompleteAsOfSource(std::function<std::optional<TimePoint>(const std::string& prefix)> source) { m_completeAsOf = std::move(source); }
+
     /// @brief Sets the handler that is called when the store answers again after a failed renewal.
     void setStoreRecoveredHandler(std::function<void()> handler) { m_storeRecoveredHandler = std::move(handler); }
 
@@ -57,7 +59,7 @@
     };
 
     Task<void> renewLeasePeriodically();
-    Result<std::optional<MirrorReply>> findChanges(const MirrorQuery&, bool isWaitOver);
+    Result<std::optional<MirrorReply>> findChanges(const MirrorQuery&, TimePoint receivedAt, bool isWaitOver);
     Task<void> waitForUpdate(TimePoint until);
     void wakeWaiters();
 
@@ -65,8 +67,9 @@
     TransactionalStore& m_store;
     const Clock& m_clock;
     std::function<bool(const std::string&)> m_isWatchConnected = [](const std::string&) { return true; };
+    std::function<std::optional<TimePoint>(const std::string&)> m_completeAsOf;
     std::map<std::string, PrefixCache> m_caches;
-    std::set<boost::asio::steady_timer*> m_waitingTimers;
+    std::set<ClockTimer*> m_waitingTimers;
     LeaseId m_lease = 0;
     std::optional<TimePoint> m_renewedAt;
     /// Time of the last client query, or of construction.
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -5,8 +5,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -38,7 +36,7 @@
     , m_settings(std::move(settings))
     , m_handler(std::move(handler))
     , m_executor(std::move(executor))
-    , m_timer(m_executor)
+    , m_timer(m_executor, clock)
 {
 }
 
@@ -69,23 +67,28 @@
 
 Task<Result<WatchResult>> RecordWatch::awaitChanges()
 {
-    const auto pending = std::make_shared<PendingCall>(m_executor);
+    const auto pending = std::make_shared<PendingCall>(m_executor, m_clock);
     m_pending = pending;
     const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrorCount() > 0;
     const auto maximumWait = hasMirrors ? std::min(m_settings.maximumWait, maximumWaitWithMirrors) : m_settings.maximumWait;
+    const auto requestedAt = m_clock.now();
     asio::co_spawn(m_executor, watchStore(m_store, m_settings.prefix, m_revision, maximumWait, pending), asio::detached);
     // The call may have ended before this coroutine waits.
-    if (!pending->result) {
-        boost::system::error_code error;
-        co_await pending->done.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    }
+    if (!pending->result)
+        co_await pending->done.waitUntil(TimePoint::max());
     m_pending.reset();
     if (!pending->result) {
         WatchResult unchanged;
         unchanged.revision = m_revision;
         co_return unchanged;
     }
-    co_return std::move(*pending->result);
+    auto& result = *pending->result;
+    if (result) {
+        // The store sends an answer without entries only after the whole wait.
+        const bool hasWaited = result.value().entries.empty() && m_clock.now() >= requestedAt + maximumWait;
+        raiseCompleteAsOf(hasWaited ? requestedAt + maximumWait : requestedAt);
+    }
+    co_return std::move(result);
 }
 
 void RecordWatch::setCoalescingDelay(std::chrono::milliseconds coalescingDelay)
@@ -96,9 +99,7 @@
 
 Task<void> RecordWatch::wait(Duration duration)
 {
-    boost::system::error_code error;
-    m_timer.expires_after(duration);
-    co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    co_await m_timer.waitFor(duration);
 }
 
 Task<void> RecordWatch::run()
@@ -134,13 +135,15 @@
     std::optional<Revision> after;
     if (m_hasSnapshot)
         after = m_revision;
+    const auto sentAt = m_clock.now();
     const auto reply = co_await m_settings.mirror->waitForChanges(m_settings.prefix, after);
     if (m_isStopped)
         co_return true;
     // A mirror may lag behind what this host has read from the store.
     if (!reply || (reply.value().isSnapshot && reply.value().records.revision < m_revision))
         co_return false;
-    const auto& [records, isSnapshot, isAfterMirrorOutage, age] = reply.value();
+    const auto& [records, isSnapshot, isAfterMirrorOutage, age, copyAge, waited] = reply.value();
+    raiseCompleteAsOf(sentAt + waited - copyAge);
     recordOutcome(success());
     m_hasSnapshot = true;
     m_revision = std::max(m_revision, records.revision);
@@ -155,9 +158,11 @@
 Task<Result<void>> RecordWatch::pollStore()
 {
     if (!m_hasSnapshot) {
+        const auto requestedAt = m_clock.now();
         auto snapshot = co_await m_store.snapshot(m_settings.prefix, {});
         if (!snapshot)
             co_return snapshot.as_failure();
+        raiseCompleteAsOf(requestedAt);
         if (m_isStopped)
             co_return success();
         recordOutcome(success());
@@ -186,6 +191,8 @@
     co_return success();
 }
 
+void RecordWatch::raiseCompleteAsOf(TimePoint time) { m_completeAsOf = std::max(time, m_completeAsOf.value_or(time)); }
+
 void RecordWatch::recordOutcome(const Result<void>& outcome)
 {
     const auto now = m_clock.now();
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -2,14 +2,14 @@
 
 #include "MirrorClient.h"
 
-#include "cicadalb/base/Clock.h"
+#include "cicadalb/base/ClockTimer.h"
 #include "cicadalb/services/TransactionalStore.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// @file
@@ -61,8 +61,11 @@
     void restart();
     /// @brief Whether the last call to the store or a mirror succeeded.
     bool isConnected() const noexcept { return m_isConnected; }
+    const std::string& prefix() const noexcept { return m_settings.prefix; }
     /// @brief Revision of the newest change received.
     Revision revision() const noexcept { return m_revision; }
+    /// @brief Time as of which the records are known to be complete; empty before the first answer. Only answers to this watch's own calls count.
+    std::optional<TimePoint> completeAsOf() const noexcept { return m_completeAsOf; }
 
 private:
     Task<void> run();
@@ -73,16 +76,17 @@
     /// @return false if the store has to be queried
     Task<bool> pollMirror();
     void recordOutcome(const Result<void>&);
+    void raiseCompleteAsOf(TimePoint);
     bool isAfterOutage() const;
     Task<void> wait(Duration);
 
     /// A call to the store that waits for its answer; outlives a watch that has abandoned it.
     struct PendingCall {
-        explicit PendingCall(const boost::asio::any_io_executor& executor)
-            : done(executor, boost::asio::steady_timer::time_point::max())
+        PendingCall(const boost::asio::any_io_executor& executor, const Clock& clock)
+            : done(executor, clock)
         {
         }
-        boost::asio::steady_timer done;
+        ClockTimer done;
         std::optional<Result<WatchResult>> result;
     };
     static Task<void> watchStore(TransactionalStore&, std::string prefix, Revision after, std::chrono::milliseconds maximumWait, std::shared_ptr<PendingCall>);
@@ -92,9 +96,10 @@
     RecordWatchSettings m_settings;
     RecordWatchHandler m_handler;
     boost::asio::any_io_executor m_executor;
-    boost::asio::steady_timer m_timer;
+    ClockTimer m_timer;
     std::shared_ptr<PendingCall> m_pending;
     Revision m_revision = 0;
+    std::optional<TimePoint> m_completeAsOf;
     bool m_hasSnapshot = false;
     bool m_isConnected = false;
     bool m_isStopped = false;
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -25,6 +25,7 @@
     : m_protocol(protocol)
     , m_clock(clock)
     , m_settings(std::move(settings))
+    , m_recordClock(m_settings.recordClock ? *m_settings.recordClock : clock)
 {
     const auto applyConfiguration = [this](const WatchResult& result, bool) { this->applyConfiguration(result.entries); };
     const auto replaceTargets = [this](const WatchResult& result, bool afterOutage) { this->replaceTargets(result, afterOutage); };
@@ -42,7 +43,7 @@
             next(records, afterOutage);
         };
     };
-    return std::make_shared<RecordWatch>(executor, store, m_clock, std::move(settings), RecordWatchHandler { handler(std::move(onSnapshot), true), handler(std::move(onChanges), false) });
+    return std::make_shared<RecordWatch>(executor, store, m_recordClock, std::move(settings), RecordWatchHandler { handler(std::move(onSnapshot), true), handler(std::move(onChanges), false) });
 }
 
 void SiteDirectory::restartWatches()
@@ -51,10 +52,28 @@
     m_targetsWatch->restart();
 }
 
-bool SiteDirectory::isWatchConnected(const std::string& prefix) const
+bool SiteDirectory::isWatchConnected(const std::string& prefix) const { return watchOf(prefix).isConnected(); }
+
+const RecordWatch& SiteDirectory::watchOf(const std::string& prefix) const
+{
+    return prefix == m_protocol.keys().configuration ? *m_configurationWatch : *m_targetsWatch;
+}
+
+std::optional<Duration> SiteDirectory::ageOf(const RecordWatch& watch) const
+{
+    const auto completeAsOf = watch.completeAsOf();
+    return completeAsOf ? std::optional(m_recordClock.now() - *completeAsOf) : std::nullopt;
+}
+
+void SiteDirectory::reportAge(const RecordWatch& watch, bool& isOutdated) const
 {
-    const auto& watch = prefix == m_protocol.keys().configuration ? m_configurationWatch : m_targetsWatch;
-    return watch->isConnected();
+    const auto age = ageOf(watch);
+    if (!age || isOutdated == (*age > maximumRecordAge))
+        return;
+    isOutdated = !isOutdated;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+    logEvent(isOutdated ? Event::RecordsOutdated : Event::RecordsCurrent,
+        { { "prefix", watch.prefix() }, { "revision", std::to_string(watch.revision()) }, { "age-ms", std::to_string(milliseconds) }, { "connected", watch.isConnected() ? "yes" : "no" } });
 }
 
 void SiteDirectory::start()
@@ -170,6 +189,8 @@
 
 void SiteDirectory::tick()
 {
+    reportAge(*m_configurationWatch, m_isConfigurationOutdated);
+    reportAge(*m_targetsWatch, m_isRegistryOutdated);
     if (m_registry.expire(m_clock.now()))
         onTargetsChanged();
     for (auto& [name, balancer] : m_balancers) {
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -35,11 +35,16 @@
     /// Client of mirrors to query instead of the store, or null. Must outlive the directory.
     MirrorClient* mirror = nullptr;
     std::uint64_t seed = 0;
+    /// Clock of the ages of records, which must also count the time in which the machine is suspended; null selects the directory's clock.
+    const Clock* recordClock = nullptr;
 };
 
 /// @brief Bound to one event loop.
 class SiteDirectory {
 public:
+    /// A change has to be in force this long after the store has acknowledged it, so that an older copy may lack one.
+    static constexpr std::chrono::milliseconds maximumRecordAge { 2000 };
+
     SiteDirectory(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, const Clock&, SiteDirectorySettings);
 
     void start();
@@ -59,6 +64,12 @@
     std::shared_ptr<const SiteView> view() const noexcept { return m_view; }
     const TargetRegistry& registry() const noexcept { return m_registry; }
     Revision registryRevision() const noexcept { return m_targetsWatch->revision(); }
+    /// @brief Time since the configuration was last known to be the newest one; empty before the first answer from the store or a mirror.
+    std::optional<Duration> configurationAge() const { return ageOf(*m_configurationWatch); }
+    /// @brief Time since the registry was last known to be complete; empty before the first answer.
+    std::optional<Duration> registryAge() const { return ageOf(*m_targetsWatch); }
+    /// @brief Time as of which the records under a prefix are known to be complete, on the clock of the records.
+    std::optional<TimePoint> completeAsOf(const std::string& prefix) const { return watchOf(prefix).completeAsOf(); }
     /// @brief Admission to a pool's targets; created on first use, for unknown pools too.
     std::shared_ptr<SharedPoolBalancer> balancer(const PoolName&);
     bool isReady() const noexcept { return m_view != nullptr && m_hasTargets; }
@@ -69,6 +80,10 @@
     using RecordCallback = std::function<void(const WatchResult&, bool afterOutage)>;
     /// Creates a watch that passes snapshots to @p onSnapshot, changes to @p onChanges, and both to the handler of setUpdateHandler() first.
     std::shared_ptr<RecordWatch> makeWatch(const boost::asio::any_io_executor&, TransactionalStore&, RecordWatchSettings, RecordCallback onSnapshot, RecordCallback onChanges);
+    const RecordWatch& watchOf(const std::string& prefix) const;
+    std::optional<Duration> ageOf(const RecordWatch&) const;
+    /// Logs when a copy becomes older than maximumRecordAge, and when it is current again.
+    void reportAge(const RecordWatch&, bool& isOutdated) const;
     void applyConfiguration(const std::vector<KeyValueEntry>&);
     void replaceTargets(const WatchResult&, bool afterOutage);
     void applyTargetChanges(const WatchResult&, bool afterOutage);
@@ -79,11 +94,14 @@
     const SiteProtocol& m_protocol;
     const Clock& m_clock;
     SiteDirectorySettings m_settings;
+    const Clock& m_recordClock;
     std::shared_ptr<RecordWatch> m_configurationWatch;
     std::shared_ptr<RecordWatch> m_targetsWatch;
     std::shared_ptr<const SiteView> m_view;
     TargetRegistry m_registry;
     bool m_hasTargets = false;
+    bool m_isConfigurationOutdated = false;
+    bool m_isRegistryOutdated = false;
     std::map<PoolName, std::shared_ptr<SharedPoolBalancer>> m_balancers;
     std::function<void()> m_changeHandler;
     std::function<void(const RecordUpdate&)> m_updateHandler;
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -70,6 +70,11 @@
         return RunState::Unknown;
     }
 
+    std::string ageText(std::optional<Duration> age)
+    {
+        return age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count()) : "unknown";
+    }
+
 } // namespace
 
 SiteEndpoints::SiteEndpoints(SiteEndpointsOptions options, SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, SubmissionIntake& intake, ResultReader& reader, Metrics& metrics, const Clock& clock)
@@ -120,7 +125,7 @@
     const bool isRoutineRead = call.kind == CallerRequestKind::ReadResults && result.response.status == statusOk;
     logEvent(isRoutineRead ? Event::ResultsServed : Event::RequestAnswered,
         { { "id", id }, { "method", request.method }, { "target", request.target }, { "route", result.route.value() },
-            { "configuration", view ? std::to_string(view->configuration.version) : "none" }, { "status", std::to_string(result.response.status) },
+            { "configuration", view ? std::to_string(view->configuration.version) : "none" }, { "configuration-age-ms", ageText(m_directory.configurationAge()) }, { "status", std::to_string(result.response.status) },
             { "run-state", std::string(name(result.runState)) }, { "attempts", std::to_string(result.attempts) },
             { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "reason", result.reason } });
     m_metrics.countRequest({ result.route, result.response.status, result.runState, latency });
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -71,6 +71,8 @@
         return options;
     }
 
+    double secondsOf(std::optional<Duration> age) { return age ? std::chrono::duration<double>(*age).count() : -1; }
+
     /// Port of a listener, or "none".
     std::string portText(const std::optional<HttpListener>& listener)
     {
@@ -79,11 +81,11 @@
 
     bool hasMirror(const SiteSettings& settings) { return !settings.addresses.mirrorListen.address.empty(); }
 
-    SiteDirectorySettings directorySettings(const SiteSettings& settings, MirrorClient& mirror, std::uint64_t seed)
+    SiteDirectorySettings directorySettings(const SiteSettings& settings, MirrorClient& mirror, std::uint64_t seed, const Clock& recordClock)
     {
         // Changes may share a call for as long as a leaving target still serves, less the delay of a slow store.
         const auto usualDelay = std::max(milliseconds(0), settings.work.targetDrainTime - slowStoreDelay);
-        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualDelay, mirrorCoalescingDelay) : usualDelay, hasMirror(settings) ? nullptr : &mirror, seed };
+        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualDelay, mirrorCoalescingDelay) : usualDelay, hasMirror(settings) ? nullptr : &mirror, seed, &recordClock };
     }
 
     MirrorClient makeMirrorClient(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
@@ -122,7 +124,7 @@
         , m_store(makeStore(m_executor, Endpoint { m_settings.addresses.store.address, m_settings.addresses.store.port }))
         , m_clients(m_workers, targetOptions())
         , m_mirrorClient(makeMirrorClient(m_executor, m_settings, m_clock))
-        , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed))
+        , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed, m_bootClock))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_clock)
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
@@ -186,6 +188,7 @@
                 m_coordination->onSiteChanged();
         });
         if (m_mirror) {
+            m_mirror->setCompleteAsOfSource([this](const auto& prefix) { return completeAsOf(prefix); });
             m_mirror->setWatchConnectedCheck([this](const auto& prefix) { return isWatchConnected(prefix); });
             const auto apply = [this](const auto& update) { m_mirror->apply(update); };
             m_directory.setUpdateHandler(apply);
@@ -220,6 +223,13 @@
         return m_directory.isWatchConnected(prefix);
     }
 
+    std::optional<TimePoint> completeAsOf(const std::string& prefix) const
+    {
+        if (prefix == Coordination::holderKeyPrefix())
+            return m_coordination ? m_coordination->holderCompleteAsOf() : std::nullopt;
+        return m_directory.completeAsOf(prefix);
+    }
+
     bool drain()
     {
         const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
@@ -292,6 +302,9 @@
         const auto view = m_directory.view();
         m_metrics.setGauge("cicadalb_ready", "1 if the host accepts requests", m_endpoints.isReady() ? 1 : 0);
         m_metrics.setGauge("cicadalb_configuration_number", "Version of the configuration in force", view ? static_cast<double>(view->configuration.version) : 0);
+        // -1: no answer from the store or a mirror yet.
+        m_metrics.setGauge("cicadalb_configuration_age_seconds", "Time since the configuration was last known to be the newest", secondsOf(m_directory.configurationAge()));
+        m_metrics.setGauge("cicadalb_registry_age_seconds", "Time since the registry of targets was last known to be complete", secondsOf(m_directory.registryAge()));
         m_metrics.setGauge("cicadalb_targets", "Targets in the registry", static_cast<double>(m_directory.registry().targets().size()));
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -106,13 +106,13 @@
         runPendingWork();
     }
 
-    /// Runs real time until @p condition holds, for ten seconds at most.
+    /// Advances the clock until @p condition holds, for ten seconds at most.
     template <typename Condition>
     bool runUntil(Condition condition)
     {
         for (int turn = 0; turn < 1000 && !condition(); ++turn) {
-            context.restart();
-            context.run_for(10ms);
+            clock.advance(10ms);
+            runPendingWork();
         }
         return condition();
     }
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-/// A host's directory of a site whose store is in memory. Retry delays run on the real clock and are short.
+/// A host's directory of a site whose store is in memory.
 struct SiteFixture {
     boost::asio::io_context context;
     ManualClock clock;
@@ -43,12 +43,12 @@
         context.poll();
     }
 
-    /// Runs real time until @p condition holds, for ten seconds at most.
+    /// Runs real time and the manual clock until @p condition holds, for ten seconds at most.
     template <typename Condition>
     bool runUntil(Condition condition)
     {
         for (int turn = 0; turn < 1000 && !condition(); ++turn) {
-            store.advance(0ms);
+            store.advance(10ms);
             context.restart();
             context.run_for(10ms);
         }
