A copy of the store's records is trusted by the answers to its own watch

What callers saw: requests handled by an older version long after its successor had been acknowledged.

Cause: a mirror vouched for its copy by the answers to its lease renewals, which use other connections than its watch. A watch whose connection goes silent, or that the store holds back, was noticed after up to 31.5 s; until then the mirror stated an age of 0 and all hosts that query it kept the old version, and so did the coordinator, which decides where samples run. The registry of targets is read in the same way and had the same fault.

Change: each watch knows as of when its records are complete, from the store's answers to that watch alone. Mirrors pass the age on, hosts trust it for 1.3 s, and a host whose mirror failed reads the configuration from the store before it watches it. The mirrors' leases are gone. All other watches wait 10 s instead of 30 s, and are repeated when the configuration can be read again after a failure.

Replaced tests: 'waits for changes in one long call' demanded the long silent wait that is the fault; it now demands evidence at most a second old for at most 21 calls in 20 s and prefix. 'restarted when the store answers again' tested a handler of the renewals; the handler is now that of the configuration's watch, and the simulation covers the rest. 'refused by the store, states the time since the last renewal' is the same test with the watch as the evidence.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -73,7 +73,7 @@
 void Coordination::start()
 {
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_leaseClock, RecordWatchSettings { std::string(holderPrefix) },
-        RecordWatchHandler { [this](const auto& result, bool) { applyHolderRecords(result, true); }, [this](const auto& result, bool) { applyHolderRecords(result, false); } });
+        RecordWatchHandler { [this](const auto& result, bool) { applyHolderRecords(result, true); }, [this](const auto& result, bool) { applyHolderRecords(result, false); }, {} });
     m_watch->start();
     asio::co_spawn(
         m_executor, [self = shared_from_this()]() { return self->maintainLease(); }, asio::detached);
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -56,7 +56,6 @@
     void restartWatches();
     /// @brief Time as of which the copy of the holder's record is known to be complete, on the lease's clock.
     std::optional<TimePoint> holderCompleteAsOf() const { return m_watch ? m_watch->completeAsOf() : std::nullopt; }
-    bool isHolderWatchConnected() const { return m_watch && m_watch->isConnected(); }
     bool isCoordinating() const noexcept { return m_sampleRunner != nullptr; }
     /// @brief Earliest time for weight orders, on the lease's clock.
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -2,17 +2,21 @@
 
 #include "cicadalb/base/Event.h"
 
+#include <algorithm>
+
 namespace cicadalb {
 
 namespace {
 
+    using std::chrono::milliseconds;
+
     constexpr unsigned statusOk = 200;
 
-    /// Turns the reply of a mirror that has not reached the store recently into an error.
+    /// Turns the reply of a mirror whose records may be out of date into an error.
     Result<MirrorReply> rejectStale(Result<MirrorReply> reply)
     {
         if (reply && reply.value().age > MirrorClient::maximumAge)
-            return failure(ErrorCode::Unavailable, "the mirror last reached the store " + std::to_string(reply.value().age.count()) + " ms ago", "mirror");
+            return failure(ErrorCode::Unavailable, "the mirror's records were last known to be complete " + std::to_string(reply.value().age.count()) + " ms ago", "mirror");
         return reply;
     }
 
@@ -61,17 +65,17 @@
 {
     // A local variable, since GCC 12 destroys an aggregate temporary in a co_await expression twice.
     MirrorQuery query { std::move(prefix), std::nullopt, std::chrono::milliseconds(0) };
-    co_return rejectStale(co_await m_exchange(mirror, std::move(query)));
+    co_return co_await m_exchange(mirror, std::move(query));
 }
 
-Task<Result<MirrorReply>> MirrorClient::waitForChanges(std::string prefix, std::optional<Revision> after)
+Task<Result<MirrorReply>> MirrorClient::waitForChanges(std::string prefix, std::optional<Revision> after, milliseconds wait)
 {
     const auto mirror = m_nextMirror;
-    MirrorQuery query { prefix, after, maximumWait };
+    MirrorQuery query { prefix, after, std::min(wait, maximumWait) };
     auto reply = rejectStale(co_await m_exchange(mirror, std::move(query)));
     if (reply) {
         if (!m_isConnected)
-            logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) }, { "copy-age-ms", std::to_string(reply.value().copyAge.count()) } });
+            logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) } });
         m_isConnected = true;
         m_hasBeenConnected = true;
         co_return reply;
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -25,9 +25,10 @@
     static constexpr std::chrono::milliseconds maximumWait { 350 };
     /// Time allowed for the reply beyond maximumWait.
     static constexpr std::chrono::milliseconds responseTimeout { 250 };
-    /// Replies are accepted for this long after the mirror last reached the store. Together with the two times above, a change is missed for
-    /// at most 1.3 s; it has to be in force within 2 s.
-    static constexpr std::chrono::milliseconds maximumAge { 700 };
+    /// Replies are accepted until the mirror's records were last known to be complete this long ago. A mirror knows it about once a second. The last
+    /// query before a mirror becomes silent waits only for the rest of this time, so that the store is queried within responseTimeout after
+    /// it; a change has to be in force within 2 s.
+    static constexpr std::chrono::milliseconds maximumAge { 1300 };
     /// Time for which the store is queried directly after a mirror has failed.
     static constexpr std::chrono::seconds storeFallbackPeriod { 5 };
     /// Time for which a starting host retries mirrors before it queries the store: when all hosts start together, mirrors come up a moment later.
@@ -41,11 +42,11 @@
 
     /// @brief Whether to query a mirror now, rather than the store.
     bool isUsable() const;
-    /// @brief Returns the changes after a revision, or all records. Errors: Unavailable; the next call then uses the next mirror, and after
+    /// @brief Returns the changes after a revision, or all records. @param wait at most maximumWait. Errors: Unavailable; the next call then uses the next mirror, and after
     /// the startup grace period isUsable() is false for storeFallbackPeriod.
-    Task<Result<MirrorReply>> waitForChanges(std::string prefix, std::optional<Revision> after);
-    /// @brief Reads all records from one mirror without waiting, even if earlier queries failed. Errors: Unavailable (the mirror replies but
-    /// has not reached the store recently), others (the mirror does not reply).
+    Task<Result<MirrorReply>> waitForChanges(std::string prefix, std::optional<Revision> after, std::chrono::milliseconds wait = maximumWait);
+    /// @brief Reads all records from one mirror without waiting, even if earlier queries failed, and however old the reply is. Errors:
+    /// Unavailable (the mirror replies but has no records), others (the mirror does not reply).
     Task<Result<MirrorReply>> readAll(std::size_t mirror, std::string prefix);
     std::size_t mirrorCount() const noexcept { return m_mirrorCount; }
     /// @brief Whether a failed query is retried at a mirror instead of the store, because this host started recently and no mirror has replied yet.
--- a/packages/hosting/src/MirrorMessages.cpp
+++ b/packages/hosting/src/MirrorMessages.cpp
@@ -48,7 +48,7 @@
     for (const auto& entry : reply.records.entries)
         entries.push_back(toJson(entry));
     return toCbor({ { "entries", std::move(entries) }, { "revision", reply.records.revision }, { "snapshot", reply.isSnapshot },
-        { "after-outage", reply.isAfterOutage }, { "age-ms", reply.age.count() }, { "copy-age-ms", reply.copyAge.count() }, { "waited-ms", reply.waited.count() } });
+        { "after-outage", reply.isAfterOutage }, { "age-ms", reply.age.count() }, { "waited-ms", reply.waited.count() } });
 }
 
 Result<MirrorReply> decodeMirrorReply(std::string_view body)
@@ -61,8 +61,7 @@
         reply.isSnapshot = json.at("snapshot").get<bool>();
         reply.isAfterOutage = json.at("after-outage").get<bool>();
         reply.age = std::chrono::milliseconds(json.at("age-ms").get<std::int64_t>());
-        // Replies of earlier builds lack the following fields.
-        reply.copyAge = std::chrono::milliseconds(json.value("copy-age-ms", reply.age.count()));
+        // Replies of earlier builds lack this field.
         reply.waited = std::chrono::milliseconds(json.value("waited-ms", std::int64_t { 0 }));
         return reply;
     });
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -32,10 +32,8 @@
     bool isSnapshot = false;
     /// Whether a record may be missing only because the store was unavailable shortly before.
     bool isAfterOutage = false;
-    /// Time since the mirror's last successful lease renewal at the store. Changes made since then may be missing.
+    /// Time since the records were known to be complete, by an answer of the store to the mirror's own watch. Changes made since then may be missing.
     std::chrono::milliseconds age { 0 };
-    /// Time since the records were known to be complete.
-    std::chrono::milliseconds copyAge { 0 };
     /// Time for which the mirror waited for a change before it replied.
     std::chrono::milliseconds waited { 0 };
 };
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -1,12 +1,7 @@
 #include "RecordMirror.h"
 
-#include "Pause.h"
-
 #include "cicadalb/site/TargetRegistry.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -18,13 +13,6 @@
 
     using std::chrono::milliseconds;
 
-    /// Pause between lease renewals. Hosts accept a mirror's replies for 700 ms after a renewal (MirrorClient.h); a renewal without an answer
-    /// takes 350 ms.
-    constexpr milliseconds renewalInterval { 250 };
-    /// Time to live of the lease. The lease guards nothing, so that any time that spans several renewals will do.
-    constexpr milliseconds leaseTimeToLive { 10000 };
-    /// Renewals stop after this time without a client query.
-    constexpr std::chrono::seconds idleTimeout { 15 };
     /// Tombstones kept for each prefix. When there are more, all are dropped, and clients with an earlier revision get a snapshot.
     constexpr std::size_t maximumTombstones = 2048;
     /// Longest wait that a client can request.
@@ -50,18 +38,10 @@
 
 } // namespace
 
-RecordMirror::RecordMirror(asio::any_io_executor executor, TransactionalStore& store, const Clock& clock)
+RecordMirror::RecordMirror(asio::any_io_executor executor, const Clock& clock)
     : m_executor(std::move(executor))
-    , m_store(store)
     , m_clock(clock)
-    , m_lastQueryAt(clock.now())
-{
-}
-
-void RecordMirror::start()
 {
-    asio::co_spawn(
-        m_executor, [self = shared_from_this()]() { return self->renewLeasePeriodically(); }, asio::detached);
 }
 
 void RecordMirror::stop()
@@ -70,38 +50,6 @@
     wakeWaiters();
 }
 
-Task<void> RecordMirror::renewLeasePeriodically()
-{
-    const auto self = shared_from_this();
-    while (!m_isStopped) {
-        if (m_clock.now() < m_lastQueryAt + idleTimeout)
-            co_await renewLease();
-        co_await pause(m_executor, renewalInterval);
-    }
-}
-
-Task<void> RecordMirror::renewLease()
-{
-    const auto requestedAt = m_clock.now();
-    if (m_lease == 0) {
-        const auto granted = co_await m_store.grantLease(leaseTimeToLive);
-        if (!granted) {
-            m_hasMissedRenewal = true;
-            co_return;
-        }
-        m_lease = granted.value();
-    } else if (const auto renewed = co_await m_store.renewLease(m_lease); !renewed) {
-        if (renewed.error().code == ErrorCode::LeaseLost)
-            m_lease = 0;
-        else
-            m_hasMissedRenewal = true;
-        co_return;
-    }
-    m_renewedAt = requestedAt;
-    if (std::exchange(m_hasMissedRenewal, false) && m_storeRecoveredHandler)
-        m_storeRecoveredHandler();
-}
-
 void RecordMirror::apply(const RecordUpdate& update)
 {
     auto& cache = m_caches[update.prefix];
@@ -139,8 +87,9 @@
 {
     const auto now = m_clock.now();
     const auto found = m_caches.find(query.prefix);
-    if (m_isStopped || found == m_caches.end() || !m_renewedAt || !m_isWatchConnected(query.prefix))
-        return failure(ErrorCode::Unavailable, "this mirror has no current copy of the records", query.prefix);
+    const auto completeAsOf = m_completeAsOf ? m_completeAsOf(query.prefix) : std::nullopt;
+    if (m_isStopped || found == m_caches.end() || !completeAsOf)
+        return failure(ErrorCode::Unavailable, "this mirror has no copy of the records", query.prefix);
     const auto& cache = found->second;
     MirrorReply reply;
     reply.isSnapshot = !query.after || *query.after < cache.compactedRevision;
@@ -149,13 +98,12 @@
         if (isIncluded)
             reply.records.entries.push_back(entry);
     }
-    if (reply.records.entries.empty() && !reply.isSnapshot && !isWaitOver)
+    reply.age = std::chrono::duration_cast<milliseconds>(now - *completeAsOf);
+    const bool mayWait = !isWaitOver && reply.age <= MirrorClient::maximumAge;
+    if (reply.records.entries.empty() && !reply.isSnapshot && mayWait)
         return std::optional<MirrorReply>();
     reply.records.revision = cache.revision;
     reply.isAfterOutage = cache.isAfterOutage && now < cache.outageReportedAt + TargetRegistry::reregistrationGracePeriod;
-    reply.age = std::chrono::duration_cast<milliseconds>(now - *m_renewedAt);
-    const auto completeAsOf = m_completeAsOf ? m_completeAsOf(query.prefix) : std::nullopt;
-    reply.copyAge = completeAsOf ? std::chrono::duration_cast<milliseconds>(now - *completeAsOf) : reply.age;
     reply.waited = std::chrono::duration_cast<milliseconds>(now - receivedAt);
     return std::optional(std::move(reply));
 }
@@ -172,7 +120,6 @@
 {
     const auto self = shared_from_this();
     const auto receivedAt = m_clock.now();
-    m_lastQueryAt = receivedAt;
     const auto until = receivedAt + std::min(query.maximumWait, longestWait);
     while (true) {
         auto reply = findChanges(query, receivedAt, m_clock.now() >= until);
@@ -180,7 +127,8 @@
             co_return reply.as_failure();
         if (reply.value())
             co_return std::move(*reply.value());
-        co_await waitForUpdate(until);
+        const auto outdatedFrom = m_completeAsOf(query.prefix).value_or(receivedAt) + MirrorClient::maximumAge + milliseconds(1);
+        co_await waitForUpdate(std::min(until, outdatedFrom));
     }
 }
 
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalb {
 
@@ -16,9 +17,12 @@
 
     /// Delay after the first failed call.
     constexpr std::chrono::milliseconds initialRetryDelay { 100 };
-    /// Longest wait of a call to the store where mirrors exist. The host returns to a mirror soon anyway, and the deadline of a short call soon
-    /// detects a store that does not answer.
-    constexpr std::chrono::milliseconds maximumWaitWithMirrors { 1000 };
+    /// Longest wait of a call to the store where mirrors exist: a store that does not answer has to be noticed in time to query a mirror.
+    constexpr std::chrono::milliseconds maximumWaitWithMirrors { 600 };
+    /// Shortest wait of a call.
+    constexpr std::chrono::milliseconds minimumWait { 50 };
+    /// Pause before, and wait of, a watch that has failed and was replaced by a read.
+    constexpr std::chrono::milliseconds waitAfterFailedWatch { 300 };
     /// Limit on the doublings of the retry delay.
     constexpr unsigned maximumDoublings = 8;
 
@@ -65,12 +69,27 @@
     pending->done.cancel();
 }
 
+std::chrono::milliseconds RecordWatch::timeUntilAge(std::chrono::milliseconds maximum) const
+{
+    if (!m_completeAsOf)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(*m_completeAsOf + maximum - m_clock.now());
+}
+
+std::chrono::milliseconds RecordWatch::nextWait() const
+{
+    const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrorCount() > 0;
+    auto wait = hasMirrors ? std::min(m_settings.maximumWait, maximumWaitWithMirrors) : m_settings.maximumWait;
+    if (m_hasWatchFailed && m_settings.readsAfterFailure)
+        wait = std::min(wait, waitAfterFailedWatch);
+    return m_settings.keepsCurrent ? std::clamp(timeUntilAge(wait), minimumWait, wait) : wait;
+}
+
 Task<Result<WatchResult>> RecordWatch::awaitChanges()
 {
     const auto pending = std::make_shared<PendingCall>(m_executor, m_clock);
     m_pending = pending;
-    const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrorCount() > 0;
-    const auto maximumWait = hasMirrors ? std::min(m_settings.maximumWait, maximumWaitWithMirrors) : m_settings.maximumWait;
+    const auto maximumWait = nextWait();
     const auto requestedAt = m_clock.now();
     asio::co_spawn(m_executor, watchStore(m_store, m_settings.prefix, m_revision, maximumWait, pending), asio::detached);
     // The call may have ended before this coroutine waits.
@@ -110,19 +129,26 @@
         if (m_isStopped)
             co_return;
         recordOutcome(outcome);
-        if (!outcome)
+        if (outcome)
+            continue;
+        const bool isFirstFailure = m_consecutiveFailures == 1;
+        m_shouldReadAll = m_settings.readsAfterFailure;
+        if (!m_shouldReadAll || !isFirstFailure)
             co_await wait(retryDelay(m_consecutiveFailures, m_settings.maximumRetryDelay));
     }
 }
 
 Task<Result<void>> RecordWatch::poll()
 {
-    const bool usesMirror = m_settings.mirror && m_settings.mirror->isUsable();
-    if (usesMirror && co_await pollMirror())
-        co_return success();
-    if (usesMirror && m_settings.mirror->isInStartupGracePeriod()) {
-        co_await wait(MirrorClient::startupRetryDelay);
-        co_return success();
+    if (m_settings.mirror && m_settings.mirror->isUsable()) {
+        const auto outcome = co_await pollMirror();
+        if (outcome == MirrorOutcome::Applied)
+            co_return success();
+        if (m_settings.mirror->isInStartupGracePeriod()) {
+            co_await wait(MirrorClient::startupRetryDelay);
+            co_return success();
+        }
+        m_shouldReadAll = m_shouldReadAll || (outcome == MirrorOutcome::Failed && m_settings.readsAfterFailure);
     }
     auto outcome = co_await pollStore();
     if (!outcome && m_settings.mirror)
@@ -130,20 +156,22 @@
     co_return outcome;
 }
 
-Task<bool> RecordWatch::pollMirror()
+Task<RecordWatch::MirrorOutcome> RecordWatch::pollMirror()
 {
     std::optional<Revision> after;
     if (m_hasSnapshot)
         after = m_revision;
     const auto sentAt = m_clock.now();
-    const auto reply = co_await m_settings.mirror->waitForChanges(m_settings.prefix, after);
+    const auto wait = std::clamp(timeUntilAge(MirrorClient::maximumAge), minimumWait, MirrorClient::maximumWait);
+    const auto reply = co_await m_settings.mirror->waitForChanges(m_settings.prefix, after, wait);
     if (m_isStopped)
-        co_return true;
-    // A mirror may lag behind what this host has read from the store.
-    if (!reply || (reply.value().isSnapshot && reply.value().records.revision < m_revision))
-        co_return false;
-    const auto& [records, isSnapshot, isAfterMirrorOutage, age, copyAge, waited] = reply.value();
-    raiseCompleteAsOf(sentAt + waited - copyAge);
+        co_return MirrorOutcome::Applied;
+    if (!reply)
+        co_return MirrorOutcome::Failed;
+    if (reply.value().isSnapshot && reply.value().records.revision < m_revision)
+        co_return MirrorOutcome::Lagging;
+    const auto& [records, isSnapshot, isAfterMirrorOutage, age, waited] = reply.value();
+    raiseCompleteAsOf(sentAt + waited - age);
     recordOutcome(success());
     m_hasSnapshot = true;
     m_revision = std::max(m_revision, records.revision);
@@ -152,29 +180,41 @@
         m_handler.onSnapshot(records, isAfterAnyOutage);
     else if (!records.entries.empty())
         m_handler.onChanges(records, isAfterAnyOutage);
-    co_return true;
+    co_return MirrorOutcome::Applied;
 }
 
 Task<Result<void>> RecordWatch::pollStore()
 {
-    if (!m_hasSnapshot) {
-        const auto requestedAt = m_clock.now();
-        auto snapshot = co_await m_store.snapshot(m_settings.prefix, {});
-        if (!snapshot)
-            co_return snapshot.as_failure();
-        raiseCompleteAsOf(requestedAt);
-        if (m_isStopped)
-            co_return success();
-        recordOutcome(success());
-        m_hasSnapshot = true;
-        m_revision = snapshot.value().revision;
-        m_handler.onSnapshot(snapshot.value(), isAfterOutage());
+    return !m_hasSnapshot || m_shouldReadAll ? readSnapshot() : readChanges();
+}
+
+Task<Result<void>> RecordWatch::readSnapshot()
+{
+    const auto requestedAt = m_clock.now();
+    auto snapshot = co_await m_store.snapshot(m_settings.prefix, {});
+    if (!snapshot)
+        co_return snapshot.as_failure();
+    if (m_isStopped)
         co_return success();
-    }
+    raiseCompleteAsOf(requestedAt);
+    recordOutcome(success());
+    m_hasSnapshot = true;
+    m_shouldReadAll = false;
+    m_revision = std::max(m_revision, snapshot.value().revision);
+    m_handler.onSnapshot(snapshot.value(), isAfterOutage());
+    if (m_hasWatchFailed)
+        co_await wait(waitAfterFailedWatch);
+    co_return success();
+}
+
+Task<Result<void>> RecordWatch::readChanges()
+{
     auto changes = co_await awaitChanges();
+    m_hasWatchFailed = !changes;
     if (!changes) {
         if (changes.error().code == ErrorCode::HistoryLost) {
             m_hasSnapshot = false;
+            m_hasWatchFailed = false;
             co_return success();
         }
         co_return changes.as_failure();
@@ -186,8 +226,11 @@
     if (changes.value().entries.empty())
         co_return success();
     m_handler.onChanges(changes.value(), isAfterOutage());
-    if (m_settings.coalescingDelay.count() > 0)
-        co_await wait(m_settings.coalescingDelay);
+    auto delay = m_settings.coalescingDelay;
+    if (m_settings.keepsCurrent)
+        delay = std::min(delay, timeUntilAge(m_settings.maximumWait));
+    if (delay.count() > 0)
+        co_await wait(delay);
     co_return success();
 }
 
@@ -211,9 +254,11 @@
         logEvent(Event::WatchRestored, { { "prefix", m_settings.prefix }, { "revision", std::to_string(m_revision) }, { "milliseconds", std::to_string(outage.count()) } });
         m_restoredAt = now;
     }
-    m_hasFailed = false;
+    const bool wasRestored = std::exchange(m_hasFailed, false);
     m_consecutiveFailures = 0;
     m_isConnected = true;
+    if (wasRestored && m_handler.onRestored)
+        m_handler.onRestored();
 }
 
 bool RecordWatch::isAfterOutage() const
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -21,6 +21,8 @@
 struct RecordWatchHandler {
     std::function<void(const WatchResult&, bool afterOutage)> onSnapshot;
     std::function<void(const WatchResult&, bool afterOutage)> onChanges;
+    /// Called after the first successful call that follows a failed one; may be empty.
+    std::function<void()> onRestored;
 };
 
 /// @brief Records that a watch has received.
@@ -37,9 +39,12 @@
     std::string prefix;
     /// Delay between a change and the next call to the store, so that several changes share one call.
     std::chrono::milliseconds coalescingDelay { 0 };
-    /// Longest wait of one call. Keep-alive probes detect a dead connection earlier; a store that accepts calls but answers none is handled
-    /// by restart().
-    std::chrono::milliseconds maximumWait { 30000 };
+    /// Longest wait of one call, and so the time after which a call that is never answered is noticed.
+    std::chrono::milliseconds maximumWait { 10000 };
+    /// Whether completeAsOf() has to be at most maximumWait old: a call that follows a change then waits only for the rest of that time.
+    bool keepsCurrent = false;
+    /// Whether a failed call is followed by a read of all records, which is answered at once, unlike a watch. For prefixes with few records.
+    bool readsAfterFailure = false;
     /// Longest delay between two calls while the store is unavailable; each delay is twice the one before.
     std::chrono::milliseconds maximumRetryDelay { 500 };
     /// Client of mirrors to query instead of the store, or null. Must outlive the watch.
@@ -68,16 +73,26 @@
     std::optional<TimePoint> completeAsOf() const noexcept { return m_completeAsOf; }
 
 private:
+    /// In all cases but Applied, the store has to be queried.
+    enum class MirrorOutcome : std::uint8_t { Applied,
+        /// The mirror's records are older than what this host has read from the store.
+        Lagging,
+        Failed };
+
     Task<void> run();
     Task<Result<void>> poll();
     Task<Result<void>> pollStore();
+    Task<Result<void>> readSnapshot();
+    Task<Result<void>> readChanges();
     /// Waits for changes; returns none after restart().
     Task<Result<WatchResult>> awaitChanges();
-    /// @return false if the store has to be queried
-    Task<bool> pollMirror();
+    Task<MirrorOutcome> pollMirror();
     void recordOutcome(const Result<void>&);
     void raiseCompleteAsOf(TimePoint);
     bool isAfterOutage() const;
+    std::chrono::milliseconds nextWait() const;
+    /// Time until completeAsOf() has the age @p maximum.
+    std::chrono::milliseconds timeUntilAge(std::chrono::milliseconds maximum) const;
     Task<void> wait(Duration);
 
     /// A call to the store that waits for its answer; outlives a watch that has abandoned it.
@@ -101,6 +116,8 @@
     Revision m_revision = 0;
     std::optional<TimePoint> m_completeAsOf;
     bool m_hasSnapshot = false;
+    bool m_shouldReadAll = false;
+    bool m_hasWatchFailed = false;
     bool m_isConnected = false;
     bool m_isStopped = false;
     bool m_hasFailed = false;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -112,7 +112,7 @@
         if (const auto self = weak.lock())
             self->applyRecords(result.entries);
     };
-    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply, apply });
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply, apply, {} });
     asio::co_spawn(m_executor, takeOver(), asio::detached);
 }
 
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -7,14 +7,19 @@
 namespace {
 
     /// Limit on the retry delay: a change has to be in force 2 s after its acknowledgement at each host that has been able to reach the store for 3 s.
-    constexpr std::chrono::milliseconds maximumRetryDelay { 1500 };
+    constexpr std::chrono::milliseconds maximumRetryDelay { 1000 };
+    /// Interval at which an answer proves that the records are complete: a mirror's replies are accepted for MirrorClient::maximumAge.
+    constexpr std::chrono::milliseconds freshnessInterval { 1000 };
 
-    RecordWatchSettings watchSettings(std::string prefix, std::chrono::milliseconds coalescingDelay, MirrorClient* mirror)
+    RecordWatchSettings watchSettings(std::string prefix, std::chrono::milliseconds coalescingDelay, MirrorClient* mirror, bool readsAfterFailure)
     {
         RecordWatchSettings settings;
         settings.prefix = std::move(prefix);
         settings.coalescingDelay = coalescingDelay;
         settings.maximumRetryDelay = maximumRetryDelay;
+        settings.maximumWait = freshnessInterval;
+        settings.keepsCurrent = true;
+        settings.readsAfterFailure = readsAfterFailure;
         settings.mirror = mirror;
         return settings;
     }
@@ -30,8 +35,10 @@
     const auto applyConfiguration = [this](const WatchResult& result, bool) { this->applyConfiguration(result.entries); };
     const auto replaceTargets = [this](const WatchResult& result, bool afterOutage) { this->replaceTargets(result, afterOutage); };
     const auto applyTargetChanges = [this](const WatchResult& result, bool afterOutage) { this->applyTargetChanges(result, afterOutage); };
-    m_configurationWatch = makeWatch(executor, store, watchSettings(protocol.keys().configuration, std::chrono::milliseconds(0), m_settings.mirror), applyConfiguration, applyConfiguration);
-    m_targetsWatch = makeWatch(executor, store, watchSettings(protocol.keys().targets, m_settings.registryCoalescingDelay, m_settings.mirror), replaceTargets, applyTargetChanges);
+    // A registry is read again as a whole only by the few processes that query the store in any case.
+    const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrorCount() > 0;
+    m_configurationWatch = makeWatch(executor, store, watchSettings(protocol.keys().configuration, std::chrono::milliseconds(0), m_settings.mirror, true), applyConfiguration, applyConfiguration);
+    m_targetsWatch = makeWatch(executor, store, watchSettings(protocol.keys().targets, m_settings.registryCoalescingDelay, m_settings.mirror, !hasMirrors), replaceTargets, applyTargetChanges);
 }
 
 std::shared_ptr<RecordWatch> SiteDirectory::makeWatch(const boost::asio::any_io_executor& executor, TransactionalStore& store, RecordWatchSettings settings, RecordCallback onSnapshot, RecordCallback onChanges)
@@ -43,17 +50,13 @@
             next(records, afterOutage);
         };
     };
-    return std::make_shared<RecordWatch>(executor, store, m_recordClock, std::move(settings), RecordWatchHandler { handler(std::move(onSnapshot), true), handler(std::move(onChanges), false) });
-}
-
-void SiteDirectory::restartWatches()
-{
-    m_configurationWatch->restart();
-    m_targetsWatch->restart();
+    const auto onRestored = [this, isConfiguration = settings.prefix == m_protocol.keys().configuration] {
+        if (isConfiguration && m_restoredHandler)
+            m_restoredHandler();
+    };
+    return std::make_shared<RecordWatch>(executor, store, m_recordClock, std::move(settings), RecordWatchHandler { handler(std::move(onSnapshot), true), handler(std::move(onChanges), false), onRestored });
 }
 
-bool SiteDirectory::isWatchConnected(const std::string& prefix) const { return watchOf(prefix).isConnected(); }
-
 const RecordWatch& SiteDirectory::watchOf(const std::string& prefix) const
 {
     return prefix == m_protocol.keys().configuration ? *m_configurationWatch : *m_targetsWatch;
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -55,10 +55,8 @@
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
     /// @brief Sets the handler of all records received from the store or a mirror.
     void setUpdateHandler(std::function<void(const RecordUpdate&)> handler) { m_updateHandler = std::move(handler); }
-    /// @brief See RecordWatch::restart().
-    void restartWatches();
-    /// @brief Whether the last call of the watch of a prefix succeeded.
-    bool isWatchConnected(const std::string& prefix) const;
+    /// @brief Sets the handler that is called when the configuration can be read again after a failed call.
+    void setRestoredHandler(std::function<void()> handler) { m_restoredHandler = std::move(handler); }
 
     /// @brief The configuration in force, or null before the first one.
     std::shared_ptr<const SiteView> view() const noexcept { return m_view; }
@@ -105,6 +103,7 @@
     std::map<PoolName, std::shared_ptr<SharedPoolBalancer>> m_balancers;
     std::function<void()> m_changeHandler;
     std::function<void(const RecordUpdate&)> m_updateHandler;
+    std::function<void()> m_restoredHandler;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -137,7 +137,7 @@
             m_readyListener.emplace(m_workers, listenerOptions(m_settings.addresses.ready), serve);
         }
         if (hasMirror(m_settings)) {
-            m_mirror = std::make_shared<RecordMirror>(m_executor, *m_store, m_bootClock);
+            m_mirror = std::make_shared<RecordMirror>(m_executor, m_bootClock);
             m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirrorListen), [this](auto& request, auto& responder) { return m_mirror->serve(request, responder); });
         }
         if (m_settings.parts.coordinating)
@@ -189,13 +189,11 @@
         });
         if (m_mirror) {
             m_mirror->setCompleteAsOfSource([this](const auto& prefix) { return completeAsOf(prefix); });
-            m_mirror->setWatchConnectedCheck([this](const auto& prefix) { return isWatchConnected(prefix); });
             const auto apply = [this](const auto& update) { m_mirror->apply(update); };
             m_directory.setUpdateHandler(apply);
             if (m_coordination)
                 m_coordination->setUpdateHandler(apply);
-            m_mirror->setStoreRecoveredHandler([this] { restartWatches(); });
-            m_mirror->start();
+            m_directory.setRestoredHandler([this] { restartWatches(); });
         }
         m_directory.start();
         asio::co_spawn(m_executor, tickPeriodically(), asio::detached);
@@ -203,26 +201,19 @@
             return;
         m_coordination->start();
         const auto apply = [this](const WatchResult& result, bool) { applyRetirements(result.entries); };
-        m_retirementWatch = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { m_protocol->keys().retirements }, RecordWatchHandler { apply, apply });
+        m_retirementWatch = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { m_protocol->keys().retirements }, RecordWatchHandler { apply, apply, {} });
         m_retirementWatch->start();
     }
 
+    /// Repeats the calls that wait for long; they may have been made before or during the outage, and then may never be answered.
     void restartWatches()
     {
-        m_directory.restartWatches();
         if (m_coordination)
             m_coordination->restartWatches();
         if (m_retirementWatch)
             m_retirementWatch->restart();
     }
 
-    bool isWatchConnected(const std::string& prefix) const
-    {
-        if (prefix == Coordination::holderKeyPrefix())
-            return m_coordination && m_coordination->isHolderWatchConnected();
-        return m_directory.isWatchConnected(prefix);
-    }
-
     std::optional<TimePoint> completeAsOf(const std::string& prefix) const
     {
         if (prefix == Coordination::holderKeyPrefix())
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -47,7 +47,7 @@
         if (const auto self = weak.lock())
             self->applyNamedVersions(result.entries);
     };
-    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { m_protocol.keys().announcedVersions }, RecordWatchHandler { apply, apply });
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { m_protocol.keys().announcedVersions }, RecordWatchHandler { apply, apply, {} });
     m_watch->start();
     updateEngines();
 }
--- a/packages/hosting/tests/unit-configuration-path.cpp
+++ b/packages/hosting/tests/unit-configuration-path.cpp
@@ -135,12 +135,10 @@
     {
         auto& process = addProcess();
         process.directory = std::make_unique<SiteDirectory>(m_context.get_executor(), *process.store, m_protocol, m_clock, SiteDirectorySettings {});
-        process.mirror = std::make_shared<RecordMirror>(m_context.get_executor(), *process.store, m_clock);
+        process.mirror = std::make_shared<RecordMirror>(m_context.get_executor(), m_clock);
         auto* directory = process.directory.get();
         process.mirror->setCompleteAsOfSource([directory](const auto& prefix) { return directory->completeAsOf(prefix); });
-        process.mirror->setWatchConnectedCheck([directory](const auto& prefix) { return directory->isWatchConnected(prefix); });
         directory->setUpdateHandler([mirror = process.mirror](const auto& update) { mirror->apply(update); });
-        process.mirror->setStoreRecoveredHandler([directory] { directory->restartWatches(); });
         directory->start();
     }
 
@@ -176,24 +174,11 @@
 
     void advance(Duration time)
     {
-        if (m_clock.now() >= m_nextRenewalAt) {
-            m_nextRenewalAt = m_clock.now() + 250ms;
-            for (const auto& process : m_processes) {
-                if (process->mirror)
-                    startTask(m_context.get_executor(), renew(process->mirror));
-            }
-        }
         m_store.advance(time);
         m_context.restart();
         m_context.poll();
     }
 
-    static Task<bool> renew(std::shared_ptr<RecordMirror> mirror)
-    {
-        co_await mirror->renewLease();
-        co_return true;
-    }
-
     /// Oldest version that may still be in force.
     std::uint64_t oldestPermittedVersion() const
     {
@@ -220,7 +205,6 @@
     FakeKeyValueService m_store { m_context.get_executor(), m_clock };
     FakeSiteProtocol m_protocol;
     std::vector<std::unique_ptr<Process>> m_processes;
-    TimePoint m_nextRenewalAt;
     std::vector<TimePoint> m_acknowledgedAt;
     std::uint64_t m_newestVersion = 1;
     unsigned m_step = 0;
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -20,11 +20,17 @@
     ManualClock clock;
     FakeKeyValueService store { context.get_executor(), clock };
     FakeKeyValueService hostStore { context.get_executor(), clock };
-    std::shared_ptr<RecordMirror> mirror = std::make_shared<RecordMirror>(context.get_executor(), store, clock);
+    std::shared_ptr<RecordMirror> mirror = std::make_shared<RecordMirror>(context.get_executor(), clock);
+    TimePoint completeAsOf = clock.now();
     bool isReachable = true;
     std::vector<std::size_t> queriedMirrors;
     MirrorClient client { 2, 0, [this](std::size_t index, MirrorQuery query) { return exchange(index, std::move(query)); }, clock };
 
+    MirrorFixture()
+    {
+        mirror->setCompleteAsOfSource([this](const auto&) { return std::optional(completeAsOf); });
+    }
+
     ~MirrorFixture()
     {
         mirror->stop();
@@ -59,10 +65,8 @@
         return std::move(**pending);
     }
 
-    void renewLease()
-    {
-        runToCompletion([](std::shared_ptr<RecordMirror> recordMirror) -> Task<bool> { co_await recordMirror->renewLease(); co_return true; }(mirror));
-    }
+    /// Makes the mirror's records complete as of now, as an answer to its watch does.
+    void confirmRecords() { completeAsOf = clock.now(); }
 
     void apply(std::vector<KeyValueEntry> entries, Revision revision, bool isSnapshot)
     {
@@ -72,7 +76,7 @@
     /// Gives the mirror targets a and b as of revision 7.
     void applyTwoTargets()
     {
-        renewLease();
+        confirmRecords();
         apply({ { targetsPrefix + "a", std::string("\0\xff", 2), 5 }, { targetsPrefix + "b", "B", 7 } }, 7, true);
     }
 
@@ -90,8 +94,8 @@
         store.put("site/configuration", "4 ledger draft");
         store.put("targets/a", "ledger 127.0.0.1:1 ready draft 1");
         storeDirectory.setUpdateHandler([this](const auto& update) { mirror->apply(update); });
+        mirror->setCompleteAsOfSource([this](const auto& prefix) { return storeDirectory.completeAsOf(prefix); });
         storeDirectory.start();
-        renewLease();
         runPendingWork();
     }
 
@@ -111,7 +115,7 @@
     bool runUntil(Condition condition)
     {
         for (int turn = 0; turn < 1000 && !condition(); ++turn) {
-            clock.advance(10ms);
+            store.advance(10ms);
             runPendingWork();
         }
         return condition();
@@ -168,34 +172,35 @@
     CHECK((*pending)->value().records.revision == 8);
 }
 
-TEST_CASE_METHOD(MirrorFixture, "record mirror, prefix without a watch or with a disconnected watch, fails")
+TEST_CASE_METHOD(MirrorFixture, "record mirror, prefix without records or without evidence of their age, fails")
 {
-    renewLease();
     CHECK_FALSE(queryChanges(std::nullopt));
     applyTwoTargets();
-    mirror->setWatchConnectedCheck([](const std::string&) { return false; });
+    mirror->setCompleteAsOfSource([](const auto&) { return std::optional<TimePoint>(); });
     CHECK_FALSE(queryChanges(7));
 }
 
-TEST_CASE_METHOD(MirrorFixture, "record mirror, refused by the store, states the time since the last successful renewal")
+TEST_CASE_METHOD(MirrorFixture, "record mirror, watch without an answer, states the time since its records were known to be complete")
 {
     applyTwoTargets();
-    store.selectFault = [](CallKind) { return CallFault::Unavailable; };
     clock.advance(900ms);
-    renewLease();
     CHECK(queryChanges(7).value().age == 900ms);
-    store.selectFault = [](CallKind) { return CallFault::None; };
-    renewLease();
+    confirmRecords();
     CHECK(queryChanges(7).value().age == 0ms);
 }
 
-TEST_CASE_METHOD(MirrorFixture, "record mirror, lapsed lease, acquires a new one")
+TEST_CASE_METHOD(MirrorFixture, "record mirror, records become too old during a wait, replies at once")
 {
     applyTwoTargets();
-    store.advance(60s);
-    renewLease();
-    renewLease();
-    CHECK(queryChanges(7).value().age == 0ms);
+    const auto pending = startTask(context.get_executor(), mirror->waitForChanges({ targetsPrefix, 7, 10s }));
+    runPendingWork();
+    clock.advance(MirrorClient::maximumAge);
+    runPendingWork();
+    CHECK_FALSE(pending->has_value());
+    clock.advance(1ms);
+    runPendingWork();
+    REQUIRE(pending->has_value());
+    CHECK((*pending)->value().age > MirrorClient::maximumAge);
 }
 
 TEST_CASE_METHOD(MirrorFixture, "mirror client, started before its mirrors, retries for the startup grace period before it uses the store")
@@ -219,7 +224,7 @@
     CHECK_FALSE(client.isUsable());
     clock.advance(MirrorClient::storeFallbackPeriod);
     CHECK(client.isUsable());
-    renewLease();
+    confirmRecords();
     CHECK(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
     CHECK(queriedMirrors == std::vector<std::size_t> { 0, 0, 1 });
 }
@@ -234,21 +239,14 @@
     CHECK(client.isUsable());
 }
 
-// A store that accepts calls without answering them leaves a watch waiting long after the store has recovered.
-TEST_CASE_METHOD(MirroredSiteFixture, "site directory, watch still waiting after an outage, is restarted when the store answers again")
+TEST_CASE_METHOD(MirroredSiteFixture, "site directory, configuration can be read again after an outage, reports it")
 {
-    mirror->setStoreRecoveredHandler([this] { storeDirectory.restartWatches(); });
-    const auto before = store.counts().watches;
-    store.selectFault = [](CallKind kind) { return kind == CallKind::Lease ? CallFault::RequestLost : CallFault::None; };
-    renewLease();
-    CHECK(store.counts().watches == before);
+    int restored = 0;
+    storeDirectory.setRestoredHandler([&restored] { ++restored; });
+    store.selectFault = [](CallKind) { return CallFault::Unavailable; };
+    CHECK_FALSE(runUntil([&] { return restored > 0; }));
     store.selectFault = [](CallKind) { return CallFault::None; };
-    renewLease();
-    runPendingWork();
-    CHECK(store.counts().watches == before + 2);
-    store.put("site/configuration", "9 ledger");
-    runPendingWork();
-    CHECK(storeDirectory.view()->configuration.version == 9);
+    CHECK(runUntil([&] { return restored > 0; }));
 }
 
 TEST_CASE_METHOD(MirroredSiteFixture, "site directory, with a mirror, receives changes without a call to the store")
@@ -265,7 +263,7 @@
     CHECK(hostStore.counts().total() == 0);
 }
 
-TEST_CASE_METHOD(MirroredSiteFixture, "site directory, without mirrors, waits for changes in one long call")
+TEST_CASE_METHOD(MirroredSiteFixture, "site directory, without mirrors, confirms its records with one call a second for each prefix")
 {
     MirrorClient noMirrors { 0, 0, {}, clock };
     SiteDirectory storeOnly { context.get_executor(), hostStore, protocol, clock, { {}, 0ms, &noMirrors, 0 } };
@@ -273,9 +271,13 @@
     storeOnly.start();
     runPendingWork();
     const auto before = hostStore.counts().watches;
-    hostStore.advance(20s);
-    runPendingWork();
-    CHECK(hostStore.counts().watches == before);
+    for (auto passed = 0ms; passed < 20s; passed += 10ms) {
+        hostStore.advance(10ms);
+        runPendingWork();
+        CHECK(storeOnly.configurationAge().value() <= 1s);
+        CHECK(storeOnly.registryAge().value() <= 1s);
+    }
+    CHECK(hostStore.counts().watches - before <= 2 * 21);
     storeOnly.stop();
     hostStore.advance(60s);
     runPendingWork();
