Changes that a watch reports again do not replace later ones

Cause: a mirror stored each reported entry, also one that is older than the entry it has; a registry applied it as well. Hosts that read from the mirror afterwards got the older version.

Change: a watch drops entries up to the revision that it asked from.

--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -222,6 +222,8 @@
     if (m_isStopped)
         co_return success();
     recordOutcome(success());
+    // An answer that repeats earlier changes must not replace later ones.
+    std::erase_if(changes.value().entries, [this](const auto& entry) { return entry.revision <= m_revision; });
     m_revision = std::max(m_revision, changes.value().revision);
     if (changes.value().entries.empty())
         co_return success();
