A submission is opened under a configuration no older than the one that accepted it

What callers saw: a submission on a route that had been added was accepted and never run; one on a moved route ran in the old pool.

Cause: the accepting host and the coordinator learn configurations through different calls. A coordinator whose watch of submissions was ahead of its watch of the configuration looked the route up in the older version: it closed the submission for good if the route was missing, and otherwise took the pools of the older version.

Change: the stored submission names the version under which it was accepted (records of earlier builds: 0), and the coordinator opens it once it has that version. submission-opened logs both.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -31,6 +31,8 @@
     constexpr milliseconds defaultRewardTimeout { 2000 };
     /// Delay before a reward call that found no route, no target or no answer is repeated.
     constexpr milliseconds rewardRetryDelay { 200 };
+    /// Interval at which a submission that waits for a newer configuration is looked at.
+    constexpr milliseconds configurationPollInterval { 25 };
     /// Delay after a failed call to the store.
     constexpr milliseconds storeRetryDelay { 200 };
     /// Texts with fewer events are not stored, since generating them again is cheaper.
@@ -212,6 +214,13 @@
             m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
 }
 
+/// Whether the configuration in force is at least as new as the one under which the submission was accepted: an older one may lack its
+/// route, or send it to other pools.
+bool SampleRunner::hasConfigurationFor(const Submission& submission) const
+{
+    return m_directory.isReady() && m_directory.view()->configuration.version >= submission.acceptedUnder;
+}
+
 Task<void> SampleRunner::open(Submission submission, Revision revision)
 {
     const auto self = shared_from_this();
@@ -219,9 +228,10 @@
     auto entry = std::make_shared<OpenSubmission>();
     m_openSubmissions.emplace(id, entry);
     entry->log = std::make_shared<ResultLog>(m_store, id);
+    while (!m_isStopped && !entry->isClosed && !hasConfigurationFor(submission))
+        co_await pause(m_executor, configurationPollInterval);
     while (!m_isStopped && !entry->isClosed) {
-        const auto loaded = co_await entry->log->load();
-        if (loaded && m_directory.isReady())
+        if (co_await entry->log->load())
             break;
         co_await pause(m_executor, storeRetryDelay);
     }
@@ -540,7 +550,7 @@
 void SampleRunner::logSubmissionOpened(const OpenSubmission& entry, UnixTime age) const
 {
     const auto& submission = entry.submission;
-    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) } });
+    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) }, { "accepted-under", std::to_string(submission.acceptedUnder) }, { "configuration", std::to_string(entry.view->configuration.version) } });
 }
 
 void SampleRunner::logSubmissionClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -72,6 +72,7 @@
 
     void applyRecords(const std::vector<KeyValueEntry>&);
     void applySubmissionRecord(const KeyValueEntry&);
+    bool hasConfigurationFor(const Submission&) const;
     Task<void> open(Submission, Revision);
     void close(const SubmissionId&, std::string_view reason);
     Task<void> runItem(ItemKey, TargetId);
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -158,7 +158,7 @@
         co_return makeRefusal(statusNotFound, "no route matches this authority and path", {});
     EndpointResult result;
     if (route->kind == RequestKind::Submission && request.method == "POST")
-        result = co_await submit(request, *route);
+        result = co_await submit(request, *view, *route);
     else
         result = co_await forward(request, view, *route, receivedAt, responder);
     result.route = route->name;
@@ -197,7 +197,7 @@
     co_return result;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::submit(const HttpRequest& request, const SiteRoute& route)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::submit(const HttpRequest& request, const SiteView& view, const SiteRoute& route)
 {
     auto submission = m_protocol.submission(request);
     if (!submission)
@@ -206,6 +206,7 @@
     if (accepted.id.isEmpty() || accepted.id.value().size() > maximumIdLength)
         co_return makeRefusal(statusBadRequest, "the submission's id is missing or too long", {});
     accepted.submittedAt = std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
+    accepted.acceptedUnder = view.configuration.version;
     const auto outcome = co_await m_intake.accept(accepted);
     logIntake(accepted, route, outcome);
     if (outcome == IntakeOutcome::NotAccepted)
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -41,7 +41,7 @@
     Task<EndpointResult> dispatch(const HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> handleRouted(const HttpRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, TimePoint receivedAt, ServerResponder&);
-    Task<EndpointResult> submit(const HttpRequest&, const SiteRoute&);
+    Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&);
     Task<EndpointResult> readResults(const CallerRequest&);
     Task<EndpointResult> readItem(const CallerRequest&);
     Task<EndpointResult> endSubmission(const CallerRequest&);
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -9,7 +9,7 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL MODEL...", target "POOL IP:PORT ready|leaving MODEL VERSION START", announced version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL [MODEL | AUTHORITY/PATH]...", where each path is a submission route to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START", announced version "MODEL VERSION".
 class FakeSiteProtocol final : public SiteProtocol {
 public:
     CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
@@ -51,8 +51,20 @@
         if (!(words >> configuration.version >> poolName))
             return failure(ErrorCode::RecordInvalid, "not a configuration");
         pool.name = PoolName(poolName);
-        for (std::string model; words >> model;)
-            pool.models.push_back(model);
+        for (std::string word; words >> word;) {
+            if (word.find('/') == std::string::npos) {
+                pool.models.push_back(word);
+                continue;
+            }
+            SiteRoute route;
+            route.name = RouteName(word);
+            route.authority = word.substr(0, word.find('/'));
+            route.pathPrefix = word.substr(word.find('/'));
+            route.kind = RequestKind::Submission;
+            route.itemTimeToLive = std::chrono::seconds(60);
+            route.pools.push_back({ pool.name, 1 });
+            configuration.routes.push_back(std::move(route));
+        }
         configuration.pools.push_back(std::move(pool));
         return configuration;
     }
--- a/packages/submissions/include/cicadalb/submissions/Submission.h
+++ b/packages/submissions/include/cicadalb/submissions/Submission.h
@@ -51,6 +51,8 @@
     std::string authority;
     std::string path;
     UnixTime submittedAt { 0 };
+    /// Version of the site's configuration under which a host accepted the submission.
+    std::uint64_t acceptedUnder = 0;
     /// Number of the trainer's step, from 0.
     std::uint64_t step = 0;
     ModelName model;
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -109,7 +109,7 @@
     for (const auto& item : submission.items)
         items.push_back(toJson(item));
     return toCbor({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
-        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items) });
+        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items), submission.acceptedUnder });
 }
 
 Result<Submission> decodeSubmission(std::string_view record)
@@ -126,6 +126,9 @@
         submission.wantedGroupCount = json.at(7).get<std::uint64_t>();
         for (const auto& item : json.at(8))
             submission.items.push_back(itemFromJson(item));
+        // Records of earlier builds lack this field.
+        if (json.size() > 9)
+            submission.acceptedUnder = json.at(9).get<std::uint64_t>();
         return submission;
     });
 }
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -13,6 +13,7 @@
     submission.authority = "train.example";
     submission.path = "/drafts/";
     submission.submittedAt = UnixTime(1781007254016);
+    submission.acceptedUnder = 31;
     submission.step = 7;
     submission.model = ModelName("draft");
     submission.oldestVersion = 6;
@@ -42,6 +43,7 @@
     CHECK(copy.authority == source.authority);
     CHECK(copy.submittedAt == source.submittedAt);
     CHECK(copy.oldestVersion == 6);
+    CHECK(copy.acceptedUnder == 31);
     REQUIRE(copy.items.size() == 2);
     CHECK(copy.items[0].body == source.items[0].body);
     CHECK(copy.items[0].fields == source.items[0].fields);
