An unknown route is answered 503 while the configuration may be out of date

What callers saw: 404 for a route that had been added, from a host that could not know it; 404 is final to callers.

Cause: a host without proof that its copy is complete decided as one that has it.

Known routes are served as before: the last configuration is the best guess, and refusing them would turn an outage of the store into one of the service.

Evidence: 'unknown route and configuration that may be out of date' fails without the line (404) and passes with it.

--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -68,6 +68,12 @@
     return completeAsOf ? std::optional(m_recordClock.now() - *completeAsOf) : std::nullopt;
 }
 
+bool SiteDirectory::mayLackConfiguration() const
+{
+    const auto age = configurationAge();
+    return !age || *age > maximumRecordAge;
+}
+
 void SiteDirectory::reportAge(const RecordWatch& watch, bool& isOutdated) const
 {
     const auto age = ageOf(watch);
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -66,6 +66,8 @@
     std::optional<Duration> configurationAge() const { return ageOf(*m_configurationWatch); }
     /// @brief Time since the registry was last known to be complete; empty before the first answer.
     std::optional<Duration> registryAge() const { return ageOf(*m_targetsWatch); }
+    /// @brief Whether a configuration that should be in force may be unknown here.
+    bool mayLackConfiguration() const;
     /// @brief Time as of which the records under a prefix are known to be complete, on the clock of the records.
     std::optional<TimePoint> completeAsOf(const std::string& prefix) const { return watchOf(prefix).completeAsOf(); }
     /// @brief Admission to a pool's targets; created on first use, for unknown pools too.
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -154,6 +154,8 @@
         co_return makeRefusal(statusUnavailable, "this host has not received a configuration yet", dependencyRetryAfter);
     const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
     const auto* route = view->routes.find(authorityOf(request), path);
+    if (!route && m_directory.mayLackConfiguration())
+        co_return makeRefusal(statusUnavailable, "no route matches, and this host's configuration may be out of date", dependencyRetryAfter);
     if (!route)
         co_return makeRefusal(statusNotFound, "no route matches this authority and path", {});
     EndpointResult result;
