A target that states in an answer that it leaves receives no further requests

Before: only the registry's entry excluded a target; a host without news from the store went on sending.

Change: the registry keeps a mark for the target and its start, whatever its entry says, until it registers a later start; without one for ten minutes. Answers to forwarded requests and to samples set it.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -40,6 +40,7 @@
     AttemptEnded = 404,
     RequestAnswered = 405,
     TargetsChanged = 406,
+    TargetLeaving = 407,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -111,6 +111,7 @@
         { Event::AttemptEnded, "attempt-ended", Level::Info },
         { Event::RequestAnswered, "request-answered", Level::Info },
         { Event::TargetsChanged, "targets-changed", Level::Info },
+        { Event::TargetLeaving, "target-leaving", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -169,6 +169,9 @@
     progress.run.beginAttempt();
     auto result = co_await exchange(request, target, attemptDeadline(request, progress, startedAt), request.deadline - startedAt);
     const auto latency = m_clock.now() - startedAt;
+    // An answer of another target at the same address says nothing about this one.
+    if (result.answer != AnswerKind::Misdirected && m_protocol.isLeaving(result.response.fields))
+        m_directory.markLeaving(target);
     if (const auto load = m_protocol.loadReport(result.response.fields))
         balancer->reportLoad(target.id, *load);
     const Completion completion { result.kind, latency, m_clock.now() >= request.deadline };
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -400,6 +400,8 @@
         status = head.status;
         kind = m_protocol.classifyAnswer(head, RequestId(item.id.value()));
         version = m_protocol.answerWeightVersion(head.fields).value_or(0);
+        if (kind != AnswerKind::Misdirected && m_protocol.isLeaving(head.fields))
+            m_directory.markLeaving(target);
         co_return true;
     };
     handler.onPart = [&](std::string_view part) -> Task<bool> {
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "cicadalb/base/Event.h"
 
+#include <boost/asio/post.hpp>
+
 namespace cicadalb {
 
 namespace {
@@ -27,7 +29,8 @@
 } // namespace
 
 SiteDirectory::SiteDirectory(boost::asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, const Clock& clock, SiteDirectorySettings settings)
-    : m_protocol(protocol)
+    : m_executor(executor)
+    , m_protocol(protocol)
     , m_clock(clock)
     , m_settings(std::move(settings))
     , m_recordClock(m_settings.recordClock ? *m_settings.recordClock : clock)
@@ -175,10 +178,28 @@
     return pool;
 }
 
-void SiteDirectory::onTargetsChanged()
+void SiteDirectory::markLeaving(const RegisteredTarget& target)
+{
+    if (!m_registry.markLeaving(target, m_clock.now()))
+        return;
+    logEvent(Event::TargetLeaving, { { "target", target.id.value() }, { "pool", target.pool.value() }, { "started-at", std::to_string(target.startedAt) }, { "revision", std::to_string(m_targetsWatch->revision()) } });
+    updateBalancers();
+    // The caller is an exchange with the target, which the handler may cancel.
+    boost::asio::post(m_executor, [this] {
+        if (m_changeHandler)
+            m_changeHandler();
+    });
+}
+
+void SiteDirectory::updateBalancers()
 {
     for (auto& [name, balancer] : m_balancers)
         balancer->update(poolOf(name));
+}
+
+void SiteDirectory::onTargetsChanged()
+{
+    updateBalancers();
     logEvent(Event::TargetsChanged, { { "revision", std::to_string(m_targetsWatch->revision()) }, { "targets", std::to_string(m_registry.targets().size()) } });
     if (m_changeHandler)
         m_changeHandler();
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -73,6 +73,8 @@
     /// @brief Admission to a pool's targets; created on first use, for unknown pools too.
     std::shared_ptr<SharedPoolBalancer> balancer(const PoolName&);
     bool isReady() const noexcept { return m_view != nullptr && m_hasTargets; }
+    /// @brief Sends no further requests to a target that has stated in an answer that it is leaving, even if the registry does not say so.
+    void markLeaving(const RegisteredTarget&);
     /// @brief Removes targets that have not reappeared after an outage, and admits or refuses queued requests. Called every few milliseconds.
     void tick();
 
@@ -89,8 +91,10 @@
     void applyTargetChanges(const WatchResult&, bool afterOutage);
     std::optional<RegisteredTarget> decodeTarget(const KeyValueEntry&) const;
     void onTargetsChanged();
+    void updateBalancers();
     Pool poolOf(const PoolName&) const;
 
+    boost::asio::any_io_executor m_executor;
     const SiteProtocol& m_protocol;
     const Clock& m_clock;
     SiteDirectorySettings m_settings;
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -25,6 +25,7 @@
             return AnswerKind::NotRun;
         return head.field("Id") == attempt.value() ? AnswerKind::Answered : AnswerKind::Unusable;
     }
+    bool isLeaving(const HttpFields& fields) const override { return !fieldIn(fields, "Leaving").empty(); }
     std::optional<LoadReport> loadReport(const HttpFields&) const override { return std::nullopt; }
     std::string signature(const HttpFields& fields) const override { return std::string(fieldIn(fields, "Signature")); }
     HttpRequest sampleRequest(const Submission&, const SampleItem&, const SampleAttempt&) const override { return {}; }
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -107,6 +107,8 @@
     // Targets
     /// @brief Classifies a target's answer to an attempt.
     virtual AnswerKind classifyAnswer(const HttpResponse& head, const RequestId& attempt) const = 0;
+    /// @brief Whether a target states in an answer that it is leaving.
+    virtual bool isLeaving(const HttpFields&) const = 0;
     /// @brief Load that a target reports in an answer.
     virtual std::optional<LoadReport> loadReport(const HttpFields&) const = 0;
     /// @brief Signature of a target's answer; empty if it has none.
--- a/packages/site/include/cicadalb/site/TargetRegistry.h
+++ b/packages/site/include/cicadalb/site/TargetRegistry.h
@@ -32,18 +32,23 @@
 };
 
 /// @brief The registered targets as last read by this host. Targets whose entries lapsed while the registry was unreachable register again
-/// soon after its return, so that removals seen right after an outage take effect only after reregistrationGracePeriod. Not thread-safe.
+/// soon after its return, so that removals seen right after an outage take effect only after reregistrationGracePeriod. What a target has said in
+/// an answer takes precedence over its entry, which may be out of date. Not thread-safe.
 class TargetRegistry {
 public:
     /// Time after the registry's return within which a missing target may register again (stated by the platform, with a margin).
     static constexpr std::chrono::milliseconds reregistrationGracePeriod { 2200 };
+    /// Time for which a target stays marked as leaving; longer than any target takes to leave.
+    static constexpr std::chrono::minutes leavingMarkRetention { 10 };
 
     /// @brief Replaces all targets. @param isAfterOutage whether entries may be missing only because the registry was unreachable
     void replace(std::vector<RegisteredTarget>, TimePoint now, bool isAfterOutage);
     void put(RegisteredTarget);
+    /// @brief Excludes a target that has stated that it is leaving, until it registers a later start. @return whether it was usable before
+    bool markLeaving(const RegisteredTarget&, TimePoint now);
     /// @param isAfterOutage as for replace()
     void remove(const TargetId&, TimePoint now, bool isAfterOutage);
-    /// @brief Removes missing targets that have not registered again in time. @return whether any was removed
+    /// @brief Forgets old marks and removes missing targets that have not registered again in time. @return whether any was removed
     bool expire(TimePoint now);
 
     const std::map<TargetId, RegisteredTarget>& targets() const noexcept { return m_targets; }
@@ -55,6 +60,11 @@
     std::map<TargetId, RegisteredTarget> m_targets;
     /// Missing targets that may register again, and until when they are kept.
     std::map<TargetId, TimePoint> m_missingUntil;
+    struct LeavingMark {
+        Incarnation startedAt = 0;
+        TimePoint markedAt;
+    };
+    std::map<TargetId, LeavingMark> m_leaving;
 };
 
 } // namespace cicadalb
--- a/packages/site/src/TargetRegistry.cpp
+++ b/packages/site/src/TargetRegistry.cpp
@@ -1,6 +1,7 @@
 #include "cicadalb/site/TargetRegistry.h"
 
 #include <set>
+#include <utility>
 
 namespace cicadalb {
 
@@ -24,9 +25,25 @@
 {
     m_missingUntil.erase(target.id);
     const auto id = target.id;
+    if (const auto mark = m_leaving.find(id); mark != m_leaving.end()) {
+        if (target.startedAt > mark->second.startedAt)
+            m_leaving.erase(mark);
+        else
+            target.isDraining = true;
+    }
     m_targets.insert_or_assign(id, std::move(target));
 }
 
+bool TargetRegistry::markLeaving(const RegisteredTarget& target, TimePoint now)
+{
+    const auto found = m_targets.find(target.id);
+    // The target may have restarted since the request was sent to it.
+    if (found != m_targets.end() && found->second.startedAt > target.startedAt)
+        return false;
+    m_leaving.insert_or_assign(target.id, LeavingMark { target.startedAt, now });
+    return found != m_targets.end() && !std::exchange(found->second.isDraining, true);
+}
+
 void TargetRegistry::remove(const TargetId& id, TimePoint now, bool isAfterOutage)
 {
     if (isAfterOutage && m_targets.contains(id)) {
@@ -39,6 +56,7 @@
 
 bool TargetRegistry::expire(TimePoint now)
 {
+    std::erase_if(m_leaving, [now](const auto& entry) { return entry.second.markedAt + leavingMarkRetention <= now; });
     std::vector<TargetId> expired;
     for (const auto& [id, until] : m_missingUntil) {
         if (until <= now)
--- a/packages/site/tests/unit-site.cpp
+++ b/packages/site/tests/unit-site.cpp
@@ -50,6 +50,38 @@
     CHECK(registry.find(TargetId("b")));
 }
 
+TEST_CASE("target registry, target that has stated that it is leaving, stays excluded until it registers a later start")
+{
+    ManualClock clock;
+    TargetRegistry registry;
+    auto registered = target("a");
+    registered.startedAt = 100;
+    registry.put(registered);
+    CHECK(registry.markLeaving(registered, clock.now()));
+    CHECK_FALSE(registry.markLeaving(registered, clock.now()));
+    CHECK(registry.usableTargets(PoolName("ledger")).empty());
+    // Entries of the same start, also after the entry was missing for some time.
+    registry.put(registered);
+    registry.remove(registered.id, clock.now(), false);
+    registry.replace({ registered }, clock.now(), true);
+    CHECK(registry.usableTargets(PoolName("ledger")).empty());
+    registered.startedAt = 200;
+    registry.put(registered);
+    CHECK(registry.usableTargets(PoolName("ledger")).size() == 1);
+}
+
+TEST_CASE("target registry, late answer of an earlier start, does not exclude the restarted target")
+{
+    TargetRegistry registry;
+    auto earlier = target("a");
+    earlier.startedAt = 100;
+    auto restarted = earlier;
+    restarted.startedAt = 200;
+    registry.put(restarted);
+    CHECK_FALSE(registry.markLeaving(earlier, {}));
+    CHECK(registry.usableTargets(PoolName("ledger")).size() == 1);
+}
+
 TEST_CASE("target registry removes targets that are missing right after an outage only once the return time is over")
 {
     ManualClock clock;
