An answer whose chunk header or trailer has no end closes the connection

Cause: the buffer of bytes that are not parsed yet had no limit. A chunk size, a chunk extension or a trailer without end filled it until the deadline: for a sample that is its time to live, at the speed of the network.

Change: the buffer holds 128 KiB, twice the limit of a header; beyond it the exchange fails.

--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -30,6 +30,8 @@
     /// Time before the server's idle timeout at which the client stops reusing a connection, because a request in transit when the server closes
     /// the connection would be lost.
     constexpr std::chrono::milliseconds keepAliveMargin { 1000 };
+    /// Bytes that are kept while a chunk's header or the trailer is incomplete; a header of maximumHeaderBytes and the bytes read ahead fit.
+    constexpr std::size_t maximumBufferBytes = 2 * maximumHeaderBytes;
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
 
@@ -39,7 +41,7 @@
         {
         }
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { maximumBufferBytes };
         beast::flat_buffer output;
         /// The connection is not reused after this time.
         TimePoint usableUntil;
