Streams that go on without events are ended

The bodies of the same fault: the stall timeout of a stream counted any byte as progress. An engine that sends comments, or a line without end, occupied a run until the item's time to live, and the line filled memory. A generation that was no JSON was read to its deadline.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -4,6 +4,7 @@
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
+#include "cicadalb/services/StreamProgress.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -342,6 +343,7 @@
     std::string cause = "the engine left the registry";
     if (const auto* registered = m_directory.registry().find(engine)) {
         const auto target = *registered;
+        cause.clear();
         end = co_await stream(entry, key, target, run->cancellation, cause);
     }
     if (const auto own = m_runs.find(key); own != m_runs.end() && own->second == run)
@@ -362,9 +364,10 @@
     schedulePlacement();
 }
 
-RunOutcome SampleRunner::processEvents(const ItemKey& key, std::string_view bytes, EventStreamParser& parser, WeightVersion& version, WeightVersion oldest)
+RunOutcome SampleRunner::processEvents(const ItemKey& key, std::string_view bytes, EventStreamParser& parser, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount)
 {
     for (const auto& event : parser.parse(bytes)) {
+        ++eventCount;
         if (const auto changed = m_protocol.eventWeightVersion(event))
             version = *changed;
         if (version < oldest)
@@ -390,6 +393,7 @@
         attempt.lastEventId = text->lastEventId;
 
     EventStreamParser parser;
+    StreamProgress progress(stallTimeout);
     WeightVersion version = 0;
     auto kind = AnswerKind::Unusable;
     auto runOutcome = RunOutcome::Complete;
@@ -405,17 +409,23 @@
         co_return true;
     };
     handler.onPart = [&](std::string_view part) -> Task<bool> {
+        std::size_t events = 0;
         if (kind == AnswerKind::Answered && status == statusOk)
-            runOutcome = processEvents(key, part, parser, version, entry->submission.oldestVersion);
+            runOutcome = processEvents(key, part, parser, version, entry->submission.oldestVersion, events);
+        if (runOutcome == RunOutcome::Complete && !progress.onPart(part.size(), events > 0, m_clock.now())) {
+            cause = "the answer goes on without events";
+            runOutcome = RunOutcome::Interrupted;
+        }
         co_return runOutcome == RunOutcome::Complete;
     };
     const auto client = m_clients.client(0, target.endpoint);
     auto request = m_protocol.sampleRequest(entry->submission, item, attempt);
     request.mayRepeat = true;
     const auto response = co_await client->stream(std::move(request), entry->policy.expiresAt, std::move(handler), cancellation);
-    cause.clear();
-    if (cancellation->isCancelled())
+    if (cancellation->isCancelled()) {
+        cause.clear();
         co_return RunOutcome::Cancelled;
+    }
     if (runOutcome != RunOutcome::Complete)
         co_return runOutcome;
     if (!response) {
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -77,7 +77,7 @@
     void close(const SubmissionId&, std::string_view reason);
     Task<void> runItem(ItemKey, TargetId);
     Task<RunOutcome> stream(const OpenSubmissionPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, std::string& cause);
-    RunOutcome processEvents(const ItemKey&, std::string_view bytes, EventStreamParser&, WeightVersion& version, WeightVersion oldest);
+    RunOutcome processEvents(const ItemKey&, std::string_view bytes, EventStreamParser&, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount);
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
     void settle(const OpenSubmissionPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
     Task<void> append(OpenSubmissionPointer);
--- a/packages/transport/src/EngineHttpClient.cpp
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -3,6 +3,8 @@
 #include "EngineProtocol.h"
 #include "ForwardCall.h"
 
+#include "cicadalb/services/StreamProgress.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -89,19 +91,29 @@
         onStart(std::make_shared<HttpGenerationHandle>(executor, cancellation, client, request.id));
 
     GenerationReader reader;
+    StreamProgress streamProgress(generationStallTimeout);
+    unsigned status = 0;
     bool isWellFormed = true;
     HttpStreamHandler handler;
-    handler.onPart = [&reader, &isWellFormed, &onProgress](std::string_view part) -> Task<bool> {
-        isWellFormed = isWellFormed && reader.append(part);
-        if (isWellFormed && onProgress)
-            onProgress(reader.progress());
+    handler.onHead = [&status](const HttpResponse& head) -> Task<bool> {
+        status = head.status;
         co_return true;
     };
+    handler.onPart = [&reader, &streamProgress, &status, &isWellFormed, &onProgress](std::string_view part) -> Task<bool> {
+        const auto tokensBefore = reader.progress().tokens;
+        // The body of an error is not a generation.
+        if (status == statusOk)
+            isWellFormed = reader.append(part);
+        if (status == statusOk && isWellFormed && onProgress)
+            onProgress(reader.progress());
+        isWellFormed = isWellFormed && streamProgress.onPart(part.size(), reader.progress().tokens > tokensBefore, std::chrono::steady_clock::now());
+        co_return isWellFormed;
+    };
     handler.stallTimeout = generationStallTimeout;
     auto response = co_await client->stream(makeGenerateRequest(request), deadline, std::move(handler), cancellation);
-    if (!response)
+    if (!response && isWellFormed)
         co_return response.as_failure();
-    if (response.value().status != statusOk) {
+    if (response && response.value().status != statusOk) {
         auto error = errorFromResponse(response.value(), target);
         co_return failure(error.code, error.message, error.where);
     }
