A read that gets no answer on a reused connection is sent again on a new one

If the pooled connections to the store have gone silent as well, that read waited 1.5 s, and the next one took the next silent connection: with the mirror's 1.3 s beyond the 2 s in which a change has to be in force.

Evidence: with four silent idle connections a read took 1,500 ms and failed; now it succeeds within 1 s on a fifth connection ('all idle connections have gone silent').

--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -29,7 +29,8 @@
     std::string target = "/";
     HttpFields fields;
     std::string body;
-    /// Whether to send the request again on a new connection if the server closes a reused one before the answer begins.
+    /// Whether to send the request again on a new connection if the server closes a reused one before the answer begins, or does not answer on it
+    /// (HttpClientOptions::reusedConnectionTimeout).
     bool mayRepeat = false;
 };
 
@@ -60,6 +61,9 @@
     /// The operating system closes a connection whose peer acknowledges nothing for this time (TCP_USER_TIMEOUT).
     std::chrono::milliseconds acknowledgementTimeout { 2000 };
     std::size_t maximumBodyBytes = std::size_t { 16 } << 20U;
+    /// Time allowed for the header of the answer to a repeatable request on a reused connection, which may have gone silent. The request is then
+    /// sent again on a new connection, and the idle ones are closed. 0: until the deadline.
+    std::chrono::milliseconds reusedConnectionTimeout { 0 };
 };
 
 /// @brief Receives the parts of an answer as they arrive; the next part is read only after the handler has completed. If a handler returns false,
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -176,6 +176,12 @@
         return nullptr;
     }
 
+    void closeIdle()
+    {
+        const std::lock_guard lock(mutex);
+        idle.clear();
+    }
+
     void returnToPool(ConnectionPointer connection, Duration idleTime)
     {
         connection->stream.expires_never();
@@ -314,14 +320,20 @@
             co_return failure(ErrorCode::NotSent, "cancelled before it was sent", state->serverAddress());
         if (cancellation)
             cancellation->m_cancelStream = [stream = &connection->stream] { stream->cancel(); };
-        connection->stream.expires_at(deadline);
+        const auto silenceTimeout = state->options.reusedConnectionTimeout;
+        const bool mayBeSilent = connection->isReused && request.mayRepeat && silenceTimeout.count() > 0;
+        connection->stream.expires_at(mayBeSilent ? std::min(deadline, std::chrono::steady_clock::now() + silenceTimeout) : deadline);
         attemptParser.emplace();
         error = co_await state->sendAndReadHeader(*connection, message, *attemptParser);
+        connection->stream.expires_at(deadline);
         if (!error)
             break;
         const auto lastError = state->exchangeError(*connection, error, cancellation.get());
         const bool wasClosedWhileIdle = connection->isReused && !attemptParser->got_some() && isClosedByServer(error);
-        if (!request.mayRepeat || !wasClosedWhileIdle || isCancelled())
+        const bool wasSilent = mayBeSilent && !attemptParser->got_some() && error == beast::error::timeout && std::chrono::steady_clock::now() < deadline;
+        if (wasSilent)
+            state->closeIdle();
+        if (!request.mayRepeat || !(wasClosedWhileIdle || wasSilent) || isCancelled())
             co_return lastError;
         if (cancellation)
             cancellation->m_cancelStream = nullptr;
--- a/packages/services/tests/support/cicadalb/services/ResettingServer.h
+++ b/packages/services/tests/support/cicadalb/services/ResettingServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -17,7 +18,8 @@
 
 namespace cicadalb {
 
-/// @brief Answers a fixed number of requests on each connection and resets the connection on the next one. Supports only requests without a body.
+/// @brief Answers a fixed number of requests on each connection, and then resets the connection on the next one or stays silent. Supports only
+/// requests without a body.
 class ResettingServer {
 public:
     explicit ResettingServer(boost::asio::io_context& context)
@@ -33,6 +35,8 @@
     std::string keepAlive = "Keep-Alive: timeout=10\r\n";
     std::string body = "ok";
     int answersPerConnection = 100;
+    /// Whether requests after those get no answer, on a connection that stays open.
+    bool staysSilent = false;
     int connections = 0;
     int requests = 0;
 
@@ -54,6 +58,12 @@
             std::string request;
             co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", boost::asio::use_awaitable);
             ++requests;
+            if (answers >= answersPerConnection && staysSilent) {
+                // Holds the connection open until the client closes it.
+                boost::system::error_code error;
+                co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n\r\n", boost::asio::redirect_error(boost::asio::use_awaitable, error));
+                co_return;
+            }
             if (answers >= answersPerConnection) {
                 socket.set_option(boost::asio::socket_base::linger(true, 0));
                 co_return;
