--- a/packages/hosting/tests/unit-configuration-path.cpp
+++ b/packages/hosting/tests/unit-configuration-path.cpp
@@ -26,8 +26,15 @@
 /// Faults begin after this time, when all processes have started.
 constexpr auto calmTime = 2s;
 
+/// Which calls a window disrupts.
+enum class DisruptedCalls : std::uint8_t { Watches,
+    Reads,
+    LeaseCalls,
+    MirrorQueries };
+
 /// Calls of one kind fail at some processes for some time. Times are in steps.
 struct FaultWindow {
+    DisruptedCalls calls = DisruptedCalls::Watches;
     CallDisruption disruption = CallDisruption::None;
     unsigned begin = 0;
     unsigned end = 0;
@@ -37,15 +44,9 @@
 
 std::ostream& operator<<(std::ostream& stream, const FaultWindow& window)
 {
-    return stream << "form " << static_cast<int>(window.disruption) << " from " << window.begin << " to " << window.end << " at " << window.processes;
+    return stream << "calls " << static_cast<int>(window.calls) << " form " << static_cast<int>(window.disruption) << " from " << window.begin << " to " << window.end << " at " << window.processes;
 }
 
-/// Which calls a test disrupts.
-enum class DisruptedCalls : std::uint8_t { Watches,
-    Reads,
-    LeaseCalls,
-    MirrorQueries };
-
 bool isDisrupted(DisruptedCalls calls, CallKind kind)
 {
     return (calls == DisruptedCalls::Watches && kind == CallKind::Watch) || (calls == DisruptedCalls::Reads && kind == CallKind::Read)
@@ -61,9 +62,8 @@
 /// Three mirrors and four hosts of a site in simulated time. Configuration n+1 is the nth change.
 class SimulatedSite {
 public:
-    SimulatedSite(DisruptedCalls calls, Scenario scenario)
-        : m_calls(calls)
-        , m_scenario(std::move(scenario))
+    explicit SimulatedSite(Scenario scenario)
+        : m_scenario(std::move(scenario))
     {
         m_store.put("site/configuration", "1 ledger");
         for (std::size_t i = 0; i < mirrorCount; ++i)
@@ -112,10 +112,12 @@
         std::uint64_t highestVersion = 0;
     };
 
-    CallDisruption disruptionAt(std::size_t process) const
+    template <typename IsConcerned>
+    CallDisruption disruptionAt(std::size_t process, IsConcerned isConcerned) const
     {
         for (const auto& window : m_scenario.windows) {
-            if (m_step >= window.begin && m_step < window.end && (window.processes >> process & 1U) != 0)
+            const bool isOpen = m_step >= window.begin && m_step < window.end;
+            if (isOpen && isConcerned(window.calls) && (window.processes >> process & 1U) != 0)
                 return window.disruption;
         }
         return CallDisruption::None;
@@ -125,7 +127,7 @@
     {
         const auto index = m_processes.size();
         auto process = std::make_unique<Process>();
-        const auto select = [this, index](CallKind kind) { return isDisrupted(m_calls, kind) ? disruptionAt(index) : CallDisruption::None; };
+        const auto select = [this, index](CallKind kind) { return disruptionAt(index, [kind](DisruptedCalls calls) { return isDisrupted(calls, kind); }); };
         process->store = std::make_unique<FaultyStore>(m_context.get_executor(), m_store, m_clock, select);
         m_processes.push_back(std::move(process));
         return *m_processes.back();
@@ -157,9 +159,8 @@
     Task<Result<MirrorReply>> queryMirror(std::size_t host, std::size_t mirror, MirrorQuery query)
     {
         const auto select = [this, host, mirror] {
-            if (m_calls != DisruptedCalls::MirrorQueries)
-                return CallDisruption::None;
-            return std::max(disruptionAt(host), disruptionAt(mirror));
+            const auto isQuery = [](DisruptedCalls calls) { return calls == DisruptedCalls::MirrorQueries; };
+            return std::max(disruptionAt(host, isQuery), disruptionAt(mirror, isQuery));
         };
         if (select() == CallDisruption::Refused)
             co_return failure(ErrorCode::NotSent, "connection refused");
@@ -198,7 +199,6 @@
         }
     }
 
-    DisruptedCalls m_calls;
     Scenario m_scenario;
     boost::asio::io_context m_context;
     ManualClock m_clock;
@@ -215,35 +215,58 @@
 
 constexpr unsigned stepsIn(Duration time) { return static_cast<unsigned>(time / timeStep); }
 
-rc::Gen<FaultWindow> anyWindow(const std::vector<CallDisruption>& forms)
+rc::Gen<FaultWindow> anyWindow(DisruptedCalls calls, const std::vector<CallDisruption>& forms)
 {
     const auto from = stepsIn(calmTime);
     const auto until = stepsIn(simulatedTime);
     return rc::gen::map(rc::gen::tuple(rc::gen::elementOf(forms), rc::gen::inRange(from, until), rc::gen::inRange(1U, stepsIn(10s)), rc::gen::inRange(1U, 1U << processCount)),
-        [](const auto& numbers) {
+        [calls](const auto& numbers) {
             const auto [form, begin, length, processes] = numbers;
-            return FaultWindow { form, begin, begin + length, processes };
+            return FaultWindow { calls, form, begin, begin + length, processes };
         });
 }
 
-Scenario anyScenario(const std::vector<CallDisruption>& forms)
+void addChanges(Scenario& scenario)
 {
-    Scenario scenario;
-    const auto windowCount = *rc::gen::inRange(1, 4);
-    for (int i = 0; i < windowCount; ++i)
-        scenario.windows.push_back(*anyWindow(forms));
     const auto changeCount = *rc::gen::inRange(2, 8);
     for (int i = 0; i < changeCount; ++i)
         scenario.changes.push_back(*rc::gen::inRange(stepsIn(calmTime), stepsIn(simulatedTime)));
+}
+
+Scenario anyScenario(DisruptedCalls calls, const std::vector<CallDisruption>& forms)
+{
+    Scenario scenario;
+    const auto windowCount = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < windowCount; ++i)
+        scenario.windows.push_back(*anyWindow(calls, forms));
+    addChanges(scenario);
     return scenario;
 }
 
 const std::vector<CallDisruption> lossyForms { CallDisruption::Silent, CallDisruption::Refused, CallDisruption::Delayed };
 
+/// Windows that follow each other after a pause, each with its own kind of calls.
+Scenario anySequence()
+{
+    const std::vector<DisruptedCalls> kinds { DisruptedCalls::Watches, DisruptedCalls::Reads, DisruptedCalls::LeaseCalls, DisruptedCalls::MirrorQueries };
+    Scenario scenario;
+    auto begin = stepsIn(calmTime) + *rc::gen::inRange(0U, stepsIn(2s));
+    while (begin < stepsIn(simulatedTime)) {
+        auto window = *anyWindow(*rc::gen::elementOf(kinds), lossyForms);
+        const auto length = std::min(window.end - window.begin, stepsIn(4s));
+        window.begin = begin;
+        window.end = begin + length;
+        begin = window.end + stepsIn(calmTime);
+        scenario.windows.push_back(window);
+    }
+    addChanges(scenario);
+    return scenario;
+}
+
 bool isInForceInTime(DisruptedCalls calls)
 {
     return rc::check([calls] {
-        SimulatedSite site(calls, anyScenario(lossyForms));
+        SimulatedSite site(anyScenario(calls, lossyForms));
         site.run();
         RC_ASSERT(site.wasAlwaysInTime());
         RC_ASSERT(!site.hasGoneBack());
@@ -272,15 +295,25 @@
     CHECK(isInForceInTime(DisruptedCalls::MirrorQueries));
 }
 
+TEST_CASE("configuration path, different calls fail one after the other, newest version is in force within the bound")
+{
+    CHECK(rc::check([] {
+        SimulatedSite site(anySequence());
+        site.run();
+        RC_ASSERT(site.wasAlwaysInTime());
+        RC_ASSERT(!site.hasGoneBack());
+    }));
+}
+
 TEST_CASE("configuration path, watches hear nothing for a second and the history is lost, newest version is in force within the bound")
 {
     CHECK(rc::check([] {
-        auto scenario = anyScenario({ CallDisruption::Deaf });
+        auto scenario = anyScenario(DisruptedCalls::Watches, { CallDisruption::Deaf });
         scenario.windows.resize(1);
         auto& window = scenario.windows.front();
         window.end = window.begin + stepsIn(1s);
         window.processes = (1U << processCount) - 1;
-        SimulatedSite site(DisruptedCalls::Watches, scenario);
+        SimulatedSite site(scenario);
         site.forgetHistoryAt(window.end);
         site.run();
         RC_ASSERT(site.wasAlwaysInTime());
@@ -291,7 +324,7 @@
 TEST_CASE("configuration path, watches repeat earlier changes, no process returns to an older version")
 {
     CHECK(rc::check([] {
-        SimulatedSite site(DisruptedCalls::Watches, anyScenario({ CallDisruption::Repeated }));
+        SimulatedSite site(anyScenario(DisruptedCalls::Watches, { CallDisruption::Repeated }));
         site.run();
         RC_ASSERT(!site.hasGoneBack());
         RC_ASSERT(site.wasAlwaysInTime());
