--- a/packages/services/include/cicadalb/services/KeyValueService.h
+++ b/packages/services/include/cicadalb/services/KeyValueService.h
@@ -57,8 +57,6 @@
     virtual Task<Result<LeaseId>> grantLease(std::chrono::milliseconds timeToLive) = 0;
     virtual Task<Result<void>> renewLease(LeaseId) = 0;
     virtual Task<Result<void>> releaseLease(LeaseId) = 0;
-    /// @brief Time allowed for the answer to a watch beyond the time that the watch may wait.
-    static constexpr std::chrono::milliseconds watchAnswerTimeout { 450 };
     /// @brief Waits until a key under @p prefix changes after the revision @p after. Returns no entries if none changes within @p maximumWait.
     virtual Task<Result<WatchResult>> watch(std::string prefix, Revision after, std::chrono::milliseconds maximumWait) = 0;
 };
--- a/packages/services/include/cicadalb/services/TransactionalStore.h
+++ b/packages/services/include/cicadalb/services/TransactionalStore.h
@@ -34,6 +34,10 @@
 /// longer has the changes since the given revision: the client then has to take a snapshot.
 class TransactionalStore : public KeyValueService {
 public:
+    /// Time allowed for the answer to a watch beyond the time that the watch may wait. The store normally answers within a few milliseconds, but can take
+    /// up to 100 times as long; a call that is not answered has to be noticed while there is time to use another one.
+    static constexpr std::chrono::milliseconds watchAnswerTimeout { 450 };
+
     /// @brief Makes the changes of a transaction.
     /// @return the revision of the change. Errors: Conflict (a condition failed), LeaseLost, Unavailable and NotSent (nothing happened),
     /// OutcomeUnknown (the transaction may have been made, or may still be made later if its conditions hold then).
