--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -25,9 +25,8 @@
     static constexpr std::chrono::milliseconds maximumWait { 350 };
     /// Time allowed for the reply beyond maximumWait.
     static constexpr std::chrono::milliseconds responseTimeout { 250 };
-    /// Replies are accepted until the mirror's records were last known to be complete this long ago. A mirror knows it about once a second. The last
-    /// query before a mirror becomes silent waits only for the rest of this time, so that the store is queried within responseTimeout after
-    /// it; a change has to be in force within 2 s.
+    /// Largest accepted age of a mirror's records; a mirror confirms them about once a second. A query waits only until the host's own records reach this
+    /// age, so that at responseTimeout after it at the latest the store is queried: a change has to be in force within 2 s.
     static constexpr std::chrono::milliseconds maximumAge { 1300 };
     /// Time for which the store is queried directly after a mirror has failed.
     static constexpr std::chrono::seconds storeFallbackPeriod { 5 };
