Watches that vouch for nothing wait 4 s instead of 10 s

Cause: a coordinator whose watch of submissions alone goes silent notices it after that wait and 450 ms; an item of a submission must not be left for 5 s.

--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -40,7 +40,7 @@
     /// Delay between a change and the next call to the store, so that several changes share one call.
     std::chrono::milliseconds coalescingDelay { 0 };
     /// Longest wait of one call, and so the time after which a call that is never answered is noticed.
-    std::chrono::milliseconds maximumWait { 10000 };
+    std::chrono::milliseconds maximumWait { 4000 };
     /// Whether completeAsOf() has to be at most maximumWait old: a call that follows a change then waits only for the rest of that time.
     bool keepsCurrent = false;
     /// Whether a failed call is followed by a read of all records, which is answered at once, unlike a watch. For prefixes with few records.
