--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -277,7 +277,7 @@
         CHECK(storeOnly.configurationAge().value() <= 1s);
         CHECK(storeOnly.registryAge().value() <= 1s);
     }
-    CHECK(hostStore.counts().watches - before <= 2 * 21);
+    CHECK(hostStore.counts().watches - before <= 42);
     storeOnly.stop();
     hostStore.advance(60s);
     runPendingWork();
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -31,7 +31,7 @@
     /// the connection would be lost.
     constexpr std::chrono::milliseconds keepAliveMargin { 1000 };
     /// Bytes that are kept while a chunk's header or the trailer is incomplete; a header of maximumHeaderBytes and the bytes read ahead fit.
-    constexpr std::size_t maximumBufferBytes = 2 * maximumHeaderBytes;
+    constexpr std::size_t maximumBufferBytes = std::size_t { 2 } * maximumHeaderBytes;
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
 
