A text goes on only at engines with the software version that began it

Cause: the version stands in each registry entry, but neither the registry's type, the scheduler nor the stored texts had a field for it, so that any free engine went on with a text that was interrupted, moved, submitted again or taken over from another coordinator.

Change: the registry decodes the version; a text carries the version and the pool of the engine that generated its first event, in the scheduler, among the texts that wait to be submitted again and in texts/latest. Only engines with both continue it. An unknown version (an entry without one, a record of an earlier build) is compatible with none. A run is sent only to the start of the engine that the scheduler chose; if the engine turns out to have restarted with other software while the run lasted, a continued text is dropped and a text that began in the run is continued by nobody. A text begins again where its version is gone, or once it has waited, beside a free engine of another version, for longer than generating its events takes. With several versions in a pool, begun texts are placed before new ones. sample-run-ended states the engine's software and the event from which the run went on.

Why it works: the version is taken where a run is placed and kept with the events, so that no later entry under the same id and no change of hands can replace it.

--- a/packages/base/include/cicadalb/base/Identifier.h
+++ b/packages/base/include/cicadalb/base/Identifier.h
@@ -45,6 +45,8 @@
 using RouteName = Identifier<struct RouteTag>;
 using PoolName = Identifier<struct PoolTag>;
 using RequestId = Identifier<struct RequestTag>;
+/// @brief Version of the software that a target runs, not of its weights. Versions have no order. Empty if unknown.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 
 /// @brief Number of an accepted configuration; each one is numbered one higher than the one before.
 using ConfigurationNumber = std::uint64_t;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -171,7 +171,7 @@
     std::vector<SchedulableEngine> engines;
     for (const auto& [id, target] : m_directory.registry().targets()) {
         if (!target.isDraining && !target.models.empty())
-            engines.push_back({ id, target.pool, target.slots, target.models });
+            engines.push_back({ id, target.pool, target.slots, target.models, target.softwareVersion, target.startedAt });
     }
     m_scheduler.setEngines(engines);
     if (const auto view = m_directory.view()) {
@@ -298,7 +298,7 @@
         if (self->m_isStopped)
             return;
         for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
-            asio::co_spawn(self->m_executor, self->runItem(placement.item, placement.engine), asio::detached);
+            asio::co_spawn(self->m_executor, self->runItem(placement), asio::detached);
     });
 }
 
@@ -331,9 +331,10 @@
     schedulePlacement();
 }
 
-Task<void> SampleRunner::runItem(ItemKey key, TargetId engine)
+Task<void> SampleRunner::runItem(Placement placement)
 {
     const auto self = shared_from_this();
+    const auto& key = placement.item;
     const auto found = m_openSubmissions.find(key.submission);
     if (found == m_openSubmissions.end())
         co_return;
@@ -342,9 +343,13 @@
     m_runs[key] = run;
     const auto startedAt = m_clock.now();
     auto end = RunOutcome::NotRun;
-    std::string cause = "the engine left the registry";
-    if (const auto* registered = m_directory.registry().find(engine)) {
+    std::string cause = "the engine left the registry or has restarted";
+    const auto* initialText = m_scheduler.partialText(key);
+    RunRecord record { placement.engine, {}, initialText ? initialText->eventCount : 0 };
+    const auto* registered = m_directory.registry().find(placement.engine);
+    if (registered && registered->startedAt == placement.engineStartedAt) {
         const auto target = *registered;
+        record.softwareVersion = target.softwareVersion;
         cause.clear();
         end = co_await stream(entry, key, target, run->cancellation, cause);
     }
@@ -358,7 +363,7 @@
     if (text)
         versions = versionsText(text->versions);
     const auto nextAction = m_scheduler.onRunEnd(key, end, m_clock.now());
-    logRunEnded(*entry, key, engine, end, events, versions, m_clock.now() - startedAt, cause);
+    logRunEnded(*entry, key, record, end, events, versions, m_clock.now() - startedAt, cause);
     if (nextAction == ItemAction::RequestReward)
         asio::co_spawn(m_executor, runRewardCall(entry, key), asio::detached);
     else if (nextAction == ItemAction::GiveUp)
@@ -577,9 +582,9 @@
     logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) } });
 }
 
-void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const TargetId& engine, RunOutcome end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
+void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const RunRecord& run, RunOutcome end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
 {
-    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", engine.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) }, { "cause", cause } });
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) }, { "cause", cause } });
 }
 
 void SampleRunner::logRewardCall(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -65,6 +65,14 @@
         std::shared_ptr<HttpCancellation> cancellation = std::make_shared<HttpCancellation>();
     };
 
+    /// What the log states about a run, apart from its result.
+    struct RunRecord {
+        TargetId engine;
+        SoftwareVersion softwareVersion;
+        /// Events that the text had when the run began; 0: the run began the text.
+        std::size_t eventsAtStart = 0;
+    };
+
     struct StoredSubmission {
         UnixTime submittedAt { 0 };
         bool isEnded = false;
@@ -75,7 +83,7 @@
     bool hasConfigurationFor(const Submission&) const;
     Task<void> open(Submission, Revision);
     void close(const SubmissionId&, std::string_view reason);
-    Task<void> runItem(ItemKey, TargetId);
+    Task<void> runItem(Placement);
     Task<RunOutcome> stream(const OpenSubmissionPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, std::string& cause);
     RunOutcome processEvents(const ItemKey&, std::string_view bytes, EventStreamParser&, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount);
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
@@ -90,7 +98,7 @@
     static void logIgnoredRecord(const std::string& key, Revision, const Error&);
     void logSubmissionOpened(const OpenSubmission&, UnixTime age) const;
     void logSubmissionClosed(const SubmissionId&, std::string_view reason, std::size_t results) const;
-    void logRunEnded(const OpenSubmission&, const ItemKey&, const TargetId&, RunOutcome, std::size_t events, const std::string& versions, Duration, const std::string& cause) const;
+    void logRunEnded(const OpenSubmission&, const ItemKey&, const RunRecord&, RunOutcome, std::size_t events, const std::string& versions, Duration, const std::string& cause) const;
     void logRewardCall(const RewardCall&, const SampleItem&, const ItemKey&, const ForwardOutcome&) const;
     void logAppend(const OpenSubmission&, std::size_t results, const std::string& failure) const;
 
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -9,7 +9,7 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL [MODEL | AUTHORITY/PATH]...", where each path is a submission route to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START", announced version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL [MODEL | AUTHORITY/PATH]...", where each path is a submission route to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
 class FakeSiteProtocol final : public SiteProtocol {
 public:
     CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
@@ -93,7 +93,9 @@
         target.isDraining = state == "leaving";
         if (words >> model >> version)
             target.models[model] = version;
-        words >> target.startedAt;
+        std::string software;
+        words >> target.startedAt >> software;
+        target.softwareVersion = SoftwareVersion(software);
         return target;
     }
 
--- a/packages/hosting/tests/unit-site-directory.cpp
+++ b/packages/hosting/tests/unit-site-directory.cpp
@@ -73,7 +73,7 @@
 
     void startOrders()
     {
-        scheduler.setEngines({ { TargetId("a"), PoolName("ledger"), 4, { { "draft", 1 } } } });
+        scheduler.setEngines({ { TargetId("a"), PoolName("ledger"), 4, { { "draft", 1 } }, SoftwareVersion("r1"), 1 } });
         store.put("versions/draft", "draft 3");
         start();
         WeightOrderHooks hooks { [] { return true; }, [] {}, [](const TargetId&) {}, [this] { ++endedLoads; } };
--- a/packages/site/include/cicadalb/site/TargetRegistry.h
+++ b/packages/site/include/cicadalb/site/TargetRegistry.h
@@ -29,6 +29,7 @@
     Incarnation startedAt = 0;
     /// Loaded weight version of each model.
     std::map<std::string, WeightVersion> models;
+    SoftwareVersion softwareVersion;
 };
 
 /// @brief The registered targets as last read by this host. Targets whose entries lapsed while the registry was unreachable register again
--- a/packages/submissions/include/cicadalb/submissions/PartialText.h
+++ b/packages/submissions/include/cicadalb/submissions/PartialText.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cicadalb/base/SoftwareRelease.h"
 #include "cicadalb/submissions/Submission.h"
 
 #include <optional>
@@ -21,6 +22,8 @@
     /// Number of events.
     std::size_t eventCount = 0;
     std::set<WeightVersion> versions;
+    /// Software of the engines that generated the events; without a version if it is unknown or there is no event.
+    SoftwareRelease release;
 
     void append(std::uint64_t eventId, std::string_view data, WeightVersion version);
 };
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -24,6 +24,9 @@
     unsigned slots = 1;
     /// Loaded weight version of each model.
     std::map<std::string, WeightVersion> models;
+    SoftwareVersion softwareVersion;
+    /// Distinguishes restarts of the engine under the same id.
+    Incarnation startedAt = 0;
 };
 
 /// @brief Rules that a submission takes from its route.
@@ -50,6 +53,8 @@
 struct Placement {
     ItemKey item;
     TargetId engine;
+    /// Start of the engine that the run is meant for. After a later start the engine may run other software.
+    Incarnation engineStartedAt = 0;
 };
 
 enum class RunOutcome : std::uint8_t {
@@ -80,7 +85,9 @@
 
 /// @brief Assigns the items of all open submissions to engines. Designed for several trainers that submit steps of 30 to 300 items every few
 /// seconds, with text lengths known only roughly, on engines that differ in speed by a factor of two or more. Within a submission, the groups
-/// that can be completed first take precedence; of their items, the longest are placed first, on the fastest engines. Not thread-safe.
+/// that can be completed first take precedence; of their items, the longest are placed first, on the fastest engines. A text is continued only by engines
+/// with the software that began it. It begins again on another engine once none of these is left, or once it has been without a new event, although
+/// an engine with other software was free, for longer than generating its events again takes. Not thread-safe.
 class SampleScheduler {
 public:
     /// Assumed time per event of an engine without measurements.
@@ -164,6 +171,11 @@
         TimePoint startedAt;
         TimePoint lastEventAt;
         std::size_t eventsAtStart = 0;
+        /// Software and start of the engine that the current run was placed on.
+        SoftwareRelease runRelease;
+        Incarnation runEngineStartedAt = 0;
+        /// Since when the text has not grown although an engine with other software could have begun it again.
+        std::optional<TimePoint> textBlockedSince;
     };
 
     struct OpenSubmission {
@@ -174,7 +186,8 @@
     };
 
     struct Engine {
-        PoolName pool;
+        SoftwareRelease release;
+        Incarnation startedAt = 0;
         unsigned slots = 1;
         unsigned running = 0;
         bool isPresent = true;
@@ -189,9 +202,21 @@
     static void markWantedGroups(OpenSubmission&, std::uint64_t wantedGroupCount);
     Item* find(const ItemKey&);
     const Item* find(const ItemKey&) const;
-    bool canRun(const TargetId&, const Engine&, const OpenSubmission&, const Item&, TimePoint now) const;
+    /// What a run does with the text that an item has already.
+    enum class TextUse : std::uint8_t { Continue,
+        BeginAgain };
+
+    bool canRun(const TargetId&, const Engine&, const OpenSubmission&, TimePoint now) const;
+    static bool canUseText(const Engine&, const OpenSubmission&, const PartialText&, TextUse);
     const Engine* findEngine(const TargetId&) const;
-    std::optional<TargetId> bestEngine(const OpenSubmission&, const Item&, TimePoint now) const;
+    std::optional<TargetId> bestEngine(const OpenSubmission&, const Item&, TextUse, TimePoint now) const;
+    /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
+    std::optional<TargetId> chooseEngine(const OpenSubmission&, Item&, TimePoint now);
+    bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
+    bool hasSeveralReleases() const;
+    /// Whether the engine of an item's run has restarted with other software since the run was placed, so that the run's events may come from either.
+    bool isRunReleaseUncertain(const Item&) const;
+    void dropUncertainText(Item&) const;
     double secondsPerEvent(const Engine&) const;
     void releaseSlot(Item&);
     void updateTimePerEvent(const Item&, TimePoint now);
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -76,7 +76,8 @@
     for (const auto& present : engines) {
         auto& engine = m_engines[present.id];
         engine.isPresent = true;
-        engine.pool = present.pool;
+        engine.release = { present.pool, present.softwareVersion };
+        engine.startedAt = present.startedAt;
         engine.slots = std::max(1U, present.slots);
         for (const auto& [model, version] : present.models)
             engine.weights.try_emplace(ModelName(model), version);
@@ -169,6 +170,7 @@
             if (const auto engine = m_engines.find(item.engine); engine != m_engines.end())
                 --engine->second.running;
         }
+        dropUncertainText(item);
         if (item.state != ItemState::Settled && item.text.eventCount > 0 && m_reusableTexts.size() < maximumReusableTexts)
             m_reusableTexts.insert_or_assign(item.id, std::move(item.text));
     }
@@ -191,17 +193,21 @@
                 candidates.push_back({ { id, index }, &submission, &item });
         }
     }
-    const auto sortKey = [](const Candidate& candidate) {
-        const auto remaining = candidate.item->expectedEvents - static_cast<double>(candidate.item->text.eventCount);
-        return std::tuple(!candidate.item->isInWantedGroup, candidate.submission->policy.softDeadline, -remaining);
+    // Texts that only some engines can continue come before those that any engine can begin.
+    const bool placesTextsFirst = hasSeveralReleases();
+    const auto sortKey = [placesTextsFirst](const Candidate& candidate) {
+        const auto events = candidate.item->text.eventCount;
+        const auto remaining = candidate.item->expectedEvents - static_cast<double>(events);
+        return std::tuple(!candidate.item->isInWantedGroup, placesTextsFirst && events == 0, candidate.submission->policy.softDeadline, -remaining);
     };
     std::sort(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) { return sortKey(left) < sortKey(right); });
     std::vector<Placement> placements;
     for (auto& [key, submission, item] : candidates) {
-        const auto engineId = bestEngine(*submission, *item, now);
+        const auto engineId = chooseEngine(*submission, *item, now);
         if (!engineId)
             continue;
-        ++m_engines[*engineId].running;
+        auto& engine = m_engines[*engineId];
+        ++engine.running;
         if (m_rateLimits)
             m_rateLimits->record(*engineId, now);
         item->state = ItemState::Running;
@@ -209,32 +215,77 @@
         item->startedAt = now;
         item->lastEventAt = now;
         item->eventsAtStart = item->text.eventCount;
-        placements.push_back({ key, *engineId });
+        item->runRelease = engine.release;
+        item->runEngineStartedAt = engine.startedAt;
+        placements.push_back({ key, *engineId, engine.startedAt });
     }
     return placements;
 }
 
-bool SampleScheduler::canRun(const TargetId& id, const Engine& engine, const OpenSubmission& submission, const Item& item, TimePoint now) const
+bool SampleScheduler::canRun(const TargetId& id, const Engine& engine, const OpenSubmission& submission, TimePoint now) const
 {
     if (!engine.isPresent || engine.running >= engine.slots || engine.pausedUntil > now)
         return false;
     if (m_rateLimits && m_rateLimits->untilNext(id, now) > Duration::zero())
         return false;
-    if (std::find(submission.policy.pools.begin(), submission.policy.pools.end(), engine.pool) == submission.policy.pools.end())
+    if (std::find(submission.policy.pools.begin(), submission.policy.pools.end(), engine.release.pool) == submission.policy.pools.end())
         return false;
     const auto weights = engine.weights.find(submission.model);
-    if (weights == engine.weights.end() || !weights->second || *weights->second < submission.oldestVersion)
+    return weights != engine.weights.end() && weights->second && *weights->second >= submission.oldestVersion;
+}
+
+bool SampleScheduler::canUseText(const Engine& engine, const OpenSubmission& submission, const PartialText& text, TextUse use)
+{
+    const bool isCompatible = text.eventCount == 0 || engine.release.isCompatibleWith(text.release);
+    if (use == TextUse::BeginAgain)
+        return !isCompatible;
+    if (!isCompatible)
         return false;
-    const bool continuesText = submission.policy.requiresSingleVersion && !item.text.versions.empty();
-    return !continuesText || item.text.versions.contains(*weights->second);
+    const auto weights = engine.weights.find(submission.model);
+    const bool hasWeights = weights != engine.weights.end() && weights->second;
+    return !submission.policy.requiresSingleVersion || text.versions.empty() || (hasWeights && text.versions.contains(*weights->second));
+}
+
+std::optional<TargetId> SampleScheduler::chooseEngine(const OpenSubmission& submission, Item& item, TimePoint now)
+{
+    auto continuing = bestEngine(submission, item, TextUse::Continue, now);
+    if (item.text.eventCount == 0)
+        return continuing;
+    auto beginning = bestEngine(submission, item, TextUse::BeginAgain, now);
+    if (!beginning)
+        return continuing;
+    if (!item.textBlockedSince)
+        item.textBlockedSince = now;
+    const auto timeToRegenerate = Seconds(secondsPerEvent(m_engines[*beginning]) * static_cast<double>(item.text.eventCount));
+    if (hasEngineWith(item.text.release, submission) && now - *item.textBlockedSince <= timeToRegenerate)
+        return continuing;
+    item.text = {};
+    item.textBlockedSince.reset();
+    return beginning;
+}
+
+bool SampleScheduler::hasEngineWith(const SoftwareRelease& release, const OpenSubmission& submission) const
+{
+    const auto& pools = submission.policy.pools;
+    return std::find(pools.begin(), pools.end(), release.pool) != pools.end()
+        && std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) { return entry.second.isPresent && entry.second.release.isCompatibleWith(release); });
+}
+
+bool SampleScheduler::hasSeveralReleases() const
+{
+    std::map<PoolName, SoftwareVersion> versions;
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) {
+        const auto& [pool, version] = entry.second.release;
+        return entry.second.isPresent && versions.try_emplace(pool, version).first->second != version;
+    });
 }
 
-std::optional<TargetId> SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TimePoint now) const
+std::optional<TargetId> SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TextUse use, TimePoint now) const
 {
     std::optional<TargetId> best;
     auto lowestCost = std::numeric_limits<double>::infinity();
     for (const auto& [id, engine] : m_engines) {
-        if (!canRun(id, engine, submission, item, now))
+        if (!canRun(id, engine, submission, now) || !canUseText(engine, submission, item.text, use))
             continue;
         // An engine of another model is used only if the model's own engines are full or cost more than 1.5 times as much.
         const double assignmentPenalty = engine.assignedModel == submission.model || engine.assignedModel.isEmpty() ? 1.0 : 1.5;
@@ -259,8 +310,29 @@
     if (!item || item->state != ItemState::Running)
         return;
     updateTimePerEvent(*item, now);
+    if (item->text.eventCount == 0)
+        item->text.release = item->runRelease;
     item->text.append(eventId, data, version);
     item->lastEventAt = now;
+    item->textBlockedSince.reset();
+}
+
+bool SampleScheduler::isRunReleaseUncertain(const Item& item) const
+{
+    const auto* engine = findEngine(item.engine);
+    const bool hasGrown = item.state == ItemState::Running && item.text.eventCount > item.eventsAtStart;
+    return hasGrown && engine && engine->startedAt != item.runEngineStartedAt && !engine->release.isCompatibleWith(item.runRelease);
+}
+
+/// A text that began in the run is whole, but nothing may continue it; one that the run has continued may be of two releases.
+void SampleScheduler::dropUncertainText(Item& item) const
+{
+    if (!isRunReleaseUncertain(item))
+        return;
+    if (item.eventsAtStart == 0)
+        item.text.release = {};
+    else
+        item.text = {};
 }
 
 void SampleScheduler::releaseSlot(Item& item)
@@ -296,10 +368,11 @@
     if (!item || item->state != ItemState::Running)
         return ItemAction::Nothing;
     auto& submission = m_submissions[key.submission];
+    const auto eventsBefore = item->text.eventCount;
+    dropUncertainText(*item);
     releaseSlot(*item);
     item->state = ItemState::Waiting;
     item->notBefore = now;
-    const auto eventsBefore = item->text.eventCount;
     dropDisallowedText(submission, *item);
     const bool hasDroppedText = item->text.eventCount < eventsBefore;
     const auto pauseEngine = [&](Duration duration) {
@@ -382,7 +455,7 @@
             const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
             if (Seconds(remaining * secondsPerEvent(*current)) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
                 continue;
-            const auto best = bestEngine(submission, item, now);
+            const auto best = bestEngine(submission, item, TextUse::Continue, now);
             if (!best || *best == item.engine)
                 continue;
             const auto* candidate = findEngine(*best);
@@ -432,7 +505,7 @@
     for (const auto& [id, submission] : m_submissions) {
         for (const auto& item : submission.items) {
             const bool isUnfinished = item.state == ItemState::Waiting || item.state == ItemState::Running;
-            if (isUnfinished && item.text.eventCount >= std::max<std::size_t>(1, minimumEvents))
+            if (isUnfinished && !isRunReleaseUncertain(item) && item.text.eventCount >= std::max<std::size_t>(1, minimumEvents))
                 texts.push_back({ item.id, item.text });
         }
     }
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -147,7 +147,7 @@
 {
     Json entries = Json::array();
     for (const auto& [item, text] : texts)
-        entries.push_back({ item.value(), binaryValue(text.text), text.lastEventId.value_or(0), text.eventCount, text.versions });
+        entries.push_back({ item.value(), binaryValue(text.text), text.lastEventId.value_or(0), text.eventCount, text.versions, text.release.pool.value(), text.release.version.value() });
     return toCbor(entries);
 }
 
@@ -161,6 +161,9 @@
             text.text.lastEventId = entry.at(2).get<std::uint64_t>();
             text.text.eventCount = entry.at(3).get<std::size_t>();
             text.text.versions = entry.at(4).get<std::set<WeightVersion>>();
+            // Records of earlier builds lack these fields; the software of such texts is unknown.
+            if (entry.size() > 6)
+                text.text.release = { PoolName(entry.at(5).get<std::string>()), SoftwareVersion(entry.at(6).get<std::string>()) };
             texts.push_back(std::move(text));
         }
         return texts;
--- a/packages/submissions/tests/unit-sample-scheduler.cpp
+++ b/packages/submissions/tests/unit-sample-scheduler.cpp
@@ -14,6 +14,9 @@
 const ModelName model("draft");
 const PoolName pool("engines");
 
+/// An engine of four slots that holds the first weight version and runs the same software as the others.
+SchedulableEngine engineNamed(const TargetId& id) { return { id, pool, 4, { { "draft", 1 } }, SoftwareVersion("r1"), 1 }; }
+
 /// Scheduler with two engines of four slots each, and a submission to which a test adds items.
 struct SchedulerFixture {
     SampleScheduler scheduler;
@@ -23,7 +26,7 @@
 
     SchedulerFixture()
     {
-        scheduler.setEngines({ { fastEngine, pool, 4, { { "draft", 1 } } }, { slowEngine, pool, 4, { { "draft", 1 } } } });
+        scheduler.setEngines({ engineNamed(fastEngine), engineNamed(slowEngine) });
         policy.softDeadline = clock.now() + 7500ms;
         policy.expiresAt = clock.now() + 40s;
         policy.pools = { pool };
@@ -142,7 +145,7 @@
 
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler continues the text after a broken run and pauses the engine")
 {
-    scheduler.setEngines({ { fastEngine, pool, 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ engineNamed(fastEngine) });
     addItem("i", "g");
     addSubmission();
     REQUIRE(placeItems().size() == 1);
@@ -160,7 +163,7 @@
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler on a single-version route drops text of two versions and continues text only on its version")
 {
     policy.requiresSingleVersion = true;
-    scheduler.setEngines({ { fastEngine, pool, 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ engineNamed(fastEngine) });
     addItem("i", "g");
     addSubmission();
     REQUIRE(placeItems().size() == 1);
@@ -270,7 +273,7 @@
 
 TEST_CASE_METHOD(SchedulerFixture, "sample scheduler pauses an engine whose weights differ from its report")
 {
-    scheduler.setEngines({ { fastEngine, pool, 4, { { "draft", 1 } } } });
+    scheduler.setEngines({ engineNamed(fastEngine) });
     addItem("a", "g");
     addSubmission();
     REQUIRE(placeItems() == std::vector<std::string> { "a@fast" });
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -1,5 +1,7 @@
 #include "cicadalb/submissions/SubmissionRecords.h"
 
+#include "cicadalb/base/CborRecord.h"
+
 #include <catch2/catch.hpp>
 
 using namespace cicadalb;
@@ -78,15 +80,28 @@
     PartialText text;
     text.append(1, "one", 3);
     text.append(2, "two", 4);
+    text.release = { PoolName("engines"), SoftwareVersion("r2") };
     const auto decoded = decodePartialTexts(encodePartialTexts({ { ItemId("a"), text } }));
     REQUIRE(decoded);
     REQUIRE(decoded.value().size() == 1);
     CHECK(decoded.value()[0].text.text == "one\ntwo");
     CHECK(decoded.value()[0].text.lastEventId == 2);
     CHECK(decoded.value()[0].text.versions == std::set<WeightVersion> { 3, 4 });
+    CHECK(decoded.value()[0].text.release.isCompatibleWith(text.release));
     CHECK(decodePartialTexts("odd").error().code == ErrorCode::RecordInvalid);
 }
 
+TEST_CASE("texts record of an earlier build, without software versions, decodes to texts that no engine may continue")
+{
+    const nlohmann::json entry { "a", binaryValue("one\ntwo"), 2, 2, std::set<WeightVersion> { 3 } };
+    const auto decoded = decodePartialTexts(toCbor(nlohmann::json::array({ entry })));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().size() == 1);
+    const auto& text = decoded.value()[0].text;
+    CHECK(text.eventCount == 2);
+    CHECK_FALSE(text.release.isCompatibleWith(text.release));
+}
+
 TEST_CASE("submission keys are recognised by kind, and result keys sort in the order of their segments")
 {
     const SubmissionId id("7c41e0");
