Callers' streams are continued only at the software version that began them

As long as a pool has only ever had one version, any stream goes on. Otherwise the request is refused at once as not run, with a time to return, since it cannot be served here. Only streams whose delivery broke off are concerned: streams are forwarded whole.

--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -181,6 +181,11 @@
     co_return true;
 }
 
+bool RequestForwarder::hasRequiredRelease(const ForwardRequest& request, const RegisteredTarget& target)
+{
+    return !request.requiredRelease || SoftwareRelease { target.pool, target.softwareVersion }.isCompatibleWith(*request.requiredRelease);
+}
+
 RequestRequirements RequestForwarder::requirementsOf(const ForwardRequest& request, const Progress& progress) const
 {
     RequestRequirements requirements;
@@ -192,6 +197,10 @@
     requirements.excluded.insert(requirements.excluded.end(), progress.exhaustedTargets.begin(), progress.exhaustedTargets.end());
     for (auto& target : m_permits.exhaustedTargets(request.maximumPermitWait))
         requirements.excluded.push_back(std::move(target));
+    for (const auto& [id, target] : m_directory.registry().targets()) {
+        if (target.pool == request.pool && !hasRequiredRelease(request, target))
+            requirements.excluded.push_back(id);
+    }
     return requirements;
 }
 
@@ -244,7 +253,14 @@
         ++progress.attemptsNotRun;
         co_return true;
     }
+    if (!hasRequiredRelease(request, *registered)) {
+        // The balancer returns an excluded target only if there is no other one.
+        balancer->recordCompletion(admission.target, abandoned);
+        outcome.cause = "no target runs the software that began the stream";
+        co_return false;
+    }
     const auto target = *registered;
+    outcome.release = { target.pool, target.softwareVersion };
     const auto startedAt = m_clock.now();
     progress.usedTargets.push_back(target.id);
     progress.run.beginAttempt();
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include "RequestPermits.h"
 #include "SiteDirectory.h"
 
+#include "cicadalb/base/SoftwareRelease.h"
 #include "cicadalb/site/SiteProtocol.h"
 #include "cicadalb/transport/TargetClients.h"
 
@@ -36,6 +37,8 @@
     /// Set if not run: delay before the caller should retry.
     Duration retryAfter {};
     unsigned attempts = 0;
+    /// Set if answered: software of the target.
+    SoftwareRelease release;
     /// Why the request ended without an answer.
     std::string cause;
 };
@@ -45,6 +48,8 @@
     const SiteRoute* route = nullptr;
     PoolName pool;
     TimePoint deadline;
+    /// Software that the target must run, if the request continues the answer of another target.
+    std::optional<SoftwareRelease> requiredRelease;
     /// Hash that selects two preferred targets of the pool, so that their connections are reused.
     std::optional<std::uint64_t> affinity;
     /// Longest time that the request may wait for a target that has reached its limit on requests a second.
@@ -67,6 +72,7 @@
     struct Progress;
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
+    static bool hasRequiredRelease(const ForwardRequest&, const RegisteredTarget&);
     RequestRequirements requirementsOf(const ForwardRequest&, const Progress&) const;
     static bool conclude(const SiteRoute&, Progress&, Attempt&);
     /// Waits until the request may be sent to the target. @return whether it may; if not, the target is noted as exhausted
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -169,6 +169,17 @@
     co_return result;
 }
 
+std::optional<SoftwareRelease> SiteEndpoints::releaseToContinue(const RequestId& firstAttempt, const SiteRoute& route) const
+{
+    if (auto known = m_streamOrigins.find(firstAttempt))
+        return known;
+    if (route.pools.size() != 1)
+        return std::nullopt;
+    const auto& pool = route.pools.front().pool;
+    const auto version = m_directory.registry().onlySoftwareVersion(pool);
+    return version ? std::optional(SoftwareRelease { pool, *version }) : std::nullopt;
+}
+
 Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView>, const SiteRoute& route, TimePoint receivedAt, ServerResponder& responder)
 {
     ForwardRequest forwarded;
@@ -177,6 +188,13 @@
         co_return makeRefusal(statusBadRequest, "the request has no id", {});
     forwarded.route = &route;
     forwarded.pool = choosePool(route, randomUnit(m_random));
+    const auto continued = route.kind == RequestKind::Stream ? m_protocol.continuedStream(request.fields) : std::nullopt;
+    if (continued) {
+        forwarded.requiredRelease = releaseToContinue(*continued, route);
+        if (!forwarded.requiredRelease)
+            co_return makeRefusal(statusUnavailable, "the request was not run: this host does not know the software that began the stream", dependencyRetryAfter);
+        forwarded.pool = forwarded.requiredRelease->pool;
+    }
     // A host sends few requests to each target, and a new connection for each request would occupy one of the target's connection slots for a while.
     forwarded.affinity = placementHash(m_options.host.value());
     const auto callerTimeout = m_protocol.callerTimeout(request.fields).value_or(route.timeout);
@@ -186,9 +204,12 @@
     forwarded.buildMessage = [this, &request](const AttemptContext& context) { return m_protocol.forwardedRequest(request, context); };
     forwarded.cancellation = std::make_shared<HttpCancellation>();
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
+    const auto attempt = forwarded.id;
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
     EndpointResult result;
     if (outcome.state == ForwardState::Answered) {
+        if (route.kind == RequestKind::Stream && !continued)
+            m_streamOrigins.record(attempt, outcome.release);
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -3,6 +3,7 @@
 #include "RequestForwarder.h"
 #include "ResultReader.h"
 #include "SiteDirectory.h"
+#include "StreamOrigins.h"
 #include "SubmissionIntake.h"
 
 #include "cicadalb/base/Random.h"
@@ -41,6 +42,8 @@
     Task<EndpointResult> dispatch(const HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> handleRouted(const HttpRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, TimePoint receivedAt, ServerResponder&);
+    /// The software that has to continue a stream, or nothing if this host does not know it.
+    std::optional<SoftwareRelease> releaseToContinue(const RequestId& firstAttempt, const SiteRoute&) const;
     Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&);
     Task<EndpointResult> readResults(const CallerRequest&);
     Task<EndpointResult> readItem(const CallerRequest&);
@@ -58,6 +61,7 @@
     Metrics& m_metrics;
     const Clock& m_clock;
     Random m_random;
+    StreamOrigins m_streamOrigins;
     bool m_isStopping = false;
 };
 
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -95,6 +95,8 @@
     virtual RequestId attemptId(const HttpFields&) const = 0;
     /// @brief Time that the caller will wait for the answer, if it states one.
     virtual std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const = 0;
+    /// @brief For a request that continues a stream, the caller's attempt that received the stream's first event (empty if the caller does not name it).
+    virtual std::optional<RequestId> continuedStream(const HttpFields&) const = 0;
     /// @brief The caller's request as it is sent to a target.
     virtual HttpRequest forwardedRequest(const HttpRequest&, const AttemptContext&) const = 0;
     /// @brief Text that is equal each time the same caller sends the same request.
