Hosts that reach no target send their callers' requests through other hosts

Cause: a host had one way to the targets, its own, and took each failure for the target's.

Change: after an attempt that fails without an answer, the host tries to connect to up to three other targets, of any pool. If none accepts within 100 ms, the host is cut off: the failure counts neither against the target in the balancer nor as a crash. From then on requests go to a candidate for coordination, which the host knows for its records, and the candidate forwards them with its own permits, suspects and registry, to at most the attempts that are left, within the time that is left. A cut-off host tries three targets each second; a connection or an answer ends the state. A connection to a target is given up after 300 ms instead of 1 s, so that a request that was not sent is sent elsewhere.

Why it works: three targets of different pools do not fail at the same moment unless the path to them does, and the candidates are on other machines whose records the host follows anyway.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -48,6 +48,9 @@
     TargetCrashed = 412,
     RequestBlocked = 413,
     SuspicionWithdrawn = 414,
+    TargetsUnreachable = 415,
+    TargetsReachable = 416,
+    RequestRelayed = 417,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/hosting/src/HostCall.cpp
+++ b/packages/hosting/src/HostCall.cpp
@@ -11,7 +11,7 @@
     request.fields.emplace_back("Content-Type", "application/cbor");
     request.body = std::move(call.body);
     request.mayRepeat = call.mayRepeat;
-    auto response = co_await client->send(std::move(request), std::chrono::steady_clock::now() + call.timeout);
+    auto response = co_await client->send(std::move(request), std::chrono::steady_clock::now() + call.timeout, std::move(call.cancellation));
     if (!response)
         co_return response.as_failure();
     if (response.value().status != statusOk)
@@ -19,12 +19,12 @@
     co_return std::move(response.value().body);
 }
 
-std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
+std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, const HttpClientOptions& options)
 {
     std::vector<std::shared_ptr<HttpClient>> clients;
     clients.reserve(endpoints.size());
     for (const auto& endpoint : endpoints)
-        clients.push_back(std::make_shared<HttpClient>(executor, endpoint));
+        clients.push_back(std::make_shared<HttpClient>(executor, endpoint, options));
     return clients;
 }
 
--- a/packages/hosting/src/HostCall.h
+++ b/packages/hosting/src/HostCall.h
@@ -21,12 +21,14 @@
     std::chrono::milliseconds timeout { 0 };
     /// See HttpRequest::mayRepeat.
     bool mayRepeat = false;
+    /// Ends the call when its purpose is gone, or null.
+    std::shared_ptr<HttpCancellation> cancellation = nullptr;
 };
 
 /// @brief Sends a call to another process. @return the body of its answer. Errors: those of HttpClient, and Unavailable if it answers with an error status
 Task<Result<std::string>> callHost(std::shared_ptr<HttpClient>, HostCall);
 
 /// @brief A client for each of the endpoints.
-std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor&, const std::vector<Endpoint>&);
+std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, const HttpClientOptions& = {});
 
 } // namespace cicadalb
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "cicadalb/base/EnumTable.h"
 #include "cicadalb/base/Event.h"
+#include "cicadalb/base/Hash.h"
 #include "cicadalb/routing/RunState.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -88,6 +89,9 @@
     std::set<TargetId> exhaustedTargets;
     Duration untilNextPermit = Duration::max();
     unsigned attemptsNotRun = 0;
+    bool hasRelayed = false;
+    /// Attempts that another host made; the call to it counts as one in RequestRun.
+    unsigned relayedAttempts = 0;
 };
 
 struct RequestForwarder::Attempt {
@@ -97,13 +101,28 @@
     std::string cause;
 };
 
-RequestForwarder::RequestForwarder(SiteDirectory& directory, const SiteProtocol& protocol, TargetClients& clients, RequestPermits& permits, CrashGuard& crashGuard, const Clock& clock)
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol)
+{
+    /// Longest wait for a target that has reached its request rate, as a share of the route's target latency.
+    constexpr double permitWaitInLatencyObjectives = 0.5;
+    ForwardRequest request;
+    request.id = protocol.attemptId(message.fields);
+    request.route = &route;
+    request.maximumPermitWait = std::chrono::duration_cast<Duration>(route.latencyObjective * permitWaitInLatencyObjectives);
+    request.fingerprint = [&protocol, &message] { return RequestFingerprint(sha256Hex(protocol.requestIdentity(message))); };
+    request.buildMessage = [&protocol, &message](const AttemptContext& context) { return protocol.forwardedRequest(message, context); };
+    request.cancellation = std::make_shared<HttpCancellation>();
+    return request;
+}
+
+RequestForwarder::RequestForwarder(SiteDirectory& directory, const SiteProtocol& protocol, TargetClients& clients, RequestPermits& permits, CrashGuard& crashGuard, const Clock& clock, TargetReachability* reachability)
     : m_directory(directory)
     , m_protocol(protocol)
     , m_clients(clients)
     , m_permits(permits)
     , m_crashGuard(crashGuard)
     , m_clock(clock)
+    , m_reachability(reachability)
 {
 }
 
@@ -111,10 +130,14 @@
 {
     Progress progress(*request.route);
     bool shouldRetry = !isBlocked(request, progress);
-    while (shouldRetry)
-        shouldRetry = co_await attempt(request, progress);
+    while (shouldRetry) {
+        if (shouldRelay(request, progress))
+            shouldRetry = co_await relay(request, progress);
+        else
+            shouldRetry = co_await attempt(request, progress);
+    }
     auto& outcome = progress.outcome;
-    outcome.attempts = progress.run.attempts();
+    outcome.attempts = progress.run.attempts() + progress.relayedAttempts - (progress.hasRelayed ? 1 : 0);
     if (outcome.state == ForwardState::Answered || outcome.state == ForwardState::Abandoned)
         co_return std::move(outcome);
     if (progress.serverErrorResponse) {
@@ -126,6 +149,58 @@
     co_return std::move(outcome);
 }
 
+bool RequestForwarder::shouldRelay(const ForwardRequest& request, const Progress& progress) const
+{
+    const bool isPossible = m_reachability && m_reachability->isCutOff() && request.relay && !progress.hasRelayed;
+    return isPossible && progress.run.mayAttempt() && request.deadline - m_clock.now() >= minimumAttemptTime;
+}
+
+Task<bool> RequestForwarder::relay(const ForwardRequest& request, Progress& progress)
+{
+    const auto attemptsUsed = progress.run.attempts() - progress.attemptsNotRun;
+    const auto maximumAttempts = std::max(1U, request.route->maximumAttempts);
+    if (attemptsUsed >= maximumAttempts) {
+        progress.outcome.cause = "no attempts left";
+        co_return false;
+    }
+    progress.hasRelayed = true;
+    progress.run.beginAttempt();
+    auto relayed = co_await request.relay(maximumAttempts - attemptsUsed);
+    if (!relayed) {
+        progress.run.recordNotRun();
+        ++progress.attemptsNotRun;
+        progress.outcome.cause = "neither targets nor hosts that forward requests can be reached";
+        co_return true;
+    }
+    progress.relayedAttempts = relayed->attempts;
+    logEvent(Event::RequestRelayed, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "state", std::string(name(relayed->state)) }, { "status", std::to_string(relayed->answer.status) }, { "attempts", std::to_string(relayed->attempts) }, { "cause", relayed->cause } });
+    if (relayed->state == ForwardState::Answered)
+        progress.run.recordAnswer();
+    else if (relayed->state == ForwardState::NotRun)
+        progress.run.recordNotRun();
+    else
+        progress.run.recordLoss();
+    progress.outcome = std::move(*relayed);
+    co_return false;
+}
+
+Task<bool> RequestForwarder::isOwnFailure(const RegisteredTarget& target, const Attempt& attempt, TimePoint deadline)
+{
+    const bool hasFailed = attempt.response.status == 0 && (attempt.kind == CompletionKind::Lost || attempt.kind == CompletionKind::NotRun);
+    if (!m_reachability)
+        co_return false;
+    if (attempt.response.status != 0)
+        m_reachability->recordAnswer();
+    if (!hasFailed)
+        co_return false;
+    if (deadline - m_clock.now() >= minimumAttemptTime)
+        co_return co_await m_reachability->examineFailure(target.id);
+    // The caller does not wait for a result that comes too late for it.
+    const auto isCutOff = m_reachability->isCutOff();
+    m_reachability->beginExamination(target.id);
+    co_return isCutOff;
+}
+
 TimePoint RequestForwarder::attemptDeadline(const ForwardRequest& request, const Progress& progress, TimePoint now) const
 {
     const auto& route = *request.route;
@@ -272,15 +347,16 @@
         m_directory.markLeaving(target);
     if (const auto load = m_protocol.loadReport(result.response.fields))
         balancer->reportLoad(target.id, *load);
+    const bool hasTimedOut = m_clock.now() >= timeout;
     const Completion completion { result.kind, latency, m_clock.now() >= request.deadline };
-    balancer->recordCompletion(target.id, completion);
     logAttempt(request, target, result, latency);
+    const bool isCutOff = co_await isOwnFailure(target, result, request.deadline);
+    balancer->recordCompletion(target.id, isCutOff ? abandoned : completion);
     if (result.answer == AnswerKind::Answered && request.fingerprint && m_crashGuard.hasSuspects())
         m_crashGuard.recordAnswer(request.fingerprint());
-    const bool hasTimedOut = m_clock.now() >= timeout;
     if (conclude(*request.route, progress, result))
         co_return false;
-    if (result.kind != CompletionKind::Lost)
+    if (result.kind != CompletionKind::Lost || isCutOff)
         co_return true;
     // A target that answered, if not usably, has not ended.
     co_return co_await examineLoss(request, progress, target, hasTimedOut || result.response.status != 0);
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -3,6 +3,7 @@
 #include "CrashGuard.h"
 #include "RequestPermits.h"
 #include "SiteDirectory.h"
+#include "TargetReachability.h"
 
 #include "cicadalb/base/SoftwareRelease.h"
 #include "cicadalb/site/SiteProtocol.h"
@@ -59,12 +60,18 @@
     /// Builds the HTTP request of one attempt.
     std::function<HttpRequest(const AttemptContext&)> buildMessage;
     std::shared_ptr<HttpCancellation> cancellation;
+    /// Has the request forwarded by another host, to at most @p attemptsLeft targets; empty if that is not possible. @return the outcome, or nothing if no other host has replied
+    std::function<Task<std::optional<ForwardOutcome>>(unsigned attemptsLeft)> relay;
 };
 
+/// @brief A request for the message of a caller, without pool and deadline. @p message, @p route and @p protocol must outlive it.
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol);
+
 /// @brief Bound to one event loop.
 class RequestForwarder {
 public:
-    RequestForwarder(SiteDirectory&, const SiteProtocol&, TargetClients&, RequestPermits&, CrashGuard&, const Clock&);
+    /// @param reachability null: each failure of an attempt is taken for the target's
+    RequestForwarder(SiteDirectory&, const SiteProtocol&, TargetClients&, RequestPermits&, CrashGuard&, const Clock&, TargetReachability* reachability = nullptr);
 
     Task<ForwardOutcome> forward(ForwardRequest);
 
@@ -72,6 +79,11 @@
     struct Progress;
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
+    bool shouldRelay(const ForwardRequest&, const Progress&) const;
+    /// Has the request forwarded by another host. @return whether an attempt from this host makes sense
+    Task<bool> relay(const ForwardRequest&, Progress&);
+    /// Whether an attempt failed because this host is cut off from the targets.
+    Task<bool> isOwnFailure(const RegisteredTarget&, const Attempt&, TimePoint deadline);
     static bool hasRequiredRelease(const ForwardRequest&, const RegisteredTarget&);
     RequestRequirements requirementsOf(const ForwardRequest&, const Progress&) const;
     static bool conclude(const SiteRoute&, Progress&, Attempt&);
@@ -91,6 +103,7 @@
     RequestPermits& m_permits;
     CrashGuard& m_crashGuard;
     const Clock& m_clock;
+    TargetReachability* m_reachability;
 };
 
 /// @brief Chooses a pool of the route in proportion to the pools' weights. @param fraction uniform in [0, 1)
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -104,7 +104,7 @@
     , m_permits(permits)
     , m_clock(clock)
     , m_settings(settings)
-    , m_forwarder(directory, protocol, clients, permits, crashGuard, clock)
+    , m_forwarder(directory, protocol, clients, permits, crashGuard, clock, settings.reachability)
     , m_nextExpirySearchAt(clock.now() + expirySearchInterval)
 {
     m_scheduler.setRateLimits(&permits.limits());
@@ -438,8 +438,12 @@
     }
     if (runOutcome != RunOutcome::Complete)
         co_return runOutcome;
+    if (m_settings.reachability && status != 0)
+        m_settings.reachability->recordAnswer();
     if (!response) {
         cause = response.error().message;
+        if (m_settings.reachability && status == 0)
+            (void)co_await m_settings.reachability->examineFailure(target.id);
         co_return response.error().code == ErrorCode::NotSent ? RunOutcome::NotRun : RunOutcome::Interrupted;
     }
     cause = "status " + std::to_string(status) + " " + std::string(name(kind));
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds appendInterval { 400 };
     /// Interval at which incomplete texts are stored, so that the next coordinator can continue them.
     std::chrono::milliseconds partialTextsInterval { 1000 };
+    /// Whether this host reaches the targets, or null. Must outlive the runner.
+    TargetReachability* reachability = nullptr;
 };
 
 /// @brief Outcome of a run whose answer was received completely.
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -23,8 +23,6 @@
 
     /// Retry-After of requests that failed because the store or the configuration was unavailable.
     constexpr milliseconds dependencyRetryAfter { 300 };
-    /// Longest wait for a target that has reached its request rate, as a share of the route's target latency.
-    constexpr double permitWaitInLatencyObjectives = 0.5;
     /// Limit on the text in one page of results; the platform allows 1 MB of results.
     constexpr std::size_t maximumPageBytes = std::size_t { 900 } << 10U;
 
@@ -79,7 +77,7 @@
 
 } // namespace
 
-SiteEndpoints::SiteEndpoints(SiteEndpointsOptions options, SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, SubmissionIntake& intake, ResultReader& reader, Metrics& metrics, const Clock& clock)
+SiteEndpoints::SiteEndpoints(SiteEndpointsOptions options, SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, SubmissionIntake& intake, ResultReader& reader, Metrics& metrics, const Clock& clock, RequestRelay* relay)
     : m_options(std::move(options))
     , m_directory(directory)
     , m_protocol(protocol)
@@ -88,6 +86,7 @@
     , m_reader(reader)
     , m_metrics(metrics)
     , m_clock(clock)
+    , m_relay(relay)
     , m_random(m_options.seed)
 {
 }
@@ -180,13 +179,11 @@
     return version ? std::optional(SoftwareRelease { pool, *version }) : std::nullopt;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView>, const SiteRoute& route, TimePoint receivedAt, ServerResponder& responder)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView> view, const SiteRoute& route, TimePoint receivedAt, ServerResponder& responder)
 {
-    ForwardRequest forwarded;
-    forwarded.id = m_protocol.attemptId(request.fields);
+    auto forwarded = makeForwardRequest(request, route, m_protocol);
     if (forwarded.id.isEmpty())
         co_return makeRefusal(statusBadRequest, "the request has no id", {});
-    forwarded.route = &route;
     forwarded.pool = choosePool(route, randomUnit(m_random));
     const auto continued = route.kind == RequestKind::Stream ? m_protocol.continuedStream(request.fields) : std::nullopt;
     if (continued) {
@@ -199,10 +196,12 @@
     forwarded.affinity = placementHash(m_options.host.value());
     const auto callerTimeout = m_protocol.callerTimeout(request.fields).value_or(route.timeout);
     forwarded.deadline = receivedAt + (route.timeout.count() > 0 ? std::min(callerTimeout, route.timeout) : callerTimeout);
-    forwarded.maximumPermitWait = std::chrono::duration_cast<Duration>(route.latencyObjective * permitWaitInLatencyObjectives);
-    forwarded.fingerprint = [this, &request] { return RequestFingerprint(sha256Hex(m_protocol.requestIdentity(request))); };
-    forwarded.buildMessage = [this, &request](const AttemptContext& context) { return m_protocol.forwardedRequest(request, context); };
-    forwarded.cancellation = std::make_shared<HttpCancellation>();
+    if (m_relay) {
+        forwarded.relay = [this, &request, pool = forwarded.pool, version = view->configuration.version, release = forwarded.requiredRelease, deadline = forwarded.deadline,
+                              cancellation = forwarded.cancellation](unsigned attemptsLeft) {
+            return m_relay->send({ request, pool, version, {}, attemptsLeft, release }, deadline, cancellation);
+        };
+    }
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
     const auto attempt = forwarded.id;
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "RequestForwarder.h"
+#include "RequestRelay.h"
 #include "ResultReader.h"
 #include "SiteDirectory.h"
 #include "StreamOrigins.h"
@@ -23,7 +24,8 @@
 /// @brief Bound to one event loop.
 class SiteEndpoints {
 public:
-    SiteEndpoints(SiteEndpointsOptions, SiteDirectory&, const SiteProtocol&, RequestForwarder&, SubmissionIntake&, ResultReader&, Metrics&, const Clock&);
+    /// @param relay null: requests are not sent through other hosts
+    SiteEndpoints(SiteEndpointsOptions, SiteDirectory&, const SiteProtocol&, RequestForwarder&, SubmissionIntake&, ResultReader&, Metrics&, const Clock&, RequestRelay* relay = nullptr);
 
     Task<void> serve(ServerRequest&, ServerResponder&);
     /// @brief Makes the host report itself as not ready, before it stops.
@@ -60,6 +62,7 @@
     ResultReader& m_reader;
     Metrics& m_metrics;
     const Clock& m_clock;
+    RequestRelay* m_relay;
     Random m_random;
     StreamOrigins m_streamOrigins;
     bool m_isStopping = false;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -5,6 +5,7 @@
 #include "MirrorClient.h"
 #include "Pause.h"
 #include "RecordMirror.h"
+#include "RequestRelay.h"
 #include "SiteEndpoints.h"
 
 #include "cicadalb/base/Event.h"
@@ -42,6 +43,9 @@
     constexpr milliseconds targetIdleTimeout { 4000 };
     /// ... and the limit for targets that state their own idle timeout.
     constexpr milliseconds longestTargetIdleTimeout { 30000 };
+    /// Time for a connection to a target, after which a request that has not been sent yet is sent elsewhere: many round trips within a region, and
+    /// less than the second after which TCP repeats its first packet.
+    constexpr milliseconds targetConnectTimeout { 300 };
     /// Longer than the 12 s (four fifths of the site's limit of 15 s) for which callers reuse idle connections.
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
@@ -59,6 +63,7 @@
     {
         HttpClientOptions options;
         options.idleTimeout = targetIdleTimeout;
+        options.connectTimeout = targetConnectTimeout;
         options.maximumKeepAliveTimeout = longestTargetIdleTimeout;
         return options;
     }
@@ -107,7 +112,21 @@
         return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), makeHttpMirrorExchange(executor, endpoints), clock };
     }
 
-    CoordinationSettings coordinationSettings(const SiteSettings& settings, MirrorClient& mirrors, std::uint64_t seed)
+    RequestRelay makeRelay(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
+    {
+        const auto endpoints = otherCandidates(settings);
+        return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), makeHttpRelayExchange(executor, endpoints), clock };
+    }
+
+    TargetProbe makeTargetProbe(TargetClients& clients)
+    {
+        return [&clients](const Endpoint& endpoint, milliseconds timeout) -> Task<bool> {
+            const auto client = clients.client(0, endpoint);
+            co_return co_await client->acceptsConnections(timeout);
+        };
+    }
+
+    CoordinationSettings coordinationSettings(const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
     {
         CoordinationSettings coordination;
         coordination.host = settings.host.id;
@@ -117,6 +136,7 @@
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
         coordination.seed = seed;
         coordination.mirrors = &mirrors;
+        coordination.samples.reachability = &reachability;
         return coordination;
     }
 
@@ -136,10 +156,13 @@
         , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed, m_bootClock))
         , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings)), *m_protocol, m_clock)
         , m_crashGuard(std::make_shared<CrashGuard>(m_executor, *m_store, m_settings.host.id))
-        , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock)
+        , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
+        , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
+        , m_relay(makeRelay(m_executor, m_settings, m_clock))
+        , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability)
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
-        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, m_metrics, m_clock)
+        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, m_metrics, m_clock, &m_relay)
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
@@ -152,7 +175,7 @@
             m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirrorListen), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
         }
         if (m_settings.parts.coordinating)
-            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_settings, m_mirrorClient, m_seed));
+            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_settings, m_mirrorClient, *m_reachability, m_seed));
     }
 
     ~Implementation() { m_workers.stop(); }
@@ -182,11 +205,12 @@
     bool shutDown()
     {
         logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() } });
+        asio::post(m_executor, [this] { m_relayEndpoint.beginStopping(); });
         if (m_coordination)
             asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
-        bool isDrained = true;
+        bool isDrained = finishRelayedRequests();
         if (m_callerListener)
-            isDrained = drain();
+            isDrained = drain() && isDrained;
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
     }
@@ -255,6 +279,18 @@
         return m_directory.completeAsOf(prefix);
     }
 
+    /// Waits for the requests that this host forwards for others.
+    bool finishRelayedRequests()
+    {
+        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
+        const auto count = [this] { return asio::co_spawn(
+                                        m_executor, [this]() -> Task<std::size_t> { co_return m_relayEndpoint.requestsInFlight(); }, asio::use_future)
+                                        .get(); };
+        while (count() > 0 && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(drainPollInterval);
+        return count() == 0;
+    }
+
     bool drain()
     {
         const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
@@ -312,6 +348,10 @@
     /// Answers requests of other hosts.
     Task<void> serveHosts(ServerRequest& request, ServerResponder& responder)
     {
+        if (request.path == relayPath) {
+            co_await m_relayEndpoint.serve(request, responder);
+            co_return;
+        }
         if (request.path != permitPath) {
             co_await m_mirror->serve(request, responder);
             co_return;
@@ -352,6 +392,7 @@
         // -1: no answer from the store or a mirror yet.
         m_metrics.setGauge("cicadalb_configuration_age_seconds", "Time since the configuration was last known to be the newest", secondsOf(m_directory.configurationAge()));
         m_metrics.setGauge("cicadalb_registry_age_seconds", "Time since the registry of targets was last known to be complete", secondsOf(m_directory.registryAge()));
+        m_metrics.setGauge("cicadalb_cut_off", "1 if this host reaches no target", m_reachability->isCutOff() ? 1 : 0);
         m_metrics.setGauge("cicadalb_targets", "Targets in the registry", static_cast<double>(m_directory.registry().targets().size()));
         m_metrics.setGauge("cicadalb_limited_targets", "Targets that state a limit on requests a second", static_cast<double>(m_permits.limits().size()));
         const auto suspects = m_crashGuard->knownSuspects();
@@ -381,6 +422,7 @@
             { "configuration", view ? view->configuration.version : 0 },
             { "registry-revision", m_directory.registryRevision() },
             { "targets", targets },
+            { "cut-off", m_reachability->isCutOff() },
             { "request-limits", requestLimits },
             { "suspect-requests", suspects },
             { "coordinating", m_coordination && m_coordination->isCoordinating() },
@@ -402,7 +444,10 @@
     SiteDirectory m_directory;
     RequestPermits m_permits;
     std::shared_ptr<CrashGuard> m_crashGuard;
+    std::shared_ptr<TargetReachability> m_reachability;
     RequestForwarder m_forwarder;
+    RequestRelay m_relay;
+    RelayEndpoint m_relayEndpoint;
     SubmissionIntake m_intake;
     ResultReader m_reader;
     SiteEndpoints m_endpoints;
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -9,7 +9,7 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL [MODEL | AUTHORITY/PATH | stream:AUTHORITY/PATH]...", where each path is a route for submissions or streams to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL [MODEL | [KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
 class FakeSiteProtocol final : public SiteProtocol {
 public:
     CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
@@ -20,7 +20,12 @@
         const auto firstAttempt = fieldIn(fields, "Continues");
         return firstAttempt.empty() ? std::nullopt : std::optional(RequestId(std::string(firstAttempt)));
     }
-    HttpRequest forwardedRequest(const HttpRequest& request, const AttemptContext&) const override { return request; }
+    HttpRequest forwardedRequest(const HttpRequest& request, const AttemptContext& context) const override
+    {
+        auto forwarded = request;
+        forwarded.fields.emplace_back("Remaining", std::to_string(context.remainingTime.count()));
+        return forwarded;
+    }
     std::string requestIdentity(const HttpRequest& request) const override { return request.target + "\n" + request.body; }
     HttpFields answerFields(const HttpFields& fields) const override { return fields; }
     Result<Submission> submission(const HttpRequest&) const override { return failure(ErrorCode::SubmissionInvalid, "not used"); }
@@ -69,10 +74,14 @@
                 continue;
             }
             SiteRoute route;
-            constexpr std::string_view streamPrefix = "stream:";
-            route.kind = word.starts_with(streamPrefix) ? RequestKind::Stream : RequestKind::Submission;
-            if (route.kind == RequestKind::Stream)
-                word.erase(0, streamPrefix.size());
+            route.kind = RequestKind::Submission;
+            for (const auto& [prefix, kind] : { std::pair("stream:", RequestKind::Stream), std::pair("idempotent:", RequestKind::Idempotent), std::pair("once:", RequestKind::NonIdempotent) }) {
+                if (word.starts_with(prefix)) {
+                    route.kind = kind;
+                    route.maximumAttempts = 3;
+                    word.erase(0, std::string_view(prefix).size());
+                }
+            }
             route.name = RouteName(word);
             route.authority = word.substr(0, word.find('/'));
             route.pathPrefix = word.substr(word.find('/'));
--- a/packages/hosting/tests/ForwardingFixture.h
+++ b/packages/hosting/tests/ForwardingFixture.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "FakeSiteProtocol.h"
+#include "Pause.h"
 #include "RequestForwarder.h"
 
 #include "cicadalb/services/FakeKeyValueService.h"
 #include "cicadalb/transport/HttpListener.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <catch2/catch.hpp>
@@ -32,7 +34,15 @@
         return "ledger 127.0.0.1:" + std::to_string(m_listener.port()) + " " + state + " draft 1 " + std::to_string(startedAt) + " " + software;
     }
 
+    std::uint16_t port() const { return m_listener.port(); }
+
     std::atomic<bool> isLeaving = false;
+    /// Time before an answer.
+    std::atomic<std::chrono::milliseconds> answerDelay { std::chrono::milliseconds(0) };
+    /// Requests whose caller disconnected before the answer.
+    std::atomic<unsigned> abandoned = 0;
+    /// Value of the last request's field "Remaining".
+    std::atomic<int> remaining = 0;
     /// 0: states no limit.
     std::atomic<unsigned> requestsPerSecond = 0;
     std::atomic<unsigned> requests = 0;
@@ -41,6 +51,11 @@
     Task<void> serve(ServerRequest& request, ServerResponder& responder)
     {
         ++requests;
+        if (const auto field = request.field("Remaining"); !field.empty())
+            remaining = std::stoi(std::string(field));
+        responder.onCallerDisconnected([this] { ++abandoned; });
+        if (answerDelay.load().count() > 0)
+            co_await pause(co_await boost::asio::this_coro::executor, answerDelay.load());
         HttpResponse response;
         response.status = 200;
         response.fields.emplace_back("Id", std::string(request.field("Id")));
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -108,11 +108,17 @@
     /// @brief Tries to connect. @return whether the connection was refused, so that nothing listens there; false if it was accepted or nothing came back
     Task<bool> refusesConnections(std::chrono::milliseconds timeout);
 
+    /// @brief Tries to connect, and closes the connection again. @return whether the server accepted it in time
+    Task<bool> acceptsConnections(std::chrono::milliseconds timeout);
+
     const Endpoint& endpoint() const noexcept;
     std::size_t idleConnections() const;
 
 private:
     struct State;
+    /// @return the error of the attempt, if any
+    Task<boost::system::error_code> tryConnecting(std::chrono::milliseconds timeout);
+
     std::shared_ptr<State> m_state;
 };
 
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -263,18 +263,30 @@
 
 HttpClient::~HttpClient() = default;
 
-Task<bool> HttpClient::refusesConnections(std::chrono::milliseconds timeout)
+Task<boost::system::error_code> HttpClient::tryConnecting(std::chrono::milliseconds timeout)
 {
     beast::tcp_stream stream(m_state->executor);
     beast::error_code error;
     const auto address = asio::ip::make_address(m_state->endpoint.address, error);
     if (error)
-        co_return false;
+        co_return error;
     stream.expires_after(timeout);
     co_await stream.async_connect(asio::ip::tcp::endpoint(address, m_state->endpoint.port), completionToken(error));
+    co_return error;
+}
+
+Task<bool> HttpClient::refusesConnections(std::chrono::milliseconds timeout)
+{
+    const auto error = co_await tryConnecting(timeout);
     co_return error == asio::error::connection_refused;
 }
 
+Task<bool> HttpClient::acceptsConnections(std::chrono::milliseconds timeout)
+{
+    const auto error = co_await tryConnecting(timeout);
+    co_return !error;
+}
+
 const Endpoint& HttpClient::endpoint() const noexcept { return m_state->endpoint; }
 
 std::size_t HttpClient::idleConnections() const
