A coordinator that is cut off from the targets hands over to a candidate that reaches them

What trainers would see: a coordinator that holds its lease but reaches no engine keeps all submissions waiting until the cut ends. Cause: the lease says that its holder reaches the store, which is not what the work needs. Change: a coordinator that has been cut off for a second asks the other candidates, twice a second, whether they reach the targets; each tries to connect to three of them. Once one does, the holder ends its work, releases the lease no sooner than the margin after its last order, and leaves it to the others for five seconds. While nobody reaches targets it keeps the lease.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -31,6 +31,12 @@
     constexpr milliseconds incumbentGracePeriod { 350 };
     /// Time for which a holder tries to reacquire its lapsed lease before it stops its work.
     constexpr milliseconds leaseRegainTimeout { 2500 };
+    /// Time for which a coordinator is cut off from all targets before it asks the other candidates whether they reach them ...
+    constexpr milliseconds minimumCutOffTime { 1000 };
+    /// ... the interval between these questions ...
+    constexpr milliseconds yieldQueryInterval { 500 };
+    /// ... and the time for which it then leaves the lease to them.
+    constexpr milliseconds yieldPeriod { 5000 };
     /// Five renewals within the lease time, so that lost answers do not end the lease.
     constexpr double renewalShare = 0.2;
     /// Time for which samples continue without a valid lease. Nobody can take over while the store is unavailable, and the result log is safe with
@@ -148,6 +154,8 @@
 {
     if (m_sampleRunner || m_lease.fencingNumber())
         return true;
+    if (isYielding())
+        return false;
     // The record was left by an earlier process of this host, whose work ended with that process.
     if (isOwnRecord(m_holder)) {
         m_lease.allowReplacing(m_holderRevision);
@@ -161,6 +169,9 @@
 {
     const auto self = shared_from_this();
     while (!m_isLeaving) {
+        co_await yieldIfCutOff();
+        if (m_isLeaving)
+            break;
         if (mayCampaign())
             (void)co_await m_lease.step();
         updateLeaseState();
@@ -168,6 +179,29 @@
     }
 }
 
+Task<bool> Coordination::isOtherCandidateReachingTargets()
+{
+    bool isReached = false;
+    for (std::size_t candidate = 0; candidate < m_settings.mirrors->mirrorCount() && !isReached; ++candidate)
+        isReached = co_await m_settings.reachesTargets(candidate);
+    co_return isReached;
+}
+
+Task<void> Coordination::yieldIfCutOff()
+{
+    const auto* reachability = m_settings.samples.reachability;
+    const bool canAsk = reachability && m_settings.mirrors && m_settings.reachesTargets;
+    const auto now = m_leaseClock.now();
+    if (!m_sampleRunner || !canAsk || reachability->cutOffTime() < minimumCutOffTime || now < m_nextYieldQueryAt)
+        co_return;
+    m_nextYieldQueryAt = now + yieldQueryInterval;
+    const auto canBeReplaced = co_await isOtherCandidateReachingTargets();
+    if (!canBeReplaced || !m_sampleRunner || m_isLeaving)
+        co_return;
+    m_yieldsUntil = m_leaseClock.now() + yieldPeriod;
+    co_await releaseLease("this host is cut off from the targets, and another candidate is not");
+}
+
 /// Keeps running while maintainLease() waits for an answer from the store.
 Task<void> Coordination::tickPeriodically()
 {
@@ -228,7 +262,7 @@
     else if (m_sampleRunner && isIsolated(now))
         endWork("neither the store nor another candidate can be reached");
     const auto number = m_lease.fencingNumber();
-    if (!m_sampleRunner && number && m_lease.mayAct(Duration::zero()))
+    if (!m_sampleRunner && number && !isYielding() && m_lease.mayAct(Duration::zero()))
         beginWork(*number);
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
@@ -313,7 +347,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
+    return !m_isLeaving && !isYielding() && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::onSiteChanged()
@@ -329,12 +363,17 @@
     const auto self = shared_from_this();
     m_isLeaving = true;
     m_watch->stop();
+    co_await releaseLease("the host hands coordination over");
+}
+
+Task<void> Coordination::releaseLease(std::string_view reason)
+{
     const auto now = m_clock.now();
     const auto lastOrderAt = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
     if (lastOrderAt && now < *lastOrderAt + orderMargin)
         co_await pause(m_executor, *lastOrderAt + orderMargin - now);
     if (m_sampleRunner)
-        endWork("the host hands coordination over");
+        endWork(reason);
     if (m_lease.fencingNumber())
         co_await m_lease.release();
 }
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -29,6 +29,8 @@
     std::uint64_t seed = 0;
     /// Client of the other candidates' mirrors, or null. Must outlive the coordination.
     MirrorClient* mirrors = nullptr;
+    /// Asks another candidate, by its index in @c mirrors, whether it reaches the targets. Empty: a coordinator that is cut off from them keeps its lease.
+    std::function<Task<bool>(std::size_t candidate)> reachesTargets;
     /// Clock of the lease; null selects a BootClock. Must outlive the coordination.
     const Clock* leaseClock = nullptr;
 };
@@ -36,7 +38,8 @@
 /// @brief A candidate for the coordinator's lease. It requests the lease only while its watch shows that nobody, or an earlier process of this
 /// host, holds it. After the lease has lapsed because the store was unavailable, the previous holder requests it first and continues its work
 /// if no other host has held it in between. A holder that cannot reach the store asks the other candidates who holds the lease, since the
-/// store may be refusing this host only. Bound to one event loop.
+/// store may be refusing this host only. A holder that is cut off from all targets gives the lease up once another candidate states that it reaches them.
+/// Bound to one event loop.
 class Coordination : public std::enable_shared_from_this<Coordination> {
 public:
     Coordination(boost::asio::any_io_executor, TransactionalStore&, const SiteProtocol&, SiteDirectory&, TargetClients&, RequestPermits&, CrashGuard&, const Clock&, CoordinationSettings);
@@ -67,6 +70,12 @@
 
 private:
     Task<void> maintainLease();
+    /// Gives the lease up if this host is cut off from the targets and another candidate is not.
+    Task<void> yieldIfCutOff();
+    Task<bool> isOtherCandidateReachingTargets();
+    bool isYielding() const { return m_leaseClock.now() < m_yieldsUntil; }
+    /// Ends the work and releases the lease, no earlier than orderMargin after the last order.
+    Task<void> releaseLease(std::string_view reason);
     Task<void> tickPeriodically();
     void applyHolderRecords(const WatchResult&, bool isSnapshot);
     bool isOwnRecord(const std::string& holder) const;
@@ -117,6 +126,9 @@
     TimePoint m_ordersAllowedFrom;
     TimePoint m_leaseLastValidAt;
     TimePoint m_nextQueryAt;
+    TimePoint m_nextYieldQueryAt;
+    /// Until when this host leaves the lease to other candidates.
+    TimePoint m_yieldsUntil;
     /// Time of the last reply from another candidate, or of the first query if none has replied; empty while the lease is valid.
     std::optional<TimePoint> m_lastReplyAt;
     std::function<void(const RecordUpdate&)> m_updateHandler;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -2,6 +2,7 @@
 
 #include "Coordination.h"
 #include "CrashGuard.h"
+#include "HostCall.h"
 #include "MirrorClient.h"
 #include "Pause.h"
 #include "RecordMirror.h"
@@ -49,6 +50,11 @@
     /// Longer than the 12 s (four fifths of the site's limit of 15 s) for which callers reuse idle connections.
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
+    /// Asks a host whether it reaches the targets.
+    constexpr std::string_view reachabilityPath = "/reachability";
+    constexpr std::string_view reachableReply = "reachable";
+    /// Covers the probe of the targets; a lease is renewed between two questions.
+    constexpr milliseconds reachabilityQueryTimeout = 2 * TargetReachability::probeTimeout + milliseconds(50);
     constexpr milliseconds retirementRetryDelay { 300 };
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
@@ -126,7 +132,18 @@
         };
     }
 
-    CoordinationSettings coordinationSettings(const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
+    /// Asks the candidates whether they reach the targets. @return false if a candidate does not reply
+    std::function<Task<bool>(std::size_t)> makeReachabilityQuery(const asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
+    {
+        const auto ask = [](std::shared_ptr<HttpClient> client) -> Task<bool> {
+            HostCall call { reachabilityPath, {}, reachabilityQueryTimeout };
+            const auto reply = co_await callHost(std::move(client), std::move(call));
+            co_return reply&& reply.value() == reachableReply;
+        };
+        return [ask, clients = makeHostClients(executor, endpoints)](std::size_t candidate) { return ask(clients[candidate]); };
+    }
+
+    CoordinationSettings coordinationSettings(const asio::any_io_executor& executor, const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
     {
         CoordinationSettings coordination;
         coordination.host = settings.host.id;
@@ -137,6 +154,7 @@
         coordination.seed = seed;
         coordination.mirrors = &mirrors;
         coordination.samples.reachability = &reachability;
+        coordination.reachesTargets = makeReachabilityQuery(executor, otherCandidates(settings));
         return coordination;
     }
 
@@ -175,7 +193,7 @@
             m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirrorListen), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
         }
         if (m_settings.parts.coordinating)
-            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_settings, m_mirrorClient, *m_reachability, m_seed));
+            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_executor, m_settings, m_mirrorClient, *m_reachability, m_seed));
     }
 
     ~Implementation() { m_workers.stop(); }
@@ -352,6 +370,14 @@
             co_await m_relayEndpoint.serve(request, responder);
             co_return;
         }
+        if (request.path == reachabilityPath) {
+            const auto isReached = co_await m_reachability->reachesTargets();
+            HttpResponse answer;
+            answer.status = 200;
+            answer.body = isReached ? reachableReply : "cut-off";
+            co_await responder.send(std::move(answer));
+            co_return;
+        }
         if (request.path != permitPath) {
             co_await m_mirror->serve(request, responder);
             co_return;
--- a/packages/hosting/src/TargetReachability.cpp
+++ b/packages/hosting/src/TargetReachability.cpp
@@ -51,6 +51,15 @@
     setReachable();
 }
 
+Task<bool> TargetReachability::reachesTargets()
+{
+    const auto self = shared_from_this();
+    if (m_lastAnswerAt && m_clock.now() < *m_lastAnswerAt + answerValidity)
+        co_return true;
+    const auto isReached = co_await reachesAny(drawTargets({}));
+    co_return isReached;
+}
+
 std::vector<Endpoint> TargetReachability::drawTargets(const TargetId& excluded)
 {
     std::vector<Endpoint> endpoints;
--- a/packages/hosting/src/TargetReachability.h
+++ b/packages/hosting/src/TargetReachability.h
@@ -33,6 +33,10 @@
 
     /// @brief Whether no target could be reached when it was last tried.
     bool isCutOff() const noexcept { return m_cutOffSince.has_value(); }
+    /// @brief Time for which no target could be reached; zero if one can.
+    Duration cutOffTime() const { return m_cutOffSince ? m_clock.now() - *m_cutOffSince : Duration::zero(); }
+    /// @brief Whether a target has answered lately or accepts a connection now.
+    Task<bool> reachesTargets();
     /// @brief Records that a target has answered a request of this host.
     void recordAnswer();
     /// @brief Finds out, after an attempt at a target has failed, whether the fault is the connection of this host. @return isCutOff()
