--- a/packages/hosting/src/RelayMessages.cpp
+++ b/packages/hosting/src/RelayMessages.cpp
@@ -1,7 +1,6 @@
 #include "RelayMessages.h"
 
 #include "cicadalb/base/CborRecord.h"
-#include "cicadalb/base/EnumTable.h"
 
 namespace cicadalb {
 
@@ -12,13 +11,6 @@
 
     constexpr std::string_view messageName = "relay message";
 
-    constexpr auto stateNames = std::to_array<EnumName<ForwardState>>({
-        { ForwardState::Answered, "answered" },
-        { ForwardState::NotRun, "not-run" },
-        { ForwardState::Unknown, "unknown" },
-        { ForwardState::Abandoned, "abandoned" },
-    });
-
     Json toJson(const HttpFields& fields)
     {
         // Field values may hold bytes that are not valid UTF-8.
@@ -74,7 +66,7 @@
 std::string encodeRelayReply(const RelayReply& reply)
 {
     const auto& outcome = reply.outcome;
-    return toCbor({ { "forwarded", reply.hasForwarded }, { "state", nameIn(stateNames, outcome.state) }, { "status", outcome.answer.status }, { "fields", toJson(outcome.answer.fields) },
+    return toCbor({ { "forwarded", reply.hasForwarded }, { "state", name(outcome.state) }, { "status", outcome.answer.status }, { "fields", toJson(outcome.answer.fields) },
         { "body", binaryValue(outcome.answer.body) }, { "retry-after-ms", std::chrono::duration_cast<milliseconds>(outcome.retryAfter).count() }, { "attempts", outcome.attempts }, { "release", toJson(outcome.release) },
         { "cause", outcome.cause } });
 }
@@ -82,7 +74,7 @@
 Result<RelayReply> decodeRelayReply(std::string_view body)
 {
     return readCbor<RelayReply>(body, std::string(messageName), [](const Json& json) -> Result<RelayReply> {
-        const auto state = valueIn(stateNames, json.at("state").get_ref<const std::string&>());
+        const auto state = forwardStateNamed(json.at("state").get_ref<const std::string&>());
         if (!state)
             return failure(ErrorCode::RecordInvalid, "the state is not known", std::string(messageName));
         RelayReply reply;
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -58,6 +58,7 @@
 } // namespace
 
 std::string_view name(ForwardState state) noexcept { return nameIn(stateNames, state); }
+std::optional<ForwardState> forwardStateNamed(std::string_view name) noexcept { return valueIn(stateNames, name); }
 
 const PoolName& choosePool(const SiteRoute& route, double fraction)
 {
@@ -184,7 +185,7 @@
     co_return false;
 }
 
-Task<bool> RequestForwarder::isOwnFailure(const RegisteredTarget& target, const Attempt& attempt, TimePoint deadline)
+Task<bool> RequestForwarder::updateReachability(const RegisteredTarget& target, const Attempt& attempt, TimePoint deadline)
 {
     const bool hasFailed = attempt.response.status == 0 && (attempt.kind == CompletionKind::Lost || attempt.kind == CompletionKind::NotRun);
     if (!m_reachability)
@@ -350,7 +351,7 @@
     const bool hasTimedOut = m_clock.now() >= timeout;
     const Completion completion { result.kind, latency, m_clock.now() >= request.deadline };
     logAttempt(request, target, result, latency);
-    const bool isCutOff = co_await isOwnFailure(target, result, request.deadline);
+    const bool isCutOff = co_await updateReachability(target, result, request.deadline);
     balancer->recordCompletion(target.id, isCutOff ? abandoned : completion);
     if (result.answer == AnswerKind::Answered && request.fingerprint && m_crashGuard.hasSuspects())
         m_crashGuard.recordAnswer(request.fingerprint());
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -30,6 +30,8 @@
 };
 
 std::string_view name(ForwardState) noexcept;
+/// @return the state with this name, or nothing
+std::optional<ForwardState> forwardStateNamed(std::string_view) noexcept;
 
 struct ForwardOutcome {
     ForwardState state = ForwardState::NotRun;
@@ -82,8 +84,8 @@
     bool shouldRelay(const ForwardRequest&, const Progress&) const;
     /// Has the request forwarded by another host. @return whether an attempt from this host makes sense
     Task<bool> relay(const ForwardRequest&, Progress&);
-    /// Whether an attempt failed because this host is cut off from the targets.
-    Task<bool> isOwnFailure(const RegisteredTarget&, const Attempt&, TimePoint deadline);
+    /// Updates what is known about this host's connection to the targets. @return whether the attempt failed because the host is cut off
+    Task<bool> updateReachability(const RegisteredTarget&, const Attempt&, TimePoint deadline);
     static bool hasRequiredRelease(const ForwardRequest&, const RegisteredTarget&);
     RequestRequirements requirementsOf(const ForwardRequest&, const Progress&) const;
     static bool conclude(const SiteRoute&, Progress&, Attempt&);
--- /dev/null
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -0,0 +1,41 @@
+#include "SampleRunner.h"
+
+#include "cicadalb/base/Event.h"
+
+/// @file
+/// Log lines of SampleRunner.
+
+namespace cicadalb {
+
+void SampleRunner::logIgnoredRecord(const std::string& key, Revision revision, const Error& error)
+{
+    logEvent(Event::RecordIgnored, { { "key", key }, { "revision", std::to_string(revision) }, { "cause", error.message } });
+}
+
+void SampleRunner::logSubmissionOpened(const OpenSubmission& entry, UnixTime age) const
+{
+    const auto& submission = entry.submission;
+    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) }, { "accepted-under", std::to_string(submission.acceptedUnder) }, { "configuration", std::to_string(entry.view->configuration.version) } });
+}
+
+void SampleRunner::logSubmissionClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
+{
+    logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) } });
+}
+
+void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const RunRecord& run, RunOutcome end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
+{
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) }, { "cause", cause } });
+}
+
+void SampleRunner::logRewardCall(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
+{
+    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
+}
+
+void SampleRunner::logAppend(const OpenSubmission& entry, std::size_t results, const std::string& failure) const
+{
+    logEvent(Event::ResultsAppended, { { "submission", entry.submission.id.value() }, { "results", std::to_string(results) }, { "segments", std::to_string(entry.log->segments()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "failure", failure } });
+}
+
+} // namespace cicadalb
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -203,12 +203,12 @@
         };
     }
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
-    const auto attempt = forwarded.id;
+    const auto attemptId = forwarded.id;
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
     EndpointResult result;
     if (outcome.state == ForwardState::Answered) {
         if (route.kind == RequestKind::Stream && !continued)
-            m_streamOrigins.record(attempt, outcome.release);
+            m_streamOrigins.record(attemptId, outcome.release);
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
--- a/packages/hosting/tests/ForwardingFixture.h
+++ b/packages/hosting/tests/ForwardingFixture.h
@@ -37,6 +37,8 @@
     std::uint16_t port() const { return m_listener.port(); }
 
     std::atomic<bool> isLeaving = false;
+    /// The answers do not name the request that they belong to.
+    std::atomic<bool> isSpoilingAnswers = false;
     /// Time before an answer.
     std::atomic<std::chrono::milliseconds> answerDelay { std::chrono::milliseconds(0) };
     /// Requests whose caller disconnected before the answer.
@@ -58,7 +60,8 @@
             co_await pause(co_await boost::asio::this_coro::executor, answerDelay.load());
         HttpResponse response;
         response.status = 200;
-        response.fields.emplace_back("Id", std::string(request.field("Id")));
+        if (!isSpoilingAnswers)
+            response.fields.emplace_back("Id", std::string(request.field("Id")));
         if (isLeaving)
             response.fields.emplace_back("Leaving", "1");
         if (requestsPerSecond > 0)
--- a/packages/hosting/tests/unit-continued-stream.cpp
+++ b/packages/hosting/tests/unit-continued-stream.cpp
@@ -1,4 +1,5 @@
 #include "ForwardingFixture.h"
+#include "RecordingResponder.h"
 #include "SiteEndpoints.h"
 
 using namespace cicadalb;
@@ -6,22 +7,6 @@
 
 namespace {
 
-class RecordingResponder final : public ServerResponder {
-public:
-    HttpResponse response;
-
-    Task<bool> send(HttpResponse sent) override
-    {
-        response = std::move(sent);
-        co_return true;
-    }
-    Task<bool> beginStream(HttpResponse) override { co_return false; }
-    Task<bool> writeChunk(std::string_view) override { co_return false; }
-    Task<bool> endStream(HttpFields) override { co_return false; }
-    bool hasBegun() const noexcept override { return false; }
-    void onCallerDisconnected(std::function<void()>) override { }
-};
-
 /// A host with a route for streams to two targets.
 struct ContinuedStreamFixture : ForwardingFixture {
     SubmissionIntake intake { store };
--- a/packages/hosting/tests/unit-cut-off-host.cpp
+++ b/packages/hosting/tests/unit-cut-off-host.cpp
@@ -1,6 +1,8 @@
 #include "ForwardingFixture.h"
+#include "RecordingResponder.h"
 #include "RequestRelay.h"
 #include "SiteEndpoints.h"
+#include "common/TcpRelay.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -53,23 +55,6 @@
     };
 }
 
-class RecordingResponder final : public ServerResponder {
-public:
-    HttpResponse response;
-    std::function<void()> disconnect;
-
-    Task<bool> send(HttpResponse sent) override
-    {
-        response = std::move(sent);
-        co_return true;
-    }
-    Task<bool> beginStream(HttpResponse) override { co_return false; }
-    Task<bool> writeChunk(std::string_view) override { co_return false; }
-    Task<bool> endStream(HttpFields) override { co_return false; }
-    bool hasBegun() const noexcept override { return false; }
-    void onCallerDisconnected(std::function<void()> handler) override { disconnect = std::move(handler); }
-};
-
 /// The fixture's host forwards requests for another one, which has a registry with other addresses of the same targets.
 struct CutOffHostFixture : ForwardingFixture {
     boost::asio::any_io_executor executor = workers.context(0).get_executor();
@@ -149,6 +134,24 @@
         return responder->response;
     }
 
+    /// Sends a request; while a target runs it, the connections to all targets break, and new ones are refused from then on.
+    HttpResponse callAndBreakConnections(const std::string& path, const std::string& id)
+    {
+        auto firstPath = std::make_unique<TcpRelay>(first.port());
+        auto secondPath = std::make_unique<TcpRelay>(second.port());
+        expectTargetsAt(firstPath->port(), secondPath->port());
+        first.answerDelay = 300ms;
+        second.answerDelay = 300ms;
+        const auto responder = std::make_shared<RecordingResponder>();
+        auto served = boost::asio::co_spawn(executor, serve(path, id, responder), boost::asio::use_future);
+        while (requests() == 0)
+            std::this_thread::sleep_for(5ms);
+        firstPath.reset();
+        secondPath.reset();
+        served.get();
+        return responder->response;
+    }
+
     unsigned requests() const { return first.requests + second.requests; }
     bool isCutOff()
     {
@@ -185,6 +188,58 @@
     CHECK_FALSE(cutOffCrashGuard->hasSuspects());
 }
 
+TEST_CASE_METHOD(CutOffHostFixture, "host whose connections to all targets break and are then refused, takes no target for crashed and has the request run elsewhere")
+{
+    const auto response = callAndBreakConnections("/lookup/1", "a");
+    CHECK(isCutOff());
+    CHECK(response.status == 200);
+    CHECK_FALSE(cutOffCrashGuard->hasSuspects());
+    CHECK(cutOffStore.entries().size() == 3);
+}
+
+TEST_CASE_METHOD(CutOffHostFixture, "host that is cut off during an attempt, leaves only the remaining attempts to the helper")
+{
+    std::vector<unsigned> attemptsLeft;
+    RequestRelay recording(
+        1, 0, [&](std::size_t, RelayRequest request, std::shared_ptr<HttpCancellation>) -> Task<Result<RelayReply>> {
+        attemptsLeft.push_back(request.attemptsLeft);
+        RelayReply reply;
+        reply.hasForwarded = true;
+        co_return reply; }, clock);
+    endpoints = std::make_unique<SiteEndpoints>(SiteEndpointsOptions { HostId("cut-off"), 1 }, cutOffDirectory, protocol, cutOffForwarder, intake, reader, metrics, clock, &recording);
+    (void)callAndBreakConnections("/lookup/1", "a");
+    CHECK(call("/lookup/1", "b").status == 503);
+    // The route permits three attempts.
+    CHECK(attemptsLeft == std::vector<unsigned> { 2, 3 });
+}
+
+TEST_CASE_METHOD(CutOffHostFixture, "helper whose targets fail, sends the request to no more targets than the sender has left")
+{
+    first.isSpoilingAnswers = true;
+    second.isSpoilingAnswers = true;
+    const auto exchange = makeHttpRelayExchange(executor, { { "127.0.0.1", helper.port() } });
+    const auto ask = [&](RelayRequest request) -> Task<std::optional<RelayReply>> {
+        auto reply = co_await exchange(0, std::move(request), nullptr);
+        if (!reply)
+            co_return std::nullopt;
+        co_return std::move(reply.value());
+    };
+    for (const unsigned attemptsLeft : { 1U, 2U }) {
+        const auto before = requests();
+        RelayRequest request;
+        request.message = { "POST", "/lookup/1", { { "Host", "app.example" }, { "Id", "a" } }, "", false };
+        request.pool = PoolName("ledger");
+        request.remainingTime = 5s;
+        request.attemptsLeft = attemptsLeft;
+        const auto reply = boost::asio::co_spawn(executor, ask(request), boost::asio::use_future).get();
+        REQUIRE(reply);
+        CHECK(reply->hasForwarded);
+        CHECK(reply->outcome.state == ForwardState::Unknown);
+        CHECK(reply->outcome.attempts == attemptsLeft);
+        CHECK(requests() == before + attemptsLeft);
+    }
+}
+
 TEST_CASE_METHOD(CutOffHostFixture, "target that has failed while another accepts connections, requests do not go through another host")
 {
     expectTargetsAt(refusingPort(), second.port());
--- a/packages/hosting/tests/unit-site-endpoints.cpp
+++ b/packages/hosting/tests/unit-site-endpoints.cpp
@@ -1,4 +1,5 @@
 #include "FakeSiteProtocol.h"
+#include "RecordingResponder.h"
 #include "SiteEndpoints.h"
 
 #include "cicadalb/services/FakeKeyValueService.h"
@@ -11,23 +12,6 @@
 
 namespace {
 
-/// Keeps the response.
-class RecordingResponder final : public ServerResponder {
-public:
-    HttpResponse response;
-
-    Task<bool> send(HttpResponse sent) override
-    {
-        response = std::move(sent);
-        co_return true;
-    }
-    Task<bool> beginStream(HttpResponse) override { co_return false; }
-    Task<bool> writeChunk(std::string_view) override { co_return false; }
-    Task<bool> endStream(HttpFields) override { co_return false; }
-    bool hasBegun() const noexcept override { return false; }
-    void onCallerDisconnected(std::function<void()>) override { }
-};
-
 /// A host that has configuration 4, without routes.
 struct EndpointsFixture {
     boost::asio::io_context context;
