--- a/packages/hosting/tests/unit-cut-off-host.cpp
+++ b/packages/hosting/tests/unit-cut-off-host.cpp
@@ -146,8 +146,11 @@
         auto served = boost::asio::co_spawn(executor, serve(path, id, responder), boost::asio::use_future);
         while (requests() == 0)
             std::this_thread::sleep_for(5ms);
-        firstPath.reset();
-        secondPath.reset();
+        // The connection of the request last, so that no target can be reached when it breaks.
+        auto& carrying = first.requests > 0 ? firstPath : secondPath;
+        auto& other = first.requests > 0 ? secondPath : firstPath;
+        other.reset();
+        carrying.reset();
         served.get();
         return responder->response;
     }
