Streams go on at the software that began them, also after all hosts were killed

Cause: a host that did not know a stream trusted that its pool had had one version since its own start. State that outlives the process was kept in the process.

Now each route has a default release in the store: streams without a record began there. Requests that do not name the first attempt, or whose last event cannot be read, are answered 400; a version that is gone is refused as not run at once.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -51,6 +51,8 @@
     TargetsUnreachable = 415,
     TargetsReachable = 416,
     RequestRelayed = 417,
+    StreamNotRecorded = 418,
+    DefaultReleaseChanged = 419,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -122,6 +122,8 @@
         { Event::TargetsUnreachable, "targets-unreachable", Level::Warning },
         { Event::TargetsReachable, "targets-reachable", Level::Info },
         { Event::RequestRelayed, "request-relayed", Level::Info },
+        { Event::StreamNotRecorded, "stream-not-recorded", Level::Warning },
+        { Event::DefaultReleaseChanged, "default-release-changed", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -15,6 +15,8 @@
 struct SiteHostSettings {
     HostId id;
     FailureDomain failureDomain;
+    /// Whether the whole site starts for the first time, so that no host of an earlier build runs beside this one.
+    bool isFirstStart = false;
 };
 
 struct SiteAddressSettings {
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -20,6 +20,7 @@
         static const Fields<SiteHostSettings> fields {
             { "id", &SiteHostSettings::id, Presence::Required, detail::checkIdentifier<HostTag> },
             { "failure-domain", &SiteHostSettings::failureDomain, Presence::Required, detail::checkIdentifier<FailureDomainTag> },
+            { "first-start", &SiteHostSettings::isFirstStart, Presence::Optional },
         };
         return fields;
     }
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -321,6 +321,8 @@
     m_directory.setImmediateUpdates(true);
     m_sampleRunner->start();
     m_weightOrders->start();
+    m_defaultReleases = std::make_shared<DefaultReleases>(m_executor, m_store, m_directory, m_clock, m_settings.isFirstStart);
+    m_defaultReleases->start();
 }
 
 void Coordination::shortenQuietPeriod()
@@ -337,8 +339,10 @@
 void Coordination::endWork(std::string_view reason)
 {
     logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
+    m_defaultReleases->stop();
     m_weightOrders->stop();
     m_sampleRunner->stop();
+    m_defaultReleases.reset();
     m_weightOrders.reset();
     m_sampleRunner.reset();
     m_permits.endGranting();
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "DefaultReleases.h"
 #include "SampleRunner.h"
 #include "WeightOrders.h"
 
@@ -24,6 +25,8 @@
     std::chrono::milliseconds leaseTimeToLive { 1600 };
     /// Time without weight orders between two holders of the lease.
     std::chrono::milliseconds orderQuietPeriod { 3000 };
+    /// Whether the whole site starts for the first time.
+    bool isFirstStart = false;
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
     std::uint64_t seed = 0;
@@ -132,6 +135,7 @@
     /// Time of the last reply from another candidate, or of the first query if none has replied; empty while the lease is valid.
     std::optional<TimePoint> m_lastReplyAt;
     std::function<void(const RecordUpdate&)> m_updateHandler;
+    std::shared_ptr<DefaultReleases> m_defaultReleases;
     std::shared_ptr<SampleRunner> m_sampleRunner;
     std::shared_ptr<WeightOrders> m_weightOrders;
 };
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -333,6 +333,8 @@
         // The balancer returns an excluded target only if there is no other one.
         balancer->recordCompletion(admission.target, abandoned);
         outcome.cause = "no target runs the software that began the stream";
+        // A target that was restarted or missing for a moment is registered again by then.
+        outcome.retryAfter = TargetRegistry::reregistrationGracePeriod;
         co_return false;
     }
     const auto target = *registered;
--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -26,11 +26,6 @@
         co_return decodeRelayReply(body.value());
     }
 
-    bool hasPool(const SiteRoute& route, const PoolName& pool)
-    {
-        return std::any_of(route.pools.begin(), route.pools.end(), [&](const auto& share) { return share.pool == pool; });
-    }
-
     const SiteRoute* routeOf(const SiteView& view, const HttpRequest& message)
     {
         return view.routes.find(fieldIn(message.fields, "Host"), std::string_view(message.target).substr(0, message.target.find('?')));
@@ -142,7 +137,7 @@
     auto route = *known;
     route.maximumAttempts = std::min(route.maximumAttempts, request.attemptsLeft);
     auto forwarded = makeForwardRequest(request.message, route, m_protocol);
-    forwarded.pool = hasPool(route, request.pool) ? request.pool : choosePool(route, 0);
+    forwarded.pool = route.hasPool(request.pool) ? request.pool : choosePool(route, 0);
     forwarded.deadline = receivedAt + request.remainingTime - replyMargin;
     forwarded.requiredRelease = request.requiredRelease;
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -23,6 +23,8 @@
 
     /// Retry-After of requests that failed because the store or the configuration was unavailable.
     constexpr milliseconds dependencyRetryAfter { 300 };
+    /// Longest time for which the beginning of a stream waits for the store to record the software that began it.
+    constexpr milliseconds maximumRecordWait { 1000 };
     /// Limit on the text in one page of results; the platform allows 1 MB of results.
     constexpr std::size_t maximumPageBytes = std::size_t { 900 } << 10U;
 
@@ -77,13 +79,14 @@
 
 } // namespace
 
-SiteEndpoints::SiteEndpoints(SiteEndpointsOptions options, SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, SubmissionIntake& intake, ResultReader& reader, Metrics& metrics, const Clock& clock, RequestRelay* relay)
+SiteEndpoints::SiteEndpoints(SiteEndpointsOptions options, SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, SubmissionIntake& intake, ResultReader& reader, StreamOrigins& streamOrigins, Metrics& metrics, const Clock& clock, RequestRelay* relay)
     : m_options(std::move(options))
     , m_directory(directory)
     , m_protocol(protocol)
     , m_forwarder(forwarder)
     , m_intake(intake)
     , m_reader(reader)
+    , m_streamOrigins(streamOrigins)
     , m_metrics(metrics)
     , m_clock(clock)
     , m_relay(relay)
@@ -168,15 +171,21 @@
     co_return result;
 }
 
-std::optional<SoftwareRelease> SiteEndpoints::releaseToContinue(const RequestId& firstAttempt, const SiteRoute& route) const
+Task<std::optional<SiteEndpoints::EndpointResult>> SiteEndpoints::requireOrigin(ForwardRequest& request, const ContinuedStream& continued)
 {
-    if (auto known = m_streamOrigins.find(firstAttempt))
-        return known;
-    if (route.pools.size() != 1)
-        return std::nullopt;
-    const auto& pool = route.pools.front().pool;
-    const auto version = m_directory.registry().onlySoftwareVersion(pool);
-    return version ? std::optional(SoftwareRelease { pool, *version }) : std::nullopt;
+    if (continued.firstAttempt.isEmpty() || !continued.lastEventId)
+        co_return makeRefusal(statusBadRequest, continued.lastEventId ? "the request does not name the attempt that began the stream" : "the number of the last event cannot be read", {});
+    const auto origin = co_await m_streamOrigins.find(*request.route, continued.firstAttempt);
+    if (!origin)
+        co_return makeRefusal(statusUnavailable, "the request was not run: the software that began the stream cannot be looked up: " + origin.error().message, dependencyRetryAfter);
+    const auto& release = origin.value();
+    if (!release || release->version.isEmpty())
+        co_return makeRefusal(statusUnavailable, "the request was not run: it is not known which software began the stream", {});
+    if (!request.route->hasPool(release->pool))
+        co_return makeRefusal(statusUnavailable, "the request was not run: the stream began in a pool that the route no longer has", {});
+    request.requiredRelease = *release;
+    request.pool = release->pool;
+    co_return std::nullopt;
 }
 
 Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView> view, const SiteRoute& route, TimePoint receivedAt, ServerResponder& responder)
@@ -187,10 +196,9 @@
     forwarded.pool = choosePool(route, randomUnit(m_random));
     const auto continued = route.kind == RequestKind::Stream ? m_protocol.continuedStream(request.fields) : std::nullopt;
     if (continued) {
-        forwarded.requiredRelease = releaseToContinue(*continued, route);
-        if (!forwarded.requiredRelease)
-            co_return makeRefusal(statusUnavailable, "the request was not run: this host does not know the software that began the stream", dependencyRetryAfter);
-        forwarded.pool = forwarded.requiredRelease->pool;
+        auto refusal = co_await requireOrigin(forwarded, *continued);
+        if (refusal)
+            co_return std::move(*refusal);
     }
     // A host sends few requests to each target, and a new connection for each request would occupy one of the target's connection slots for a while.
     forwarded.affinity = placementHash(m_options.host.value());
@@ -207,8 +215,8 @@
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
     EndpointResult result;
     if (outcome.state == ForwardState::Answered) {
-        if (route.kind == RequestKind::Stream && !continued)
-            m_streamOrigins.record(attemptId, outcome.release);
+        if (route.kind == RequestKind::Stream && !continued && outcome.answer.status == statusOk)
+            (void)co_await m_streamOrigins.record(route, attemptId, outcome.release, maximumRecordWait);
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -25,7 +25,7 @@
 class SiteEndpoints {
 public:
     /// @param relay null: requests are not sent through other hosts
-    SiteEndpoints(SiteEndpointsOptions, SiteDirectory&, const SiteProtocol&, RequestForwarder&, SubmissionIntake&, ResultReader&, Metrics&, const Clock&, RequestRelay* relay = nullptr);
+    SiteEndpoints(SiteEndpointsOptions, SiteDirectory&, const SiteProtocol&, RequestForwarder&, SubmissionIntake&, ResultReader&, StreamOrigins&, Metrics&, const Clock&, RequestRelay* relay = nullptr);
 
     Task<void> serve(ServerRequest&, ServerResponder&);
     /// @brief Makes the host report itself as not ready, before it stops.
@@ -44,8 +44,8 @@
     Task<EndpointResult> dispatch(const HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> handleRouted(const HttpRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, TimePoint receivedAt, ServerResponder&);
-    /// The software that has to continue a stream, or nothing if this host does not know it.
-    std::optional<SoftwareRelease> releaseToContinue(const RequestId& firstAttempt, const SiteRoute&) const;
+    /// Makes a request that continues a stream go to the software that began it. @return why it cannot be continued, or nothing
+    Task<std::optional<EndpointResult>> requireOrigin(ForwardRequest&, const ContinuedStream&);
     Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&);
     Task<EndpointResult> readResults(const CallerRequest&);
     Task<EndpointResult> readItem(const CallerRequest&);
@@ -60,11 +60,11 @@
     RequestForwarder& m_forwarder;
     SubmissionIntake& m_intake;
     ResultReader& m_reader;
+    StreamOrigins& m_streamOrigins;
     Metrics& m_metrics;
     const Clock& m_clock;
     RequestRelay* m_relay;
     Random m_random;
-    StreamOrigins m_streamOrigins;
     bool m_isStopping = false;
 };
 
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -149,6 +149,7 @@
         coordination.host = settings.host.id;
         coordination.leaseTimeToLive = settings.work.leaseTimeToLive;
         coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
+        coordination.isFirstStart = settings.host.isFirstStart;
         coordination.samples.resultRetention = settings.work.resultRetention;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
         coordination.seed = seed;
@@ -180,7 +181,8 @@
         , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability)
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
-        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, m_metrics, m_clock, &m_relay)
+        , m_streamOrigins(std::make_shared<StreamOrigins>(m_executor, *m_store, m_bootClock))
+        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
@@ -424,6 +426,8 @@
         const auto suspects = m_crashGuard->knownSuspects();
         m_metrics.setGauge("cicadalb_suspect_requests", "Requests under which two targets or more have crashed", static_cast<double>(suspects.size()));
         m_metrics.setGauge("cicadalb_blocked_requests", "Requests that are refused because targets crash under them", static_cast<double>(std::count_if(suspects.begin(), suspects.end(), [](const auto& suspect) { return suspect.isBlocked; })));
+        m_metrics.setGauge("cicadalb_stream_records_waiting", "Records of streams that the store has not accepted yet", static_cast<double>(m_streamOrigins->waitingRecords()));
+        m_metrics.setGauge("cicadalb_stream_records_stored", "Records of streams stored since the start", static_cast<double>(m_streamOrigins->storedRecords()));
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
@@ -476,6 +480,7 @@
     RelayEndpoint m_relayEndpoint;
     SubmissionIntake m_intake;
     ResultReader m_reader;
+    std::shared_ptr<StreamOrigins> m_streamOrigins;
     SiteEndpoints m_endpoints;
     HttpListener m_adminListener;
     std::shared_ptr<RecordMirror> m_mirror;
--- a/packages/site/include/cicadalb/site/SiteConfiguration.h
+++ b/packages/site/include/cicadalb/site/SiteConfiguration.h
@@ -59,6 +59,8 @@
     /// Whether the whole text of a sample has to come from one weight version.
     bool requiresSingleVersion = false;
     std::vector<PoolShare> pools;
+
+    bool hasPool(const PoolName&) const noexcept;
 };
 
 struct SitePool {
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -41,6 +41,14 @@
     std::chrono::milliseconds maximumWait { 0 };
 };
 
+/// @brief What a request that continues a stream states about the part that its caller has.
+struct ContinuedStream {
+    /// The caller's attempt that received the stream's first event; empty if the request does not name it.
+    RequestId firstAttempt;
+    /// Number of the last event that the caller has; nothing if it cannot be read.
+    std::optional<std::uint64_t> lastEventId;
+};
+
 /// @brief What an attempt tells the target in addition to the caller's request.
 struct AttemptContext {
     /// Target that the request is meant for; any other refuses it.
@@ -95,8 +103,8 @@
     virtual RequestId attemptId(const HttpFields&) const = 0;
     /// @brief Time that the caller will wait for the answer, if it states one.
     virtual std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const = 0;
-    /// @brief For a request that continues a stream, the caller's attempt that received the stream's first event (empty if the caller does not name it).
-    virtual std::optional<RequestId> continuedStream(const HttpFields&) const = 0;
+    /// @return nothing for a request that does not continue a stream
+    virtual std::optional<ContinuedStream> continuedStream(const HttpFields&) const = 0;
     /// @brief The caller's request as it is sent to a target.
     virtual HttpRequest forwardedRequest(const HttpRequest&, const AttemptContext&) const = 0;
     /// @brief Text that is equal each time the same caller sends the same request.
--- a/packages/site/include/cicadalb/site/TargetRegistry.h
+++ b/packages/site/include/cicadalb/site/TargetRegistry.h
@@ -6,8 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -57,9 +55,6 @@
     const RegisteredTarget* find(const TargetId&) const;
     /// @brief Targets of a pool that may receive new requests.
     std::vector<const RegisteredTarget*> usableTargets(const PoolName&) const;
-    /// @brief The software version of all targets that have been registered in a pool since this process started; nothing if there were several or an
-    /// unknown one.
-    std::optional<SoftwareVersion> onlySoftwareVersion(const PoolName&) const;
 
 private:
     std::map<TargetId, RegisteredTarget> m_targets;
@@ -70,8 +65,6 @@
         TimePoint markedAt;
     };
     std::map<TargetId, LeavingMark> m_leaving;
-    /// Software versions of each pool's targets, present and past.
-    std::map<PoolName, std::set<SoftwareVersion>> m_softwareVersions;
 };
 
 } // namespace cicadalb
--- a/packages/site/src/SiteConfiguration.cpp
+++ b/packages/site/src/SiteConfiguration.cpp
@@ -27,6 +27,11 @@
     return nameIn(kindNames, kind);
 }
 
+bool SiteRoute::hasPool(const PoolName& pool) const noexcept
+{
+    return std::any_of(pools.begin(), pools.end(), [&](const auto& share) { return share.pool == pool; });
+}
+
 const SitePool* SiteConfiguration::pool(const PoolName& poolName) const noexcept
 {
     const auto found = std::find_if(pools.begin(), pools.end(), [&](const auto& pool) { return pool.name == poolName; });
--- a/packages/site/src/TargetRegistry.cpp
+++ b/packages/site/src/TargetRegistry.cpp
@@ -24,7 +24,6 @@
 void TargetRegistry::put(RegisteredTarget target)
 {
     m_missingUntil.erase(target.id);
-    m_softwareVersions[target.pool].insert(target.softwareVersion);
     const auto id = target.id;
     if (const auto mark = m_leaving.find(id); mark != m_leaving.end()) {
         if (target.startedAt > mark->second.startedAt)
@@ -84,12 +83,4 @@
     return targets;
 }
 
-std::optional<SoftwareVersion> TargetRegistry::onlySoftwareVersion(const PoolName& pool) const
-{
-    const auto found = m_softwareVersions.find(pool);
-    if (found == m_softwareVersions.end() || found->second.size() != 1 || found->second.begin()->isEmpty())
-        return std::nullopt;
-    return *found->second.begin();
-}
-
 } // namespace cicadalb
