Groups that can be whole in time are run first

Cause: the order of due times, which makes everything late once the backlog is longer than the time to the due time.

Now GroupPlan selects the groups that can all be whole in time, by Moore and Hodgson's rule with the engines as one machine; the group left out belongs to the submission with the largest share of selected groups. The others come behind them.

Not built: refusing a submission of which no group can be whole; hosts do not know the backlog.

--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -83,9 +83,19 @@
     GiveUp,
     Nothing };
 
+/// @brief Order in which the groups that trainers wait for are run.
+enum class GroupOrder : std::uint8_t {
+    /// By due time.
+    DueTime,
+    /// As many as can be whole by their due times first, then the others; both by due time.
+    InTimeFirst,
+};
+
+std::string_view name(GroupOrder) noexcept;
+
 /// @brief Assigns the items of all open submissions to engines. Designed for several trainers that submit steps of 30 to 300 items every few
-/// seconds, with text lengths known only roughly, on engines that differ in speed by a factor of two or more. Within a submission, the groups
-/// that can be completed first take precedence; of their items, the longest are placed first, on the fastest engines. A text is continued only by engines
+/// seconds, with text lengths known only roughly, on engines that differ in speed by a factor of two or more, and that may be asked for more than
+/// they can generate. Groups that can be whole by their due times take precedence; of their items, the longest are placed first, on the fastest engines. A text is continued only by engines
 /// with the software that began it. It begins again on another engine once none of these is left, or once it has been without a new event, although
 /// an engine with other software was free, for longer than generating its events again takes. Not thread-safe.
 class SampleScheduler {
@@ -97,6 +107,11 @@
     /// Time without new runs on an engine after a run on it broke off or used weights that were not allowed.
     static constexpr std::chrono::milliseconds interruptionBackoff { 1000 };
 
+    explicit SampleScheduler(GroupOrder order = GroupOrder::InTimeFirst)
+        : m_groupOrder(order)
+    {
+    }
+
     void setEngines(const std::vector<SchedulableEngine>&);
     /// @brief Sets the weight version of a model on an engine; empty while the weights change.
     void setWeightVersion(const TargetId&, const ModelName&, std::optional<WeightVersion>);
@@ -163,6 +178,8 @@
         double expectedEvents = 0;
         /// Whether the trainer waits for the item's group; such items are placed first.
         bool isInWantedGroup = true;
+        /// Whether the item's group can be whole by its due time, as of the last plan.
+        bool isInTime = true;
         ItemState state = ItemState::Waiting;
         PartialText text;
         unsigned serverErrors = 0;
@@ -199,6 +216,8 @@
         double measuredSecondsPerEvent = 0;
     };
 
+    void markGroupsInTime(TimePoint now);
+    bool hasFreeSlot() const;
     static void markWantedGroups(OpenSubmission&, std::uint64_t wantedGroupCount);
     Item* find(const ItemKey&);
     const Item* find(const ItemKey&) const;
@@ -222,6 +241,9 @@
     void updateTimePerEvent(const Item&, TimePoint now);
     void dropDisallowedText(const OpenSubmission&, Item&) const;
 
+    GroupOrder m_groupOrder;
+    /// Earliest time at which the groups that can be whole in time are determined again.
+    TimePoint m_nextPlanAt;
     std::map<SubmissionId, OpenSubmission> m_submissions;
     std::map<TargetId, Engine> m_engines;
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -1,5 +1,7 @@
 #include "cicadalb/submissions/SampleScheduler.h"
 
+#include "GroupPlan.h"
+
 #include "cicadalb/base/EnumTable.h"
 
 #include <algorithm>
@@ -43,6 +45,20 @@
         { RunOutcome::WrongWeights, "wrong-weights" },
     });
 
+    /// Placements come in bursts, in which the groups that can be whole in time hardly change.
+    constexpr std::chrono::milliseconds planInterval { 20 };
+
+    constexpr auto groupOrderNames = std::to_array<EnumName<GroupOrder>>({
+        { GroupOrder::DueTime, "due-time" },
+        { GroupOrder::InTimeFirst, "in-time-first" },
+    });
+
+    /// Events that an item still needs, by what is expected and received.
+    double remainingEvents(double expected, std::size_t received)
+    {
+        return std::max(expected - static_cast<double>(received), minimumRemainingShare * static_cast<double>(received));
+    }
+
     /// Expected events of each group's longest item.
     template <typename Items>
     std::map<GroupId, double> groupLengths(const Items& items)
@@ -58,6 +74,7 @@
 } // namespace
 
 std::string_view name(RunOutcome end) noexcept { return nameIn(runOutcomeNames, end); }
+std::string_view name(GroupOrder order) noexcept { return nameIn(groupOrderNames, order); }
 
 void PartialText::append(std::uint64_t eventId, std::string_view data, WeightVersion version)
 {
@@ -178,8 +195,56 @@
     return stopped;
 }
 
+bool SampleScheduler::hasFreeSlot() const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [](const auto& entry) { return entry.second.isPresent && entry.second.running < entry.second.slots; });
+}
+
+void SampleScheduler::markGroupsInTime(TimePoint now)
+{
+    EngineSpeed speed;
+    for (const auto& [id, engine] : m_engines) {
+        if (!engine.isPresent)
+            continue;
+        speed.eventsPerSecond += engine.slots / secondsPerEvent(engine);
+        speed.secondsPerEvent = speed.secondsPerEvent > 0 ? std::min(speed.secondsPerEvent, secondsPerEvent(engine)) : secondsPerEvent(engine);
+    }
+    std::vector<PlannedGroup> groups;
+    std::vector<PlannedSubmission> submissions;
+    std::vector<std::pair<Item*, std::size_t>> members;
+    for (auto& [id, submission] : m_submissions) {
+        std::map<GroupId, std::size_t> indexes;
+        std::set<GroupId> wanted;
+        for (auto& item : submission.items) {
+            const bool isUnfinished = item.state == ItemState::Waiting || item.state == ItemState::Running;
+            if (item.isInWantedGroup)
+                wanted.insert(item.group);
+            if (!isUnfinished || !item.isInWantedGroup)
+                continue;
+            const auto [index, isNew] = indexes.try_emplace(item.group, groups.size());
+            if (isNew)
+                groups.push_back({ submission.policy.softDeadline, 0, 0, submissions.size() });
+            auto& group = groups[index->second];
+            const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
+            group.remainingEvents += events;
+            group.longestItem = std::max(group.longestItem, events);
+            members.emplace_back(&item, index->second);
+        }
+        submissions.push_back({ wanted.size(), wanted.size() - indexes.size() });
+    }
+    const auto isSelected = selectGroupsInTime(groups, std::move(submissions), speed, now);
+    for (const auto& [item, group] : members)
+        item->isInTime = isSelected[group];
+}
+
 std::vector<Placement> SampleScheduler::place(TimePoint now)
 {
+    if (!hasFreeSlot())
+        return {};
+    if (m_groupOrder == GroupOrder::InTimeFirst && now >= m_nextPlanAt) {
+        markGroupsInTime(now);
+        m_nextPlanAt = now + planInterval;
+    }
     struct Candidate {
         ItemKey key;
         OpenSubmission* submission;
@@ -198,7 +263,7 @@
     const auto sortKey = [placesTextsFirst](const Candidate& candidate) {
         const auto events = candidate.item->text.eventCount;
         const auto remaining = candidate.item->expectedEvents - static_cast<double>(events);
-        return std::tuple(!candidate.item->isInWantedGroup, placesTextsFirst && events == 0, candidate.submission->policy.softDeadline, -remaining);
+        return std::tuple(!candidate.item->isInWantedGroup, !candidate.item->isInTime, placesTextsFirst && events == 0, candidate.submission->policy.softDeadline, -remaining);
     };
     std::sort(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) { return sortKey(left) < sortKey(right); });
     std::vector<Placement> placements;
