--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -12,6 +12,8 @@
     constexpr std::chrono::milliseconds maximumRetryDelay { 1000 };
     /// Interval at which an answer proves that the records are complete: a mirror's replies are accepted for MirrorClient::maximumAge.
     constexpr std::chrono::milliseconds freshnessInterval { 1000 };
+    /// During a release hundreds of targets change within seconds, and each host hears of each change.
+    constexpr std::chrono::milliseconds targetsLogInterval { 1000 };
 
     RecordWatchSettings watchSettings(std::string prefix, std::chrono::milliseconds coalescingDelay, MirrorClient* mirror, bool readsAfterFailure)
     {
@@ -200,11 +202,21 @@
 void SiteDirectory::onTargetsChanged()
 {
     updateBalancers();
-    logEvent(Event::TargetsChanged, { { "revision", std::to_string(m_targetsWatch->revision()) }, { "targets", std::to_string(m_registry.targets().size()) } });
+    ++m_unloggedChanges;
+    logTargetsChanged();
     if (m_changeHandler)
         m_changeHandler();
 }
 
+void SiteDirectory::logTargetsChanged()
+{
+    if (m_unloggedChanges == 0 || m_clock.now() < m_nextTargetsLogAt)
+        return;
+    logEvent(Event::TargetsChanged, { { "revision", std::to_string(m_targetsWatch->revision()) }, { "targets", std::to_string(m_registry.targets().size()) }, { "changes", std::to_string(m_unloggedChanges) } });
+    m_unloggedChanges = 0;
+    m_nextTargetsLogAt = m_clock.now() + targetsLogInterval;
+}
+
 std::shared_ptr<SharedPoolBalancer> SiteDirectory::balancer(const PoolName& name)
 {
     auto& balancer = m_balancers[name];
@@ -221,6 +233,7 @@
 {
     reportAge(*m_configurationWatch, m_isConfigurationOutdated);
     reportAge(*m_targetsWatch, m_isRegistryOutdated);
+    logTargetsChanged();
     if (m_registry.expire(m_clock.now()))
         onTargetsChanged();
     for (auto& [name, balancer] : m_balancers) {
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -91,6 +91,8 @@
     void applyTargetChanges(const WatchResult&, bool afterOutage);
     std::optional<RegisteredTarget> decodeTarget(const KeyValueEntry&) const;
     void onTargetsChanged();
+    /// Logs changes of the targets; those that come within targetsLogInterval share a line.
+    void logTargetsChanged();
     void updateBalancers();
     Pool poolOf(const PoolName&) const;
 
@@ -104,6 +106,8 @@
     std::shared_ptr<const SiteView> m_view;
     TargetRegistry m_registry;
     bool m_hasTargets = false;
+    unsigned m_unloggedChanges = 0;
+    TimePoint m_nextTargetsLogAt;
     bool m_isConfigurationOutdated = false;
     bool m_isRegistryOutdated = false;
     std::map<PoolName, std::shared_ptr<SharedPoolBalancer>> m_balancers;
