Hosts ask the next mirror before the store

When a mirror failed or fell behind, each of its hosts asked the store directly for 5 s.

Now the next mirror is asked at once, for at most 100 ms and without a wait, and the store only if that one fails too, for 2 s. A change is still in force within 2 s with any kind of call failing alone (unit-configuration-path, unchanged, passes).

Changed test: "mirror that has lost the store, uses the store and later the next mirror" now expects the second mirror to be asked first; both of its mirrors have lost the store, as before.

--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -22,7 +22,7 @@
 
     Task<Result<MirrorReply>> sendQuery(std::shared_ptr<HttpClient> client, MirrorQuery query)
     {
-        HostCall call { mirrorPath, encodeMirrorQuery(query), query.maximumWait + MirrorClient::responseTimeout, true };
+        HostCall call { mirrorPath, encodeMirrorQuery(query), query.maximumWait + query.responseTimeout, true };
         const auto body = co_await callHost(std::move(client), std::move(call));
         if (!body)
             co_return body.as_failure();
@@ -57,10 +57,10 @@
     co_return co_await m_exchange(mirror, std::move(query));
 }
 
-Task<Result<MirrorReply>> MirrorClient::waitForChanges(std::string prefix, std::optional<Revision> after, milliseconds wait)
+Task<Result<MirrorReply>> MirrorClient::queryNext(MirrorQuery query)
 {
     const auto mirror = m_nextMirror;
-    MirrorQuery query { prefix, after, std::min(wait, maximumWait) };
+    const auto prefix = query.prefix;
     if (m_suspectsHandler)
         query.suspectsAfter = m_suspectsRevision;
     auto reply = rejectStale(co_await m_exchange(mirror, std::move(query)));
@@ -79,12 +79,27 @@
     // Two watches share this client: only the first failure at a mirror selects the next one.
     if (m_nextMirror == mirror)
         m_nextMirror = (mirror + 1) % m_mirrorCount;
-    if (!isInStartupGracePeriod())
-        m_storeFallbackUntil = m_clock.now() + storeFallbackPeriod;
     if (m_isConnected)
         logEvent(Event::MirrorLost, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "cause", reply.error().message } });
     m_isConnected = false;
     co_return failure(ErrorCode::Unavailable, reply.error().message, reply.error().where);
 }
 
+Task<Result<MirrorReply>> MirrorClient::waitForChanges(std::string prefix, std::optional<Revision> after, milliseconds wait)
+{
+    MirrorQuery query { prefix, after, std::min(wait, maximumWait) };
+    query.responseTimeout = responseTimeout;
+    auto reply = co_await queryNext(std::move(query));
+    if (reply || isInStartupGracePeriod())
+        co_return reply;
+    if (m_mirrorCount > 1) {
+        MirrorQuery again { std::move(prefix), after, milliseconds(0) };
+        again.responseTimeout = nextMirrorTimeout;
+        reply = co_await queryNext(std::move(again));
+    }
+    if (!reply)
+        m_storeFallbackUntil = m_clock.now() + storeFallbackPeriod;
+    co_return reply;
+}
+
 } // namespace cicadalb
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -25,11 +25,14 @@
     static constexpr std::chrono::milliseconds maximumWait { 350 };
     /// Time allowed for the reply beyond maximumWait.
     static constexpr std::chrono::milliseconds responseTimeout { 250 };
+    /// Time allowed for the reply of the next mirror, which is asked before the store if the first one fails, and does not wait for changes.
+    static constexpr std::chrono::milliseconds nextMirrorTimeout { 100 };
     /// Largest accepted age of a mirror's records; a mirror confirms them about once a second. A query waits only until the host's own records reach this
-    /// age, so that at responseTimeout after it at the latest the store is queried: a change has to be in force within 2 s.
+    /// age, so that at responseTimeout and nextMirrorTimeout after it at the latest the store is queried: a change has to be in force within 2 s.
     static constexpr std::chrono::milliseconds maximumAge { 1300 };
-    /// Time for which the store is queried directly after a mirror has failed.
-    static constexpr std::chrono::seconds storeFallbackPeriod { 5 };
+    /// Time for which the store is queried directly after two mirrors have failed. Where a slow store is the cause, all hosts query it then, so that they
+    /// look for a mirror again soon.
+    static constexpr std::chrono::seconds storeFallbackPeriod { 2 };
     /// Time for which a starting host retries mirrors before it queries the store: when all hosts start together, mirrors come up a moment later.
     static constexpr std::chrono::milliseconds startupGracePeriod { 600 };
     /// Delay between these retries.
@@ -41,8 +44,8 @@
 
     /// @brief Whether to query a mirror now, rather than the store.
     bool isUsable() const;
-    /// @brief Returns the changes after a revision, or all records. @param wait at most maximumWait. Errors: Unavailable; the next call then uses the next mirror, and after
-    /// the startup grace period isUsable() is false for storeFallbackPeriod.
+    /// @brief Returns the changes after a revision, or all records. @param wait at most maximumWait. If a mirror fails, the next one is asked at once. Errors: Unavailable; after
+    /// the startup grace period isUsable() is then false for storeFallbackPeriod.
     Task<Result<MirrorReply>> waitForChanges(std::string prefix, std::optional<Revision> after, std::chrono::milliseconds wait = maximumWait);
     /// @brief Reads all records from one mirror without waiting, even if earlier queries failed, and however old the reply is. Errors:
     /// Unavailable (the mirror replies but has no records), others (the mirror does not reply).
@@ -56,6 +59,9 @@
     void endStoreFallback() noexcept { m_storeFallbackUntil.reset(); }
 
 private:
+    /// Queries the next mirror, and selects another one if it fails.
+    Task<Result<MirrorReply>> queryNext(MirrorQuery);
+
     std::size_t m_mirrorCount;
     std::size_t m_nextMirror;
     MirrorExchange m_exchange;
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds maximumWait { 0 };
     /// Revision of the suspects that the host has; a newer list is a change too. Empty: none are wanted.
     std::optional<Revision> suspectsAfter {};
+    /// Time allowed for the reply beyond maximumWait; not part of the message.
+    std::chrono::milliseconds responseTimeout { 250 };
 };
 
 struct MirrorReply {
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -23,6 +23,8 @@
     std::shared_ptr<RecordMirror> mirror = std::make_shared<RecordMirror>(context.get_executor(), clock);
     TimePoint completeAsOf = clock.now();
     bool isReachable = true;
+    /// Index under which the mirror cannot be reached.
+    std::optional<std::size_t> unreachableMirror;
     std::vector<std::size_t> queriedMirrors;
     MirrorClient client { 2, 0, [this](std::size_t index, MirrorQuery query) { return exchange(index, std::move(query)); }, clock };
 
@@ -40,7 +42,7 @@
     Task<Result<MirrorReply>> exchange(std::size_t index, MirrorQuery query)
     {
         queriedMirrors.push_back(index);
-        if (!isReachable)
+        if (!isReachable || index == unreachableMirror)
             co_return failure(ErrorCode::Unavailable, "unreachable", "mirror");
         // Query and reply are encoded and decoded, as between processes.
         const auto received = decodeMirrorQuery(encodeMirrorQuery(query));
@@ -215,7 +217,19 @@
     CHECK_FALSE(client.isInStartupGracePeriod());
 }
 
-TEST_CASE_METHOD(MirrorFixture, "mirror client, mirror that has lost the store, uses the store and later the next mirror")
+TEST_CASE_METHOD(MirrorFixture, "mirror client, mirror that ends, uses the next one at once and not the store")
+{
+    applyTwoTargets();
+    REQUIRE(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
+    unreachableMirror = 0;
+    CHECK(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
+    CHECK(client.isUsable());
+    CHECK(queriedMirrors == std::vector<std::size_t> { 0, 0, 1 });
+    CHECK(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
+    CHECK(queriedMirrors.back() == 1);
+}
+
+TEST_CASE_METHOD(MirrorFixture, "mirror client, mirrors that have lost the store, uses the store and later a mirror")
 {
     applyTwoTargets();
     REQUIRE(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
@@ -226,7 +240,7 @@
     CHECK(client.isUsable());
     confirmRecords();
     CHECK(runToCompletion(client.waitForChanges(targetsPrefix, std::nullopt)));
-    CHECK(queriedMirrors == std::vector<std::size_t> { 0, 0, 1 });
+    CHECK(queriedMirrors == std::vector<std::size_t> { 0, 0, 1, 0 });
 }
 
 TEST_CASE_METHOD(MirrorFixture, "mirror client, mirror and store unavailable, may use the next mirror at once")
