A continued stream that names no first attempt goes on while all targets run the default release

Such a request was answered 400 since the change of the default releases; before, it went on while a host had seen one version. Callers of contracts without software versions do not name the attempt. Now it goes on at the default release while all registered targets run it, else 400 as not run.

--- a/packages/base/include/cicadalb/base/SoftwareRelease.h
+++ b/packages/base/include/cicadalb/base/SoftwareRelease.h
@@ -15,6 +15,8 @@
     /// @brief Whether a target with the other release may continue the output of a target with this one. An unknown version is not even
     /// compatible with itself, since two targets that state none may run different software.
     bool isCompatibleWith(const SoftwareRelease& other) const { return !version.isEmpty() && version == other.version && pool == other.pool; }
+
+    bool operator==(const SoftwareRelease&) const = default;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/DefaultRelease.cpp
+++ b/packages/hosting/src/DefaultRelease.cpp
@@ -19,11 +19,6 @@
     /// The part of a key that names a route or an attempt; names that are too long for a key are replaced by their hash.
     std::string keyPart(const std::string& name) { return name.size() <= maximumIdLength ? name : sha256Hex(name); }
 
-    bool isEqual(const SoftwareRelease& left, const SoftwareRelease& right)
-    {
-        return left.pool == right.pool && left.version == right.version;
-    }
-
     Json toJson(const SoftwareRelease& release) { return { { "pool", release.pool.value() }, { "version", release.version.value() } }; }
 
     SoftwareRelease releaseFrom(const Json& json)
@@ -51,10 +46,13 @@
     if (!input.stored)
         return DefaultRelease { mostFrequent(input.registered), false };
     const auto& stored = *input.stored;
-    const bool isRegistered = std::any_of(input.registered.begin(), input.registered.end(), [&](const auto& release) { return isEqual(release, stored.release); });
-    if (isRegistered == !stored.isRetired)
-        return isRegistered || input.retiredFor < longestStream ? std::nullopt : std::optional(DefaultRelease { mostFrequent(input.registered), false });
-    return DefaultRelease { stored.release, !isRegistered };
+    const bool isRegistered = std::any_of(input.registered.begin(), input.registered.end(), [&](const auto& release) { return release == stored.release; });
+    const bool shouldChange = isRegistered == stored.isRetired;
+    if (shouldChange)
+        return DefaultRelease { stored.release, !isRegistered };
+    if (isRegistered || input.retiredFor < longestStream)
+        return std::nullopt;
+    return DefaultRelease { mostFrequent(input.registered), false };
 }
 
 std::vector<SoftwareRelease> registeredReleases(const TargetRegistry& registry, const SiteRoute& route)
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -171,14 +171,32 @@
     co_return result;
 }
 
+Task<Result<std::optional<SoftwareRelease>>> SiteEndpoints::onlyRelease(const SiteRoute& route)
+{
+    const auto known = co_await m_streamOrigins.readDefault(route);
+    if (!known)
+        co_return known.as_failure();
+    const auto& value = known.value();
+    const auto registered = registeredReleases(m_directory.registry(), route);
+    const bool isOnly = value && !value->isRetired && std::all_of(registered.begin(), registered.end(), [&](const auto& release) { return release == value->release; });
+    co_return isOnly ? std::optional(value->release) : std::nullopt;
+}
+
 Task<std::optional<SiteEndpoints::EndpointResult>> SiteEndpoints::requireOrigin(ForwardRequest& request, const ContinuedStream& continued)
 {
-    if (continued.firstAttempt.isEmpty() || !continued.lastEventId)
-        co_return makeRefusal(statusBadRequest, continued.lastEventId ? "the request does not name the attempt that began the stream" : "the number of the last event cannot be read", {});
-    const auto origin = co_await m_streamOrigins.find(*request.route, continued.firstAttempt);
+    if (!continued.lastEventId)
+        co_return makeRefusal(statusBadRequest, "the number of the last event cannot be read", {});
+    const bool isNamed = !continued.firstAttempt.isEmpty();
+    Result<std::optional<SoftwareRelease>> origin = std::optional<SoftwareRelease>();
+    if (isNamed)
+        origin = co_await m_streamOrigins.find(*request.route, continued.firstAttempt);
+    else
+        origin = co_await onlyRelease(*request.route);
     if (!origin)
         co_return makeRefusal(statusUnavailable, "the request was not run: the software that began the stream cannot be looked up: " + origin.error().message, dependencyRetryAfter);
     const auto& release = origin.value();
+    if (!release && !isNamed)
+        co_return makeRefusal(statusBadRequest, "the request does not name the attempt that began the stream, and targets run several versions of their software", {});
     if (!release || release->version.isEmpty())
         co_return makeRefusal(statusUnavailable, "the request was not run: it is not known which software began the stream", {});
     if (!request.route->hasPool(release->pool))
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -44,6 +44,8 @@
     Task<EndpointResult> dispatch(const HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> handleRouted(const HttpRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, TimePoint receivedAt, ServerResponder&);
+    /// The route's default release if all registered targets run it.
+    Task<Result<std::optional<SoftwareRelease>>> onlyRelease(const SiteRoute&);
     /// Makes a request that continues a stream go to the software that began it. @return why it cannot be continued, or nothing
     Task<std::optional<EndpointResult>> requireOrigin(ForwardRequest&, const ContinuedStream&);
     Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&);
--- a/packages/hosting/src/StreamOrigins.cpp
+++ b/packages/hosting/src/StreamOrigins.cpp
@@ -19,7 +19,7 @@
 
     bool isDefault(const std::optional<DefaultRelease>& known, const SoftwareRelease& release)
     {
-        return known && !known->isRetired && known->release.pool == release.pool && known->release.version == release.version;
+        return known && !known->isRetired && known->release == release;
     }
 
     template <typename Value>
@@ -158,7 +158,6 @@
     const auto self = shared_from_this();
     if (const auto known = m_releases.find(firstAttempt); known != m_releases.end())
         co_return std::optional(known->second);
-    const auto defaultKey = defaultReleaseKey(route.name);
     const auto stream = co_await m_store.read(streamKey(firstAttempt));
     if (!stream)
         co_return stream.as_failure();
@@ -168,12 +167,21 @@
             remember(firstAttempt, *release);
         co_return release;
     }
-    const auto entry = co_await m_store.read(defaultKey);
+    const auto known = co_await readDefault(route);
+    if (!known)
+        co_return known.as_failure();
+    // Not remembered: the host that began the stream may still be trying to store its record.
+    const auto& value = known.value();
+    co_return value && !value->release.version.isEmpty() ? std::optional(value->release) : std::nullopt;
+}
+
+Task<Result<std::optional<DefaultRelease>>> StreamOrigins::readDefault(const SiteRoute& route)
+{
+    const auto self = shared_from_this();
+    const auto entry = co_await m_store.read(defaultReleaseKey(route.name));
     if (!entry)
         co_return entry.as_failure();
-    const auto known = entry.value() ? decodedOrIgnored(*entry.value(), decodeDefaultRelease(entry.value()->value)) : std::nullopt;
-    // Not remembered: the host that began the stream may still be trying to store its record.
-    co_return known && !known->release.version.isEmpty() ? std::optional(known->release) : std::nullopt;
+    co_return entry.value() ? decodedOrIgnored(*entry.value(), decodeDefaultRelease(entry.value()->value)) : std::nullopt;
 }
 
 } // namespace cicadalb
--- a/packages/hosting/src/StreamOrigins.h
+++ b/packages/hosting/src/StreamOrigins.h
@@ -45,6 +45,9 @@
     /// @brief Finds the software that began a stream of a route. @return nothing if no record says it. Errors: those of the store.
     Task<Result<std::optional<SoftwareRelease>>> find(const SiteRoute&, RequestId firstAttempt);
 
+    /// @brief The default release of a route as it is stored now. Errors: those of the store.
+    Task<Result<std::optional<DefaultRelease>>> readDefault(const SiteRoute&);
+
     /// @brief Number of records that are not stored yet.
     std::size_t waitingRecords() const noexcept { return m_waiting.size(); }
     /// @brief Number of records stored since the start.
