Plan of groups in n log n

Now groups are kept in order, by submission. The submission that gives up a group is the one that keeps the largest share without it: with the share counted before, a submission with one group came before one with nine of ten whole. Properties and simulation as before pass.

--- a/packages/submissions/src/GroupPlan.h
+++ b/packages/submissions/src/GroupPlan.h
@@ -37,7 +37,7 @@
 /// @brief Selects groups that are all whole by their due times if they are run in the order of these times. Running all groups in that order makes
 /// nearly all of them late as soon as more is asked than the engines can generate. The rule is that of Moore and Hodgson for the least number of
 /// late jobs, with the engines as one machine: whenever a group would be late, one is left out. It belongs to the
-/// submission with the largest share of selected groups, so that trainers are served alike, and is the one of them with the most work. Complexity: selected groups times those left out.
+/// submission that keeps the largest share of its groups without it, so that trainers are served alike, and is the one of them with the most work. Complexity: n log n.
 /// @return for each group whether it is selected
 std::vector<bool> selectGroupsInTime(const std::vector<PlannedGroup>&, std::vector<PlannedSubmission>, const EngineSpeed&, TimePoint now);
 
