Types and settings of organisations, their keys and the duties of a site

Cause: two deployments give keys to organisations and leave two duties to the system; hosts know neither.

--- a/packages/base/include/cicadalb/base/Identifier.h
+++ b/packages/base/include/cicadalb/base/Identifier.h
@@ -42,6 +42,8 @@
 using TrainerName = Identifier<struct TrainerTag>;
 /// @brief Name of a model engine or an instance of a plain service.
 using TargetId = Identifier<struct TargetTag>;
+/// @brief Name of an organisation whose callers and trainers share the site with those of others.
+using OrganisationName = Identifier<struct OrganisationTag>;
 using RouteName = Identifier<struct RouteTag>;
 using PoolName = Identifier<struct PoolTag>;
 using RequestId = Identifier<struct RequestTag>;
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -28,6 +28,8 @@
     SocketAddress ready;
     /// Address of metrics and state.
     SocketAddress admin;
+    /// Address of the platform's interface for duties; empty: the platform has none.
+    SocketAddress duties;
     /// Address at which this process mirrors the store's records for other processes; empty: it does not.
     SocketAddress mirrorListen;
     /// Addresses of mirrors from which this process reads the store's records. A mirror may be down, or another process may have its
@@ -35,12 +37,24 @@
     std::vector<SocketAddress> mirrorSources;
 };
 
+/// @brief Calls to the platform that one host at a time makes for the whole site.
+enum class Duty : std::uint8_t {
+    /// Reports each organisation's usage.
+    Metering,
+    /// Orders the number of engines of a pool.
+    Autoscaling,
+};
+
 /// @brief Which parts of the product run in the process.
 struct SitePartSettings {
     /// True if the process takes callers' requests.
     bool serving = false;
     /// True if the process is a candidate for coordinating submissions and weights.
     bool coordinating = false;
+    /// Duties that the coordinator has for the whole site.
+    std::vector<Duty> duties;
+
+    bool hasDuty(Duty) const noexcept;
 };
 
 /// @brief Times and limits of the work on submissions, weights and targets.
@@ -55,6 +69,11 @@
     unsigned maximumConcurrentLoads = 0;
     /// How long a target goes on serving after it announced that it leaves.
     std::chrono::milliseconds targetDrainTime { 2000 };
+    /// Longest time for which a host may rely on an organisation's key without knowing that it is still valid. 0: no limit.
+    std::chrono::milliseconds keyValidity { 0 };
+    /// Length of the windows for which usage is reported, and time after a window by which its report is due.
+    std::chrono::seconds usageWindow { 5 };
+    std::chrono::seconds usageReportTime { 10 };
 };
 
 struct SiteSettings {
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -2,16 +2,26 @@
 
 #include "SettingsFields.h"
 
+#include <algorithm>
+
+#include "cicadalb/base/EnumTable.h"
+
 namespace cicadalb {
 
 namespace {
 
+    constexpr auto dutyNames = std::to_array<EnumName<Duty>>({
+        { Duty::Metering, "metering" },
+        { Duty::Autoscaling, "autoscaling" },
+    });
+
     using detail::Between;
     using detail::Fields;
     using detail::Presence;
     using detail::TomlReader;
 
     constexpr double minimumLeaseMilliseconds = 1000.0;
+    constexpr double maximumUsageWindowSeconds = 3600.0;
     constexpr double maximumRetentionSeconds = 86400.0;
     constexpr double maximumConcurrentLoads = 1000.0;
 
@@ -32,6 +42,7 @@
             { "callers", &SiteAddressSettings::callers, Presence::Optional },
             { "ready", &SiteAddressSettings::ready, Presence::Optional },
             { "admin", &SiteAddressSettings::admin, Presence::Required },
+            { "duties", &SiteAddressSettings::duties, Presence::Optional },
             { "mirror", &SiteAddressSettings::mirrorListen, Presence::Optional },
             { "mirrors", &SiteAddressSettings::mirrorSources, Presence::Optional },
         };
@@ -43,6 +54,7 @@
         static const Fields<SitePartSettings> fields {
             { "serving", &SitePartSettings::serving, Presence::Optional },
             { "coordinating", &SitePartSettings::coordinating, Presence::Optional },
+            { "duties", &SitePartSettings::duties, Presence::Optional },
         };
         return fields;
     }
@@ -54,6 +66,9 @@
             { "order-quiet-ms", &SiteWorkSettings::orderQuietPeriod, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "results-kept-s", &SiteWorkSettings::resultRetention, Presence::Optional, Between { 0, maximumRetentionSeconds } },
             { "loads-at-once", &SiteWorkSettings::maximumConcurrentLoads, Presence::Optional, Between { 0, maximumConcurrentLoads } },
+            { "key-validity-ms", &SiteWorkSettings::keyValidity, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
+            { "usage-window-s", &SiteWorkSettings::usageWindow, Presence::Optional, Between { 1, maximumUsageWindowSeconds } },
+            { "usage-report-s", &SiteWorkSettings::usageReportTime, Presence::Optional, Between { 0, maximumUsageWindowSeconds } },
             { "leaving-ms", &SiteWorkSettings::targetDrainTime, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
         };
         return fields;
@@ -82,10 +97,20 @@
             errors.push_back({ ErrorCode::ValueInvalid, "parts: neither serving nor coordinating is true, so that the process would do nothing", fileName });
         if (settings.parts.serving && (settings.addresses.callers.address.empty() || settings.addresses.ready.address.empty()))
             errors.push_back({ ErrorCode::ValueMissing, "addresses.callers or addresses.ready is missing: a process that serves needs both", fileName });
+        if (settings.parts.coordinating && !settings.parts.duties.empty() && settings.addresses.duties.address.empty())
+            errors.push_back({ ErrorCode::ValueMissing, "addresses.duties is missing: the calls of parts.duties are sent there", fileName });
     }
 
 } // namespace
 
+/// Found by the reader of settings through argument-dependent lookup.
+static const auto& enumTable(Duty) { return dutyNames; }
+
+bool SitePartSettings::hasDuty(Duty duty) const noexcept
+{
+    return std::find(duties.begin(), duties.end(), duty) != duties.end();
+}
+
 CheckedResult<SiteSettings> parseSiteSettings(std::string_view text, const std::string& fileName)
 {
     TomlReader reader { fileName };
--- a/packages/config/src/TomlReader.h
+++ b/packages/config/src/TomlReader.h
@@ -90,6 +90,10 @@
     return problem;
 }
 
+template <typename Enum>
+requires std::is_enum_v<Enum>
+    Problem decode(const toml::node& node, Enum& value);
+
 template <typename T>
 Problem decode(const toml::node& node, std::vector<T>& values)
 {
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -15,6 +15,15 @@
     CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
     RequestId attemptId(const HttpFields& fields) const override { return RequestId(std::string(fieldIn(fields, "Id"))); }
     std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const override { return std::nullopt; }
+    std::vector<Secret> callerKeys(const HttpFields& fields) const override
+    {
+        std::vector<Secret> keys;
+        for (const auto& [name, value] : fields) {
+            if (name == "Key")
+                keys.emplace_back(value);
+        }
+        return keys;
+    }
     std::optional<ContinuedStream> continuedStream(const HttpFields& fields) const override
     {
         const auto lastEvent = fieldIn(fields, "Last-Event");
@@ -54,6 +63,9 @@
     Result<EngineReport> engineReport(std::string_view) const override { return failure(ErrorCode::AnswerInvalid, "not used"); }
     HttpRequest loadOrder(const LoadOrder&) const override { return {}; }
     OrderOutcome orderOutcome(const HttpResponse&) const override { return OrderOutcome::Refused; }
+    HttpRequest usageReport(const DutyHolder&, const UsageReport&) const override { return {}; }
+    HttpRequest capacityOrder(const DutyHolder&, const CapacityOrder&) const override { return {}; }
+    DutyOutcome dutyOutcome(const HttpResponse& answer) const override { return answer.status == 200 ? DutyOutcome::Accepted : DutyOutcome::Refused; }
 
     const SiteKeys& keys() const override
     {
--- a/packages/site/include/cicadalb/site/SiteConfiguration.h
+++ b/packages/site/include/cicadalb/site/SiteConfiguration.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,17 +59,43 @@
     bool isResumable = false;
     /// Whether the whole text of a sample has to come from one weight version.
     bool requiresSingleVersion = false;
+    /// Whether requests need no organisation's key.
+    bool isPublic = false;
     std::vector<PoolShare> pools;
 
     bool hasPool(const PoolName&) const noexcept;
 };
 
+/// @brief How many engines of a pool may be ordered, and at which price.
+struct PoolScaling {
+    /// Limits on the engines in one failure domain, both kinds together.
+    unsigned minimum = 0;
+    unsigned maximum = 0;
+    /// Time from an order to the first request that a new engine serves.
+    std::chrono::milliseconds bootTime { 0 };
+    /// Price of a reclaimable engine as a share of the price of any other; 0: there are none.
+    double reclaimablePriceShare = 0;
+    /// Price of a second of an engine in each failure domain.
+    std::map<FailureDomain, double> prices;
+};
+
+/// @brief An organisation and the keys that its callers and trainers may present.
+struct SiteOrganisation {
+    OrganisationName name;
+    /// SHA-256 of each key in lower-case hex; the keys themselves are not kept.
+    std::vector<std::string> keyDigests;
+    /// Takes precedence over the priority of the route.
+    std::optional<unsigned> priority;
+};
+
 struct SitePool {
     PoolName name;
     /// Connections that one target accepts from all hosts together.
     unsigned maximumConnections = 0;
     /// Models whose weights the targets hold; empty for plain services.
     std::vector<std::string> models;
+    /// Empty if the number of the pool's targets is not this system's to decide.
+    std::optional<PoolScaling> scaling;
 };
 
 struct SiteConfiguration {
@@ -76,6 +103,8 @@
     std::uint64_t version = 0;
     std::vector<SiteRoute> routes;
     std::vector<SitePool> pools;
+    /// Empty if requests need no key.
+    std::vector<SiteOrganisation> organisations;
 
     const SitePool* pool(const PoolName&) const noexcept;
 };
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "cicadalb/base/Error.h"
+#include "cicadalb/config/Secret.h"
 #include "cicadalb/routing/PoolBalancer.h"
 #include "cicadalb/routing/TargetRateLimits.h"
 #include "cicadalb/services/HttpClient.h"
 #include "cicadalb/services/TransactionalStore.h"
+#include "cicadalb/site/Duties.h"
 #include "cicadalb/site/SiteConfiguration.h"
 #include "cicadalb/site/TargetRegistry.h"
 #include "cicadalb/submissions/EngineOrders.h"
@@ -55,6 +57,8 @@
     TargetId expectedTarget;
     /// Time after which the target stops working on the request.
     std::chrono::milliseconds remainingTime { 0 };
+    /// Organisation that the request belongs to; empty for a request without a key.
+    OrganisationName organisation;
 };
 
 /// @brief Parameters of one attempt to generate a sample.
@@ -103,6 +107,8 @@
     virtual RequestId attemptId(const HttpFields&) const = 0;
     /// @brief Time that the caller will wait for the answer, if it states one.
     virtual std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const = 0;
+    /// @brief Keys that the caller presents; more than one is ambiguous. A field of another form counts as a key that no organisation holds.
+    virtual std::vector<Secret> callerKeys(const HttpFields&) const = 0;
     /// @return nothing for a request that does not continue a stream
     virtual std::optional<ContinuedStream> continuedStream(const HttpFields&) const = 0;
     /// @brief The caller's request as it is sent to a target.
@@ -139,6 +145,11 @@
     virtual HttpRequest loadOrder(const LoadOrder&) const = 0;
     virtual OrderOutcome orderOutcome(const HttpResponse&) const = 0;
 
+    // Duties
+    virtual HttpRequest usageReport(const DutyHolder&, const UsageReport&) const = 0;
+    virtual HttpRequest capacityOrder(const DutyHolder&, const CapacityOrder&) const = 0;
+    virtual DutyOutcome dutyOutcome(const HttpResponse&) const = 0;
+
     // Stored records
     virtual const SiteKeys& keys() const = 0;
     /// Errors of configuration(), target() and announcedVersion(): RecordInvalid.
--- a/packages/site/include/cicadalb/site/TargetRegistry.h
+++ b/packages/site/include/cicadalb/site/TargetRegistry.h
@@ -4,8 +4,10 @@
 #include "cicadalb/base/Identifier.h"
 #include "cicadalb/services/HttpClient.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,10 @@
     /// Loaded weight version of each model.
     std::map<std::string, WeightVersion> models;
     SoftwareVersion softwareVersion;
+    /// The target may be taken away at short notice.
+    bool isReclaimable = false;
+    /// Time that was left to a leaving target when it wrote the entry, if it states one.
+    std::optional<std::chrono::milliseconds> leavesWithin;
 };
 
 /// @brief The registered targets as last read by this host. Targets whose entries lapsed while the registry was unreachable register again
--- a/packages/site/src/SiteProtocol.cpp
+++ b/packages/site/src/SiteProtocol.cpp
@@ -13,8 +13,17 @@
         { AnswerKind::Unusable, "unusable" },
     });
 
+    constexpr auto dutyOutcomeNames = std::to_array<EnumName<DutyOutcome>>({
+        { DutyOutcome::Accepted, "accepted" },
+        { DutyOutcome::Refused, "refused" },
+        { DutyOutcome::NotExecuted, "not-executed" },
+        { DutyOutcome::Unknown, "unknown" },
+    });
+
 } // namespace
 
+std::string_view name(DutyOutcome outcome) noexcept { return nameIn(dutyOutcomeNames, outcome); }
+
 std::string_view name(AnswerKind kind) noexcept { return nameIn(answerKindNames, kind); }
 
 } // namespace cicadalb
