--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -291,12 +291,14 @@
             bucket.value = std::move(action.write->value);
             bucket.batcher.onWrite(Result<Revision>(++bucket.revision), m_clock.now());
         } else {
-            bucket.batcher.onRead(Result<std::optional<KeyValueEntry>>(std::optional<KeyValueEntry>()), m_clock.now());
+            bucket.batcher.onRead(m_absentEntry, m_clock.now());
         }
         for (const auto& resolution : bucket.batcher.takeResolutions())
             m_latenciesMs.push_back(1000.0 * secondsOf(m_clock.now() - bucket.claimedAt.at(resolution.ticket)));
     }
 
+    /// Reply of a read when the key does not exist. A temporary here makes GCC 12 report an uninitialised value.
+    const Result<std::optional<KeyValueEntry>> m_absentEntry = std::optional<KeyValueEntry>();
     ManualClock m_clock;
     Random m_random { 1 };
     std::chrono::milliseconds m_commitInterval;
