Organisations' keys: decided at the host, carried to targets

Change: a host takes the key out of a request, finds the organisation by its digest and carries only the name: to targets, to a relaying host (on a path that builds before refuse), into the submission's record and its items. A key is checked again directly before a request leaves the host. Later calls on a submission need a key of the same organisation. A configuration with ambiguous organisations is refused. The organisation's priority precedes the route's.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,9 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 43x: keys of organisations
+    KeyRefused = 430,
+    SubmissionOfOtherOrganisation = 431,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/hosting/src/RelayMessages.cpp
+++ b/packages/hosting/src/RelayMessages.cpp
@@ -42,7 +42,8 @@
     const auto& message = request.message;
     return toCbor({ { "method", binaryValue(message.method) }, { "target", binaryValue(message.target) }, { "fields", toJson(message.fields) }, { "body", binaryValue(message.body) }, { "pool", request.pool.value() },
         { "configuration", request.configurationVersion }, { "remaining-ms", request.remainingTime.count() }, { "attempts-left", request.attemptsLeft },
-        { "release", request.requiredRelease ? toJson(*request.requiredRelease) : Json() } });
+        { "release", request.requiredRelease ? toJson(*request.requiredRelease) : Json() },
+        { "organisation", request.organisation.value() }, { "key-digest", request.keyDigest } });
 }
 
 Result<RelayRequest> decodeRelayRequest(std::string_view body)
@@ -59,6 +60,9 @@
         request.attemptsLeft = json.at("attempts-left").get<unsigned>();
         if (!json.at("release").is_null())
             request.requiredRelease = releaseFrom(json.at("release"));
+        // Requests of earlier builds lack these fields.
+        request.organisation = OrganisationName(json.value("organisation", ""));
+        request.keyDigest = json.value("key-digest", "");
         return request;
     });
 }
--- a/packages/hosting/src/RelayMessages.h
+++ b/packages/hosting/src/RelayMessages.h
@@ -11,6 +11,8 @@
 namespace cicadalb {
 
 inline constexpr std::string_view relayPath = "/relay";
+/// For requests that belong to an organisation. Hosts of earlier builds, which would not tell the target, refuse it.
+inline constexpr std::string_view organisationRelayPath = "/relay/organisation";
 
 /// @brief A caller's request, and what the sender knows about it.
 struct RelayRequest {
@@ -25,6 +27,9 @@
     unsigned attemptsLeft = 0;
     /// See ForwardRequest::requiredRelease.
     std::optional<SoftwareRelease> requiredRelease;
+    /// Organisation that the request belongs to, and the digest of the key under which it came; empty for a request without a key.
+    OrganisationName organisation;
+    std::string keyDigest;
 };
 
 struct RelayReply {
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -38,6 +38,8 @@
     constexpr std::chrono::seconds blockedRetryAfter { 60 };
     /// Time allowed for the connection that shows whether a target still listens.
     constexpr milliseconds crashProbeTimeout { 100 };
+    /// Retry-After of a request whose key cannot be checked; this host looks for a newer configuration several times a second.
+    constexpr milliseconds uncheckedKeyRetryAfter { 300 };
     constexpr unsigned firstServerErrorStatus = 500;
     constexpr unsigned firstNormalPriority = 1;
 
@@ -48,9 +50,9 @@
         { ForwardState::Abandoned, "abandoned" },
     });
 
-    Priority priorityOf(const SiteRoute& route)
+    Priority priorityOf(const ForwardRequest& request)
     {
-        return route.priority < firstNormalPriority ? Priority::Interactive : Priority::Normal;
+        return request.priority.value_or(request.route->priority) < firstNormalPriority ? Priority::Interactive : Priority::Normal;
     }
 
     bool isIdempotent(const SiteRoute& route) { return route.kind == RequestKind::Idempotent; }
@@ -102,7 +104,7 @@
     std::string cause;
 };
 
-ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol)
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol, const OrganisationName& organisation)
 {
     /// Longest wait for a target that has reached its request rate, as a share of the route's target latency.
     constexpr double permitWaitInLatencyObjectives = 0.5;
@@ -110,7 +112,11 @@
     request.id = protocol.attemptId(message.fields);
     request.route = &route;
     request.maximumPermitWait = std::chrono::duration_cast<Duration>(route.latencyObjective * permitWaitInLatencyObjectives);
-    request.fingerprint = [&protocol, &message] { return RequestFingerprint(sha256Hex(protocol.requestIdentity(message))); };
+    request.organisation = organisation;
+    request.fingerprint = [&protocol, &message, organisation] {
+        const auto identity = protocol.requestIdentity(message);
+        return RequestFingerprint(sha256Hex(organisation.isEmpty() ? identity : organisation.value() + "\n" + identity));
+    };
     request.buildMessage = [&protocol, &message](const AttemptContext& context) { return protocol.forwardedRequest(message, context); };
     request.cancellation = std::make_shared<HttpCancellation>();
     return request;
@@ -156,6 +162,15 @@
     return isPossible && progress.run.mayAttempt() && request.deadline - m_clock.now() >= minimumAttemptTime;
 }
 
+bool RequestForwarder::isKeyReliable(const ForwardRequest& request, Progress& progress) const
+{
+    if (!request.mayBeSent || request.mayBeSent())
+        return true;
+    progress.outcome.cause = "this host cannot know whether the caller's key is still valid";
+    progress.outcome.retryAfter = uncheckedKeyRetryAfter;
+    return false;
+}
+
 Task<bool> RequestForwarder::relay(const ForwardRequest& request, Progress& progress)
 {
     const auto attemptsUsed = progress.run.attempts() - progress.attemptsNotRun;
@@ -165,6 +180,8 @@
         co_return false;
     }
     progress.hasRelayed = true;
+    if (!isKeyReliable(request, progress))
+        co_return false;
     progress.run.beginAttempt();
     auto relayed = co_await request.relay(maximumAttempts - attemptsUsed);
     if (!relayed) {
@@ -265,7 +282,7 @@
 RequestRequirements RequestForwarder::requirementsOf(const ForwardRequest& request, const Progress& progress) const
 {
     RequestRequirements requirements;
-    requirements.priority = priorityOf(*request.route);
+    requirements.priority = priorityOf(request);
     requirements.deadline = request.deadline;
     requirements.affinity = request.affinity;
     requirements.maximumAffinityDelay = std::chrono::duration_cast<Duration>(request.route->latencyObjective * affinityWaitShare);
@@ -337,6 +354,10 @@
         outcome.retryAfter = TargetRegistry::reregistrationGracePeriod;
         co_return false;
     }
+    if (!isKeyReliable(request, progress)) {
+        balancer->recordCompletion(admission.target, abandoned);
+        co_return false;
+    }
     const auto target = *registered;
     outcome.release = { target.pool, target.softwareVersion };
     const auto startedAt = m_clock.now();
@@ -405,7 +426,7 @@
 {
     Attempt attempt;
     const auto client = m_clients.client(0, target.endpoint);
-    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining) };
+    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining), request.organisation };
     auto message = request.buildMessage(context);
     // A repeat on another connection would be a second request to the target, for which there is no permit.
     message.mayRepeat = isIdempotent(*request.route) && !m_permits.isLimited(target);
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -51,6 +51,12 @@
     const SiteRoute* route = nullptr;
     PoolName pool;
     TimePoint deadline;
+    /// Organisation that the request belongs to; empty for a request without a key.
+    OrganisationName organisation;
+    /// Takes precedence over the priority of the route.
+    std::optional<unsigned> priority;
+    /// Whether the key under which the request came may still be relied on; asked directly before the request leaves this host. Empty: it needs none.
+    std::function<bool()> mayBeSent;
     /// Software that the target must run, if the request continues the answer of another target.
     std::optional<SoftwareRelease> requiredRelease;
     /// Hash that selects two preferred targets of the pool, so that their connections are reused.
@@ -67,7 +73,8 @@
 };
 
 /// @brief A request for the message of a caller, without pool and deadline. @p message, @p route and @p protocol must outlive it.
-ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol);
+/// @param organisation that the request belongs to, if it came with a key; the message no longer holds the key then
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol, const OrganisationName& organisation = {});
 
 /// @brief Bound to one event loop.
 class RequestForwarder {
@@ -81,6 +88,8 @@
     struct Progress;
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
+    /// Whether the request may leave this host, as far as its key is concerned.
+    bool isKeyReliable(const ForwardRequest&, Progress&) const;
     bool shouldRelay(const ForwardRequest&, const Progress&) const;
     /// Has the request forwarded by another host. @return whether an attempt from this host makes sense
     Task<bool> relay(const ForwardRequest&, Progress&);
--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -19,7 +19,8 @@
 
     Task<Result<RelayReply>> exchange(std::shared_ptr<HttpClient> client, RelayRequest request, std::shared_ptr<HttpCancellation> cancellation)
     {
-        HostCall call { relayPath, encodeRelayRequest(request), request.remainingTime, false, std::move(cancellation) };
+        const auto path = request.organisation.isEmpty() ? relayPath : organisationRelayPath;
+        HostCall call { path, encodeRelayRequest(request), request.remainingTime, false, std::move(cancellation) };
         const auto body = co_await callHost(std::move(client), std::move(call));
         if (!body)
             co_return body.as_failure();
@@ -87,11 +88,12 @@
     };
 }
 
-RelayEndpoint::RelayEndpoint(SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, const TargetReachability& reachability)
+RelayEndpoint::RelayEndpoint(SiteDirectory& directory, const SiteProtocol& protocol, RequestForwarder& forwarder, const TargetReachability& reachability, KeyValidity keyValidity)
     : m_directory(directory)
     , m_protocol(protocol)
     , m_forwarder(forwarder)
     , m_reachability(reachability)
+    , m_keyChecks(directory, protocol, keyValidity)
 {
 }
 
@@ -130,13 +132,29 @@
     co_await responder.send(std::move(response));
 }
 
+KeyCheck RelayEndpoint::checkKeys(const SiteView& view, const SiteRoute& route, RelayRequest& request) const
+{
+    auto check = m_keyChecks.take(view, route.isPublic, request.message.fields);
+    if (request.organisation.isEmpty() || check.decision == KeyDecision::NotNeeded)
+        return check;
+    return m_keyChecks.checkAgain(view, request.organisation, request.keyDigest);
+}
+
 Task<RelayReply> RelayEndpoint::forward(RelayRequest request, TimePoint receivedAt, ServerResponder& responder)
 {
     const auto view = m_directory.view();
     const auto* known = routeOf(*view, request.message);
+    RelayReply reply;
+    const auto key = checkKeys(*view, *known, request);
+    if (!KeyChecks::isPassed(key)) {
+        reply.outcome.cause = "this host cannot confirm the caller's key";
+        co_return reply;
+    }
     auto route = *known;
     route.maximumAttempts = std::min(route.maximumAttempts, request.attemptsLeft);
-    auto forwarded = makeForwardRequest(request.message, route, m_protocol);
+    auto forwarded = makeForwardRequest(request.message, route, m_protocol, key.organisation);
+    forwarded.priority = key.priority;
+    forwarded.mayBeSent = m_keyChecks.condition(key);
     forwarded.pool = route.hasPool(request.pool) ? request.pool : choosePool(route, 0);
     forwarded.deadline = receivedAt + request.remainingTime - replyMargin;
     forwarded.requiredRelease = request.requiredRelease;
@@ -144,7 +162,6 @@
     ++m_requestsInFlight;
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
     --m_requestsInFlight;
-    RelayReply reply;
     reply.hasForwarded = true;
     reply.outcome = std::move(outcome);
     co_return reply;
--- a/packages/hosting/src/RequestRelay.h
+++ b/packages/hosting/src/RequestRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "KeyChecks.h"
 #include "RelayMessages.h"
 
 #include "cicadalb/transport/HttpListener.h"
@@ -48,7 +49,7 @@
     /// Requests that are forwarded at the same time; more are left to other helpers, so that the work of this host does not suffer.
     static constexpr std::size_t maximumRequests = 64;
 
-    RelayEndpoint(SiteDirectory&, const SiteProtocol&, RequestForwarder&, const TargetReachability&);
+    RelayEndpoint(SiteDirectory&, const SiteProtocol&, RequestForwarder&, const TargetReachability&, KeyValidity = KeyValidity({}));
 
     Task<void> serve(ServerRequest&, ServerResponder&);
     /// @brief Makes the endpoint leave further requests to other helpers, before the host stops.
@@ -58,12 +59,15 @@
 private:
     /// Why this host cannot forward the request, or an empty text.
     std::string obstacle(const RelayRequest&) const;
+    /// The organisation that the sender names, or that holds the key if the sender has not checked it.
+    KeyCheck checkKeys(const SiteView&, const SiteRoute&, RelayRequest&) const;
     Task<RelayReply> forward(RelayRequest, TimePoint receivedAt, ServerResponder&);
 
     SiteDirectory& m_directory;
     const SiteProtocol& m_protocol;
     RequestForwarder& m_forwarder;
     const TargetReachability& m_reachability;
+    KeyChecks m_keyChecks;
     std::size_t m_requestsInFlight = 0;
     bool m_isStopping = false;
 };
--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -70,6 +70,8 @@
             if (total)
                 entry.total = total.value();
         }
+        if (!record.isDeleted && record.key == organisationKey(id))
+            entry.organisation = OrganisationName(record.value);
         if (record.isDeleted || record.key != resultSegmentKey(id, entry.segments))
             continue;
         auto results = decodeResults(record.value);
@@ -148,6 +150,19 @@
     co_return std::shared_ptr<const CachedSubmission>(entry);
 }
 
+Task<Result<OrganisationName>> ResultReader::readOrganisation(const SubmissionId& id)
+{
+    if (const auto cached = m_cache.find(id); cached != m_cache.end() && cached->second->total)
+        co_return cached->second->organisation;
+    // Written with the submission and never changed, but a stale read may not show it yet.
+    auto record = co_await m_store.staleRead(organisationKey(id));
+    if (!record || !record.value())
+        record = co_await m_store.read(organisationKey(id));
+    if (!record)
+        co_return failure(ErrorCode::Unavailable, record.error().message, id.value());
+    co_return record.value() ? OrganisationName(record.value()->value) : OrganisationName();
+}
+
 void ResultReader::evictUnused()
 {
     const auto oldest = m_clock.now() - idleRetention;
--- a/packages/hosting/src/ResultReader.h
+++ b/packages/hosting/src/ResultReader.h
@@ -21,6 +21,8 @@
 struct CachedSubmission {
     /// Number of items; empty before the first successful read.
     std::optional<std::size_t> total;
+    /// Organisation that owns the submission, known with the number of items; empty if it has none.
+    OrganisationName organisation;
     /// Read on the first request for an item's body.
     std::shared_ptr<const Submission> submission;
     std::vector<SampleResult> results;
@@ -45,6 +47,8 @@
     Task<Result<std::shared_ptr<const CachedSubmission>>> readResults(const SubmissionId&, std::size_t position, std::chrono::milliseconds maximumWait);
     /// @brief Returns the submission as its trainer sent it. Errors: as for readResults().
     Task<Result<std::shared_ptr<const Submission>>> readSubmission(const SubmissionId&);
+    /// @brief Returns the organisation that owns the submission; empty if it has none, or if there is no such submission. Errors: Unavailable.
+    Task<Result<OrganisationName>> readOrganisation(const SubmissionId&);
     /// @brief Evicts submissions that have not been requested recently.
     void evictUnused();
 
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -253,7 +253,8 @@
     entry->policy.expiresAt = submittedAt + entry->route->itemTimeToLive + clockSkewMargin;
     entry->policy.requiresSingleVersion = entry->route->requiresSingleVersion;
     entry->policy.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
-    entry->policy.priority = entry->route->priority;
+    const auto* organisation = entry->view->configuration.organisation(submission.organisation);
+    entry->policy.priority = organisation ? organisation->priority.value_or(entry->route->priority) : entry->route->priority;
     entry->policy.pools = poolsOf(entry->route);
     entry->submission = std::move(submission);
     entry->revision = revision;
@@ -394,6 +395,7 @@
     const auto& item = entry->submission.items[key.index];
     SampleAttempt attempt;
     attempt.context.expectedTarget = target.id;
+    attempt.context.organisation = entry->submission.organisation;
     attempt.context.remainingTime = std::chrono::duration_cast<milliseconds>(entry->policy.expiresAt - m_clock.now());
     attempt.priority = std::min(9U, entry->policy.priority);
     if (const auto* text = m_scheduler.partialText(key))
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -113,8 +113,9 @@
         if (entry.isDeleted || entry.key != m_protocol.keys().configuration)
             continue;
         auto configuration = m_protocol.configuration(entry.value);
-        if (!configuration) {
-            logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", configuration.error().message } });
+        const auto checked = configuration ? checkOrganisations(configuration.value()) : Result<void>(configuration.as_failure());
+        if (!checked) {
+            logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", checked.error().message } });
             continue;
         }
         // A snapshot may be older than a change that the watch has already reported.
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -2,6 +2,7 @@
 
 #include "RecordWatch.h"
 
+#include "cicadalb/site/OrganisationKeys.h"
 #include "cicadalb/site/SiteProtocol.h"
 #include "cicadalb/transport/SharedPoolBalancer.h"
 
@@ -20,10 +21,12 @@
     explicit SiteView(SiteConfiguration published)
         : configuration(std::move(published))
         , routes(configuration)
+        , keys(configuration)
     {
     }
     SiteConfiguration configuration;
     RouteIndex routes;
+    OrganisationKeys keys;
     /// Revision of the configuration's record.
     Revision revision = 0;
 };
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -16,7 +16,9 @@
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusAccepted = 202;
     constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusUnauthorized = 401;
     constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusConflict = 409;
     constexpr unsigned statusBadGateway = 502;
     constexpr unsigned statusUnavailable = 503;
     constexpr unsigned statusGatewayTimeout = 504;
@@ -28,6 +30,9 @@
     /// Limit on the text in one page of results; the platform allows 1 MB of results.
     constexpr std::size_t maximumPageBytes = std::size_t { 900 } << 10U;
 
+    /// The same text as for a submission that does not exist.
+    constexpr std::string_view noSubmission = "no such submission";
+
     std::string formatSeconds(Duration duration)
     {
         std::array<char, 32> text {};
@@ -58,6 +63,13 @@
 
     std::string_view authorityOf(const HttpRequest& request) { return fieldIn(request.fields, "Host"); }
 
+    /// Whether the submissions of an authority need no key. Their later calls do not name the route.
+    bool hasPublicSubmissions(const SiteView& view, std::string_view authority)
+    {
+        const auto& routes = view.configuration.routes;
+        return std::any_of(routes.begin(), routes.end(), [&](const auto& route) { return route.isPublic && route.kind == RequestKind::Submission && route.authority == authority; });
+    }
+
     RunState runStateOf(ForwardState state)
     {
         switch (state) {
@@ -90,6 +102,7 @@
     , m_metrics(metrics)
     , m_clock(clock)
     , m_relay(relay)
+    , m_keyChecks(directory, protocol, m_options.keyValidity)
     , m_random(m_options.seed)
 {
 }
@@ -109,7 +122,7 @@
 Task<void> SiteEndpoints::serve(ServerRequest& request, ServerResponder& responder)
 {
     const auto receivedAt = request.receivedAt;
-    const auto message = toHttpRequest(request);
+    auto message = toHttpRequest(request);
     const auto call = m_protocol.callerRequest(message);
     if (call.kind == CallerRequestKind::Ready) {
         HttpResponse response;
@@ -135,23 +148,55 @@
     m_metrics.countRequest({ result.route, result.response.status, result.runState, latency });
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::dispatch(const HttpRequest& request, const CallerRequest& call, TimePoint receivedAt, ServerResponder& responder)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::dispatch(HttpRequest& request, const CallerRequest& call, TimePoint receivedAt, ServerResponder& responder)
 {
-    switch (call.kind) {
-    case CallerRequestKind::ReadResults:
-        return readResults(call);
-    case CallerRequestKind::ReadItem:
-        return readItem(call);
-    case CallerRequestKind::EndSubmission:
-        return endSubmission(call);
-    case CallerRequestKind::Ready:
-    case CallerRequestKind::Routed:
-        break;
-    }
-    return handleRouted(request, receivedAt, responder);
+    if (call.kind == CallerRequestKind::Routed)
+        return handleRouted(request, receivedAt, responder);
+    return handleSubmissionCall(request, call);
+}
+
+std::optional<SiteEndpoints::EndpointResult> SiteEndpoints::checkKeys(const SiteView& view, bool isPublic, HttpFields& fields, KeyCheck& check)
+{
+    check = m_keyChecks.take(view, isPublic, fields);
+    if (view.keys.areRequired())
+        m_metrics.countKeyDecision(name(check.decision));
+    if (KeyChecks::isPassed(check))
+        return std::nullopt;
+    logEvent(Event::KeyRefused, { { "digest", std::string(shortKeyDigest(check.digest)) }, { "decision", std::string(name(check.decision)) }, { "configuration", std::to_string(view.configuration.version) }, { "configuration-age-ms", ageText(m_directory.configurationAge()) } });
+    if (check.decision == KeyDecision::Undecided)
+        return makeRefusal(statusUnavailable, "the request was not run: this host cannot know whether the key is valid", dependencyRetryAfter);
+    auto refusal = makeRefusal(statusUnauthorized, "the request needs one key of an organisation", {});
+    refusal.response.fields.emplace_back("WWW-Authenticate", "Bearer");
+    return refusal;
+}
+
+bool SiteEndpoints::isOfOther(const SubmissionId& submission, const OrganisationName& owner, const KeyCheck& key) const
+{
+    const bool isOther = !owner.isEmpty() && owner != key.organisation;
+    if (isOther)
+        logEvent(Event::SubmissionOfOtherOrganisation, { { "id", submission.value() }, { "digest", std::string(shortKeyDigest(key.digest)) }, { "organisation", key.organisation.value() } });
+    return isOther;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::handleRouted(const HttpRequest& request, TimePoint receivedAt, ServerResponder& responder)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::handleSubmissionCall(HttpRequest& request, const CallerRequest& call)
+{
+    using Handler = Task<EndpointResult> (SiteEndpoints::*)(const CallerRequest&, const KeyCheck&);
+    static constexpr std::array<std::pair<CallerRequestKind, Handler>, 3> handlers { {
+        { CallerRequestKind::ReadResults, &SiteEndpoints::readResults },
+        { CallerRequestKind::ReadItem, &SiteEndpoints::readItem },
+        { CallerRequestKind::EndSubmission, &SiteEndpoints::endSubmission },
+    } };
+    const auto view = m_directory.view();
+    if (!view)
+        co_return makeRefusal(statusUnavailable, "this host has not received a configuration yet", dependencyRetryAfter);
+    KeyCheck key;
+    if (auto refusal = checkKeys(*view, hasPublicSubmissions(*view, authorityOf(request)), request.fields, key))
+        co_return std::move(*refusal);
+    const auto handler = std::find_if(handlers.begin(), handlers.end(), [&](const auto& entry) { return entry.first == call.kind; });
+    co_return co_await (this->*handler->second)(call, key);
+}
+
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::handleRouted(HttpRequest& request, TimePoint receivedAt, ServerResponder& responder)
 {
     const auto view = m_directory.view();
     if (!view)
@@ -163,10 +208,13 @@
     if (!route)
         co_return makeRefusal(statusNotFound, "no route matches this authority and path", {});
     EndpointResult result;
-    if (route->kind == RequestKind::Submission && request.method == "POST")
-        result = co_await submit(request, *view, *route);
+    KeyCheck key;
+    if (auto refusal = checkKeys(*view, route->isPublic, request.fields, key))
+        result = std::move(*refusal);
+    else if (route->kind == RequestKind::Submission && request.method == "POST")
+        result = co_await submit(request, *view, *route, key);
     else
-        result = co_await forward(request, view, *route, receivedAt, responder);
+        result = co_await forward(request, view, *route, key, receivedAt, responder);
     result.route = route->name;
     co_return result;
 }
@@ -206,9 +254,11 @@
     co_return std::nullopt;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView> view, const SiteRoute& route, TimePoint receivedAt, ServerResponder& responder)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView> view, const SiteRoute& route, const KeyCheck& key, TimePoint receivedAt, ServerResponder& responder)
 {
-    auto forwarded = makeForwardRequest(request, route, m_protocol);
+    auto forwarded = makeForwardRequest(request, route, m_protocol, key.organisation);
+    forwarded.priority = key.priority;
+    forwarded.mayBeSent = m_keyChecks.condition(key);
     if (forwarded.id.isEmpty())
         co_return makeRefusal(statusBadRequest, "the request has no id", {});
     forwarded.pool = choosePool(route, randomUnit(m_random));
@@ -223,9 +273,9 @@
     const auto callerTimeout = m_protocol.callerTimeout(request.fields).value_or(route.timeout);
     forwarded.deadline = receivedAt + (route.timeout.count() > 0 ? std::min(callerTimeout, route.timeout) : callerTimeout);
     if (m_relay) {
-        forwarded.relay = [this, &request, pool = forwarded.pool, version = view->configuration.version, release = forwarded.requiredRelease, deadline = forwarded.deadline,
+        forwarded.relay = [this, &request, &key, pool = forwarded.pool, version = view->configuration.version, release = forwarded.requiredRelease, deadline = forwarded.deadline,
                               cancellation = forwarded.cancellation](unsigned attemptsLeft) {
-            return m_relay->send({ request, pool, version, {}, attemptsLeft, release }, deadline, cancellation);
+            return m_relay->send({ request, pool, version, {}, attemptsLeft, release, key.organisation, key.digest }, deadline, cancellation);
         };
     }
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
@@ -249,7 +299,7 @@
     co_return result;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::submit(const HttpRequest& request, const SiteView& view, const SiteRoute& route)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::submit(const HttpRequest& request, const SiteView& view, const SiteRoute& route, const KeyCheck& key)
 {
     auto submission = m_protocol.submission(request);
     if (!submission)
@@ -259,10 +309,13 @@
         co_return makeRefusal(statusBadRequest, "the submission's id is missing or too long", {});
     accepted.submittedAt = std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     accepted.acceptedUnder = view.configuration.version;
+    accepted.organisation = key.organisation;
     const auto outcome = co_await m_intake.accept(accepted);
     logIntake(accepted, route, outcome);
     if (outcome == IntakeOutcome::NotAccepted)
         co_return makeRefusal(statusUnavailable, "the store did not accept the submission", dependencyRetryAfter);
+    if (outcome == IntakeOutcome::OtherOrganisation)
+        co_return makeRefusal(statusConflict, "another submission has this id", {});
     if (outcome == IntakeOutcome::Unknown)
         co_return makeRefusal(statusGatewayTimeout, "it is unknown whether the submission was stored", {});
     EndpointResult result;
@@ -278,7 +331,7 @@
             { "items", std::to_string(submission.items.size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "outcome", std::string(name(outcome)) } });
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::readResults(const CallerRequest& call)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::readResults(const CallerRequest& call, const KeyCheck& key)
 {
     const auto maximumWait = m_isStopping ? milliseconds(0) : call.maximumWait;
     const auto cached = co_await m_reader.readResults(call.submission, call.position, maximumWait);
@@ -288,6 +341,8 @@
         co_return makeRefusal(statusUnavailable, cached.error().message, dependencyRetryAfter);
     }
     const auto& entry = *cached.value();
+    if (isOfOther(call.submission, entry.organisation, key))
+        co_return makeRefusal(statusNotFound, std::string(noSubmission), {});
     std::vector<const SampleResult*> page;
     std::size_t bytes = 0;
     for (auto index = call.position; index < entry.results.size(); ++index) {
@@ -302,13 +357,15 @@
     co_return result;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::readItem(const CallerRequest& call)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::readItem(const CallerRequest& call, const KeyCheck& key)
 {
     const auto submission = co_await m_reader.readSubmission(call.submission);
     if (!submission) {
         const bool isAbsent = submission.error().code == ErrorCode::StepUnknown;
         co_return makeRefusal(isAbsent ? statusNotFound : statusUnavailable, submission.error().message, isAbsent ? milliseconds(0) : dependencyRetryAfter);
     }
+    if (isOfOther(call.submission, submission.value()->organisation, key))
+        co_return makeRefusal(statusNotFound, std::string(noSubmission), {});
     const auto& items = submission.value()->items;
     const auto found = std::find_if(items.begin(), items.end(), [&](const auto& item) { return item.id == call.item; });
     if (found == items.end())
@@ -321,8 +378,15 @@
     co_return result;
 }
 
-Task<SiteEndpoints::EndpointResult> SiteEndpoints::endSubmission(const CallerRequest& call)
+Task<SiteEndpoints::EndpointResult> SiteEndpoints::endSubmission(const CallerRequest& call, const KeyCheck& key)
 {
+    if (!key.organisation.isEmpty()) {
+        const auto owner = co_await m_reader.readOrganisation(call.submission);
+        if (!owner)
+            co_return makeRefusal(statusUnavailable, owner.error().message, dependencyRetryAfter);
+        if (isOfOther(call.submission, owner.value(), key))
+            co_return makeRefusal(statusNotFound, std::string(noSubmission), {});
+    }
     const auto ended = co_await m_intake.end(call.submission);
     if (!ended) {
         // The end mark may still be written later, which is harmless, since the trainer has asked for it.
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "KeyChecks.h"
 #include "RequestForwarder.h"
 #include "RequestRelay.h"
 #include "ResultReader.h"
@@ -19,6 +20,7 @@
 struct SiteEndpointsOptions {
     HostId host;
     std::uint64_t seed = 0;
+    KeyValidity keyValidity = KeyValidity({});
 };
 
 /// @brief Bound to one event loop.
@@ -41,17 +43,22 @@
         unsigned attempts = 0;
     };
 
-    Task<EndpointResult> dispatch(const HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
-    Task<EndpointResult> handleRouted(const HttpRequest&, TimePoint receivedAt, ServerResponder&);
-    Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, TimePoint receivedAt, ServerResponder&);
+    Task<EndpointResult> dispatch(HttpRequest&, const CallerRequest&, TimePoint receivedAt, ServerResponder&);
+    Task<EndpointResult> handleRouted(HttpRequest&, TimePoint receivedAt, ServerResponder&);
+    Task<EndpointResult> handleSubmissionCall(HttpRequest&, const CallerRequest&);
+    Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, const KeyCheck&, TimePoint receivedAt, ServerResponder&);
     /// The route's default release if all registered targets run it.
     Task<Result<std::optional<SoftwareRelease>>> onlyRelease(const SiteRoute&);
     /// Makes a request that continues a stream go to the software that began it. @return why it cannot be continued, or nothing
     Task<std::optional<EndpointResult>> requireOrigin(ForwardRequest&, const ContinuedStream&);
-    Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&);
-    Task<EndpointResult> readResults(const CallerRequest&);
-    Task<EndpointResult> readItem(const CallerRequest&);
-    Task<EndpointResult> endSubmission(const CallerRequest&);
+    Task<EndpointResult> submit(const HttpRequest&, const SiteView&, const SiteRoute&, const KeyCheck&);
+    Task<EndpointResult> readResults(const CallerRequest&, const KeyCheck&);
+    Task<EndpointResult> readItem(const CallerRequest&, const KeyCheck&);
+    Task<EndpointResult> endSubmission(const CallerRequest&, const KeyCheck&);
+    /// Takes the keys out of the request and decides on them. @return why the request is refused, or nothing
+    std::optional<EndpointResult> checkKeys(const SiteView&, bool isPublic, HttpFields&, KeyCheck&);
+    /// Whether the submission belongs to another organisation than the caller.
+    bool isOfOther(const SubmissionId&, const OrganisationName& owner, const KeyCheck&) const;
     void recordAnswer(const HttpRequest&, const CallerRequest&, const EndpointResult&, Duration latency);
     void logIntake(const Submission&, const SiteRoute&, IntakeOutcome) const;
     EndpointResult makeRefusal(unsigned status, std::string reason, Duration retryAfter) const;
@@ -66,6 +73,7 @@
     Metrics& m_metrics;
     const Clock& m_clock;
     RequestRelay* m_relay;
+    KeyChecks m_keyChecks;
     Random m_random;
     bool m_isStopping = false;
 };
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -178,11 +178,11 @@
         , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
         , m_relay(makeRelay(m_executor, m_settings, m_clock))
-        , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability)
+        , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability, KeyValidity(m_settings.work.keyValidity))
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
         , m_streamOrigins(std::make_shared<StreamOrigins>(m_executor, *m_store, m_bootClock))
-        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
+        , m_endpoints({ m_settings.host.id, m_seed, KeyValidity(m_settings.work.keyValidity) }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
@@ -368,7 +368,7 @@
     /// Answers requests of other hosts.
     Task<void> serveHosts(ServerRequest& request, ServerResponder& responder)
     {
-        if (request.path == relayPath) {
+        if (request.path == relayPath || request.path == organisationRelayPath) {
             co_await m_relayEndpoint.serve(request, responder);
             co_return;
         }
@@ -446,11 +446,17 @@
         nlohmann::json requestLimits = nlohmann::json::object();
         for (const auto& [id, requestsPerSecond] : m_permits.limits().all())
             requestLimits[id.value()] = requestsPerSecond;
+        nlohmann::json organisations = nlohmann::json::object();
+        if (view) {
+            for (const auto& organisation : view->configuration.organisations)
+                organisations[organisation.name.value()] = { { "keys", organisation.keyDigests.size() } };
+        }
         return {
             { "host", m_settings.host.id.value() },
             { "ready", m_endpoints.isReady() },
             { "configuration", view ? view->configuration.version : 0 },
             { "registry-revision", m_directory.registryRevision() },
+            { "organisations", organisations },
             { "targets", targets },
             { "cut-off", m_reachability->isCutOff() },
             { "request-limits", requestLimits },
--- a/packages/hosting/src/SubmissionIntake.h
+++ b/packages/hosting/src/SubmissionIntake.h
@@ -18,6 +18,8 @@
     NotAccepted,
     /// The submission may be stored already, or a pending write may still store it.
     Unknown,
+    /// Another organisation has a submission with this id; this one is not stored.
+    OtherOrganisation,
 };
 
 std::string_view name(IntakeOutcome) noexcept;
@@ -37,7 +39,7 @@
 
 private:
     /// Finds out what became of a write without an answer, and prevents it from taking effect later.
-    Task<IntakeOutcome> resolveUnknownOutcome(const SubmissionId&);
+    Task<IntakeOutcome> resolveUnknownOutcome(const Submission&);
 
     /// Ended submissions that are remembered, so that a repeated end costs no call to the store.
     static constexpr std::size_t maximumRememberedEnds = 1024;
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -24,6 +24,10 @@
         }
         return keys;
     }
+    void removeKeys(HttpFields& fields) const override
+    {
+        std::erase_if(fields, [](const auto& field) { return field.first == "Key" || field.first == "Organisation"; });
+    }
     std::optional<ContinuedStream> continuedStream(const HttpFields& fields) const override
     {
         const auto lastEvent = fieldIn(fields, "Last-Event");
@@ -34,7 +38,10 @@
     HttpRequest forwardedRequest(const HttpRequest& request, const AttemptContext& context) const override
     {
         auto forwarded = request;
+        std::erase_if(forwarded.fields, [](const auto& field) { return field.first == "Organisation"; });
         forwarded.fields.emplace_back("Remaining", std::to_string(context.remainingTime.count()));
+        if (!context.organisation.isEmpty())
+            forwarded.fields.emplace_back("Organisation", context.organisation.value());
         return forwarded;
     }
     std::string requestIdentity(const HttpRequest& request) const override { return request.target + "\n" + request.body; }
--- a/packages/site/include/cicadalb/site/OrganisationKeys.h
+++ b/packages/site/include/cicadalb/site/OrganisationKeys.h
@@ -89,6 +89,9 @@
     bool mayBeBehind = true;
 };
 
+/// @brief Decides to which organisation a request belongs. Any doubt whether this host knows the configuration in force makes it Undecided.
 KeyCheck checkKeys(const OrganisationKeys&, bool isPublicRoute, const std::vector<Secret>& presented, const ConfigurationKnowledge&, const KeyValidity&);
+/// @brief The same for the digest of a single key, on a route that is not public. @param expected organisation that has to hold the key; empty: any
+KeyCheck checkDigest(const OrganisationKeys&, const std::string& digest, const OrganisationName& expected, const ConfigurationKnowledge&, const KeyValidity&);
 
 } // namespace cicadalb
--- a/packages/site/include/cicadalb/site/SiteConfiguration.h
+++ b/packages/site/include/cicadalb/site/SiteConfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cicadalb/base/Error.h"
 #include "cicadalb/base/Identifier.h"
 
 #include <chrono>
@@ -107,8 +108,13 @@
     std::vector<SiteOrganisation> organisations;
 
     const SitePool* pool(const PoolName&) const noexcept;
+    const SiteOrganisation* organisation(const OrganisationName&) const noexcept;
 };
 
+/// @brief Checks that each request can belong to one organisation only. Errors: RecordInvalid (an organisation is listed twice or has no name, or
+/// two have the same key).
+Result<void> checkOrganisations(const SiteConfiguration&);
+
 /// @brief Finds routes by authority and the longest matching path prefix. Complexity: linear in the routes of the authority.
 class RouteIndex {
 public:
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -58,7 +58,7 @@
     /// Time after which the target stops working on the request.
     std::chrono::milliseconds remainingTime { 0 };
     /// Organisation that the request belongs to; empty for a request without a key.
-    OrganisationName organisation;
+    OrganisationName organisation {};
 };
 
 /// @brief Parameters of one attempt to generate a sample.
@@ -109,9 +109,11 @@
     virtual std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const = 0;
     /// @brief Keys that the caller presents; more than one is ambiguous. A field of another form counts as a key that no organisation holds.
     virtual std::vector<Secret> callerKeys(const HttpFields&) const = 0;
+    /// @brief Removes keys, and names of organisations that the caller states.
+    virtual void removeKeys(HttpFields&) const = 0;
     /// @return nothing for a request that does not continue a stream
     virtual std::optional<ContinuedStream> continuedStream(const HttpFields&) const = 0;
-    /// @brief The caller's request as it is sent to a target.
+    /// @brief The caller's request as it is sent to a target. It names the organisation of the context only, whatever the caller states.
     virtual HttpRequest forwardedRequest(const HttpRequest&, const AttemptContext&) const = 0;
     /// @brief Text that is equal each time the same caller sends the same request.
     virtual std::string requestIdentity(const HttpRequest&) const = 0;
--- a/packages/site/src/OrganisationKeys.cpp
+++ b/packages/site/src/OrganisationKeys.cpp
@@ -56,17 +56,22 @@
 
 KeyCheck checkKeys(const OrganisationKeys& keys, bool isPublicRoute, const std::vector<Secret>& presented, const ConfigurationKnowledge& knowledge, const KeyValidity& validity)
 {
-    KeyCheck check;
     if (isPublicRoute || !keys.areRequired())
-        return check;
+        return {};
     const bool isSingle = presented.size() == 1;
-    if (isSingle)
-        check.digest = keyDigest(presented.front());
-    const auto* organisation = keys.findByDigest(check.digest);
-    if (!organisation) {
-        // A key that no organisation can hold is unknown to every configuration.
-        const bool mayBeNew = !check.digest.empty() && knowledge.mayBeBehind;
-        check.decision = mayBeNew ? KeyDecision::Undecided : KeyDecision::Unknown;
+    return checkDigest(keys, isSingle ? keyDigest(presented.front()) : std::string(), {}, knowledge, validity);
+}
+
+KeyCheck checkDigest(const OrganisationKeys& keys, const std::string& digest, const OrganisationName& expected, const ConfigurationKnowledge& knowledge, const KeyValidity& validity)
+{
+    KeyCheck check;
+    if (!keys.areRequired())
+        return check;
+    check.digest = digest;
+    const auto* organisation = keys.findByDigest(digest);
+    if (!organisation || (!expected.isEmpty() && organisation->name != expected)) {
+        // A configuration that is missing here may hold the key, or need none.
+        check.decision = knowledge.mayBeBehind ? KeyDecision::Undecided : KeyDecision::Unknown;
         return check;
     }
     if (!validity.mayRelyOn(knowledge.age)) {
--- a/packages/site/src/SiteConfiguration.cpp
+++ b/packages/site/src/SiteConfiguration.cpp
@@ -3,6 +3,8 @@
 #include "cicadalb/base/EnumTable.h"
 
 #include <algorithm>
+#include <set>
+#include <unordered_map>
 
 namespace cicadalb {
 
@@ -38,6 +40,30 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+const SiteOrganisation* SiteConfiguration::organisation(const OrganisationName& organisationName) const noexcept
+{
+    const auto found = std::find_if(organisations.begin(), organisations.end(), [&](const auto& organisation) { return organisation.name == organisationName; });
+    return found == organisations.end() ? nullptr : &*found;
+}
+
+Result<void> checkOrganisations(const SiteConfiguration& configuration)
+{
+    std::set<OrganisationName> names;
+    std::unordered_map<std::string_view, const SiteOrganisation*> holders;
+    for (const auto& organisation : configuration.organisations) {
+        if (organisation.name.isEmpty())
+            return failure(ErrorCode::RecordInvalid, "an organisation has no name");
+        if (!names.insert(organisation.name).second)
+            return failure(ErrorCode::RecordInvalid, "the organisation " + organisation.name.value() + " is listed twice");
+        for (const auto& digest : organisation.keyDigests) {
+            const auto* holder = holders.emplace(digest, &organisation).first->second;
+            if (holder != &organisation)
+                return failure(ErrorCode::RecordInvalid, "the organisations " + holder->name.value() + " and " + organisation.name.value() + " have the same key");
+        }
+    }
+    return success();
+}
+
 RouteIndex::RouteIndex(const SiteConfiguration& configuration)
 {
     for (const auto& route : configuration.routes)
--- a/packages/submissions/include/cicadalb/submissions/Submission.h
+++ b/packages/submissions/include/cicadalb/submissions/Submission.h
@@ -53,6 +53,8 @@
     UnixTime submittedAt { 0 };
     /// Version of the site's configuration under which a host accepted the submission.
     std::uint64_t acceptedUnder = 0;
+    /// Organisation whose key the trainer presented; empty where none was needed.
+    OrganisationName organisation;
     /// Number of the trainer's step, from 0.
     std::uint64_t step = 0;
     ModelName model;
--- a/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -14,6 +14,7 @@
 ///     submissions/<id>/text        the submission, or a marker that it was refused for good
 ///     submissions/<id>/end         exists once the trainer has ended the submission
 ///     results/<id>/00000000        number of items, written together with the submission; one call reads it and the results
+///     results/<id>/00000000/organisation  organisation that owns the submission, written together with it; absent if it has none
 ///     results/<id>/<number>        segment of the results, in order; written once and only after the preceding segment
 ///     texts/latest                 partial texts of the coordinator's running and waiting samples, for the next coordinator
 
@@ -41,6 +42,8 @@
 std::string resultKeyPrefix(const SubmissionId&);
 /// @brief Key of the number of items.
 std::string itemCountKey(const SubmissionId&);
+/// @brief Key of the name of the owning organisation, which sorts between the number of items and the first segment.
+std::string organisationKey(const SubmissionId&);
 /// @param segment from 0
 std::string resultSegmentKey(const SubmissionId&, std::size_t segment);
 /// @brief Key of the last of @p segments result segments, or itemCountKey() if there are none.
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -12,6 +12,7 @@
 
     constexpr std::string_view textSuffix = "/text";
     constexpr std::string_view endSuffix = "/end";
+    constexpr std::string_view organisationSuffix = "/organisation";
     constexpr std::string_view refusalMarker = "refused";
 
     Json toJson(const RewardCall& reward)
@@ -78,6 +79,11 @@
     return numberedKey(id, 0);
 }
 
+std::string organisationKey(const SubmissionId& id)
+{
+    return itemCountKey(id) + std::string(organisationSuffix);
+}
+
 std::string resultSegmentKey(const SubmissionId& id, std::size_t segment)
 {
     return numberedKey(id, segment + 1);
@@ -109,7 +115,7 @@
     for (const auto& item : submission.items)
         items.push_back(toJson(item));
     return toCbor({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
-        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items), submission.acceptedUnder });
+        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items), submission.acceptedUnder, submission.organisation.value() });
 }
 
 Result<Submission> decodeSubmission(std::string_view record)
@@ -126,9 +132,11 @@
         submission.wantedGroupCount = json.at(7).get<std::uint64_t>();
         for (const auto& item : json.at(8))
             submission.items.push_back(itemFromJson(item));
-        // Records of earlier builds lack this field.
+        // Records of earlier builds lack these fields.
         if (json.size() > 9)
             submission.acceptedUnder = json.at(9).get<std::uint64_t>();
+        if (json.size() > 10)
+            submission.organisation = OrganisationName(json.at(10).get<std::string>());
         return submission;
     });
 }
--- a/packages/transport/include/cicadalb/transport/Metrics.h
+++ b/packages/transport/include/cicadalb/transport/Metrics.h
@@ -11,6 +11,7 @@
 #include <prometheus/registry.h>
 
 #include <string>
+#include <string_view>
 
 /// @file
 /// Metrics of the process, kept with prometheus-cpp. Thread-safe.
@@ -34,6 +35,8 @@
     void countRequest(const RequestOutcome&);
     /// @brief Counts an attempt on a target.
     void countAttempt(const RouteName&);
+    /// @brief Counts a decision on the key of a request.
+    void countKeyDecision(std::string_view decision);
     void setGauge(const std::string& name, const std::string& help, double value);
 
     /// @brief All metrics in the Prometheus text exposition format.
@@ -43,6 +46,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_keyDecisions;
     prometheus::Family<prometheus::Histogram>& m_latency;
 };
 
--- a/packages/transport/src/Metrics.cpp
+++ b/packages/transport/src/Metrics.cpp
@@ -20,6 +20,7 @@
 Metrics::Metrics()
     : m_requests(prometheus::BuildCounter().Name("cicadalb_requests_total").Help("Requests by route, status and run state").Register(m_registry))
     , m_attempts(prometheus::BuildCounter().Name("cicadalb_attempts_total").Help("Attempts on targets by route").Register(m_registry))
+    , m_keyDecisions(prometheus::BuildCounter().Name("cicadalb_key_decisions_total").Help("Requests by the decision on the key of their organisation").Register(m_registry))
     , m_latency(prometheus::BuildHistogram().Name("cicadalb_request_seconds").Help("Time from a request's header to the end of its answer").Register(m_registry))
 {
 }
@@ -35,6 +36,11 @@
     m_attempts.Add({ { "route", route.value() } }).Increment();
 }
 
+void Metrics::countKeyDecision(std::string_view decision)
+{
+    m_keyDecisions.Add({ { "decision", std::string(decision) } }).Increment();
+}
+
 void Metrics::setGauge(const std::string& name, const std::string& help, double value)
 {
     prometheus::BuildGauge().Name(name).Help(help).Register(m_registry).Add({}).Set(value);
