--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -254,7 +254,10 @@
     entry->policy.requiresSingleVersion = entry->route->requiresSingleVersion;
     entry->policy.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
     entry->policy.priority = entry->route->priority;
+    entry->policy.firstEventWithin = entry->route->latencyObjective;
     entry->policy.pools = poolsOf(entry->route);
+    for (auto& item : submission.items)
+        item.prompt = m_protocol.prompt(item.fields);
     entry->submission = std::move(submission);
     entry->revision = revision;
     m_scheduler.add(entry->submission, entry->policy, entry->log->stored());
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -55,6 +55,7 @@
         return rate.empty() ? RateStatement {} : RateStatement { RateStatementKind::Limited, std::stod(std::string(rate)) };
     }
     std::string signature(const HttpFields& fields) const override { return std::string(fieldIn(fields, "Signature")); }
+    Prompt prompt(const HttpFields&) const override { return {}; }
     HttpRequest sampleRequest(const Submission&, const SampleItem&, const SampleAttempt&) const override { return {}; }
     HttpRequest rewardRequest(const RewardCall&, const AttemptContext&) const override { return {}; }
     std::optional<WeightVersion> answerWeightVersion(const HttpFields&) const override { return std::nullopt; }
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -134,6 +134,8 @@
     virtual RateStatement rateStatement(const HttpFields&) const = 0;
     /// @brief Signature of a target's answer; empty if it has none.
     virtual std::string signature(const HttpFields&) const = 0;
+    /// @brief Size of the prompt that a request for tokens states.
+    virtual Prompt prompt(const HttpFields&) const = 0;
     virtual HttpRequest sampleRequest(const Submission&, const SampleItem&, const SampleAttempt&) const = 0;
     virtual HttpRequest rewardRequest(const RewardCall&, const AttemptContext&) const = 0;
     /// @brief Weight version at the beginning of an answer.
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -3,6 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/routing/TargetRateLimits.h"
 #include "cicadalb/submissions/PartialText.h"
+#include "cicadalb/submissions/PrefillLoad.h"
 #include "cicadalb/submissions/Submission.h"
 
 #include <map>
@@ -38,17 +39,12 @@
     bool requiresSingleVersion = false;
     unsigned maximumServerErrors = 3;
     unsigned priority = 0;
+    /// Time within which the first event of an item is wanted; zero: no wish.
+    Duration firstEventWithin {};
     /// Pools whose engines may run the items; they change with the configuration.
     std::vector<PoolName> pools;
 };
 
-/// @brief An item by its position in a submission.
-struct ItemKey {
-    SubmissionId submission;
-    std::size_t index = 0;
-    auto operator<=>(const ItemKey&) const = default;
-};
-
 /// @brief A run to start now.
 struct Placement {
     ItemKey item;
@@ -162,6 +158,8 @@
     std::size_t runningCountOn(const TargetId&, const ModelName&) const;
     /// @brief Time per event of an engine, measured or assumed.
     Duration timePerEvent(const TargetId&) const;
+    /// @brief Number of times that an item with free slots to run on waited, since the prompts before it would have taken too long to read.
+    std::uint64_t prefillWaits() const noexcept { return m_prefillWaits; }
     /// @brief The oldest weight version that all open submissions of a model allow, or nothing if none is open.
     std::optional<WeightVersion> oldestAllowedVersion(const ModelName&) const;
 
@@ -176,6 +174,7 @@
         ItemId id;
         GroupId group;
         double expectedEvents = 0;
+        Prompt prompt;
         /// Whether the trainer waits for the item's group; such items are placed first.
         bool isInWantedGroup = true;
         /// Whether the item's group can be whole by its due time, as of the last plan.
@@ -214,6 +213,7 @@
         TimePoint pausedUntil;
         /// 0 if not measured.
         double measuredSecondsPerEvent = 0;
+        PrefillLoad prefill;
     };
 
     void markGroupsInTime(TimePoint now);
@@ -228,7 +228,12 @@
     bool canRun(const TargetId&, const Engine&, const OpenSubmission&, TimePoint now) const;
     static bool canUseText(const Engine&, const OpenSubmission&, const PartialText&, TextUse);
     const Engine* findEngine(const TargetId&) const;
-    std::optional<TargetId> bestEngine(const OpenSubmission&, const Item&, TextUse, TimePoint now) const;
+    struct EngineChoice {
+        std::optional<TargetId> engine;
+        /// Whether an engine with a free slot was passed over because of the prompts that it reads.
+        bool isAwaitingPrefill = false;
+    };
+    EngineChoice bestEngine(const OpenSubmission&, const Item&, TextUse, TimePoint now) const;
     /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
     std::optional<TargetId> chooseEngine(const OpenSubmission&, Item&, TimePoint now);
     bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
@@ -237,7 +242,10 @@
     bool isRunReleaseUncertain(const Item&) const;
     void dropUncertainText(Item&) const;
     double secondsPerEvent(const Engine&) const;
-    void releaseSlot(Item&);
+    void updatePrefillBound();
+    /// Whether the item may wait for an engine that is not reading long prompts.
+    bool mayWait(const OpenSubmission&, const Item&, const Engine&, TimePoint now) const;
+    void releaseSlot(const ItemKey&, Item&);
     void updateTimePerEvent(const Item&, TimePoint now);
     void dropDisallowedText(const OpenSubmission&, Item&) const;
 
@@ -250,6 +258,8 @@
     std::map<ItemId, PartialText> m_reusableTexts;
     std::map<ModelName, double> m_demand;
     TargetRateLimits* m_rateLimits = nullptr;
+    PrefillBound m_prefillBound;
+    std::uint64_t m_prefillWaits = 0;
 };
 
 } // namespace cicadalb
--- a/packages/submissions/include/cicadalb/submissions/Submission.h
+++ b/packages/submissions/include/cicadalb/submissions/Submission.h
@@ -4,6 +4,7 @@
 #include "cicadalb/services/HttpClient.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,20 @@
     std::string body;
 };
 
+/// @brief Part of a prompt that other prompts may share.
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint64_t tokens = 0;
+};
+
+/// @brief Size of a prompt as its submitter states it.
+struct Prompt {
+    /// 0 if unknown.
+    std::uint64_t tokens = 0;
+    /// Parts in order. An engine that keeps a part need not read it again if it keeps all parts before it.
+    std::vector<PromptPart> parts;
+};
+
 /// @brief A prompt for which a text is to be generated.
 struct SampleItem {
     ItemId id;
@@ -42,9 +57,18 @@
     std::uint64_t maximumTokens = 0;
     /// The submitter's estimate of the output tokens, often far off; 0 if there is none.
     double lengthHint = 0;
+    /// Not part of the stored record: follows from the fields.
+    Prompt prompt;
     std::optional<RewardCall> reward;
 };
 
+/// @brief An item by its position in a submission.
+struct ItemKey {
+    SubmissionId submission;
+    std::size_t index = 0;
+    auto operator<=>(const ItemKey&) const = default;
+};
+
 struct Submission {
     SubmissionId id;
     /// Selects the route together with the path.
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -59,6 +59,14 @@
         return std::max(expected - static_cast<double>(received), minimumRemainingShare * static_cast<double>(received));
     }
 
+    /// What an engine reads before it continues a text: the prompt and the text, of which it keeps the prompt's shared parts at most.
+    Prompt promptToRead(const Prompt& prompt, const PartialText& text)
+    {
+        auto read = prompt;
+        read.tokens += static_cast<std::uint64_t>(tokensPerEvent * static_cast<double>(text.eventCount));
+        return read;
+    }
+
     /// Expected events of each group's longest item.
     template <typename Items>
     std::map<GroupId, double> groupLengths(const Items& items)
@@ -93,6 +101,8 @@
     for (const auto& present : engines) {
         auto& engine = m_engines[present.id];
         engine.isPresent = true;
+        if (engine.startedAt != present.startedAt)
+            engine.prefill.forgetParts();
         engine.release = { present.pool, present.softwareVersion };
         engine.startedAt = present.startedAt;
         engine.slots = std::max(1U, present.slots);
@@ -104,8 +114,13 @@
 
 void SampleScheduler::setWeightVersion(const TargetId& id, const ModelName& model, std::optional<WeightVersion> version)
 {
-    if (const auto found = m_engines.find(id); found != m_engines.end())
-        found->second.weights[model] = version;
+    const auto found = m_engines.find(id);
+    if (found == m_engines.end())
+        return;
+    // What an engine keeps of prompts belongs to the weights that read them.
+    if (found->second.weights[model] != version)
+        found->second.prefill.forgetParts();
+    found->second.weights[model] = version;
 }
 
 void SampleScheduler::setAssignedModel(const TargetId& id, const ModelName& model)
@@ -126,6 +141,7 @@
         Item item;
         item.id = source.id;
         item.group = source.group;
+        item.prompt = source.prompt;
         item.expectedEvents = source.lengthHint > 0 ? source.lengthHint / tokensPerEvent : defaultExpectedEvents;
         if (done.contains(source.id))
             item.state = ItemState::Settled;
@@ -143,6 +159,18 @@
     auto& demand = m_demand[opened.model];
     demand = demand > 0 ? demand + demandWeight * (events - demand) : events;
     m_submissions.emplace(submission.id, std::move(opened));
+    updatePrefillBound();
+}
+
+/// Prompts share engines, so that the nearest aim of all open submissions counts at each engine.
+void SampleScheduler::updatePrefillBound()
+{
+    auto nearest = Duration::max();
+    for (const auto& [id, submission] : m_submissions) {
+        if (submission.policy.firstEventWithin > Duration::zero())
+            nearest = std::min(nearest, submission.policy.firstEventWithin);
+    }
+    m_prefillBound = nearest == Duration::max() ? PrefillBound {} : PrefillBound::forAim(nearest);
 }
 
 /// Marks the items of the groups that the trainer waits for. Groups with partial text were submitted before and always belong to them. The
@@ -184,14 +212,14 @@
         auto& item = found->second.items[index];
         if (item.state == ItemState::Running) {
             stopped.push_back({ id, index });
-            if (const auto engine = m_engines.find(item.engine); engine != m_engines.end())
-                --engine->second.running;
+            releaseSlot({ id, index }, item);
         }
         dropUncertainText(item);
         if (item.state != ItemState::Settled && item.text.eventCount > 0 && m_reusableTexts.size() < maximumReusableTexts)
             m_reusableTexts.insert_or_assign(item.id, std::move(item.text));
     }
     m_submissions.erase(found);
+    updatePrefillBound();
     return stopped;
 }
 
@@ -273,6 +301,7 @@
             continue;
         auto& engine = m_engines[*engineId];
         ++engine.running;
+        engine.prefill.begin(key, promptToRead(item->prompt, item->text), now);
         if (m_rateLimits)
             m_rateLimits->record(*engineId, now);
         item->state = ItemState::Running;
@@ -313,10 +342,12 @@
 
 std::optional<TargetId> SampleScheduler::chooseEngine(const OpenSubmission& submission, Item& item, TimePoint now)
 {
-    auto continuing = bestEngine(submission, item, TextUse::Continue, now);
+    auto [continuing, isAwaitingPrefill] = bestEngine(submission, item, TextUse::Continue, now);
+    if (isAwaitingPrefill)
+        ++m_prefillWaits;
     if (item.text.eventCount == 0)
         return continuing;
-    auto beginning = bestEngine(submission, item, TextUse::BeginAgain, now);
+    auto beginning = bestEngine(submission, item, TextUse::BeginAgain, now).engine;
     if (!beginning)
         return continuing;
     if (!item.textBlockedSince)
@@ -345,23 +376,39 @@
     });
 }
 
-std::optional<TargetId> SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TextUse use, TimePoint now) const
+SampleScheduler::EngineChoice SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TextUse use, TimePoint now) const
 {
     std::optional<TargetId> best;
     auto lowestCost = std::numeric_limits<double>::infinity();
+    const auto prompt = promptToRead(item.prompt, item.text);
+    const auto events = std::max(minimumRemainingEvents, remainingEvents(item.expectedEvents, item.text.eventCount));
+    bool isPassedOver = false;
     for (const auto& [id, engine] : m_engines) {
         if (!canRun(id, engine, submission, now) || !canUseText(engine, submission, item.text, use))
             continue;
+        const auto unread = engine.prefill.unreadTokens(prompt);
+        if (!m_prefillBound.admits(engine.prefill, unread, now) && mayWait(submission, item, engine, now)) {
+            isPassedOver = true;
+            continue;
+        }
         // An engine of another model is used only if the model's own engines are full or cost more than 1.5 times as much.
         const double assignmentPenalty = engine.assignedModel == submission.model || engine.assignedModel.isEmpty() ? 1.0 : 1.5;
         const double loadPenalty = 1.0 + 0.3 * engine.running / engine.slots;
-        const auto cost = secondsPerEvent(engine) * loadPenalty * assignmentPenalty;
+        // Each running text waits for the prompt to be read.
+        const auto reading = Seconds(engine.prefill.timeUntilRead(now)).count() + Seconds(engine.prefill.readingTime(unread)).count() * (1.0 + engine.running);
+        const auto cost = secondsPerEvent(engine) * loadPenalty * assignmentPenalty + reading / events;
         if (cost < lowestCost) {
             lowestCost = cost;
             best = id;
         }
     }
-    return best;
+    return { best, isPassedOver && !best };
+}
+
+bool SampleScheduler::mayWait(const OpenSubmission& submission, const Item& item, const Engine& engine, TimePoint now) const
+{
+    const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
+    return now + std::chrono::duration_cast<Duration>(Seconds(events * secondsPerEvent(engine))) + m_prefillBound.maximum < submission.policy.softDeadline;
 }
 
 double SampleScheduler::secondsPerEvent(const Engine& engine) const
@@ -375,6 +422,10 @@
     if (!item || item->state != ItemState::Running)
         return;
     updateTimePerEvent(*item, now);
+    if (item->text.eventCount == item->eventsAtStart) {
+        if (const auto engine = m_engines.find(item->engine); engine != m_engines.end())
+            engine->second.prefill.finish(key, now);
+    }
     if (item->text.eventCount == 0)
         item->text.release = item->runRelease;
     item->text.append(eventId, data, version);
@@ -400,10 +451,13 @@
         item.text = {};
 }
 
-void SampleScheduler::releaseSlot(Item& item)
+void SampleScheduler::releaseSlot(const ItemKey& key, Item& item)
 {
-    if (const auto found = m_engines.find(item.engine); found != m_engines.end())
-        --found->second.running;
+    const auto found = m_engines.find(item.engine);
+    if (found == m_engines.end())
+        return;
+    --found->second.running;
+    found->second.prefill.abandon(key);
 }
 
 /// Adds the time since a run's last event to the average of its engine.
@@ -435,7 +489,7 @@
     auto& submission = m_submissions[key.submission];
     const auto eventsBefore = item->text.eventCount;
     dropUncertainText(*item);
-    releaseSlot(*item);
+    releaseSlot(key, *item);
     item->state = ItemState::Waiting;
     item->notBefore = now;
     dropDisallowedText(submission, *item);
@@ -479,7 +533,7 @@
     if (!item)
         return;
     if (item->state == ItemState::Running)
-        releaseSlot(*item);
+        releaseSlot(key, *item);
     item->state = ItemState::Settled;
     item->text = {};
 }
@@ -520,7 +574,7 @@
             const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
             if (Seconds(remaining * secondsPerEvent(*current)) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
                 continue;
-            const auto best = bestEngine(submission, item, TextUse::Continue, now);
+            const auto best = bestEngine(submission, item, TextUse::Continue, now).engine;
             if (!best || *best == item.engine)
                 continue;
             const auto* candidate = findEngine(*best);
