Items with long prompts wait while an engine reads, and let short prompts go first

Cause: a long prompt on an engine delays the first event of all prompts behind it and each event of the texts beside it; the operators want both kinds within their aims without engines set aside.

--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -175,6 +175,8 @@
         GroupId group;
         double expectedEvents = 0;
         Prompt prompt;
+        /// Since when the item waits for a run, as far as placing has seen it.
+        std::optional<TimePoint> waitingSince;
         /// Whether the trainer waits for the item's group; such items are placed first.
         bool isInWantedGroup = true;
         /// Whether the item's group can be whole by its due time, as of the last plan.
@@ -243,6 +245,10 @@
     void dropUncertainText(Item&) const;
     double secondsPerEvent(const Engine&) const;
     void updatePrefillBound();
+    /// Time to read a prompt at an engine of usual speed; zero if no engine's speed is known.
+    Duration usualReadingTime(const Item&) const;
+    /// Whether items with short prompts go before the item, whose prompt is long and may still wait.
+    bool yieldsToShortPrompts(const OpenSubmission&, const Item&, TimePoint now) const;
     /// Whether the item may wait for an engine that is not reading long prompts.
     bool mayWait(const OpenSubmission&, const Item&, const Engine&, TimePoint now) const;
     void releaseSlot(const ItemKey&, Item&);
--- a/packages/submissions/src/PrefillLoad.cpp
+++ b/packages/submissions/src/PrefillLoad.cpp
@@ -105,9 +105,9 @@
 
 bool PrefillBound::admits(const PrefillLoad& load, std::uint64_t unreadTokens, TimePoint now) const
 {
-    if (maximum <= Duration::zero() || !load.isReading())
-        return true;
-    return load.timeUntilRead(now) + load.readingTime(unreadTokens) <= maximum;
+    const auto wait = load.timeUntilRead(now);
+    const auto reading = load.readingTime(unreadTokens);
+    return maximum <= Duration::zero() || wait == Duration::zero() || wait + reading <= maximum;
 }
 
 } // namespace cicadalb
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -48,6 +48,11 @@
     /// Placements come in bursts, in which the groups that can be whole in time hardly change.
     constexpr std::chrono::milliseconds planInterval { 20 };
 
+    /// A prompt is long if reading it takes more than this part of what an engine may have to read.
+    constexpr int longPromptShare = 4;
+    /// Multiple of the time in which its first event is wanted for which a long prompt lets short ones go before it.
+    constexpr int longPromptPatience = 2;
+
     constexpr auto groupOrderNames = std::to_array<EnumName<GroupOrder>>({
         { GroupOrder::DueTime, "due-time" },
         { GroupOrder::InTimeFirst, "in-time-first" },
@@ -277,13 +282,17 @@
         ItemKey key;
         OpenSubmission* submission;
         Item* item;
+        bool yieldsToShortPrompts;
     };
     std::vector<Candidate> candidates;
     for (auto& [id, submission] : m_submissions) {
         for (std::size_t index = 0; index < submission.items.size(); ++index) {
             auto& item = submission.items[index];
-            if (item.state == ItemState::Waiting && item.notBefore <= now && submission.policy.expiresAt > now)
-                candidates.push_back({ { id, index }, &submission, &item });
+            if (item.state != ItemState::Waiting || item.notBefore > now || submission.policy.expiresAt <= now)
+                continue;
+            if (!item.waitingSince)
+                item.waitingSince = now;
+            candidates.push_back({ { id, index }, &submission, &item, yieldsToShortPrompts(submission, item, now) });
         }
     }
     // Texts that only some engines can continue come before those that any engine can begin.
@@ -291,11 +300,11 @@
     const auto sortKey = [placesTextsFirst](const Candidate& candidate) {
         const auto events = candidate.item->text.eventCount;
         const auto remaining = candidate.item->expectedEvents - static_cast<double>(events);
-        return std::tuple(!candidate.item->isInWantedGroup, !candidate.item->isInTime, placesTextsFirst && events == 0, candidate.submission->policy.softDeadline, -remaining);
+        return std::tuple(!candidate.item->isInWantedGroup, !candidate.item->isInTime, placesTextsFirst && events == 0, candidate.yieldsToShortPrompts, candidate.submission->policy.softDeadline, -remaining);
     };
     std::sort(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) { return sortKey(left) < sortKey(right); });
     std::vector<Placement> placements;
-    for (auto& [key, submission, item] : candidates) {
+    for (auto& [key, submission, item, yields] : candidates) {
         const auto engineId = chooseEngine(*submission, *item, now);
         if (!engineId)
             continue;
@@ -305,6 +314,7 @@
         if (m_rateLimits)
             m_rateLimits->record(*engineId, now);
         item->state = ItemState::Running;
+        item->waitingSince.reset();
         item->engine = *engineId;
         item->startedAt = now;
         item->lastEventAt = now;
@@ -405,6 +415,32 @@
     return { best, isPassedOver && !best };
 }
 
+Duration SampleScheduler::usualReadingTime(const Item& item) const
+{
+    const auto tokens = promptToRead(item.prompt, item.text).tokens;
+    std::vector<Duration> times;
+    for (const auto& [id, engine] : m_engines) {
+        if (const auto time = engine.prefill.readingTime(tokens); engine.isPresent && time > Duration::zero())
+            times.push_back(time);
+    }
+    if (times.empty())
+        return Duration::zero();
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+bool SampleScheduler::yieldsToShortPrompts(const OpenSubmission& submission, const Item& item, TimePoint now) const
+{
+    const auto aim = submission.policy.firstEventWithin;
+    const bool isSlackKnown = m_prefillBound.maximum > Duration::zero() && item.prompt.tokens >= PrefillLoad::minimumMeasuredTokens;
+    if (!isSlackKnown || now >= *item.waitingSince + longPromptPatience * aim)
+        return false;
+    const auto reading = usualReadingTime(item);
+    const auto running = Seconds(remainingEvents(item.expectedEvents, item.text.eventCount) * Seconds(assumedTimePerEvent).count());
+    return reading * longPromptShare > m_prefillBound.maximum && now + reading + std::chrono::duration_cast<Duration>(running) + m_prefillBound.maximum < submission.policy.softDeadline;
+}
+
 bool SampleScheduler::mayWait(const OpenSubmission& submission, const Item& item, const Engine& engine, TimePoint now) const
 {
     const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
