--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -70,6 +70,8 @@
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
+    /// @brief See SampleScheduler::prefillWaits(); of the work that runs now.
+    std::uint64_t prefillWaits() const { return m_sampleRunner ? m_sampleRunner->scheduler().prefillWaits() : 0; }
 
 private:
     Task<void> maintainLease();
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -430,6 +430,7 @@
         m_metrics.setGauge("cicadalb_stream_records_stored", "Records of streams stored since the start", static_cast<double>(m_streamOrigins->storedRecords()));
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
+        m_metrics.setGauge("cicadalb_prompt_waits", "Times that a sample waited although an engine had a free slot, because of the prompts that it reads", m_coordination ? static_cast<double>(m_coordination->prefillWaits()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
         return m_metrics.text();
     }
