Sample scheduler looks only at free engines and waiting items

Cause: each placement compared every waiting item with every engine, the search for moves compared every running item with every engine ten times a second, and the counts for weight orders passed over all items for each engine. Change: items are indexed by state, runs counted by model; a placement collects the engines with a free slot once for submissions of equal requirements and takes the waiting items from a heap until no engine is left; plans are good for longer with many groups; moves ask for the best engine once for each release.

--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -128,7 +128,8 @@
     /// @brief Removes a submission. @return its running items, whose runs the caller has to stop
     std::vector<ItemKey> remove(const SubmissionId&);
 
-    /// @brief Places waiting items on free slots and counts them as running. Complexity: waiting items times engines.
+    /// @brief Places waiting items on free slots and counts them as running. Complexity: n of the waiting items that an engine with a free slot may
+    /// run, and log n + m for each of them that is looked at, with m such engines; none if there is no such engine or item.
     std::vector<Placement> place(TimePoint now);
     /// @brief Records an event of a run.
     void onEvent(const ItemKey&, std::uint64_t eventId, std::string_view data, WeightVersion, TimePoint now);
@@ -174,7 +175,8 @@
 
     struct Item {
         ItemId id;
-        GroupId group;
+        /// Number of its group in the submission, in the order of first items.
+        std::size_t group = 0;
         double expectedEvents = 0;
         /// Whether the trainer waits for the item's group; such items are placed first.
         bool isInWantedGroup = true;
@@ -200,6 +202,12 @@
         WeightVersion oldestVersion = 0;
         SubmissionPolicy policy;
         std::vector<Item> items;
+        std::size_t groups = 0;
+        /// Number of groups that the trainer waits for.
+        std::size_t wantedGroups = 0;
+        /// Items in these states, by index.
+        std::set<std::size_t> waiting;
+        std::set<std::size_t> running;
     };
 
     struct Engine {
@@ -207,6 +215,7 @@
         Incarnation startedAt = 0;
         unsigned slots = 1;
         unsigned running = 0;
+        std::map<ModelName, unsigned> runningByModel;
         bool isPresent = true;
         std::map<ModelName, std::optional<WeightVersion>> weights;
         /// Model that the engine is assigned to, or empty.
@@ -216,36 +225,48 @@
         double measuredSecondsPerEvent = 0;
     };
 
-    void markGroupsInTime(TimePoint now);
-    bool hasFreeSlot() const;
-    static void markWantedGroups(OpenSubmission&, std::uint64_t wantedGroupCount);
+    using EngineEntry = std::pair<const TargetId, Engine>;
+    class EngineChoices;
+
+    void updatePlan(TimePoint now);
+    /// @return the number of unfinished groups that trainers wait for
+    std::size_t markGroupsInTime(TimePoint now);
+    static void markWantedGroups(OpenSubmission&, const std::vector<GroupId>& groups, std::uint64_t wantedGroupCount);
+    static void setState(OpenSubmission&, Item&, ItemState);
+    void beginRun(OpenSubmission&, Item&, const TargetId& engine, TimePoint now);
     Item* find(const ItemKey&);
     const Item* find(const ItemKey&) const;
     /// What a run does with the text that an item has already.
     enum class TextUse : std::uint8_t { Continue,
         BeginAgain };
 
-    bool canRun(const TargetId&, const Engine&, const OpenSubmission&, TimePoint now) const;
+    bool canTakeRun(const EngineEntry&, TimePoint now) const;
+    static bool mayRun(const Engine&, const OpenSubmission&);
     static bool canUseText(const Engine&, const OpenSubmission&, const PartialText&, TextUse);
     const Engine* findEngine(const TargetId&) const;
-    std::optional<TargetId> bestEngine(const OpenSubmission&, const Item&, TextUse, TimePoint now) const;
+    /// @param engines engines that may run the item now
+    const EngineEntry* bestEngine(const OpenSubmission&, const PartialText&, TextUse, const std::vector<const EngineEntry*>& engines) const;
     /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
-    std::optional<TargetId> chooseEngine(const OpenSubmission&, Item&, TimePoint now);
+    const EngineEntry* chooseEngine(const OpenSubmission&, Item&, const std::vector<const EngineEntry*>& engines, TimePoint now) const;
     bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
     bool hasSeveralReleases() const;
     /// Whether the engine of an item's run has restarted with other software since the run was placed, so that the run's events may come from either.
     bool isRunReleaseUncertain(const Item&) const;
     void dropUncertainText(Item&) const;
     double secondsPerEvent(const Engine&) const;
-    void releaseSlot(Item&);
+    void releaseSlot(const OpenSubmission&, const Item&);
     void updateTimePerEvent(const Item&, TimePoint now);
     void dropDisallowedText(const OpenSubmission&, Item&) const;
 
     GroupOrder m_groupOrder;
-    /// Earliest time at which the groups that can be whole in time are determined again.
-    TimePoint m_nextPlanAt;
+    /// When the groups that can be whole in time were determined, for how long that is good, and whether a submission was added since.
+    TimePoint m_plannedAt;
+    std::chrono::milliseconds m_planInterval { 0 };
+    bool m_hasUnplannedSubmission = false;
     std::map<SubmissionId, OpenSubmission> m_submissions;
     std::map<TargetId, Engine> m_engines;
+    /// Software of the engines that are present.
+    std::map<PoolName, std::set<SoftwareVersion>> m_releases;
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
     std::map<ItemId, PartialText> m_reusableTexts;
     std::map<ModelName, double> m_demand;
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -1,11 +1,9 @@
 #include "cicadalb/submissions/SampleScheduler.h"
 
-#include "GroupPlan.h"
-
 #include "cicadalb/base/EnumTable.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 
 namespace cicadalb {
 
@@ -18,20 +16,10 @@
     constexpr double timePerEventWeight = 0.04;
     /// Moving-average weight of the newest submission in a model's demand.
     constexpr double demandWeight = 0.3;
-    /// The remaining events of a run are estimated as at least this share of those received, since a text may be longer than expected.
-    constexpr double minimumRemainingShare = 0.5;
-    constexpr double minimumRemainingEvents = 5;
     /// Expected events of an item without a length hint.
     constexpr double defaultExpectedEvents = 20;
     /// Converts length hints from output tokens to events. Only the order and rough size of estimates depend on it.
     constexpr double tokensPerEvent = 54;
-    /// A run is moved if it has had no event for this multiple of its engine's time per event, and for at least minimumStallTime.
-    constexpr double stallFactor = 10;
-    constexpr Seconds minimumStallTime { 0.7 };
-    /// A run that is not stalled is moved only to an engine that is faster by more than this factor.
-    constexpr double minimumSpeedup = 1.6;
-    /// A run that is not stalled is moved only if it has run for this long and is expected to take this much longer.
-    constexpr Seconds minimumElapsedAndRemaining { 0.4 };
     /// Maximum number of partial texts that are kept when submissions end.
     constexpr std::size_t maximumReusableTexts = 4096;
 
@@ -45,32 +33,11 @@
         { RunOutcome::WrongWeights, "wrong-weights" },
     });
 
-    /// Placements come in bursts, in which the groups that can be whole in time hardly change.
-    constexpr std::chrono::milliseconds planInterval { 20 };
-
     constexpr auto groupOrderNames = std::to_array<EnumName<GroupOrder>>({
         { GroupOrder::DueTime, "due-time" },
         { GroupOrder::InTimeFirst, "in-time-first" },
     });
 
-    /// Events that an item still needs, by what is expected and received.
-    double remainingEvents(double expected, std::size_t received)
-    {
-        return std::max(expected - static_cast<double>(received), minimumRemainingShare * static_cast<double>(received));
-    }
-
-    /// Expected events of each group's longest item.
-    template <typename Items>
-    std::map<GroupId, double> groupLengths(const Items& items)
-    {
-        std::map<GroupId, double> lengths;
-        for (const auto& item : items) {
-            auto& length = lengths[item.group];
-            length = std::max(length, item.expectedEvents);
-        }
-        return lengths;
-    }
-
 } // namespace
 
 std::string_view name(RunOutcome end) noexcept { return nameIn(runOutcomeNames, end); }
@@ -100,6 +67,11 @@
             engine.weights.try_emplace(ModelName(model), version);
     }
     std::erase_if(m_engines, [](const auto& entry) { return !entry.second.isPresent && entry.second.running == 0; });
+    m_releases.clear();
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.isPresent)
+            m_releases[engine.release.pool].insert(engine.release.version);
+    }
 }
 
 void SampleScheduler::setWeightVersion(const TargetId& id, const ModelName& model, std::optional<WeightVersion> version)
@@ -122,13 +94,21 @@
     opened.model = submission.model;
     opened.oldestVersion = submission.oldestVersion;
     opened.policy = policy;
+    opened.items.reserve(submission.items.size());
+    std::vector<GroupId> groups;
+    std::map<GroupId, std::size_t> groupNumbers;
     for (const auto& source : submission.items) {
         Item item;
         item.id = source.id;
-        item.group = source.group;
+        const auto [group, isNewGroup] = groupNumbers.try_emplace(source.group, groups.size());
+        if (isNewGroup)
+            groups.push_back(source.group);
+        item.group = group->second;
         item.expectedEvents = source.lengthHint > 0 ? source.lengthHint / tokensPerEvent : defaultExpectedEvents;
         if (done.contains(source.id))
             item.state = ItemState::Settled;
+        else
+            opened.waiting.insert(opened.items.size());
         if (const auto reusable = m_reusableTexts.find(source.id); reusable != m_reusableTexts.end()) {
             item.text = std::move(reusable->second);
             m_reusableTexts.erase(reusable);
@@ -136,36 +116,59 @@
         }
         opened.items.push_back(std::move(item));
     }
-    markWantedGroups(opened, submission.wantedGroupCount);
+    markWantedGroups(opened, groups, submission.wantedGroupCount);
     double events = 0;
     for (const auto& item : opened.items)
         events += item.expectedEvents;
     auto& demand = m_demand[opened.model];
     demand = demand > 0 ? demand + demandWeight * (events - demand) : events;
     m_submissions.emplace(submission.id, std::move(opened));
+    m_hasUnplannedSubmission = true;
 }
 
 /// Marks the items of the groups that the trainer waits for. Groups with partial text were submitted before and always belong to them. The
 /// others are added by the length of their longest item, the shortest first, until there are @p wantedGroupCount groups (0: all).
-void SampleScheduler::markWantedGroups(OpenSubmission& submission, std::uint64_t wantedGroupCount)
+void SampleScheduler::markWantedGroups(OpenSubmission& submission, const std::vector<GroupId>& groups, std::uint64_t wantedGroupCount)
 {
-    const auto lengths = groupLengths(submission.items);
-    std::set<GroupId> wanted;
+    std::vector<std::tuple<double, const GroupId*, std::size_t>> shortestFirst;
+    shortestFirst.reserve(groups.size());
+    for (std::size_t group = 0; group < groups.size(); ++group)
+        shortestFirst.emplace_back(0, &groups[group], group);
+    std::vector<bool> isWanted(groups.size(), false);
     for (const auto& item : submission.items) {
+        auto& length = std::get<double>(shortestFirst[item.group]);
+        length = std::max(length, item.expectedEvents);
         if (item.text.eventCount > 0)
-            wanted.insert(item.group);
+            isWanted[item.group] = true;
     }
-    std::vector<std::pair<double, GroupId>> shortestFirst;
-    shortestFirst.reserve(lengths.size());
-    for (const auto& [group, length] : lengths)
-        shortestFirst.emplace_back(length, group);
-    std::sort(shortestFirst.begin(), shortestFirst.end());
-    for (const auto& [length, group] : shortestFirst) {
-        if (wantedGroupCount == 0 || wanted.size() < wantedGroupCount)
-            wanted.insert(group);
+    std::sort(shortestFirst.begin(), shortestFirst.end(), [](const auto& left, const auto& right) {
+        return std::tie(std::get<0>(left), *std::get<1>(left)) < std::tie(std::get<0>(right), *std::get<1>(right));
+    });
+    auto wanted = static_cast<std::size_t>(std::count(isWanted.begin(), isWanted.end(), true));
+    for (const auto& [length, id, group] : shortestFirst) {
+        if (isWanted[group] || (wantedGroupCount > 0 && wanted >= wantedGroupCount))
+            continue;
+        isWanted[group] = true;
+        ++wanted;
     }
     for (auto& item : submission.items)
-        item.isInWantedGroup = wanted.contains(item.group);
+        item.isInWantedGroup = isWanted[item.group];
+    submission.groups = groups.size();
+    submission.wantedGroups = wanted;
+}
+
+void SampleScheduler::setState(OpenSubmission& submission, Item& item, ItemState state)
+{
+    const auto index = static_cast<std::size_t>(&item - submission.items.data());
+    if (item.state == ItemState::Waiting)
+        submission.waiting.erase(index);
+    else if (item.state == ItemState::Running)
+        submission.running.erase(index);
+    item.state = state;
+    if (state == ItemState::Waiting)
+        submission.waiting.insert(index);
+    else if (state == ItemState::Running)
+        submission.running.insert(index);
 }
 
 void SampleScheduler::setPools(const SubmissionId& id, std::vector<PoolName> pools)
@@ -184,8 +187,7 @@
         auto& item = found->second.items[index];
         if (item.state == ItemState::Running) {
             stopped.push_back({ id, index });
-            if (const auto engine = m_engines.find(item.engine); engine != m_engines.end())
-                --engine->second.running;
+            releaseSlot(found->second, item);
         }
         dropUncertainText(item);
         if (item.state != ItemState::Settled && item.text.eventCount > 0 && m_reusableTexts.size() < maximumReusableTexts)
@@ -195,175 +197,6 @@
     return stopped;
 }
 
-bool SampleScheduler::hasFreeSlot() const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(), [](const auto& entry) { return entry.second.isPresent && entry.second.running < entry.second.slots; });
-}
-
-void SampleScheduler::markGroupsInTime(TimePoint now)
-{
-    EngineSpeed speed;
-    for (const auto& [id, engine] : m_engines) {
-        if (!engine.isPresent)
-            continue;
-        speed.eventsPerSecond += engine.slots / secondsPerEvent(engine);
-        speed.secondsPerEvent = speed.secondsPerEvent > 0 ? std::min(speed.secondsPerEvent, secondsPerEvent(engine)) : secondsPerEvent(engine);
-    }
-    std::vector<PlannedGroup> groups;
-    std::vector<PlannedSubmission> submissions;
-    std::vector<std::pair<Item*, std::size_t>> members;
-    for (auto& [id, submission] : m_submissions) {
-        std::map<GroupId, std::size_t> indexes;
-        std::set<GroupId> wanted;
-        for (auto& item : submission.items) {
-            const bool isUnfinished = item.state == ItemState::Waiting || item.state == ItemState::Running;
-            if (item.isInWantedGroup)
-                wanted.insert(item.group);
-            if (!isUnfinished || !item.isInWantedGroup)
-                continue;
-            const auto [index, isNew] = indexes.try_emplace(item.group, groups.size());
-            if (isNew)
-                groups.push_back({ submission.policy.softDeadline, 0, 0, submissions.size() });
-            auto& group = groups[index->second];
-            const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
-            group.remainingEvents += events;
-            group.longestItem = std::max(group.longestItem, events);
-            members.emplace_back(&item, index->second);
-        }
-        submissions.push_back({ wanted.size(), wanted.size() - indexes.size() });
-    }
-    const auto isSelected = selectGroupsInTime(groups, std::move(submissions), speed, now);
-    for (const auto& [item, group] : members)
-        item->isInTime = isSelected[group];
-}
-
-std::vector<Placement> SampleScheduler::place(TimePoint now)
-{
-    if (!hasFreeSlot())
-        return {};
-    if (m_groupOrder == GroupOrder::InTimeFirst && now >= m_nextPlanAt) {
-        markGroupsInTime(now);
-        m_nextPlanAt = now + planInterval;
-    }
-    struct Candidate {
-        ItemKey key;
-        OpenSubmission* submission;
-        Item* item;
-    };
-    std::vector<Candidate> candidates;
-    for (auto& [id, submission] : m_submissions) {
-        for (std::size_t index = 0; index < submission.items.size(); ++index) {
-            auto& item = submission.items[index];
-            if (item.state == ItemState::Waiting && item.notBefore <= now && submission.policy.expiresAt > now)
-                candidates.push_back({ { id, index }, &submission, &item });
-        }
-    }
-    // Texts that only some engines can continue come before those that any engine can begin.
-    const bool placesTextsFirst = hasSeveralReleases();
-    const auto sortKey = [placesTextsFirst](const Candidate& candidate) {
-        const auto events = candidate.item->text.eventCount;
-        const auto remaining = candidate.item->expectedEvents - static_cast<double>(events);
-        return std::tuple(!candidate.item->isInWantedGroup, !candidate.item->isInTime, placesTextsFirst && events == 0, candidate.submission->policy.softDeadline, -remaining);
-    };
-    std::sort(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) { return sortKey(left) < sortKey(right); });
-    std::vector<Placement> placements;
-    for (auto& [key, submission, item] : candidates) {
-        const auto engineId = chooseEngine(*submission, *item, now);
-        if (!engineId)
-            continue;
-        auto& engine = m_engines[*engineId];
-        ++engine.running;
-        if (m_rateLimits)
-            m_rateLimits->record(*engineId, now);
-        item->state = ItemState::Running;
-        item->engine = *engineId;
-        item->startedAt = now;
-        item->lastEventAt = now;
-        item->eventsAtStart = item->text.eventCount;
-        item->runRelease = engine.release;
-        item->runEngineStartedAt = engine.startedAt;
-        placements.push_back({ key, *engineId, engine.startedAt });
-    }
-    return placements;
-}
-
-bool SampleScheduler::canRun(const TargetId& id, const Engine& engine, const OpenSubmission& submission, TimePoint now) const
-{
-    if (!engine.isPresent || engine.running >= engine.slots || engine.pausedUntil > now)
-        return false;
-    if (m_rateLimits && m_rateLimits->untilNext(id, now) > Duration::zero())
-        return false;
-    if (std::find(submission.policy.pools.begin(), submission.policy.pools.end(), engine.release.pool) == submission.policy.pools.end())
-        return false;
-    const auto weights = engine.weights.find(submission.model);
-    return weights != engine.weights.end() && weights->second && *weights->second >= submission.oldestVersion;
-}
-
-bool SampleScheduler::canUseText(const Engine& engine, const OpenSubmission& submission, const PartialText& text, TextUse use)
-{
-    const bool isCompatible = text.eventCount == 0 || engine.release.isCompatibleWith(text.release);
-    if (use == TextUse::BeginAgain)
-        return !isCompatible;
-    if (!isCompatible)
-        return false;
-    const auto weights = engine.weights.find(submission.model);
-    const bool hasWeights = weights != engine.weights.end() && weights->second;
-    return !submission.policy.requiresSingleVersion || text.versions.empty() || (hasWeights && text.versions.contains(*weights->second));
-}
-
-std::optional<TargetId> SampleScheduler::chooseEngine(const OpenSubmission& submission, Item& item, TimePoint now)
-{
-    auto continuing = bestEngine(submission, item, TextUse::Continue, now);
-    if (item.text.eventCount == 0)
-        return continuing;
-    auto beginning = bestEngine(submission, item, TextUse::BeginAgain, now);
-    if (!beginning)
-        return continuing;
-    if (!item.textBlockedSince)
-        item.textBlockedSince = now;
-    const auto timeToRegenerate = Seconds(secondsPerEvent(m_engines[*beginning]) * static_cast<double>(item.text.eventCount));
-    if (hasEngineWith(item.text.release, submission) && now - *item.textBlockedSince <= timeToRegenerate)
-        return continuing;
-    item.text = {};
-    item.textBlockedSince.reset();
-    return beginning;
-}
-
-bool SampleScheduler::hasEngineWith(const SoftwareRelease& release, const OpenSubmission& submission) const
-{
-    const auto& pools = submission.policy.pools;
-    return std::find(pools.begin(), pools.end(), release.pool) != pools.end()
-        && std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) { return entry.second.isPresent && entry.second.release.isCompatibleWith(release); });
-}
-
-bool SampleScheduler::hasSeveralReleases() const
-{
-    std::map<PoolName, SoftwareVersion> versions;
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) {
-        const auto& [pool, version] = entry.second.release;
-        return entry.second.isPresent && versions.try_emplace(pool, version).first->second != version;
-    });
-}
-
-std::optional<TargetId> SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TextUse use, TimePoint now) const
-{
-    std::optional<TargetId> best;
-    auto lowestCost = std::numeric_limits<double>::infinity();
-    for (const auto& [id, engine] : m_engines) {
-        if (!canRun(id, engine, submission, now) || !canUseText(engine, submission, item.text, use))
-            continue;
-        // An engine of another model is used only if the model's own engines are full or cost more than 1.5 times as much.
-        const double assignmentPenalty = engine.assignedModel == submission.model || engine.assignedModel.isEmpty() ? 1.0 : 1.5;
-        const double loadPenalty = 1.0 + 0.3 * engine.running / engine.slots;
-        const auto cost = secondsPerEvent(engine) * loadPenalty * assignmentPenalty;
-        if (cost < lowestCost) {
-            lowestCost = cost;
-            best = id;
-        }
-    }
-    return best;
-}
-
 double SampleScheduler::secondsPerEvent(const Engine& engine) const
 {
     return engine.measuredSecondsPerEvent > 0 ? engine.measuredSecondsPerEvent : Seconds(assumedTimePerEvent).count();
@@ -400,10 +233,13 @@
         item.text = {};
 }
 
-void SampleScheduler::releaseSlot(Item& item)
+void SampleScheduler::releaseSlot(const OpenSubmission& submission, const Item& item)
 {
-    if (const auto found = m_engines.find(item.engine); found != m_engines.end())
-        --found->second.running;
+    const auto found = m_engines.find(item.engine);
+    if (found == m_engines.end())
+        return;
+    --found->second.running;
+    --found->second.runningByModel[submission.model];
 }
 
 /// Adds the time since a run's last event to the average of its engine.
@@ -435,8 +271,8 @@
     auto& submission = m_submissions[key.submission];
     const auto eventsBefore = item->text.eventCount;
     dropUncertainText(*item);
-    releaseSlot(*item);
-    item->state = ItemState::Waiting;
+    releaseSlot(submission, *item);
+    setState(submission, *item, ItemState::Waiting);
     item->notBefore = now;
     dropDisallowedText(submission, *item);
     const bool hasDroppedText = item->text.eventCount < eventsBefore;
@@ -448,14 +284,14 @@
     case RunOutcome::Complete:
         if (hasDroppedText || item->text.eventCount == 0)
             return ItemAction::Retry;
-        item->state = ItemState::AwaitingResult;
+        setState(submission, *item, ItemState::AwaitingResult);
         return ItemAction::RequestReward;
     case RunOutcome::Impossible:
-        item->state = ItemState::AwaitingResult;
+        setState(submission, *item, ItemState::AwaitingResult);
         return ItemAction::GiveUp;
     case RunOutcome::ServerError:
         if (++item->serverErrors >= submission.policy.maximumServerErrors) {
-            item->state = ItemState::AwaitingResult;
+            setState(submission, *item, ItemState::AwaitingResult);
             return ItemAction::GiveUp;
         }
         return ItemAction::Retry;
@@ -478,9 +314,10 @@
     auto* item = find(key);
     if (!item)
         return;
+    auto& submission = m_submissions[key.submission];
     if (item->state == ItemState::Running)
-        releaseSlot(*item);
-    item->state = ItemState::Settled;
+        releaseSlot(submission, *item);
+    setState(submission, *item, ItemState::Settled);
     item->text = {};
 }
 
@@ -498,42 +335,6 @@
     return keys;
 }
 
-std::vector<ItemKey> SampleScheduler::itemsToMove(TimePoint now) const
-{
-    std::vector<ItemKey> keys;
-    /// Slots on each engine that are taken by moves of this call.
-    std::map<TargetId, unsigned> reservedSlots;
-    for (const auto& [id, submission] : m_submissions) {
-        for (std::size_t index = 0; index < submission.items.size(); ++index) {
-            const auto& item = submission.items[index];
-            if (item.state != ItemState::Running)
-                continue;
-            const auto* current = findEngine(item.engine);
-            if (!current)
-                continue;
-            const auto timeSinceEvent = Seconds(now - item.lastEventAt);
-            if (timeSinceEvent > minimumStallTime && timeSinceEvent.count() > stallFactor * secondsPerEvent(*current)) {
-                keys.push_back({ id, index });
-                continue;
-            }
-            const auto received = static_cast<double>(item.text.eventCount);
-            const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
-            if (Seconds(remaining * secondsPerEvent(*current)) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
-                continue;
-            const auto best = bestEngine(submission, item, TextUse::Continue, now);
-            if (!best || *best == item.engine)
-                continue;
-            const auto* candidate = findEngine(*best);
-            const bool hasRoom = candidate->running + reservedSlots[*best] + 1 < candidate->slots;
-            if (hasRoom && secondsPerEvent(*current) > minimumSpeedup * secondsPerEvent(*candidate)) {
-                ++reservedSlots[*best];
-                keys.push_back({ id, index });
-            }
-        }
-    }
-    return keys;
-}
-
 SampleScheduler::Item* SampleScheduler::find(const ItemKey& key)
 {
     const auto found = m_submissions.find(key.submission);
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -27,18 +27,27 @@
 
 std::vector<ItemText> SampleScheduler::partialTexts(std::size_t minimumEvents, std::size_t maximumBytes) const
 {
-    std::vector<ItemText> texts;
-    for (const auto& [id, submission] : m_submissions) {
-        for (const auto& item : submission.items) {
-            const bool isUnfinished = item.state == ItemState::Waiting || item.state == ItemState::Running;
-            if (isUnfinished && !isRunReleaseUncertain(item) && item.text.eventCount >= std::max<std::size_t>(1, minimumEvents))
-                texts.push_back({ item.id, item.text });
+    std::vector<const Item*> items;
+    const auto add = [&](const OpenSubmission& submission, const std::set<std::size_t>& indexes) {
+        for (const auto index : indexes) {
+            const auto& item = submission.items[index];
+            if (item.text.eventCount >= std::max<std::size_t>(1, minimumEvents) && !isRunReleaseUncertain(item))
+                items.push_back(&item);
         }
+    };
+    for (const auto& [id, submission] : m_submissions) {
+        add(submission, submission.waiting);
+        add(submission, submission.running);
     }
-    std::sort(texts.begin(), texts.end(), [](const auto& left, const auto& right) { return left.text.eventCount > right.text.eventCount; });
+    std::sort(items.begin(), items.end(), [](const auto* left, const auto* right) { return left->text.eventCount > right->text.eventCount; });
+    std::vector<ItemText> texts;
     std::size_t totalBytes = 0;
-    const auto end = std::find_if(texts.begin(), texts.end(), [&](const auto& entry) { return (totalBytes += entry.text.text.size()) > maximumBytes; });
-    texts.erase(end, texts.end());
+    for (const auto* item : items) {
+        totalBytes += item->text.text.size();
+        if (totalBytes > maximumBytes)
+            break;
+        texts.push_back({ item->id, item->text });
+    }
     return texts;
 }
 
@@ -60,7 +69,7 @@
 {
     std::size_t count = 0;
     for (const auto& [id, submission] : m_submissions)
-        count += static_cast<std::size_t>(std::count_if(submission.items.begin(), submission.items.end(), [](const auto& item) { return item.state == ItemState::Waiting; }));
+        count += submission.waiting.size();
     return count;
 }
 
@@ -69,7 +78,7 @@
     std::size_t count = 0;
     for (const auto& [id, submission] : m_submissions) {
         if (submission.model == model)
-            count += static_cast<std::size_t>(std::count_if(submission.items.begin(), submission.items.end(), [](const auto& item) { return item.state == ItemState::Waiting; }));
+            count += submission.waiting.size();
     }
     return count;
 }
@@ -80,16 +89,13 @@
     return found && found->measuredSecondsPerEvent > 0;
 }
 
-std::size_t SampleScheduler::runningCountOn(const TargetId& engine, const ModelName& model) const
+std::size_t SampleScheduler::runningCountOn(const TargetId& id, const ModelName& model) const
 {
-    std::size_t count = 0;
-    for (const auto& [id, submission] : m_submissions) {
-        if (submission.model != model)
-            continue;
-        count += static_cast<std::size_t>(std::count_if(submission.items.begin(), submission.items.end(),
-            [&](const auto& item) { return item.state == ItemState::Running && item.engine == engine; }));
-    }
-    return count;
+    const auto* engine = findEngine(id);
+    if (!engine)
+        return 0;
+    const auto found = engine->runningByModel.find(model);
+    return found == engine->runningByModel.end() ? 0 : found->second;
 }
 
 Duration SampleScheduler::timePerEvent(const TargetId& id) const
