Coordinator that is behind begins no runs (begun)

Cause: under load the coordinator learns late that a submission has ended and begins runs of it more than the allowed time later. Change: a gate before the placement, by the delay of the event loop and the age of the submissions' records.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,9 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 46x: load of the coordinator
+    PlacementPaused = 460,
+    PlacementResumed = 461,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -124,6 +124,8 @@
         { Event::RequestRelayed, "request-relayed", Level::Info },
         { Event::StreamNotRecorded, "stream-not-recorded", Level::Warning },
         { Event::DefaultReleaseChanged, "default-release-changed", Level::Info },
+        { Event::PlacementPaused, "placement-paused", Level::Warning },
+        { Event::PlacementResumed, "placement-resumed", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -69,6 +69,8 @@
     unsigned maximumConcurrentLoads = 0;
     /// How long a target goes on serving after it announced that it leaves.
     std::chrono::milliseconds targetDrainTime { 2000 };
+    /// Longest time from the end of a submission to the last begin of one of its samples' runs. 0: no limit.
+    std::chrono::milliseconds endTime { 0 };
     /// Longest time for which a host may rely on an organisation's key without knowing that it is still valid. 0: no limit.
     std::chrono::milliseconds keyValidity { 0 };
     /// Length of the windows for which usage is reported, and time after a window by which its report is due.
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -66,6 +66,7 @@
             { "order-quiet-ms", &SiteWorkSettings::orderQuietPeriod, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "results-kept-s", &SiteWorkSettings::resultRetention, Presence::Optional, Between { 0, maximumRetentionSeconds } },
             { "loads-at-once", &SiteWorkSettings::maximumConcurrentLoads, Presence::Optional, Between { 0, maximumConcurrentLoads } },
+            { "submission-end-ms", &SiteWorkSettings::endTime, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "key-validity-ms", &SiteWorkSettings::keyValidity, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "usage-window-s", &SiteWorkSettings::usageWindow, Presence::Optional, Between { 1, maximumUsageWindowSeconds } },
             { "usage-report-s", &SiteWorkSettings::usageReportTime, Presence::Optional, Between { 0, maximumUsageWindowSeconds } },
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -69,6 +69,9 @@
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
+    /// @brief See SampleRunner::isPlacementPaused().
+    bool isPlacementPaused() const { return m_sampleRunner && m_sampleRunner->isPlacementPaused(); }
+    Duration loopDelay() const { return m_sampleRunner ? m_sampleRunner->placementGate().loopDelay() : Duration::zero(); }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
 
 private:
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -106,6 +106,7 @@
     , m_settings(settings)
     , m_forwarder(directory, protocol, clients, permits, crashGuard, clock, settings.reachability)
     , m_nextExpirySearchAt(clock.now() + expirySearchInterval)
+    , m_placementGate(settings.endTime)
 {
     m_scheduler.setRateLimits(&permits.limits());
 }
@@ -117,7 +118,12 @@
         if (const auto self = weak.lock())
             self->applyRecords(result.entries);
     };
-    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply, apply, {} });
+    RecordWatchSettings watch { std::string(submissionPrefix) };
+    if (const auto interval = std::chrono::duration_cast<milliseconds>(m_placementGate.recordInterval()); interval.count() > 0) {
+        watch.maximumWait = std::min(watch.maximumWait, interval);
+        watch.keepsCurrent = true;
+    }
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, std::move(watch), RecordWatchHandler { apply, apply, {} });
     asio::co_spawn(m_executor, takeOver(), asio::detached);
 }
 
@@ -293,13 +299,17 @@
     if (m_isPlacementScheduled || m_isStopped)
         return;
     m_isPlacementScheduled = true;
-    asio::post(m_executor, [self = shared_from_this()] {
-        self->m_isPlacementScheduled = false;
-        if (self->m_isStopped)
-            return;
-        for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
-            asio::co_spawn(self->m_executor, self->runItem(placement), asio::detached);
-    });
+    asio::post(m_executor, [self = shared_from_this(), requestedAt = m_clock.now()] { self->placeItems(requestedAt); });
+}
+
+void SampleRunner::placeItems(TimePoint requestedAt)
+{
+    m_isPlacementScheduled = false;
+    // During a pause, tick() requests the next placement.
+    if (m_isStopped || !updatePlacementPause(requestedAt))
+        return;
+    for (const auto& placement : m_scheduler.place(m_clock.now()))
+        asio::co_spawn(m_executor, runItem(placement), asio::detached);
 }
 
 void SampleRunner::tick()
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PlacementGate.h"
 #include "RequestForwarder.h"
 #include "ResultLog.h"
 #include "SiteDirectory.h"
@@ -21,6 +22,8 @@
     std::chrono::milliseconds appendInterval { 400 };
     /// Interval at which incomplete texts are stored, so that the next coordinator can continue them.
     std::chrono::milliseconds partialTextsInterval { 1000 };
+    /// Longest time from the end of a submission to the last begin of one of its runs; 0: no limit. See PlacementGate.
+    std::chrono::milliseconds endTime { 0 };
     /// Whether this host reaches the targets, or null. Must outlive the runner.
     TargetReachability* reachability = nullptr;
 };
@@ -49,6 +52,9 @@
 
     SampleScheduler& scheduler() noexcept { return m_scheduler; }
     std::size_t openSubmissions() const noexcept { return m_openSubmissions.size(); }
+    const PlacementGate& placementGate() const noexcept { return m_placementGate; }
+    /// @brief Whether waiting items are not placed, since this process is behind.
+    bool isPlacementPaused() const noexcept { return m_placementPausedSince.has_value(); }
 
 private:
     struct OpenSubmission {
@@ -80,6 +86,9 @@
         bool isEnded = false;
     };
 
+    void placeItems(TimePoint requestedAt);
+    /// Notes begin and end of a pause of placement. @return whether items may be placed now
+    bool updatePlacementPause(TimePoint requestedAt);
     void applyRecords(const std::vector<KeyValueEntry>&);
     void applySubmissionRecord(const KeyValueEntry&);
     bool hasConfigurationFor(const Submission&) const;
@@ -123,6 +132,9 @@
     bool m_isStoringPartialTexts = false;
     bool m_isStopped = false;
     bool m_isPlacementScheduled = false;
+    PlacementGate m_placementGate;
+    std::optional<TimePoint> m_placementPausedSince;
+    bool m_isPlacementPauseLogged = false;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -7,6 +7,40 @@
 
 namespace cicadalb {
 
+namespace {
+
+    /// Shorter pauses of placement cost nothing that is worth a line.
+    constexpr std::chrono::milliseconds loggedPause { 500 };
+
+    std::string millisecondsText(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+} // namespace
+
+bool SampleRunner::updatePlacementPause(TimePoint requestedAt)
+{
+    const auto now = m_clock.now();
+    m_placementGate.recordLoopDelay(now - requestedAt, now);
+    const auto completeAsOf = m_watch ? m_watch->completeAsOf() : std::nullopt;
+    const auto permission = m_placementGate.permission(completeAsOf, now);
+    const bool isPaused = permission != PlacementPermission::Granted;
+    if (isPaused && !m_placementPausedSince)
+        m_placementPausedSince = now;
+    if (isPaused && !m_isPlacementPauseLogged && now - *m_placementPausedSince >= loggedPause) {
+        m_isPlacementPauseLogged = true;
+        logEvent(Event::PlacementPaused, { { "cause", std::string(name(permission)) }, { "loop-delay-ms", millisecondsText(m_placementGate.loopDelay()) }, { "age-ms", millisecondsText(now - *completeAsOf) }, { "waiting", std::to_string(m_scheduler.waitingCount()) }, { "running", std::to_string(m_scheduler.runningCount()) } });
+    }
+    if (isPaused)
+        return false;
+    if (m_isPlacementPauseLogged)
+        logEvent(Event::PlacementResumed, { { "milliseconds", millisecondsText(now - *m_placementPausedSince) } });
+    m_placementPausedSince.reset();
+    m_isPlacementPauseLogged = false;
+    return true;
+}
+
 void SampleRunner::logIgnoredRecord(const std::string& key, Revision revision, const Error& error)
 {
     logEvent(Event::RecordIgnored, { { "key", key }, { "revision", std::to_string(revision) }, { "cause", error.message } });
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -151,6 +151,7 @@
         coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
         coordination.isFirstStart = settings.host.isFirstStart;
         coordination.samples.resultRetention = settings.work.resultRetention;
+        coordination.samples.endTime = settings.work.endTime;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
         coordination.seed = seed;
         coordination.mirrors = &mirrors;
@@ -431,6 +432,8 @@
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
+        m_metrics.setGauge("cicadalb_placement_paused", "1 if the coordinator places no samples because it is behind", m_coordination && m_coordination->isPlacementPaused() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_coordinator_loop_delay_seconds", "Time that the coordinator's event loop last took to get to an action that was ready", m_coordination ? std::chrono::duration<double>(m_coordination->loopDelay()).count() : 0);
         return m_metrics.text();
     }
 
