--- a/packages/submissions/include/cicadalb/submissions/PrefillLoad.h
+++ b/packages/submissions/include/cicadalb/submissions/PrefillLoad.h
@@ -27,16 +27,17 @@
     static constexpr std::size_t rememberedParts = 64;
 
     /// @brief Counts a prompt as under way.
-    void begin(const ItemKey&, const Prompt&, TimePoint now);
+    void begin(std::uint64_t run, const Prompt&, TimePoint now);
     /// @brief Ends the reading of a prompt with the first event of its run.
-    void finish(const ItemKey&, TimePoint now);
+    void finish(std::uint64_t run, TimePoint now);
     /// @brief Ends the reading of a prompt whose run ended without an event.
-    void abandon(const ItemKey&);
+    void abandon(std::uint64_t run);
     /// @brief Forgets the shared parts, after a restart of the engine or a change of its weights.
     void forgetParts();
 
     /// @brief Tokens of a prompt that the engine has to read, as far as is known.
     std::uint64_t unreadTokens(const Prompt&) const;
+    bool isSpeedKnown() const noexcept { return m_secondsPerToken.has_value(); }
     /// @brief Time to read this many tokens; zero while the engine's speed is not known.
     Duration readingTime(std::uint64_t tokens) const;
     /// @brief Time until the prompts under way are read.
@@ -55,7 +56,7 @@
 
     void remember(std::uint64_t part);
 
-    std::map<ItemKey, UnderWay> m_underWay;
+    std::map<std::uint64_t, UnderWay> m_underWay;
     /// Newest last.
     std::list<std::uint64_t> m_partOrder;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_parts;
--- a/packages/submissions/include/cicadalb/submissions/Submission.h
+++ b/packages/submissions/include/cicadalb/submissions/Submission.h
@@ -4,7 +4,6 @@
 #include "cicadalb/services/HttpClient.h"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -62,13 +61,6 @@
     std::optional<RewardCall> reward;
 };
 
-/// @brief An item by its position in a submission.
-struct ItemKey {
-    SubmissionId submission;
-    std::size_t index = 0;
-    auto operator<=>(const ItemKey&) const = default;
-};
-
 struct Submission {
     SubmissionId id;
     /// Selects the route together with the path.
--- a/packages/submissions/src/PrefillLoad.cpp
+++ b/packages/submissions/src/PrefillLoad.cpp
@@ -31,7 +31,7 @@
     return prompt.tokens - std::min(kept, prompt.tokens);
 }
 
-void PrefillLoad::begin(const ItemKey& key, const Prompt& prompt, TimePoint now)
+void PrefillLoad::begin(std::uint64_t run, const Prompt& prompt, TimePoint now)
 {
     UnderWay added { unreadTokens(prompt), now };
     added.isAlone = m_underWay.empty();
@@ -39,7 +39,7 @@
         added.sharedParts.push_back(prompt.parts[index].id);
     for (auto& [other, underWay] : m_underWay)
         underWay.isAlone = false;
-    m_underWay.insert_or_assign(key, std::move(added));
+    m_underWay.insert_or_assign(run, std::move(added));
 }
 
 void PrefillLoad::remember(std::uint64_t part)
@@ -53,9 +53,9 @@
     m_partOrder.pop_front();
 }
 
-void PrefillLoad::finish(const ItemKey& key, TimePoint now)
+void PrefillLoad::finish(std::uint64_t run, TimePoint now)
 {
-    const auto found = m_underWay.find(key);
+    const auto found = m_underWay.find(run);
     if (found == m_underWay.end())
         return;
     const auto read = std::move(found->second);
@@ -71,7 +71,7 @@
         update(m_secondsPerToken, std::max(0.0, elapsed - m_secondsToFirstEvent.value_or(0)) / static_cast<double>(read.tokens));
 }
 
-void PrefillLoad::abandon(const ItemKey& key) { m_underWay.erase(key); }
+void PrefillLoad::abandon(std::uint64_t run) { m_underWay.erase(run); }
 
 void PrefillLoad::forgetParts()
 {
@@ -90,7 +90,7 @@
         return Duration::zero();
     std::uint64_t tokens = 0;
     auto oldest = TimePoint::max();
-    for (const auto& [key, underWay] : m_underWay) {
+    for (const auto& [other, underWay] : m_underWay) {
         tokens += underWay.tokens;
         oldest = std::min(oldest, underWay.begunAt);
     }
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -1,11 +1,9 @@
 #include "cicadalb/submissions/SampleScheduler.h"
 
-#include "GroupPlan.h"
-
 #include "cicadalb/base/EnumTable.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 
 namespace cicadalb {
 
@@ -18,20 +16,10 @@
     constexpr double timePerEventWeight = 0.04;
     /// Moving-average weight of the newest submission in a model's demand.
     constexpr double demandWeight = 0.3;
-    /// The remaining events of a run are estimated as at least this share of those received, since a text may be longer than expected.
-    constexpr double minimumRemainingShare = 0.5;
-    constexpr double minimumRemainingEvents = 5;
     /// Expected events of an item without a length hint.
     constexpr double defaultExpectedEvents = 20;
     /// Converts length hints from output tokens to events. Only the order and rough size of estimates depend on it.
     constexpr double tokensPerEvent = 54;
-    /// A run is moved if it has had no event for this multiple of its engine's time per event, and for at least minimumStallTime.
-    constexpr double stallFactor = 10;
-    constexpr Seconds minimumStallTime { 0.7 };
-    /// A run that is not stalled is moved only to an engine that is faster by more than this factor.
-    constexpr double minimumSpeedup = 1.6;
-    /// A run that is not stalled is moved only if it has run for this long and is expected to take this much longer.
-    constexpr Seconds minimumElapsedAndRemaining { 0.4 };
     /// Maximum number of partial texts that are kept when submissions end.
     constexpr std::size_t maximumReusableTexts = 4096;
 
@@ -45,45 +33,11 @@
         { RunOutcome::WrongWeights, "wrong-weights" },
     });
 
-    /// Placements come in bursts, in which the groups that can be whole in time hardly change.
-    constexpr std::chrono::milliseconds planInterval { 20 };
-
-    /// A prompt is long if reading it takes more than this part of what an engine may have to read.
-    constexpr int longPromptShare = 4;
-    /// Multiple of the time in which its first event is wanted for which a long prompt lets short ones go before it.
-    constexpr int longPromptPatience = 2;
-
     constexpr auto groupOrderNames = std::to_array<EnumName<GroupOrder>>({
         { GroupOrder::DueTime, "due-time" },
         { GroupOrder::InTimeFirst, "in-time-first" },
     });
 
-    /// Events that an item still needs, by what is expected and received.
-    double remainingEvents(double expected, std::size_t received)
-    {
-        return std::max(expected - static_cast<double>(received), minimumRemainingShare * static_cast<double>(received));
-    }
-
-    /// What an engine reads before it continues a text: the prompt and the text, of which it keeps the prompt's shared parts at most.
-    Prompt promptToRead(const Prompt& prompt, const PartialText& text)
-    {
-        auto read = prompt;
-        read.tokens += static_cast<std::uint64_t>(tokensPerEvent * static_cast<double>(text.eventCount));
-        return read;
-    }
-
-    /// Expected events of each group's longest item.
-    template <typename Items>
-    std::map<GroupId, double> groupLengths(const Items& items)
-    {
-        std::map<GroupId, double> lengths;
-        for (const auto& item : items) {
-            auto& length = lengths[item.group];
-            length = std::max(length, item.expectedEvents);
-        }
-        return lengths;
-    }
-
 } // namespace
 
 std::string_view name(RunOutcome end) noexcept { return nameIn(runOutcomeNames, end); }
@@ -115,6 +69,11 @@
             engine.weights.try_emplace(ModelName(model), version);
     }
     std::erase_if(m_engines, [](const auto& entry) { return !entry.second.isPresent && entry.second.running == 0; });
+    m_releases.clear();
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.isPresent)
+            m_releases[engine.release.pool].insert(engine.release.version);
+    }
 }
 
 void SampleScheduler::setWeightVersion(const TargetId& id, const ModelName& model, std::optional<WeightVersion> version)
@@ -142,14 +101,22 @@
     opened.model = submission.model;
     opened.oldestVersion = submission.oldestVersion;
     opened.policy = policy;
+    opened.items.reserve(submission.items.size());
+    std::vector<GroupId> groups;
+    std::map<GroupId, std::size_t> groupNumbers;
     for (const auto& source : submission.items) {
         Item item;
         item.id = source.id;
-        item.group = source.group;
+        const auto [group, isNewGroup] = groupNumbers.try_emplace(source.group, groups.size());
+        if (isNewGroup)
+            groups.push_back(source.group);
+        item.group = group->second;
         item.prompt = source.prompt;
         item.expectedEvents = source.lengthHint > 0 ? source.lengthHint / tokensPerEvent : defaultExpectedEvents;
         if (done.contains(source.id))
             item.state = ItemState::Settled;
+        else
+            opened.waiting.insert(opened.items.size());
         if (const auto reusable = m_reusableTexts.find(source.id); reusable != m_reusableTexts.end()) {
             item.text = std::move(reusable->second);
             m_reusableTexts.erase(reusable);
@@ -157,48 +124,60 @@
         }
         opened.items.push_back(std::move(item));
     }
-    markWantedGroups(opened, submission.wantedGroupCount);
+    markWantedGroups(opened, groups, submission.wantedGroupCount);
     double events = 0;
     for (const auto& item : opened.items)
         events += item.expectedEvents;
     auto& demand = m_demand[opened.model];
     demand = demand > 0 ? demand + demandWeight * (events - demand) : events;
     m_submissions.emplace(submission.id, std::move(opened));
+    m_hasUnplannedSubmission = true;
     updatePrefillBound();
 }
 
-/// Prompts share engines, so that the nearest aim of all open submissions counts at each engine.
-void SampleScheduler::updatePrefillBound()
-{
-    auto nearest = Duration::max();
-    for (const auto& [id, submission] : m_submissions) {
-        if (submission.policy.firstEventWithin > Duration::zero())
-            nearest = std::min(nearest, submission.policy.firstEventWithin);
-    }
-    m_prefillBound = nearest == Duration::max() ? PrefillBound {} : PrefillBound::forAim(nearest);
-}
-
 /// Marks the items of the groups that the trainer waits for. Groups with partial text were submitted before and always belong to them. The
 /// others are added by the length of their longest item, the shortest first, until there are @p wantedGroupCount groups (0: all).
-void SampleScheduler::markWantedGroups(OpenSubmission& submission, std::uint64_t wantedGroupCount)
+void SampleScheduler::markWantedGroups(OpenSubmission& submission, const std::vector<GroupId>& groups, std::uint64_t wantedGroupCount)
 {
-    const auto lengths = groupLengths(submission.items);
-    std::set<GroupId> wanted;
+    std::vector<std::tuple<double, const GroupId*, std::size_t>> shortestFirst;
+    shortestFirst.reserve(groups.size());
+    for (std::size_t group = 0; group < groups.size(); ++group)
+        shortestFirst.emplace_back(0, &groups[group], group);
+    std::vector<bool> isWanted(groups.size(), false);
     for (const auto& item : submission.items) {
+        auto& length = std::get<double>(shortestFirst[item.group]);
+        length = std::max(length, item.expectedEvents);
         if (item.text.eventCount > 0)
-            wanted.insert(item.group);
+            isWanted[item.group] = true;
     }
-    std::vector<std::pair<double, GroupId>> shortestFirst;
-    shortestFirst.reserve(lengths.size());
-    for (const auto& [group, length] : lengths)
-        shortestFirst.emplace_back(length, group);
-    std::sort(shortestFirst.begin(), shortestFirst.end());
-    for (const auto& [length, group] : shortestFirst) {
-        if (wantedGroupCount == 0 || wanted.size() < wantedGroupCount)
-            wanted.insert(group);
+    std::sort(shortestFirst.begin(), shortestFirst.end(), [](const auto& left, const auto& right) {
+        return std::tie(std::get<0>(left), *std::get<1>(left)) < std::tie(std::get<0>(right), *std::get<1>(right));
+    });
+    auto wanted = static_cast<std::size_t>(std::count(isWanted.begin(), isWanted.end(), true));
+    for (const auto& [length, id, group] : shortestFirst) {
+        if (isWanted[group] || (wantedGroupCount > 0 && wanted >= wantedGroupCount))
+            continue;
+        isWanted[group] = true;
+        ++wanted;
     }
     for (auto& item : submission.items)
-        item.isInWantedGroup = wanted.contains(item.group);
+        item.isInWantedGroup = isWanted[item.group];
+    submission.groups = groups.size();
+    submission.wantedGroups = wanted;
+}
+
+void SampleScheduler::setState(OpenSubmission& submission, Item& item, ItemState state)
+{
+    const auto index = static_cast<std::size_t>(&item - submission.items.data());
+    if (item.state == ItemState::Waiting)
+        submission.waiting.erase(index);
+    else if (item.state == ItemState::Running)
+        submission.running.erase(index);
+    item.state = state;
+    if (state == ItemState::Waiting)
+        submission.waiting.insert(index);
+    else if (state == ItemState::Running)
+        submission.running.insert(index);
 }
 
 void SampleScheduler::setPools(const SubmissionId& id, std::vector<PoolName> pools)
@@ -217,7 +196,7 @@
         auto& item = found->second.items[index];
         if (item.state == ItemState::Running) {
             stopped.push_back({ id, index });
-            releaseSlot({ id, index }, item);
+            releaseSlot(found->second, item);
         }
         dropUncertainText(item);
         if (item.state != ItemState::Settled && item.text.eventCount > 0 && m_reusableTexts.size() < maximumReusableTexts)
@@ -228,225 +207,6 @@
     return stopped;
 }
 
-bool SampleScheduler::hasFreeSlot() const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(), [](const auto& entry) { return entry.second.isPresent && entry.second.running < entry.second.slots; });
-}
-
-void SampleScheduler::markGroupsInTime(TimePoint now)
-{
-    EngineSpeed speed;
-    for (const auto& [id, engine] : m_engines) {
-        if (!engine.isPresent)
-            continue;
-        speed.eventsPerSecond += engine.slots / secondsPerEvent(engine);
-        speed.secondsPerEvent = speed.secondsPerEvent > 0 ? std::min(speed.secondsPerEvent, secondsPerEvent(engine)) : secondsPerEvent(engine);
-    }
-    std::vector<PlannedGroup> groups;
-    std::vector<PlannedSubmission> submissions;
-    std::vector<std::pair<Item*, std::size_t>> members;
-    for (auto& [id, submission] : m_submissions) {
-        std::map<GroupId, std::size_t> indexes;
-        std::set<GroupId> wanted;
-        for (auto& item : submission.items) {
-            const bool isUnfinished = item.state == ItemState::Waiting || item.state == ItemState::Running;
-            if (item.isInWantedGroup)
-                wanted.insert(item.group);
-            if (!isUnfinished || !item.isInWantedGroup)
-                continue;
-            const auto [index, isNew] = indexes.try_emplace(item.group, groups.size());
-            if (isNew)
-                groups.push_back({ submission.policy.softDeadline, 0, 0, submissions.size() });
-            auto& group = groups[index->second];
-            const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
-            group.remainingEvents += events;
-            group.longestItem = std::max(group.longestItem, events);
-            members.emplace_back(&item, index->second);
-        }
-        submissions.push_back({ wanted.size(), wanted.size() - indexes.size() });
-    }
-    const auto isSelected = selectGroupsInTime(groups, std::move(submissions), speed, now);
-    for (const auto& [item, group] : members)
-        item->isInTime = isSelected[group];
-}
-
-std::vector<Placement> SampleScheduler::place(TimePoint now)
-{
-    if (!hasFreeSlot())
-        return {};
-    if (m_groupOrder == GroupOrder::InTimeFirst && now >= m_nextPlanAt) {
-        markGroupsInTime(now);
-        m_nextPlanAt = now + planInterval;
-    }
-    struct Candidate {
-        ItemKey key;
-        OpenSubmission* submission;
-        Item* item;
-        bool yieldsToShortPrompts;
-    };
-    std::vector<Candidate> candidates;
-    for (auto& [id, submission] : m_submissions) {
-        for (std::size_t index = 0; index < submission.items.size(); ++index) {
-            auto& item = submission.items[index];
-            if (item.state != ItemState::Waiting || item.notBefore > now || submission.policy.expiresAt <= now)
-                continue;
-            if (!item.waitingSince)
-                item.waitingSince = now;
-            candidates.push_back({ { id, index }, &submission, &item, yieldsToShortPrompts(submission, item, now) });
-        }
-    }
-    // Texts that only some engines can continue come before those that any engine can begin.
-    const bool placesTextsFirst = hasSeveralReleases();
-    const auto sortKey = [placesTextsFirst](const Candidate& candidate) {
-        const auto events = candidate.item->text.eventCount;
-        const auto remaining = candidate.item->expectedEvents - static_cast<double>(events);
-        return std::tuple(!candidate.item->isInWantedGroup, !candidate.item->isInTime, placesTextsFirst && events == 0, candidate.yieldsToShortPrompts, candidate.submission->policy.softDeadline, -remaining);
-    };
-    std::sort(candidates.begin(), candidates.end(), [&](const auto& left, const auto& right) { return sortKey(left) < sortKey(right); });
-    std::vector<Placement> placements;
-    for (auto& [key, submission, item, yields] : candidates) {
-        const auto engineId = chooseEngine(*submission, *item, now);
-        if (!engineId)
-            continue;
-        auto& engine = m_engines[*engineId];
-        ++engine.running;
-        engine.prefill.begin(key, promptToRead(item->prompt, item->text), now);
-        if (m_rateLimits)
-            m_rateLimits->record(*engineId, now);
-        item->state = ItemState::Running;
-        item->waitingSince.reset();
-        item->engine = *engineId;
-        item->startedAt = now;
-        item->lastEventAt = now;
-        item->eventsAtStart = item->text.eventCount;
-        item->runRelease = engine.release;
-        item->runEngineStartedAt = engine.startedAt;
-        placements.push_back({ key, *engineId, engine.startedAt });
-    }
-    return placements;
-}
-
-bool SampleScheduler::canRun(const TargetId& id, const Engine& engine, const OpenSubmission& submission, TimePoint now) const
-{
-    if (!engine.isPresent || engine.running >= engine.slots || engine.pausedUntil > now)
-        return false;
-    if (m_rateLimits && m_rateLimits->untilNext(id, now) > Duration::zero())
-        return false;
-    if (std::find(submission.policy.pools.begin(), submission.policy.pools.end(), engine.release.pool) == submission.policy.pools.end())
-        return false;
-    const auto weights = engine.weights.find(submission.model);
-    return weights != engine.weights.end() && weights->second && *weights->second >= submission.oldestVersion;
-}
-
-bool SampleScheduler::canUseText(const Engine& engine, const OpenSubmission& submission, const PartialText& text, TextUse use)
-{
-    const bool isCompatible = text.eventCount == 0 || engine.release.isCompatibleWith(text.release);
-    if (use == TextUse::BeginAgain)
-        return !isCompatible;
-    if (!isCompatible)
-        return false;
-    const auto weights = engine.weights.find(submission.model);
-    const bool hasWeights = weights != engine.weights.end() && weights->second;
-    return !submission.policy.requiresSingleVersion || text.versions.empty() || (hasWeights && text.versions.contains(*weights->second));
-}
-
-std::optional<TargetId> SampleScheduler::chooseEngine(const OpenSubmission& submission, Item& item, TimePoint now)
-{
-    auto [continuing, isAwaitingPrefill] = bestEngine(submission, item, TextUse::Continue, now);
-    if (isAwaitingPrefill)
-        ++m_prefillWaits;
-    if (item.text.eventCount == 0)
-        return continuing;
-    auto beginning = bestEngine(submission, item, TextUse::BeginAgain, now).engine;
-    if (!beginning)
-        return continuing;
-    if (!item.textBlockedSince)
-        item.textBlockedSince = now;
-    const auto timeToRegenerate = Seconds(secondsPerEvent(m_engines[*beginning]) * static_cast<double>(item.text.eventCount));
-    if (hasEngineWith(item.text.release, submission) && now - *item.textBlockedSince <= timeToRegenerate)
-        return continuing;
-    item.text = {};
-    item.textBlockedSince.reset();
-    return beginning;
-}
-
-bool SampleScheduler::hasEngineWith(const SoftwareRelease& release, const OpenSubmission& submission) const
-{
-    const auto& pools = submission.policy.pools;
-    return std::find(pools.begin(), pools.end(), release.pool) != pools.end()
-        && std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) { return entry.second.isPresent && entry.second.release.isCompatibleWith(release); });
-}
-
-bool SampleScheduler::hasSeveralReleases() const
-{
-    std::map<PoolName, SoftwareVersion> versions;
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) {
-        const auto& [pool, version] = entry.second.release;
-        return entry.second.isPresent && versions.try_emplace(pool, version).first->second != version;
-    });
-}
-
-SampleScheduler::EngineChoice SampleScheduler::bestEngine(const OpenSubmission& submission, const Item& item, TextUse use, TimePoint now) const
-{
-    std::optional<TargetId> best;
-    auto lowestCost = std::numeric_limits<double>::infinity();
-    const auto prompt = promptToRead(item.prompt, item.text);
-    const auto events = std::max(minimumRemainingEvents, remainingEvents(item.expectedEvents, item.text.eventCount));
-    bool isPassedOver = false;
-    for (const auto& [id, engine] : m_engines) {
-        if (!canRun(id, engine, submission, now) || !canUseText(engine, submission, item.text, use))
-            continue;
-        const auto unread = engine.prefill.unreadTokens(prompt);
-        if (!m_prefillBound.admits(engine.prefill, unread, now) && mayWait(submission, item, engine, now)) {
-            isPassedOver = true;
-            continue;
-        }
-        // An engine of another model is used only if the model's own engines are full or cost more than 1.5 times as much.
-        const double assignmentPenalty = engine.assignedModel == submission.model || engine.assignedModel.isEmpty() ? 1.0 : 1.5;
-        const double loadPenalty = 1.0 + 0.3 * engine.running / engine.slots;
-        // Each running text waits for the prompt to be read.
-        const auto reading = Seconds(engine.prefill.timeUntilRead(now)).count() + Seconds(engine.prefill.readingTime(unread)).count() * (1.0 + engine.running);
-        const auto cost = secondsPerEvent(engine) * loadPenalty * assignmentPenalty + reading / events;
-        if (cost < lowestCost) {
-            lowestCost = cost;
-            best = id;
-        }
-    }
-    return { best, isPassedOver && !best };
-}
-
-Duration SampleScheduler::usualReadingTime(const Item& item) const
-{
-    const auto tokens = promptToRead(item.prompt, item.text).tokens;
-    std::vector<Duration> times;
-    for (const auto& [id, engine] : m_engines) {
-        if (const auto time = engine.prefill.readingTime(tokens); engine.isPresent && time > Duration::zero())
-            times.push_back(time);
-    }
-    if (times.empty())
-        return Duration::zero();
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    return *middle;
-}
-
-bool SampleScheduler::yieldsToShortPrompts(const OpenSubmission& submission, const Item& item, TimePoint now) const
-{
-    const auto aim = submission.policy.firstEventWithin;
-    const bool isSlackKnown = m_prefillBound.maximum > Duration::zero() && item.prompt.tokens >= PrefillLoad::minimumMeasuredTokens;
-    if (!isSlackKnown || now >= *item.waitingSince + longPromptPatience * aim)
-        return false;
-    const auto reading = usualReadingTime(item);
-    const auto running = Seconds(remainingEvents(item.expectedEvents, item.text.eventCount) * Seconds(assumedTimePerEvent).count());
-    return reading * longPromptShare > m_prefillBound.maximum && now + reading + std::chrono::duration_cast<Duration>(running) + m_prefillBound.maximum < submission.policy.softDeadline;
-}
-
-bool SampleScheduler::mayWait(const OpenSubmission& submission, const Item& item, const Engine& engine, TimePoint now) const
-{
-    const auto events = remainingEvents(item.expectedEvents, item.text.eventCount);
-    return now + std::chrono::duration_cast<Duration>(Seconds(events * secondsPerEvent(engine))) + m_prefillBound.maximum < submission.policy.softDeadline;
-}
-
 double SampleScheduler::secondsPerEvent(const Engine& engine) const
 {
     return engine.measuredSecondsPerEvent > 0 ? engine.measuredSecondsPerEvent : Seconds(assumedTimePerEvent).count();
@@ -458,9 +218,9 @@
     if (!item || item->state != ItemState::Running)
         return;
     updateTimePerEvent(*item, now);
-    if (item->text.eventCount == item->eventsAtStart) {
-        if (const auto engine = m_engines.find(item->engine); engine != m_engines.end())
-            engine->second.prefill.finish(key, now);
+    if (const auto engine = m_engines.find(item->engine); engine != m_engines.end() && item->text.eventCount == item->eventsAtStart) {
+        engine->second.prefill.finish(item->run, now);
+        m_isReadingSpeedKnown = m_isReadingSpeedKnown || engine->second.prefill.isSpeedKnown();
     }
     if (item->text.eventCount == 0)
         item->text.release = item->runRelease;
@@ -487,13 +247,14 @@
         item.text = {};
 }
 
-void SampleScheduler::releaseSlot(const ItemKey& key, Item& item)
+void SampleScheduler::releaseSlot(const OpenSubmission& submission, const Item& item)
 {
     const auto found = m_engines.find(item.engine);
     if (found == m_engines.end())
         return;
+    found->second.prefill.abandon(item.run);
     --found->second.running;
-    found->second.prefill.abandon(key);
+    --found->second.runningByModel[submission.model];
 }
 
 /// Adds the time since a run's last event to the average of its engine.
@@ -525,8 +286,8 @@
     auto& submission = m_submissions[key.submission];
     const auto eventsBefore = item->text.eventCount;
     dropUncertainText(*item);
-    releaseSlot(key, *item);
-    item->state = ItemState::Waiting;
+    releaseSlot(submission, *item);
+    setState(submission, *item, ItemState::Waiting);
     item->notBefore = now;
     dropDisallowedText(submission, *item);
     const bool hasDroppedText = item->text.eventCount < eventsBefore;
@@ -538,14 +299,14 @@
     case RunOutcome::Complete:
         if (hasDroppedText || item->text.eventCount == 0)
             return ItemAction::Retry;
-        item->state = ItemState::AwaitingResult;
+        setState(submission, *item, ItemState::AwaitingResult);
         return ItemAction::RequestReward;
     case RunOutcome::Impossible:
-        item->state = ItemState::AwaitingResult;
+        setState(submission, *item, ItemState::AwaitingResult);
         return ItemAction::GiveUp;
     case RunOutcome::ServerError:
         if (++item->serverErrors >= submission.policy.maximumServerErrors) {
-            item->state = ItemState::AwaitingResult;
+            setState(submission, *item, ItemState::AwaitingResult);
             return ItemAction::GiveUp;
         }
         return ItemAction::Retry;
@@ -568,9 +329,10 @@
     auto* item = find(key);
     if (!item)
         return;
+    auto& submission = m_submissions[key.submission];
     if (item->state == ItemState::Running)
-        releaseSlot(key, *item);
-    item->state = ItemState::Settled;
+        releaseSlot(submission, *item);
+    setState(submission, *item, ItemState::Settled);
     item->text = {};
 }
 
@@ -588,42 +350,6 @@
     return keys;
 }
 
-std::vector<ItemKey> SampleScheduler::itemsToMove(TimePoint now) const
-{
-    std::vector<ItemKey> keys;
-    /// Slots on each engine that are taken by moves of this call.
-    std::map<TargetId, unsigned> reservedSlots;
-    for (const auto& [id, submission] : m_submissions) {
-        for (std::size_t index = 0; index < submission.items.size(); ++index) {
-            const auto& item = submission.items[index];
-            if (item.state != ItemState::Running)
-                continue;
-            const auto* current = findEngine(item.engine);
-            if (!current)
-                continue;
-            const auto timeSinceEvent = Seconds(now - item.lastEventAt);
-            if (timeSinceEvent > minimumStallTime && timeSinceEvent.count() > stallFactor * secondsPerEvent(*current)) {
-                keys.push_back({ id, index });
-                continue;
-            }
-            const auto received = static_cast<double>(item.text.eventCount);
-            const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
-            if (Seconds(remaining * secondsPerEvent(*current)) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
-                continue;
-            const auto best = bestEngine(submission, item, TextUse::Continue, now).engine;
-            if (!best || *best == item.engine)
-                continue;
-            const auto* candidate = findEngine(*best);
-            const bool hasRoom = candidate->running + reservedSlots[*best] + 1 < candidate->slots;
-            if (hasRoom && secondsPerEvent(*current) > minimumSpeedup * secondsPerEvent(*candidate)) {
-                ++reservedSlots[*best];
-                keys.push_back({ id, index });
-            }
-        }
-    }
-    return keys;
-}
-
 SampleScheduler::Item* SampleScheduler::find(const ItemKey& key)
 {
     const auto found = m_submissions.find(key.submission);
--- a/packages/submissions/tests/unit-prefill-load.cpp
+++ b/packages/submissions/tests/unit-prefill-load.cpp
@@ -13,19 +13,17 @@
     PrefillLoad load;
     ManualClock clock;
 
-    static ItemKey key(std::size_t index) { return { SubmissionId("step"), index }; }
-
     MeasuredEngineFixture()
     {
         read(100, { 200, {} }, 10ms);
         read(101, { 4000, {} }, 50ms);
     }
 
-    void read(std::size_t index, const Prompt& prompt, Duration duration)
+    void read(std::uint64_t run, const Prompt& prompt, Duration duration)
     {
-        load.begin(key(index), prompt, clock.now());
+        load.begin(run, prompt, clock.now());
         clock.advance(std::chrono::duration_cast<std::chrono::milliseconds>(duration));
-        load.finish(key(index), clock.now());
+        load.finish(run, clock.now());
     }
 };
 
@@ -40,14 +38,14 @@
 {
     PrefillLoad load;
     ManualClock clock;
-    load.begin(MeasuredEngineFixture::key(0), { 1000000, {} }, clock.now());
+    load.begin(0, { 1000000, {} }, clock.now());
     CHECK(load.readingTime(30000) == Duration::zero());
     CHECK(PrefillBound::forAim(400ms).admits(load, 30000, clock.now()));
 }
 
 TEST_CASE_METHOD(MeasuredEngineFixture, "engine that reads a long prompt, another prompt, is admitted once the rest fits half of the aim")
 {
-    load.begin(key(0), { 30000, {} }, clock.now());
+    load.begin(0, { 30000, {} }, clock.now());
     const auto bound = PrefillBound::forAim(400ms);
     CHECK_FALSE(bound.admits(load, 300, clock.now()));
     clock.advance(110ms);
@@ -73,8 +71,8 @@
 
 TEST_CASE_METHOD(MeasuredEngineFixture, "prompt whose run ended without an event, time until the prompts are read, does not count it")
 {
-    load.begin(key(0), { 30000, {} }, clock.now());
-    load.abandon(key(0));
+    load.begin(0, { 30000, {} }, clock.now());
+    load.abandon(0);
     CHECK(load.timeUntilRead(clock.now()) == Duration::zero());
 }
 
