--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -56,6 +56,9 @@
     // 43x: keys of organisations
     KeyRefused = 430,
     SubmissionOfOtherOrganisation = 431,
+    // 46x: load of the coordinator
+    PlacementPaused = 460,
+    PlacementResumed = 461,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -126,6 +126,8 @@
         { Event::DefaultReleaseChanged, "default-release-changed", Level::Info },
         { Event::KeyRefused, "key-refused", Level::Info },
         { Event::SubmissionOfOtherOrganisation, "submission-of-other-organisation", Level::Warning },
+        { Event::PlacementPaused, "placement-paused", Level::Warning },
+        { Event::PlacementResumed, "placement-resumed", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -3,6 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/routing/TargetRateLimits.h"
 #include "cicadalb/submissions/PartialText.h"
+#include "cicadalb/submissions/PrefillLoad.h"
 #include "cicadalb/submissions/Submission.h"
 
 #include <map>
@@ -38,6 +39,8 @@
     bool requiresSingleVersion = false;
     unsigned maximumServerErrors = 3;
     unsigned priority = 0;
+    /// Time within which the first event of an item is wanted; zero: no wish.
+    Duration firstEventWithin {};
     /// Pools whose engines may run the items; they change with the configuration.
     std::vector<PoolName> pools;
 };
@@ -128,7 +131,8 @@
     /// @brief Removes a submission. @return its running items, whose runs the caller has to stop
     std::vector<ItemKey> remove(const SubmissionId&);
 
-    /// @brief Places waiting items on free slots and counts them as running. Complexity: waiting items times engines.
+    /// @brief Places waiting items on free slots and counts them as running. Complexity: n of the waiting items that an engine with a free slot may
+    /// run, and log n + m for each of them that is looked at, with m such engines; none if there is no such engine or item.
     std::vector<Placement> place(TimePoint now);
     /// @brief Records an event of a run.
     void onEvent(const ItemKey&, std::uint64_t eventId, std::string_view data, WeightVersion, TimePoint now);
@@ -162,6 +166,8 @@
     std::size_t runningCountOn(const TargetId&, const ModelName&) const;
     /// @brief Time per event of an engine, measured or assumed.
     Duration timePerEvent(const TargetId&) const;
+    /// @brief Number of times that an item waited although an engine had a free slot, because of the prompts that the engine reads.
+    std::uint64_t prefillWaits() const noexcept { return m_prefillWaits; }
     /// @brief The oldest weight version that all open submissions of a model allow, or nothing if none is open.
     std::optional<WeightVersion> oldestAllowedVersion(const ModelName&) const;
 
@@ -174,8 +180,14 @@
 
     struct Item {
         ItemId id;
-        GroupId group;
+        /// Number of its group in the submission, in the order of first items.
+        std::size_t group = 0;
         double expectedEvents = 0;
+        Prompt prompt;
+        /// Number of the last run.
+        std::uint64_t run = 0;
+        /// Since when the item waits for a run, as far as placing has seen it.
+        std::optional<TimePoint> waitingSince;
         /// Whether the trainer waits for the item's group; such items are placed first.
         bool isInWantedGroup = true;
         /// Whether the item's group can be whole by its due time, as of the last plan.
@@ -200,6 +212,12 @@
         WeightVersion oldestVersion = 0;
         SubmissionPolicy policy;
         std::vector<Item> items;
+        std::size_t groups = 0;
+        /// Number of groups that the trainer waits for.
+        std::size_t wantedGroups = 0;
+        /// Items in these states, by index.
+        std::set<std::size_t> waiting;
+        std::set<std::size_t> running;
     };
 
     struct Engine {
@@ -207,6 +225,7 @@
         Incarnation startedAt = 0;
         unsigned slots = 1;
         unsigned running = 0;
+        std::map<ModelName, unsigned> runningByModel;
         bool isPresent = true;
         std::map<ModelName, std::optional<WeightVersion>> weights;
         /// Model that the engine is assigned to, or empty.
@@ -214,38 +233,74 @@
         TimePoint pausedUntil;
         /// 0 if not measured.
         double measuredSecondsPerEvent = 0;
+        PrefillLoad prefill;
     };
 
-    void markGroupsInTime(TimePoint now);
-    bool hasFreeSlot() const;
-    static void markWantedGroups(OpenSubmission&, std::uint64_t wantedGroupCount);
+    using EngineEntry = std::pair<const TargetId, Engine>;
+    class EngineChoices;
+
+    void updatePlan(TimePoint now);
+    /// @return the number of unfinished groups that trainers wait for
+    std::size_t markGroupsInTime(TimePoint now);
+    static void markWantedGroups(OpenSubmission&, const std::vector<GroupId>& groups, std::uint64_t wantedGroupCount);
+    static void setState(OpenSubmission&, Item&, ItemState);
+    void beginRun(OpenSubmission&, Item&, const TargetId& engine, TimePoint now);
     Item* find(const ItemKey&);
     const Item* find(const ItemKey&) const;
     /// What a run does with the text that an item has already.
     enum class TextUse : std::uint8_t { Continue,
         BeginAgain };
 
-    bool canRun(const TargetId&, const Engine&, const OpenSubmission&, TimePoint now) const;
+    bool canTakeRun(const EngineEntry&, TimePoint now) const;
+    static bool mayRun(const Engine&, const OpenSubmission&);
     static bool canUseText(const Engine&, const OpenSubmission&, const PartialText&, TextUse);
     const Engine* findEngine(const TargetId&) const;
-    std::optional<TargetId> bestEngine(const OpenSubmission&, const Item&, TextUse, TimePoint now) const;
+    /// @param engines engines that may run the item now
+    /// The prompt that a run has to read first, and what the item's group leaves as time.
+    struct Reading {
+        Prompt prompt;
+        double events = 0;
+        TimePoint softDeadline;
+        TimePoint now;
+        /// Whether an engine was passed over because of the prompts that it reads.
+        bool hasPassedOver = false;
+    };
+    /// @param reading null if the prompt does not matter
+    const EngineEntry* bestEngine(const OpenSubmission&, const PartialText&, TextUse, const std::vector<const EngineEntry*>& engines, Reading* reading = nullptr) const;
     /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
-    std::optional<TargetId> chooseEngine(const OpenSubmission&, Item&, TimePoint now);
+    const EngineEntry* chooseEngine(const OpenSubmission&, Item&, const std::vector<const EngineEntry*>& engines, TimePoint now);
     bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
     bool hasSeveralReleases() const;
     /// Whether the engine of an item's run has restarted with other software since the run was placed, so that the run's events may come from either.
     bool isRunReleaseUncertain(const Item&) const;
     void dropUncertainText(Item&) const;
     double secondsPerEvent(const Engine&) const;
-    void releaseSlot(Item&);
+    static Prompt promptToRead(const Item&);
+    void updatePrefillBound();
+    /// Whether prompts matter: a first event is wanted within some time, and the reading speed of an engine is known.
+    bool considersPrompts() const noexcept { return m_prefillBound.maximum > Duration::zero() && m_isReadingSpeedKnown; }
+    std::optional<Reading> readingOf(const OpenSubmission&, const Item&, TimePoint now) const;
+    /// Adds the time to read a prompt at an engine to the time per event. @return nothing if the item waits for another engine
+    std::optional<double> readingSecondsPerEvent(const Engine&, Reading&) const;
+    /// Whether items with short prompts go before the item, whose prompt is long and may still wait.
+    bool yieldsToShortPrompts(const OpenSubmission&, const Item&, TimePoint now) const;
+    void releaseSlot(const OpenSubmission&, const Item&);
     void updateTimePerEvent(const Item&, TimePoint now);
     void dropDisallowedText(const OpenSubmission&, Item&) const;
 
+    PrefillBound m_prefillBound;
+    bool m_isReadingSpeedKnown = false;
+    std::uint64_t m_lastRun = 0;
+    std::uint64_t m_prefillWaits = 0;
     GroupOrder m_groupOrder;
-    /// Earliest time at which the groups that can be whole in time are determined again.
-    TimePoint m_nextPlanAt;
+    /// When the groups that can be whole in time were determined, for how long that is good, and whether a submission was added since.
+    TimePoint m_plannedAt;
+    std::chrono::milliseconds m_planInterval { 0 };
+    bool m_hasUnplannedSubmission = false;
     std::map<SubmissionId, OpenSubmission> m_submissions;
     std::map<TargetId, Engine> m_engines;
+    /// Software of the engines that are present.
+    std::map<PoolName, std::set<SoftwareVersion>> m_releases;
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
     std::map<ItemId, PartialText> m_reusableTexts;
     std::map<ModelName, double> m_demand;
