Hosts count organisations' requests and the coordinator reports them

Cause: the platform wants the requests of each organisation by window, once per window. Change: hosts count attempts when they are sent and send changed counts to the coordinator; it fixes a report in the store under a condition before it sends it, and repeats it unchanged.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,10 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 44x: usage of organisations
+    UsageReported = 440,
+    UsageReportedLate = 441,
+    UsageNotReported = 442,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -211,6 +211,8 @@
         if (m_sampleRunner) {
             m_sampleRunner->tick();
             m_weightOrders->tick();
+            if (m_usageReports)
+                m_usageReports->tick();
         }
         const bool mayBeReplaced = m_sampleRunner && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
         if (mayBeReplaced && m_leaseClock.now() >= m_nextQueryAt)
@@ -267,6 +269,8 @@
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
         m_weightOrders->setFence(m_fence);
+        if (m_usageReports)
+            m_usageReports->setFence(m_fence);
         logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(m_fence) }, { "again", "yes" } });
     }
 }
@@ -321,10 +325,30 @@
     m_directory.setImmediateUpdates(true);
     m_sampleRunner->start();
     m_weightOrders->start();
+    beginUsageReports();
     m_defaultReleases = std::make_shared<DefaultReleases>(m_executor, m_store, m_directory, m_clock, m_settings.isFirstStart);
     m_defaultReleases->start();
 }
 
+void Coordination::beginUsageReports()
+{
+    if (!m_settings.usage)
+        return;
+    UsageReportHooks hooks;
+    hooks.mayOrder = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->mayOrder();
+    };
+    hooks.onFenced = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->m_wasFenced = true;
+    };
+    // The collection differs from that of every other process and of each earlier term of this one.
+    const Incarnation collection = m_settings.seed ^ m_fence;
+    m_usageReports = std::make_shared<UsageReports>(m_executor, m_store, makeUsageReportCall(m_protocol, m_clients, m_settings.duties), m_clock,
+        UsageReportsSettings { m_settings.host, m_fence, collection, *m_settings.usage }, std::move(hooks));
+}
+
 void Coordination::shortenQuietPeriod()
 {
     if (!m_recentHolders.contains(m_fence))
@@ -341,9 +365,12 @@
     logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
     m_defaultReleases->stop();
     m_weightOrders->stop();
+    if (m_usageReports)
+        m_usageReports->stop();
     m_sampleRunner->stop();
     m_defaultReleases.reset();
     m_weightOrders.reset();
+    m_usageReports.reset();
     m_sampleRunner.reset();
     m_permits.endGranting();
     m_directory.setImmediateUpdates(false);
@@ -370,12 +397,19 @@
     co_await releaseLease("the host hands coordination over");
 }
 
+std::optional<TimePoint> Coordination::lastOrderAt() const
+{
+    const auto ofWeights = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
+    const auto ofUsage = m_usageReports ? m_usageReports->lastCallAt() : std::nullopt;
+    return std::max(ofWeights, ofUsage);
+}
+
 Task<void> Coordination::releaseLease(std::string_view reason)
 {
     const auto now = m_clock.now();
-    const auto lastOrderAt = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
-    if (lastOrderAt && now < *lastOrderAt + orderMargin)
-        co_await pause(m_executor, *lastOrderAt + orderMargin - now);
+    const auto lastOrder = lastOrderAt();
+    if (lastOrder && now < *lastOrder + orderMargin)
+        co_await pause(m_executor, *lastOrder + orderMargin - now);
     if (m_sampleRunner)
         endWork(reason);
     if (m_lease.fencingNumber())
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -2,6 +2,7 @@
 
 #include "DefaultReleases.h"
 #include "SampleRunner.h"
+#include "UsageReports.h"
 #include "WeightOrders.h"
 
 #include "cicadalb/services/LeaseCandidate.h"
@@ -30,6 +31,10 @@
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
     std::uint64_t seed = 0;
+    /// Reports of organisations' usage; empty if this site has none.
+    std::optional<UsageReportingSettings> usage;
+    /// Address of the platform's interface for duties.
+    Endpoint duties;
     /// Client of the other candidates' mirrors, or null. Must outlive the coordination.
     MirrorClient* mirrors = nullptr;
     /// Asks another candidate, by its index in @c mirrors, whether it reaches the targets. Empty: a coordinator that is cut off from them keeps its lease.
@@ -67,6 +72,10 @@
     void checkLease() { updateLeaseState(); }
     /// @brief Earliest time for weight orders, on the lease's clock.
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
+    /// @brief Answers a message with the usage counts of a host.
+    UsageReply collectUsage(const UsageMessage& message) { return m_usageReports ? m_usageReports->collect(message) : UsageReply {}; }
+    /// @brief The usage reports of this coordinator, or null.
+    const UsageReports* usageReports() const noexcept { return m_usageReports.get(); }
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
@@ -99,6 +108,9 @@
     void beginWork(FencingNumber);
     void endWork(std::string_view reason);
     bool mayOrder() const;
+    void beginUsageReports();
+    /// When the last call was made that the next coordinator's calls have to follow; empty if none was.
+    std::optional<TimePoint> lastOrderAt() const;
 
     boost::asio::any_io_executor m_executor;
     TransactionalStore& m_store;
@@ -138,6 +150,7 @@
     std::shared_ptr<DefaultReleases> m_defaultReleases;
     std::shared_ptr<SampleRunner> m_sampleRunner;
     std::shared_ptr<WeightOrders> m_weightOrders;
+    std::shared_ptr<UsageReports> m_usageReports;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -217,6 +217,19 @@
     logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "target", target.id.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(attempt.answer)) }, { "status", std::to_string(attempt.response.status) }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", attempt.cause } });
 }
 
+void RequestForwarder::settleUsage(UsageCounter::Mark mark, const ForwardRequest& request, const Attempt& attempt) const
+{
+    if (attempt.kind == CompletionKind::NotRun) {
+        m_usage->withdraw(mark);
+        return;
+    }
+    if (attempt.response.status == 0)
+        return;
+    // A target begins a plain request when it receives it, and a stream with the first event, which comes with the header.
+    const auto beganAt = request.route->kind == RequestKind::Stream ? attempt.response.headAt : attempt.response.sentAt;
+    m_usage->correct(mark, m_usage->now() - std::chrono::duration_cast<WallTime::duration>(std::chrono::steady_clock::now() - beganAt));
+}
+
 bool RequestForwarder::isBlocked(const ForwardRequest& request, Progress& progress) const
 {
     if (!request.fingerprint || !m_crashGuard.hasSuspects() || !m_crashGuard.suspicion(request.fingerprint()).isBlocked)
@@ -343,7 +356,10 @@
     progress.usedTargets.push_back(target.id);
     progress.run.beginAttempt();
     const auto timeout = attemptDeadline(request, progress, startedAt);
+    const auto usageMark = m_usage ? m_usage->begin(request.organisation) : std::nullopt;
     auto result = co_await exchange(request, target, timeout, request.deadline - startedAt);
+    if (usageMark)
+        settleUsage(*usageMark, request, result);
     const auto latency = m_clock.now() - startedAt;
     // An answer of another target at the same address says nothing about this one.
     if (result.answer != AnswerKind::Misdirected && m_protocol.isLeaving(result.response.fields))
@@ -405,7 +421,7 @@
 {
     Attempt attempt;
     const auto client = m_clients.client(0, target.endpoint);
-    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining) };
+    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining), request.organisation };
     auto message = request.buildMessage(context);
     // A repeat on another connection would be a second request to the target, for which there is no permit.
     message.mayRepeat = isIdempotent(*request.route) && !m_permits.isLimited(target);
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include "RequestPermits.h"
 #include "SiteDirectory.h"
 #include "TargetReachability.h"
+#include "UsageCounter.h"
 
 #include "cicadalb/base/SoftwareRelease.h"
 #include "cicadalb/site/SiteProtocol.h"
@@ -48,6 +49,8 @@
 
 struct ForwardRequest {
     RequestId id;
+    /// Organisation that the request belongs to; empty for a request without a key.
+    OrganisationName organisation;
     const SiteRoute* route = nullptr;
     PoolName pool;
     TimePoint deadline;
@@ -76,6 +79,8 @@
     RequestForwarder(SiteDirectory&, const SiteProtocol&, TargetClients&, RequestPermits&, CrashGuard&, const Clock&, TargetReachability* reachability = nullptr);
 
     Task<ForwardOutcome> forward(ForwardRequest);
+    /// @brief Has the attempts of organisations' requests counted. @p usage must outlive this object
+    void setUsageCounter(UsageCounter& usage) { m_usage = &usage; }
 
 private:
     struct Progress;
@@ -96,6 +101,8 @@
     /// Finds out whether a target crashed while it ran the request. @return whether the request may be sent to another one
     Task<bool> examineLoss(const ForwardRequest&, Progress&, const RegisteredTarget&, bool hasTimedOut);
     Task<Attempt> exchange(const ForwardRequest&, const RegisteredTarget&, TimePoint deadline, Duration remaining);
+    /// Brings the count of an attempt into line with its result.
+    void settleUsage(UsageCounter::Mark, const ForwardRequest&, const Attempt&) const;
     void logAttempt(const ForwardRequest&, const RegisteredTarget&, const Attempt&, Duration latency) const;
     TimePoint attemptDeadline(const ForwardRequest&, const Progress&, TimePoint now) const;
 
@@ -106,6 +113,7 @@
     CrashGuard& m_crashGuard;
     const Clock& m_clock;
     TargetReachability* m_reachability;
+    UsageCounter* m_usage = nullptr;
 };
 
 /// @brief Chooses a pool of the route in proportion to the pools' weights. @param fraction uniform in [0, 1)
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -8,6 +8,7 @@
 #include "RecordMirror.h"
 #include "RequestRelay.h"
 #include "SiteEndpoints.h"
+#include "UsageSender.h"
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
@@ -56,6 +57,8 @@
     /// Covers the probe of the targets; a lease is renewed between two questions.
     constexpr milliseconds reachabilityQueryTimeout = 2 * TargetReachability::probeTimeout + milliseconds(50);
     constexpr milliseconds retirementRetryDelay { 300 };
+    /// Longest time for which a host that stops sends the usage counts that the coordinator does not have yet.
+    constexpr milliseconds usageFlushTimeout { 600 };
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
 
@@ -132,6 +135,19 @@
         };
     }
 
+    UsageReportingSettings usageSettings(const SiteSettings& settings)
+    {
+        return { { settings.work.usageWindow }, settings.work.usageReportTime };
+    }
+
+    /// The candidates for coordination that usage counts may be sent to: the other ones and, if it is one, this process.
+    UsageDeliverySettings deliverySettings(const SiteSettings& settings, std::uint64_t seed)
+    {
+        const auto others = otherCandidates(settings).size();
+        const auto candidates = settings.parts.coordinating ? others + 1 : others;
+        return { settings.host.id, seed, candidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
+    }
+
     /// Asks the candidates whether they reach the targets. @return false if a candidate does not reply
     std::function<Task<bool>(std::size_t)> makeReachabilityQuery(const asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
     {
@@ -153,6 +169,10 @@
         coordination.samples.resultRetention = settings.work.resultRetention;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
         coordination.seed = seed;
+        if (settings.parts.hasDuty(Duty::Metering)) {
+            coordination.usage = usageSettings(settings);
+            coordination.duties = { settings.addresses.duties.address, settings.addresses.duties.port };
+        }
         coordination.mirrors = &mirrors;
         coordination.samples.reachability = &reachability;
         coordination.reachesTargets = makeReachabilityQuery(executor, otherCandidates(settings));
@@ -177,6 +197,8 @@
         , m_crashGuard(std::make_shared<CrashGuard>(m_executor, *m_store, m_settings.host.id))
         , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
+        , m_usageCounter(usageSettings(m_settings).windows, [] { return std::chrono::system_clock::now(); })
+        , m_usageSender(std::make_shared<UsageSender>(m_executor, m_usageCounter, makeHttpUsageExchange(m_executor, otherCandidates(m_settings), [this](const auto& message) { return collectUsage(message); }), m_clock, deliverySettings(m_settings, m_seed)))
         , m_relay(makeRelay(m_executor, m_settings, m_clock))
         , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability)
         , m_intake(*m_store)
@@ -231,6 +253,7 @@
         bool isDrained = finishRelayedRequests();
         if (m_callerListener)
             isDrained = drain() && isDrained;
+        asio::co_spawn(m_executor, m_usageSender->flush(usageFlushTimeout), asio::use_future).wait_for(usageFlushTimeout + drainPollInterval);
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
     }
@@ -238,6 +261,8 @@
 private:
     void startWork()
     {
+        m_usageCounter.setChangeHandler([this] { m_usageSender->tick(); });
+        m_forwarder.setUsageCounter(m_usageCounter);
         m_directory.setChangeHandler([this] {
             if (m_coordination)
                 m_coordination->onSiteChanged();
@@ -329,6 +354,7 @@
         while (true) {
             co_await pause(m_executor, tickInterval);
             m_directory.tick();
+            m_usageSender->tick();
             if (m_clock.now() < nextEvictionAt)
                 continue;
             nextEvictionAt = m_clock.now() + evictionInterval;
@@ -380,6 +406,10 @@
             co_await responder.send(std::move(answer));
             co_return;
         }
+        if (request.path == usagePath) {
+            co_await serveUsage(request, responder);
+            co_return;
+        }
         if (request.path != permitPath) {
             co_await m_mirror->serve(request, responder);
             co_return;
@@ -393,6 +423,22 @@
         co_await responder.send(std::move(response));
     }
 
+    UsageReply collectUsage(const UsageMessage& message)
+    {
+        auto reply = m_coordination ? m_coordination->collectUsage(message) : UsageReply {};
+        reply.isReporting = m_settings.parts.hasDuty(Duty::Metering);
+        return reply;
+    }
+
+    Task<void> serveUsage(ServerRequest& request, ServerResponder& responder)
+    {
+        const auto message = decodeUsageMessage(request.body);
+        HttpResponse response;
+        response.status = message ? 200 : 400;
+        response.body = message ? encodeUsageReply(collectUsage(message.value())) : message.error().message;
+        co_await responder.send(std::move(response));
+    }
+
     Task<void> serveAdmin(ServerRequest& request, ServerResponder& responder)
     {
         HttpResponse response;
@@ -431,6 +477,11 @@
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
+        const auto* usage = m_coordination ? m_coordination->usageReports() : nullptr;
+        m_metrics.setGauge("cicadalb_usage_windows_reported", "Usage reports accepted since this host began to coordinate", usage ? static_cast<double>(usage->totals().accepted) : 0);
+        m_metrics.setGauge("cicadalb_usage_windows_late", "Usage reports accepted after they were due", usage ? static_cast<double>(usage->totals().late) : 0);
+        m_metrics.setGauge("cicadalb_usage_windows_unsent", "Usage reports that are fixed and not accepted yet", usage ? static_cast<double>(usage->unsentReports()) : 0);
+        m_metrics.setGauge("cicadalb_usage_counts_unsent", "1 if the coordinator does not have all counts of this host", m_usageSender->isDelivered() ? 0 : 1);
         return m_metrics.text();
     }
 
@@ -476,6 +527,8 @@
     std::shared_ptr<CrashGuard> m_crashGuard;
     std::shared_ptr<TargetReachability> m_reachability;
     RequestForwarder m_forwarder;
+    UsageCounter m_usageCounter;
+    std::shared_ptr<UsageSender> m_usageSender;
     RequestRelay m_relay;
     RelayEndpoint m_relayEndpoint;
     SubmissionIntake m_intake;
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -334,6 +334,7 @@
     std::optional<AnswerParser> attemptParser;
     beast::error_code error;
     bool mayHaveRun = false;
+    TimePoint sentAt;
     do {
         if (!connection) {
             auto connected = co_await state->connect(deadline);
@@ -349,6 +350,7 @@
         const bool mayBeSilent = connection->isReused && request.mayRepeat && silenceTimeout.count() > 0;
         connection->stream.expires_at(mayBeSilent ? std::min(deadline, std::chrono::steady_clock::now() + silenceTimeout) : deadline);
         attemptParser.emplace();
+        sentAt = std::chrono::steady_clock::now();
         error = co_await state->sendAndReadHeader(*connection, message, *attemptParser);
         connection->stream.expires_at(deadline);
         if (!error)
@@ -366,7 +368,9 @@
         connection.reset();
     } while (true);
     auto& parser = *attemptParser;
-    const auto head = headOf(parser);
+    auto head = headOf(parser);
+    head.sentAt = sentAt;
+    head.headAt = std::chrono::steady_clock::now();
     if (parser.need_eof())
         co_return failure(ErrorCode::OutcomeUnknown, "the answer has neither Content-Length nor chunked encoding", state->serverAddress());
     if (handler.onHead) {
