--- a/packages/hosting/src/UsageDelivery.cpp
+++ b/packages/hosting/src/UsageDelivery.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-bool UsageDelivery::isQuestionDue(TimePoint now) const
+bool UsageDelivery::hasQuestion() const
 {
     const auto oldest = m_counter.oldestWindow();
     if (!oldest)
@@ -20,7 +20,7 @@
     const auto time = m_counter.now();
     const bool isUnconfirmed = time >= end + confirmationDelay && m_repliedAt < end + confirmationDelay;
     const bool isOverdue = time >= end + m_settings.settleTime + confirmationDelay;
-    return (isUnconfirmed || isOverdue) && now >= m_sentAt + questionInterval;
+    return isUnconfirmed || isOverdue;
 }
 
 UsageCall UsageDelivery::makeCall(std::size_t candidate, bool hasCounts, TimePoint now)
@@ -41,10 +41,9 @@
     if (m_coordinator) {
         if (hasChanges && (isLast || now >= m_sentAt + m_interval))
             return makeCall(*m_coordinator, true, now);
-        return isQuestionDue(now) ? std::optional(makeCall(*m_coordinator, false, now)) : std::nullopt;
+        return hasQuestion() && now >= m_sentAt + questionInterval ? std::optional(makeCall(*m_coordinator, false, now)) : std::nullopt;
     }
-    const bool shouldSearch = hasChanges || isQuestionDue(now);
-    if (!shouldSearch || now < m_nextSearchAt)
+    if (!(hasChanges || hasQuestion()) || now < m_nextSearchAt)
         return std::nullopt;
     return makeCall(m_nextCandidate, false, now);
 }
--- a/packages/hosting/src/UsageDelivery.h
+++ b/packages/hosting/src/UsageDelivery.h
@@ -56,7 +56,8 @@
     bool isCalling() const noexcept { return m_isCalling; }
 
 private:
-    bool isQuestionDue(TimePoint now) const;
+    /// Whether the host has to find out what became of the counts of its oldest window.
+    bool hasQuestion() const;
     UsageCall makeCall(std::size_t candidate, bool hasCounts, TimePoint now);
     void searchNext(TimePoint now);
 
--- a/packages/hosting/src/UsageReports.cpp
+++ b/packages/hosting/src/UsageReports.cpp
@@ -113,7 +113,8 @@
 Task<bool> UsageReports::send(UsageReport report)
 {
     m_lastCallAt = m_clock.now();
-    const auto outcome = co_await m_call({ m_settings.holder, m_settings.fence }, report);
+    DutyHolder holder { m_settings.holder, m_settings.fence };
+    const auto outcome = co_await m_call(std::move(holder), report);
     m_reporting.onSent(report.window, outcome, m_clock.now());
     logReport(report, outcome);
     if (outcome == DutyOutcome::Refused)
