--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -124,6 +124,8 @@
         { Event::RequestRelayed, "request-relayed", Level::Info },
         { Event::StreamNotRecorded, "stream-not-recorded", Level::Warning },
         { Event::DefaultReleaseChanged, "default-release-changed", Level::Info },
+        { Event::KeyRefused, "key-refused", Level::Info },
+        { Event::SubmissionOfOtherOrganisation, "submission-of-other-organisation", Level::Warning },
         { Event::UsageReported, "usage-reported", Level::Info },
         { Event::UsageReportedLate, "usage-reported-late", Level::Warning },
         { Event::UsageNotReported, "usage-not-reported", Level::Warning },
