--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -56,6 +56,10 @@
     // 43x: keys of organisations
     KeyRefused = 430,
     SubmissionOfOtherOrganisation = 431,
+    // 44x: usage of organisations
+    UsageReported = 440,
+    UsageReportedLate = 441,
+    UsageNotReported = 442,
     // 46x: load of the coordinator
     PlacementPaused = 460,
     PlacementResumed = 461,
