--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -405,7 +405,7 @@
 {
     Attempt attempt;
     const auto client = m_clients.client(0, target.endpoint);
-    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining) };
+    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining), {} };
     auto message = request.buildMessage(context);
     // A repeat on another connection would be a second request to the target, for which there is no permit.
     message.mayRepeat = isIdempotent(*request.route) && !m_permits.isLimited(target);
