--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,10 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 45x: capacity
+    CapacityOrdered = 450,
+    EnginesUnavailable = 451,
+    EngineNeedChanged = 452,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -211,6 +211,8 @@
         if (m_sampleRunner) {
             m_sampleRunner->tick();
             m_weightOrders->tick();
+            if (m_capacityOrders)
+                m_capacityOrders->tick();
         }
         const bool mayBeReplaced = m_sampleRunner && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
         if (mayBeReplaced && m_leaseClock.now() >= m_nextQueryAt)
@@ -267,6 +269,8 @@
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
         m_weightOrders->setFence(m_fence);
+        if (m_capacityOrders)
+            m_capacityOrders->setFence(m_fence);
         logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(m_fence) }, { "again", "yes" } });
     }
 }
@@ -317,6 +321,13 @@
     };
     m_weightOrders = std::make_shared<WeightOrders>(m_executor, m_store, m_protocol, m_directory, m_clients, m_sampleRunner->scheduler(), m_clock,
         WeightOrderSettings { m_settings.host, fence, m_settings.loads }, std::move(hooks));
+    if (m_settings.capacityPlatform) {
+        const auto mayOrder = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self && self->mayOrder();
+        };
+        m_capacityOrders = std::make_shared<CapacityOrders>(m_executor, m_protocol, m_directory, m_sampleRunner->scheduler(), m_clock, CapacityOrderSettings { m_settings.host, fence, *m_settings.capacityPlatform }, mayOrder);
+    }
     // The placement of samples depends on the registry.
     m_directory.setImmediateUpdates(true);
     m_sampleRunner->start();
@@ -340,9 +351,12 @@
 {
     logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
     m_defaultReleases->stop();
+    if (m_capacityOrders)
+        m_capacityOrders->stop();
     m_weightOrders->stop();
     m_sampleRunner->stop();
     m_defaultReleases.reset();
+    m_capacityOrders.reset();
     m_weightOrders.reset();
     m_sampleRunner.reset();
     m_permits.endGranting();
@@ -373,7 +387,9 @@
 Task<void> Coordination::releaseLease(std::string_view reason)
 {
     const auto now = m_clock.now();
-    const auto lastOrderAt = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
+    auto lastOrderAt = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
+    if (m_capacityOrders)
+        lastOrderAt = std::max(lastOrderAt, m_capacityOrders->lastOrderAt());
     if (lastOrderAt && now < *lastOrderAt + orderMargin)
         co_await pause(m_executor, *lastOrderAt + orderMargin - now);
     if (m_sampleRunner)
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CapacityOrders.h"
 #include "DefaultReleases.h"
 #include "SampleRunner.h"
 #include "WeightOrders.h"
@@ -29,6 +30,8 @@
     bool isFirstStart = false;
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
+    /// Address to which engines are ordered; empty: their number is not this system's to decide.
+    std::optional<Endpoint> capacityPlatform;
     std::uint64_t seed = 0;
     /// Client of the other candidates' mirrors, or null. Must outlive the coordination.
     MirrorClient* mirrors = nullptr;
@@ -69,6 +72,7 @@
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
+    CapacitySummary capacity() const { return m_capacityOrders ? m_capacityOrders->summary() : CapacitySummary {}; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
 
 private:
@@ -138,6 +142,7 @@
     std::shared_ptr<DefaultReleases> m_defaultReleases;
     std::shared_ptr<SampleRunner> m_sampleRunner;
     std::shared_ptr<WeightOrders> m_weightOrders;
+    std::shared_ptr<CapacityOrders> m_capacityOrders;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -152,6 +152,8 @@
         coordination.isFirstStart = settings.host.isFirstStart;
         coordination.samples.resultRetention = settings.work.resultRetention;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
+        if (settings.parts.hasDuty(Duty::Autoscaling))
+            coordination.capacityPlatform = Endpoint { settings.addresses.duties.address, settings.addresses.duties.port };
         coordination.seed = seed;
         coordination.mirrors = &mirrors;
         coordination.samples.reachability = &reachability;
@@ -431,6 +433,10 @@
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
+        const auto capacity = m_coordination ? m_coordination->capacity() : CapacitySummary {};
+        m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
+        m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
+        m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
         return m_metrics.text();
     }
 
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -160,6 +160,10 @@
     bool hasMeasuredTimePerEvent(const TargetId&) const;
     /// @brief Number of runs of a model on an engine.
     std::size_t runningCountOn(const TargetId&, const ModelName&) const;
+    /// @brief Number of runs on an engine.
+    std::size_t runningCountOn(const TargetId&) const;
+    /// @brief Share of the events of the groups that trainers wait for which the engines cannot generate in time, as of the last placement.
+    double lateShare() const noexcept { return m_lateShare; }
     /// @brief Time per event of an engine, measured or assumed.
     Duration timePerEvent(const TargetId&) const;
     /// @brief The oldest weight version that all open submissions of a model allow, or nothing if none is open.
@@ -249,6 +253,7 @@
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
     std::map<ItemId, PartialText> m_reusableTexts;
     std::map<ModelName, double> m_demand;
+    double m_lateShare = 0;
     TargetRateLimits* m_rateLimits = nullptr;
 };
 
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -235,6 +235,13 @@
     const auto isSelected = selectGroupsInTime(groups, std::move(submissions), speed, now);
     for (const auto& [item, group] : members)
         item->isInTime = isSelected[group];
+    double events = 0;
+    double lateEvents = 0;
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        events += groups[group].remainingEvents;
+        lateEvents += isSelected[group] ? 0 : groups[group].remainingEvents;
+    }
+    m_lateShare = events > 0 ? lateEvents / events : 0;
 }
 
 std::vector<Placement> SampleScheduler::place(TimePoint now)
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -92,6 +92,12 @@
     return count;
 }
 
+std::size_t SampleScheduler::runningCountOn(const TargetId& id) const
+{
+    const auto* found = findEngine(id);
+    return found ? found->running : 0;
+}
+
 Duration SampleScheduler::timePerEvent(const TargetId& id) const
 {
     const auto* found = findEngine(id);
