Runs on an engine that leaves within a stated time are moved before it is gone

Cause: a reclaimable engine goes 2 to 3 s after its notice, whatever still runs there; the run was then broken off, and noticed only once its connection failed or it had stalled. Change: a run that is not expected to end in time is cancelled 0.8 s before the end, and its text continues elsewhere; one that is expected to end stays.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -174,6 +174,10 @@
             engines.push_back({ id, target.pool, target.slots, target.models, target.softwareVersion, target.startedAt });
     }
     m_scheduler.setEngines(engines);
+    for (const auto& [id, target] : m_directory.registry().targets()) {
+        if (target.isDraining && target.leavesWithin)
+            m_scheduler.setLeaving(id, m_clock.now() + *target.leavesWithin);
+    }
     if (const auto view = m_directory.view()) {
         for (const auto& [id, entry] : m_openSubmissions)
             m_scheduler.setPools(id, poolsOf(view->routes.find(entry->submission.authority, entry->submission.path)));
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -113,6 +113,8 @@
     }
 
     void setEngines(const std::vector<SchedulableEngine>&);
+    /// @brief States when an engine that has left the list of engines will be gone. Runs that cannot end there in time are moved shortly before.
+    void setLeaving(const TargetId&, TimePoint leavesAt);
     /// @brief Sets the weight version of a model on an engine; empty while the weights change.
     void setWeightVersion(const TargetId&, const ModelName&, std::optional<WeightVersion>);
     /// @brief Assigns an engine to a model; an empty name removes the assignment.
@@ -138,7 +140,7 @@
     void settle(const ItemKey&);
     /// @brief Items that have to be given up now.
     std::vector<ItemKey> expiredItems(TimePoint now) const;
-    /// @brief Running items to move to another engine: stalled, or expected to finish sooner on a faster engine with free slots.
+    /// @brief Running items to move to another engine: on an engine that leaves before they end, stalled, or expected to finish sooner on a faster engine with free slots.
     std::vector<ItemKey> itemsToMove(TimePoint now) const;
 
     /// @return the text received so far, or null if the item is unknown
@@ -212,6 +214,8 @@
         unsigned slots = 1;
         unsigned running = 0;
         bool isPresent = true;
+        /// When the engine will be gone, if it has said so.
+        std::optional<TimePoint> leavesAt;
         std::map<ModelName, std::optional<WeightVersion>> weights;
         /// Model that the engine is assigned to, or empty.
         ModelName assignedModel;
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -32,6 +32,8 @@
     constexpr double minimumSpeedup = 1.6;
     /// A run that is not stalled is moved only if it has run for this long and is expected to take this much longer.
     constexpr Seconds minimumElapsedAndRemaining { 0.4 };
+    /// Time before an engine is gone at which the runs that do not end there are moved: the announcement may be this old.
+    constexpr Seconds leavingMargin { 0.8 };
     /// Maximum number of partial texts that are kept when submissions end.
     constexpr std::size_t maximumReusableTexts = 4096;
 
@@ -93,6 +95,7 @@
     for (const auto& present : engines) {
         auto& engine = m_engines[present.id];
         engine.isPresent = true;
+        engine.leavesAt.reset();
         engine.release = { present.pool, present.softwareVersion };
         engine.startedAt = present.startedAt;
         engine.slots = std::max(1U, present.slots);
@@ -102,6 +105,13 @@
     std::erase_if(m_engines, [](const auto& entry) { return !entry.second.isPresent && entry.second.running == 0; });
 }
 
+void SampleScheduler::setLeaving(const TargetId& id, TimePoint leavesAt)
+{
+    const auto found = m_engines.find(id);
+    if (found != m_engines.end() && !found->second.isPresent)
+        found->second.leavesAt = std::min(found->second.leavesAt.value_or(leavesAt), leavesAt);
+}
+
 void SampleScheduler::setWeightVersion(const TargetId& id, const ModelName& model, std::optional<WeightVersion> version)
 {
     if (const auto found = m_engines.find(id); found != m_engines.end())
@@ -525,6 +535,11 @@
             }
             const auto received = static_cast<double>(item.text.eventCount);
             const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
+            if (current->leavesAt && *current->leavesAt - now < leavingMargin) {
+                if (Seconds(remaining * secondsPerEvent(*current)) > *current->leavesAt - now)
+                    keys.push_back({ id, index });
+                continue;
+            }
             if (Seconds(remaining * secondsPerEvent(*current)) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
                 continue;
             const auto best = bestEngine(submission, item, TextUse::Continue, now);
