--- a/benchmarks/TrainerSimulation.h
+++ b/benchmarks/TrainerSimulation.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 
 namespace cicadalb::simulation {
 
+class TrainerSimulation;
+
 struct TrainerScenario {
     /// What the trainers ask for, as a multiple of what the engines can generate.
     double load = 1.0;
@@ -28,6 +31,10 @@
     double slowestToFastest = 2.5;
     /// Whether all engines generate at a third of their speed for a quarter of the time.
     bool hasSlowPeriod = false;
+    /// Length of the texts of the second half, as a multiple of that of the first.
+    double secondHalfLength = 1;
+    /// Called every half second; may change the engines.
+    std::function<void(TrainerSimulation&)> changeEngines;
 };
 
 /// What trainers got; groups as shares of the groups that they would have waited for if each of their steps had been on time.
@@ -60,10 +67,7 @@
             const TargetId id("engine-" + std::to_string(i));
             m_engines[id] = { secondsPerEvent, 0 };
             capacity += m_scenario.slots / secondsPerEvent;
-            SchedulableEngine engine { id, PoolName("engines"), m_scenario.slots, {}, SoftwareVersion("r1"), 1 };
-            for (std::size_t trainer = 0; trainer < shapes.size(); ++trainer)
-                engine.models[modelOf(trainer).value()] = 1;
-            engines.push_back(std::move(engine));
+            engines.push_back(engineNamed(id));
         }
         m_scheduler.setEngines(engines);
         double itemsPerSecond = 0;
@@ -75,13 +79,47 @@
             m_trainers[i].nextStepAt = m_clock.now() + toDuration(interval * (static_cast<double>(i) / static_cast<double>(m_trainers.size())));
     }
 
+    TimePoint now() const { return m_clock.now(); }
+    SampleScheduler& scheduler() { return m_scheduler; }
+
+    /// @brief Adds an engine with its time per event as a multiple of the fastest's.
+    void addEngine(const TargetId& id, double relativeTime) { m_engines[id] = { fastestSecondsPerEvent * relativeTime, 0 }; }
+
+    /// @brief Sets the engines that may get new runs; others finish theirs.
+    void setUsable(const std::vector<TargetId>& ids)
+    {
+        std::vector<SchedulableEngine> engines;
+        for (const auto& id : ids)
+            engines.push_back(engineNamed(id));
+        m_scheduler.setEngines(engines);
+    }
+
+    /// @brief Takes an engine away with its runs. @return number of runs that broke off
+    std::size_t removeEngine(const TargetId& id)
+    {
+        std::vector<ItemKey> broken;
+        for (const auto& [key, run] : m_runs) {
+            if (run.engine == id)
+                broken.push_back(key);
+        }
+        for (const auto& key : broken) {
+            endRun(key);
+            m_scheduler.onRunEnd(key, RunOutcome::Interrupted, m_clock.now());
+        }
+        m_engines.erase(id);
+        return broken.size();
+    }
+
     TrainerResult run()
     {
         const auto start = m_clock.now();
+        m_startedAt = start;
         const auto end = start + m_scenario.duration;
         for (unsigned tick = 0; m_clock.now() < end; ++tick) {
             for (std::size_t trainer = 0; trainer < m_trainers.size(); ++trainer)
                 advanceTrainer(trainer);
+            if (m_scenario.changeEngines && tick % ticksBetweenEngineChanges == 0)
+                m_scenario.changeEngines(*this);
             if (tick % ticksBetweenMoves == 0)
                 moveItems();
             for (const auto& placement : m_scheduler.place(m_clock.now()))
@@ -121,6 +159,7 @@
     static constexpr double tokensPerEvent = 54;
     static constexpr std::chrono::milliseconds tickTime { 10 };
     static constexpr unsigned ticksBetweenMoves = 10;
+    static constexpr unsigned ticksBetweenEngineChanges = 50;
 
     struct Engine {
         double secondsPerEvent = 0;
@@ -152,6 +191,14 @@
         std::size_t late = 0;
     };
 
+    SchedulableEngine engineNamed(const TargetId& id) const
+    {
+        SchedulableEngine engine { id, PoolName("engines"), m_scenario.slots, {}, SoftwareVersion("r1"), 1 };
+        for (std::size_t trainer = 0; trainer < shapes.size(); ++trainer)
+            engine.models[modelOf(trainer).value()] = 1;
+        return engine;
+    }
+
     static Duration toDuration(Seconds seconds) { return std::chrono::duration_cast<Duration>(seconds); }
     static ModelName modelOf(std::size_t trainer) { return ModelName("model-" + std::to_string(trainer)); }
     static std::size_t wantedGroups(std::size_t trainer) { return static_cast<std::size_t>(std::ceil(wantedShare * static_cast<double>(shapes[trainer].groups))); }
@@ -187,7 +234,8 @@
         step.wanted = submission.wantedGroupCount;
         step.openItems.assign(shape.groups, shape.itemsInGroup);
         for (std::size_t i = 0; i < shape.groups * shape.itemsInGroup; ++i) {
-            const auto length = std::max(1.0, m_meanEvents * m_lengthFactor(m_random));
+            const auto factor = now >= m_startedAt + m_scenario.duration / 2 ? m_scenario.secondHalfLength : 1.0;
+            const auto length = std::max(1.0, factor * m_meanEvents * m_lengthFactor(m_random));
             step.lengths.push_back(static_cast<std::size_t>(length));
             SampleItem item;
             item.id = ItemId(submission.id.value() + "-" + std::to_string(i));
@@ -308,6 +356,7 @@
     TrainerScenario m_scenario;
     Random m_random;
     ManualClock m_clock;
+    TimePoint m_startedAt;
     SampleScheduler m_scheduler;
     /// With the median 1.
     boost::random::lognormal_distribution<double> m_lengthFactor { -lengthSpread * lengthSpread / 2, lengthSpread };
--- a/packages/hosting/src/CapacityOrders.cpp
+++ b/packages/hosting/src/CapacityOrders.cpp
@@ -17,8 +17,8 @@
     constexpr std::chrono::milliseconds updateInterval { 500 };
     /// Orders that wait for an answer at the same time; the platform limits the calls of all duties together.
     constexpr unsigned maximumCallsInFlight = 4;
-    /// Each model needs an engine that serves while another one loads its next version.
-    constexpr unsigned enginesPerModel = 2;
+    /// Each model needs an engine that serves while another one loads its next version, and one more in case one of them fails.
+    constexpr unsigned enginesPerModel = 3;
 
     std::string yesNo(bool value) { return value ? "yes" : "no"; }
 
@@ -111,6 +111,7 @@
     CapacityState capacity;
     capacity.needed = *needed;
     capacity.isNeedKnown = state.need.isKnown(now);
+    capacity.mayReduce = state.need.isSteady(now);
     capacity.present = state.present;
     capacity.ordered = state.book.ordered();
     capacity.settling = state.book.settling(pool.scaling->bootTime, now);
@@ -137,8 +138,7 @@
         co_return;
     auto& state = found->second;
     const auto registered = state.present[source.failureDomain].of(source.isReclaimable);
-    const auto from = state.book.accepted(source).value_or(registered);
-    logEvent(Event::CapacityOrdered, { { "pool", pool.value() }, { "failure-domain", source.failureDomain.value() }, { "reclaimable", yesNo(source.isReclaimable) }, { "from", std::to_string(from) }, { "to", std::to_string(decision.engines) }, { "registered", std::to_string(registered) }, { "cause", std::string(name(decision.cause)) }, { "fence", std::to_string(fence) }, { "outcome", std::string(name(outcome)) } });
+    logEvent(Event::CapacityOrdered, { { "pool", pool.value() }, { "failure-domain", source.failureDomain.value() }, { "reclaimable", yesNo(source.isReclaimable) }, { "from", std::to_string(decision.from) }, { "to", std::to_string(decision.engines) }, { "registered", std::to_string(registered) }, { "cause", std::string(name(decision.cause)) }, { "fence", std::to_string(fence) }, { "outcome", std::string(name(outcome)) } });
     if (outcome == DutyOutcome::Refused)
         logEvent(Event::EnginesUnavailable, { { "pool", pool.value() }, { "failure-domain", source.failureDomain.value() }, { "reclaimable", yesNo(source.isReclaimable) }, { "cause", "refused" } });
     state.book.onOutcome(source, outcome, m_clock.now());
--- a/packages/site/include/cicadalb/site/CapacityOrderBook.h
+++ b/packages/site/include/cicadalb/site/CapacityOrderBook.h
@@ -33,8 +33,6 @@
     void onCall(const EngineSource&, TimePoint now);
     void onOutcome(const EngineSource&, DutyOutcome, TimePoint now);
 
-    /// @brief Number of the last answered order; empty if there was none.
-    std::optional<unsigned> accepted(const EngineSource&) const;
     /// @brief Numbers ordered, whether answered or not.
     std::map<EngineSource, unsigned> ordered() const;
     std::set<EngineSource> unavailable(TimePoint now) const;
--- a/packages/site/include/cicadalb/site/CapacityPlan.h
+++ b/packages/site/include/cicadalb/site/CapacityPlan.h
@@ -71,8 +71,10 @@
     static constexpr std::chrono::seconds memory { 60 };
     /// Time for which samples have to have run before the need counts as known.
     static constexpr std::chrono::seconds observationTime { 8 };
+    /// Time for which they have to have run before engines are given up: steps that are due within 7.5 s have come and gone twice.
+    static constexpr std::chrono::seconds steadyTime { 15 };
     /// Mean share of the places that are in use if steps are to be in time although engines load weights and texts differ in length.
-    static constexpr double targetUse = 0.7;
+    static constexpr double targetUse = 0.6;
     /// Use from which work that will be late shows a lack of engines, rather than one of weights or of good estimates.
     static constexpr double busyUse = 0.8;
     /// A rise includes this share beyond the need, so that a slow rise does not need an order each second.
@@ -92,7 +94,9 @@
     void observe(const EngineUse&, TimePoint now);
     /// @brief Number of engines that the work needs; empty until samples have run.
     std::optional<unsigned> engines() const noexcept { return m_engines; }
-    /// @brief Whether samples have run for observationTime, so that engines beyond the number may be given up.
+    /// @brief Whether samples have run for steadyTime, so that engines beyond the number may be given up.
+    bool isSteady(TimePoint now) const noexcept { return m_firstUseAt && now >= *m_firstUseAt + steadyTime; }
+    /// @brief Whether samples have run for observationTime, so that others may be ordered for their lower price.
     bool isKnown(TimePoint now) const noexcept { return m_firstUseAt && now >= *m_firstUseAt + observationTime; }
 
 private:
@@ -129,13 +133,16 @@
     EngineSource source;
     unsigned engines = 0;
     OrderCause cause = OrderCause::Need;
+    /// Number that was ordered before, or that is there.
+    unsigned from = 0;
     auto operator<=>(const CapacityDecision&) const = default;
 };
 
 struct CapacityState {
     unsigned needed = 0;
-    /// Whether the need is known well enough to give engines up for a lower price.
+    /// Whether the need is known well enough to order others for their lower price, and to give engines up.
     bool isNeedKnown = false;
+    bool mayReduce = false;
     /// Registered engines that do not leave.
     Fleet present;
     /// Numbers that were ordered last; sources without an order count with their present engines.
--- a/packages/site/src/CapacityOrderBook.cpp
+++ b/packages/site/src/CapacityOrderBook.cpp
@@ -41,6 +41,9 @@
     entry.isCalling = true;
     entry.calledNumber = entry.proposed->engines;
     entry.calledAt = now;
+    // Without an answer too, since the call may be executed.
+    if (entry.proposed->engines < entry.proposed->from)
+        entry.reducedAt = now;
 }
 
 void CapacityOrderBook::onOutcome(const EngineSource& source, DutyOutcome outcome, TimePoint now)
@@ -56,8 +59,6 @@
     };
     switch (outcome) {
     case DutyOutcome::Accepted:
-        if (entry.accepted && number < *entry.accepted)
-            entry.reducedAt = now;
         entry.accepted = number;
         entry.orderedAt = now;
         entry.isInForce = isNewest;
@@ -73,7 +74,7 @@
         entry.isInForce = true;
         entry.proposed.reset();
         if (entry.accepted)
-            entry.proposed = CapacityDecision { source, *entry.accepted, OrderCause::Need };
+            entry.proposed = CapacityDecision { source, *entry.accepted, OrderCause::Need, *entry.accepted };
         break;
     case DutyOutcome::NotExecuted:
         retryLater();
@@ -87,12 +88,6 @@
     }
 }
 
-std::optional<unsigned> CapacityOrderBook::accepted(const EngineSource& source) const
-{
-    const auto found = m_entries.find(source);
-    return found == m_entries.end() ? std::nullopt : found->second.accepted;
-}
-
 std::map<EngineSource, unsigned> CapacityOrderBook::ordered() const
 {
     std::map<EngineSource, unsigned> numbers;
--- a/packages/site/src/CapacityPlan.cpp
+++ b/packages/site/src/CapacityPlan.cpp
@@ -46,6 +46,8 @@
 
     /// A change of the fleet for its cost alone has to save this share of it.
     constexpr double minimumSaving = 0.05;
+    /// At most one in this many engines is given up at a time: fewer engines with more samples each generate more slowly, so that the need may rise.
+    constexpr unsigned enginesPerReduction = 3;
 
     /// Adds engines to a fleet within the limits.
     class FleetBuilder {
@@ -215,7 +217,6 @@
         return {};
     // Engines that are there and will stay.
     Fleet staying = state.present;
-    bool isWaiting = false;
     std::vector<CapacityDecision> reductions;
     for (const auto& [failureDomain, counts] : desired) {
         for (const bool isReclaimable : { false, true }) {
@@ -227,27 +228,31 @@
             auto& stays = staying[failureDomain].of(isReclaimable);
             stays = std::min(stays, ordered);
             const bool isSettling = state.settling.contains(source);
-            if (there < wanted)
-                isWaiting = true;
             if (wanted > ordered) {
                 if (!state.unavailable.contains(source) && (!isNeedMet || state.isNeedKnown))
-                    decisions.push_back({ source, wanted, isNeedMet ? OrderCause::Cost : OrderCause::Need });
+                    decisions.push_back({ source, wanted, isNeedMet ? OrderCause::Cost : OrderCause::Need, ordered });
             } else if (wanted > there && !isSettling && !state.unavailable.contains(source))
-                decisions.push_back({ source, wanted, OrderCause::Missing });
+                decisions.push_back({ source, wanted, OrderCause::Missing, there });
             else if (wanted < ordered && !isSettling && !state.unavailable.contains(source))
-                reductions.push_back({ source, wanted, OrderCause::Cost });
+                reductions.push_back({ source, wanted, OrderCause::Cost, ordered });
         }
     }
-    if (isWaiting || !state.isNeedKnown)
+    if (!state.mayReduce || !state.settling.empty() || !decisions.empty())
         return decisions;
-    for (const auto& reduction : reductions) {
+    const auto priceOf = [&](const EngineSource& source) { return scaling.prices.at(source.failureDomain) * (source.isReclaimable ? scaling.reclaimablePriceShare : 1); };
+    std::stable_sort(reductions.begin(), reductions.end(), [&](const auto& left, const auto& right) { return priceOf(left.source) > priceOf(right.source); });
+    auto budget = std::max(1U, engineCount(state.present) / enginesPerReduction);
+    for (auto& reduction : reductions) {
+        reduction.engines = std::max(reduction.engines, reduction.from - std::min(budget, reduction.from));
         auto& stays = staying[reduction.source.failureDomain].of(reduction.source.isReclaimable);
         const auto before = stays;
         stays = std::min(stays, reduction.engines);
         if (remainingEngines(staying) < state.needed)
             stays = before;
-        else
+        else if (reduction.engines < reduction.from) {
+            budget -= reduction.from - reduction.engines;
             decisions.push_back(reduction);
+        }
     }
     return decisions;
 }
