--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -124,6 +124,8 @@
         { Event::RequestRelayed, "request-relayed", Level::Info },
         { Event::StreamNotRecorded, "stream-not-recorded", Level::Warning },
         { Event::DefaultReleaseChanged, "default-release-changed", Level::Info },
+        { Event::KeyRefused, "key-refused", Level::Info },
+        { Event::SubmissionOfOtherOrganisation, "submission-of-other-organisation", Level::Warning },
         { Event::CapacityOrdered, "capacity-ordered", Level::Info },
         { Event::EnginesUnavailable, "engines-unavailable", Level::Warning },
         { Event::EngineNeedChanged, "engine-need-changed", Level::Info },
