--- a/packages/hosting/src/CapacityOrders.cpp
+++ b/packages/hosting/src/CapacityOrders.cpp
@@ -75,7 +75,8 @@
         if (target.pool != pool.name)
             continue;
         if (target.isDraining) {
-            if (target.isReclaimable)
+            // One that is replaced by other software states no time.
+            if (target.isReclaimable && target.leavesWithin)
                 leaving.insert({ target.failureDomain, true });
             continue;
         }
