--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -60,6 +60,10 @@
     UsageReported = 440,
     UsageReportedLate = 441,
     UsageNotReported = 442,
+    // 45x: capacity
+    CapacityOrdered = 450,
+    EnginesUnavailable = 451,
+    EngineNeedChanged = 452,
     // 46x: load of the coordinator
     PlacementPaused = 460,
     PlacementResumed = 461,
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -213,6 +213,8 @@
             m_weightOrders->tick();
             if (m_usageReports)
                 m_usageReports->tick();
+            if (m_capacityOrders)
+                m_capacityOrders->tick();
         }
         const bool mayBeReplaced = m_sampleRunner && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
         if (mayBeReplaced && m_leaseClock.now() >= m_nextQueryAt)
@@ -271,6 +273,8 @@
         m_weightOrders->setFence(m_fence);
         if (m_usageReports)
             m_usageReports->setFence(m_fence);
+        if (m_capacityOrders)
+            m_capacityOrders->setFence(m_fence);
         logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(m_fence) }, { "again", "yes" } });
     }
 }
@@ -321,6 +325,13 @@
     };
     m_weightOrders = std::make_shared<WeightOrders>(m_executor, m_store, m_protocol, m_directory, m_clients, m_sampleRunner->scheduler(), m_clock,
         WeightOrderSettings { m_settings.host, fence, m_settings.loads }, std::move(hooks));
+    if (m_settings.capacityPlatform) {
+        const auto mayOrder = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self && self->mayOrder();
+        };
+        m_capacityOrders = std::make_shared<CapacityOrders>(m_executor, m_protocol, m_directory, m_sampleRunner->scheduler(), m_clock, CapacityOrderSettings { m_settings.host, fence, *m_settings.capacityPlatform }, mayOrder);
+    }
     // The placement of samples depends on the registry.
     m_directory.setImmediateUpdates(true);
     m_sampleRunner->start();
@@ -364,11 +375,14 @@
 {
     logEvent(Event::CoordinationEnded, { { "host", m_settings.host.value() }, { "reason", std::string(reason) } });
     m_defaultReleases->stop();
+    if (m_capacityOrders)
+        m_capacityOrders->stop();
     m_weightOrders->stop();
     if (m_usageReports)
         m_usageReports->stop();
     m_sampleRunner->stop();
     m_defaultReleases.reset();
+    m_capacityOrders.reset();
     m_weightOrders.reset();
     m_usageReports.reset();
     m_sampleRunner.reset();
@@ -401,7 +415,8 @@
 {
     const auto ofWeights = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
     const auto ofUsage = m_usageReports ? m_usageReports->lastCallAt() : std::nullopt;
-    return std::max(ofWeights, ofUsage);
+    const auto ofCapacity = m_capacityOrders ? m_capacityOrders->lastOrderAt() : std::nullopt;
+    return std::max({ ofWeights, ofUsage, ofCapacity });
 }
 
 Task<void> Coordination::releaseLease(std::string_view reason)
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CapacityOrders.h"
 #include "DefaultReleases.h"
 #include "SampleRunner.h"
 #include "UsageReports.h"
@@ -30,6 +31,8 @@
     bool isFirstStart = false;
     SampleRunnerSettings samples;
     LoadPlanSettings loads;
+    /// Address to which engines are ordered; empty: their number is not this system's to decide.
+    std::optional<Endpoint> capacityPlatform;
     std::uint64_t seed = 0;
     /// Reports of organisations' usage; empty if this site has none.
     std::optional<UsageReportingSettings> usage;
@@ -81,6 +84,7 @@
     /// @brief See SampleRunner::isPlacementPaused().
     bool isPlacementPaused() const { return m_sampleRunner && m_sampleRunner->isPlacementPaused(); }
     Duration loopDelay() const { return m_sampleRunner ? m_sampleRunner->placementGate().loopDelay() : Duration::zero(); }
+    CapacitySummary capacity() const { return m_capacityOrders ? m_capacityOrders->summary() : CapacitySummary {}; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
     /// @brief See SampleScheduler::prefillWaits(); of the work that runs now.
     std::uint64_t prefillWaits() const { return m_sampleRunner ? m_sampleRunner->scheduler().prefillWaits() : 0; }
@@ -156,6 +160,7 @@
     std::shared_ptr<SampleRunner> m_sampleRunner;
     std::shared_ptr<WeightOrders> m_weightOrders;
     std::shared_ptr<UsageReports> m_usageReports;
+    std::shared_ptr<CapacityOrders> m_capacityOrders;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -169,6 +169,8 @@
         coordination.samples.resultRetention = settings.work.resultRetention;
         coordination.samples.endTime = settings.work.endTime;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
+        if (settings.parts.hasDuty(Duty::Autoscaling))
+            coordination.capacityPlatform = Endpoint { settings.addresses.duties.address, settings.addresses.duties.port };
         coordination.seed = seed;
         if (settings.parts.hasDuty(Duty::Metering)) {
             coordination.usage = usageSettings(settings);
@@ -486,6 +488,10 @@
         m_metrics.setGauge("cicadalb_usage_windows_late", "Usage reports accepted after they were due", usage ? static_cast<double>(usage->totals().late) : 0);
         m_metrics.setGauge("cicadalb_usage_windows_unsent", "Usage reports that are fixed and not accepted yet", usage ? static_cast<double>(usage->unsentReports()) : 0);
         m_metrics.setGauge("cicadalb_usage_counts_unsent", "1 if the coordinator does not have all counts of this host", m_usageSender->isDelivered() ? 0 : 1);
+        const auto capacity = m_coordination ? m_coordination->capacity() : CapacitySummary {};
+        m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
+        m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
+        m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
         return m_metrics.text();
     }
 
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -116,6 +116,8 @@
     }
 
     void setEngines(const std::vector<SchedulableEngine>&);
+    /// @brief States when an engine that has left the list of engines will be gone. Runs that cannot end there in time are moved shortly before.
+    void setLeaving(const TargetId&, TimePoint leavesAt);
     /// @brief Sets the weight version of a model on an engine; empty while the weights change.
     void setWeightVersion(const TargetId&, const ModelName&, std::optional<WeightVersion>);
     /// @brief Assigns an engine to a model; an empty name removes the assignment.
@@ -142,7 +144,7 @@
     void settle(const ItemKey&);
     /// @brief Items that have to be given up now.
     std::vector<ItemKey> expiredItems(TimePoint now) const;
-    /// @brief Running items to move to another engine: stalled, or expected to finish sooner on a faster engine with free slots.
+    /// @brief Running items to move to another engine: on an engine that leaves before they end, stalled, or expected to finish sooner on a faster engine with free slots.
     std::vector<ItemKey> itemsToMove(TimePoint now) const;
 
     /// @return the text received so far, or null if the item is unknown
@@ -164,6 +166,10 @@
     bool hasMeasuredTimePerEvent(const TargetId&) const;
     /// @brief Number of runs of a model on an engine.
     std::size_t runningCountOn(const TargetId&, const ModelName&) const;
+    /// @brief Number of runs on an engine.
+    std::size_t runningCountOn(const TargetId&) const;
+    /// @brief Share of the events of the groups that trainers wait for which the engines cannot generate in time, as of the last placement.
+    double lateShare() const noexcept { return m_lateShare; }
     /// @brief Time per event of an engine, measured or assumed.
     Duration timePerEvent(const TargetId&) const;
     /// @brief Number of times that an item waited although an engine had a free slot, because of the prompts that the engine reads.
@@ -227,6 +233,8 @@
         unsigned running = 0;
         std::map<ModelName, unsigned> runningByModel;
         bool isPresent = true;
+        /// When the engine will be gone, if it has said so.
+        std::optional<TimePoint> leavesAt;
         std::map<ModelName, std::optional<WeightVersion>> weights;
         /// Model that the engine is assigned to, or empty.
         ModelName assignedModel;
@@ -304,6 +312,7 @@
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
     std::map<ItemId, PartialText> m_reusableTexts;
     std::map<ModelName, double> m_demand;
+    double m_lateShare = 0;
     TargetRateLimits* m_rateLimits = nullptr;
 };
 
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -62,6 +62,7 @@
         engine.isPresent = true;
         if (engine.startedAt != present.startedAt)
             engine.prefill.forgetParts();
+        engine.leavesAt.reset();
         engine.release = { present.pool, present.softwareVersion };
         engine.startedAt = present.startedAt;
         engine.slots = std::max(1U, present.slots);
@@ -76,6 +77,13 @@
     }
 }
 
+void SampleScheduler::setLeaving(const TargetId& id, TimePoint leavesAt)
+{
+    const auto found = m_engines.find(id);
+    if (found != m_engines.end() && !found->second.isPresent)
+        found->second.leavesAt = std::min(found->second.leavesAt.value_or(leavesAt), leavesAt);
+}
+
 void SampleScheduler::setWeightVersion(const TargetId& id, const ModelName& model, std::optional<WeightVersion> version)
 {
     const auto found = m_engines.find(id);
--- a/packages/submissions/src/SampleSchedulerPlacement.cpp
+++ b/packages/submissions/src/SampleSchedulerPlacement.cpp
@@ -25,6 +25,8 @@
     constexpr double minimumSpeedup = 1.6;
     /// A run that is not stalled is moved only if it has run for this long and is expected to take this much longer.
     constexpr Seconds minimumElapsedAndRemaining { 0.4 };
+    /// Time before an engine is gone at which the runs that do not end there are moved: the announcement may be this old.
+    constexpr Seconds leavingMargin { 0.8 };
     /// Placements come in bursts, in which the groups that can be whole in time hardly change.
     constexpr std::chrono::milliseconds planInterval { 20 };
     /// With more groups than this, a plan is good for longer in proportion, so that plans take a bounded share of the time ...
@@ -163,6 +165,13 @@
     const auto isSelected = selectGroupsInTime(groups, std::move(submissions), speed, now);
     for (const auto& [item, group] : members)
         item->isInTime = isSelected[group];
+    double events = 0;
+    double lateEvents = 0;
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        events += groups[group].remainingEvents;
+        lateEvents += isSelected[group] ? 0 : groups[group].remainingEvents;
+    }
+    m_lateShare = events > 0 ? lateEvents / events : 0;
     return groups.size();
 }
 
@@ -366,6 +375,11 @@
             }
             const auto received = static_cast<double>(item.text.eventCount);
             const auto remaining = std::max({ minimumRemainingEvents, item.expectedEvents - received, minimumRemainingShare * received });
+            if (current->leavesAt && *current->leavesAt - now < leavingMargin) {
+                if (Seconds(remaining * currentSeconds) > *current->leavesAt - now)
+                    keys.push_back({ id, index });
+                continue;
+            }
             if (Seconds(remaining * currentSeconds) < minimumElapsedAndRemaining || Seconds(now - item.startedAt) < minimumElapsedAndRemaining)
                 continue;
             const auto choice = choices.indexOf(submission);
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -98,6 +98,12 @@
     return found == engine->runningByModel.end() ? 0 : found->second;
 }
 
+std::size_t SampleScheduler::runningCountOn(const TargetId& id) const
+{
+    const auto* found = findEngine(id);
+    return found ? found->running : 0;
+}
+
 Duration SampleScheduler::timePerEvent(const TargetId& id) const
 {
     const auto* found = findEngine(id);
