--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cicadalb/site/OrganisationKeys.h"
 #include "cicadalb/site/SiteProtocol.h"
 
 #include <sstream>
@@ -9,10 +10,21 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL [MODEL | [KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL [MODEL | organisation:NAME:KEY[,KEY]... | [public:][KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
 class FakeSiteProtocol final : public SiteProtocol {
 public:
-    CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
+    /// The field "Call" selects a call on the submission that the path names.
+    CallerRequest callerRequest(const HttpRequest& request) const override
+    {
+        CallerRequest call;
+        call.submission = SubmissionId(request.target.substr(1));
+        call.item = ItemId("item");
+        for (const auto& [name, kind] : { std::pair("results", CallerRequestKind::ReadResults), std::pair("item", CallerRequestKind::ReadItem), std::pair("end", CallerRequestKind::EndSubmission) }) {
+            if (fieldIn(request.fields, "Call") == name)
+                call.kind = kind;
+        }
+        return call;
+    }
     RequestId attemptId(const HttpFields& fields) const override { return RequestId(std::string(fieldIn(fields, "Id"))); }
     std::optional<std::chrono::milliseconds> callerTimeout(const HttpFields&) const override { return std::nullopt; }
     std::vector<Secret> callerKeys(const HttpFields& fields) const override
@@ -46,7 +58,16 @@
     }
     std::string requestIdentity(const HttpRequest& request) const override { return request.target + "\n" + request.body; }
     HttpFields answerFields(const HttpFields& fields) const override { return fields; }
-    Result<Submission> submission(const HttpRequest&) const override { return failure(ErrorCode::SubmissionInvalid, "not used"); }
+    /// A body of "submission" has one item; any other is invalid.
+    Result<Submission> submission(const HttpRequest& request) const override
+    {
+        if (request.body != "submission")
+            return failure(ErrorCode::SubmissionInvalid, "not used");
+        Submission submission;
+        submission.id = SubmissionId(std::string(fieldIn(request.fields, "Id")));
+        submission.items.emplace_back().id = ItemId("item");
+        return submission;
+    }
     std::string resultsPage(std::size_t, std::size_t, const std::vector<const SampleResult*>&) const override { return {}; }
     AnswerKind classifyAnswer(const HttpResponse& head, const RequestId& attempt) const override
     {
@@ -90,12 +111,20 @@
             return failure(ErrorCode::RecordInvalid, "not a configuration");
         pool.name = PoolName(poolName);
         for (std::string word; words >> word;) {
+            if (word.starts_with("organisation:")) {
+                configuration.organisations.push_back(organisationIn(word.substr(word.find(':') + 1)));
+                continue;
+            }
             if (word.find('/') == std::string::npos) {
                 pool.models.push_back(word);
                 continue;
             }
             SiteRoute route;
             route.kind = RequestKind::Submission;
+            if (word.starts_with("public:")) {
+                route.isPublic = true;
+                word.erase(0, std::string_view("public:").size());
+            }
             for (const auto& [prefix, kind] : { std::pair("stream:", RequestKind::Stream), std::pair("idempotent:", RequestKind::Idempotent), std::pair("once:", RequestKind::NonIdempotent) }) {
                 if (word.starts_with(prefix)) {
                     route.kind = kind;
@@ -149,6 +178,18 @@
     }
 
     StoreWrite retirementStatus(const HostId& host, bool isDone) const override { return { "retired/" + host.value(), isDone ? "done" : "begun" }; }
+
+private:
+    /// Reads "NAME:KEY[,KEY]...".
+    static SiteOrganisation organisationIn(const std::string& text)
+    {
+        SiteOrganisation organisation;
+        organisation.name = OrganisationName(text.substr(0, text.find(':')));
+        std::istringstream keys { text.substr(text.find(':') + 1) };
+        for (std::string key; std::getline(keys, key, ',');)
+            organisation.keyDigests.push_back(keyDigest(Secret(key)));
+        return organisation;
+    }
 };
 
 } // namespace cicadalb
--- a/packages/hosting/tests/ForwardingFixture.h
+++ b/packages/hosting/tests/ForwardingFixture.h
@@ -48,11 +48,16 @@
     /// 0: states no limit.
     std::atomic<unsigned> requestsPerSecond = 0;
     std::atomic<unsigned> requests = 0;
+    /// Fields "Organisation" and "Key" of the last request, which the test reads after its answer.
+    std::string organisation;
+    std::string key;
 
 private:
     Task<void> serve(ServerRequest& request, ServerResponder& responder)
     {
         ++requests;
+        organisation = request.field("Organisation");
+        key = request.field("Key");
         if (const auto field = request.field("Remaining"); !field.empty())
             remaining = std::stoi(std::string(field));
         responder.onCallerDisconnected([this] { ++abandoned; });
--- a/packages/hosting/tests/unit-submission-intake.cpp
+++ b/packages/hosting/tests/unit-submission-intake.cpp
@@ -93,3 +93,23 @@
     CHECK(accept() == IntakeOutcome::Accepted);
     CHECK(isStored());
 }
+
+TEST_CASE_METHOD(IntakeFixture, "submission intake, id of another organisation's submission, keeps that one and does not accept the other")
+{
+    submission.organisation = OrganisationName("north");
+    CHECK(accept() == IntakeOutcome::Accepted);
+    const auto revision = store.entries().at(submissionKey(submission.id)).revision;
+    submission.organisation = OrganisationName("south");
+    CHECK(accept() == IntakeOutcome::OtherOrganisation);
+    CHECK(store.entries().at(submissionKey(submission.id)).revision == revision);
+    CHECK(store.entries().at(organisationKey(submission.id)).value == "north");
+}
+
+TEST_CASE_METHOD(IntakeFixture, "submission intake, answer lost and the id held by another organisation, does not accept the submission")
+{
+    submission.organisation = OrganisationName("north");
+    CHECK(accept() == IntakeOutcome::Accepted);
+    submission.organisation = OrganisationName("south");
+    failWrites(CallFault::AnswerLost, 0, 1);
+    CHECK(accept() != IntakeOutcome::Accepted);
+}
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -16,6 +16,7 @@
     submission.path = "/drafts/";
     submission.submittedAt = UnixTime(1781007254016);
     submission.acceptedUnder = 31;
+    submission.organisation = OrganisationName("north");
     submission.step = 7;
     submission.model = ModelName("draft");
     submission.oldestVersion = 6;
@@ -46,6 +47,7 @@
     CHECK(copy.submittedAt == source.submittedAt);
     CHECK(copy.oldestVersion == 6);
     CHECK(copy.acceptedUnder == 31);
+    CHECK(copy.organisation == source.organisation);
     REQUIRE(copy.items.size() == 2);
     CHECK(copy.items[0].body == source.items[0].body);
     CHECK(copy.items[0].fields == source.items[0].fields);
@@ -112,6 +114,8 @@
     CHECK(resultSegmentKey(id, 9) < resultSegmentKey(id, 10));
     CHECK(itemCountKey(id) < resultSegmentKey(id, 0));
     CHECK(lastResultSegmentKey(id, 0) == itemCountKey(id));
+    CHECK(itemCountKey(id) < organisationKey(id));
+    CHECK(organisationKey(id) < resultSegmentKey(id, 0));
     CHECK(decodeItemCount(encodeItemCount(64)).value() == 64);
     CHECK(lastResultSegmentKey(id, 3) == resultSegmentKey(id, 2));
 }
