--- a/packages/hosting/src/SubmissionIntake.cpp
+++ b/packages/hosting/src/SubmissionIntake.cpp
@@ -84,7 +84,8 @@
     if (refused.error().code != ErrorCode::Conflict)
         co_return IntakeOutcome::Unknown;
     const auto reread = co_await m_store.read(key);
-    co_return reread && reread.value() ? outcomeOf(reread.value()->value, submission) : IntakeOutcome::Unknown;
+    const bool isFound = reread && reread.value();
+    co_return isFound ? outcomeOf(reread.value()->value, submission) : IntakeOutcome::Unknown;
 }
 
 Task<Result<void>> SubmissionIntake::end(const SubmissionId& id)
--- a/packages/hosting/tests/unit-caller-keys.cpp
+++ b/packages/hosting/tests/unit-caller-keys.cpp
@@ -197,3 +197,64 @@
     CHECK(decoded.value().organisation == request.organisation);
     CHECK(decoded.value().keyDigest == request.keyDigest);
 }
+
+namespace {
+
+/// The fixture's host forwards requests for another one.
+struct RelayedKeysFixture : CallerKeysFixture {
+    std::shared_ptr<TargetReachability> reachability = std::make_shared<TargetReachability>(
+        executor, keyDirectory, [](const Endpoint&, std::chrono::milliseconds) -> Task<bool> { co_return true; }, clock, 1);
+    RelayEndpoint helper { keyDirectory, protocol, keyForwarder, *reachability, KeyValidity(5s) };
+
+    static Task<void> serveRelayed(RelayEndpoint& helper, std::shared_ptr<ServerRequest> request, std::shared_ptr<RecordingResponder> responder)
+    {
+        co_await helper.serve(*request, *responder);
+    }
+
+    RelayReply relay(const std::string& organisation, const std::string& key, const HttpFields& fields = {})
+    {
+        RelayRequest request;
+        request.message = { "GET", "/lookup/1", { { "Host", "app.example" }, { "Id", "7c41" } }, {} };
+        request.message.fields.insert(request.message.fields.end(), fields.begin(), fields.end());
+        request.pool = PoolName("ledger");
+        request.configurationVersion = 5;
+        request.remainingTime = 5s;
+        request.attemptsLeft = 1;
+        request.organisation = OrganisationName(organisation);
+        request.keyDigest = keyDigest(Secret(key));
+        const auto received = std::make_shared<ServerRequest>();
+        received->body = encodeRelayRequest(request);
+        received->receivedAt = clock.now();
+        const auto responder = std::make_shared<RecordingResponder>();
+        boost::asio::co_spawn(executor, serveRelayed(helper, received, responder), boost::asio::use_future).get();
+        const auto reply = decodeRelayReply(responder->response.body);
+        REQUIRE(reply);
+        return reply.value();
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(RelayedKeysFixture, "helper, request of an organisation, tells the target the organisation")
+{
+    CHECK(relay("north", "n1").outcome.answer.status == 200);
+    CHECK(organisationSeen() == "north");
+}
+
+TEST_CASE_METHOD(RelayedKeysFixture, "helper, key that is taken, of another organisation or not to be confirmed, declines and does not run the request")
+{
+    CHECK_FALSE(relay("north", "other").hasForwarded);
+    CHECK_FALSE(relay("north", "s1").hasForwarded);
+    CHECK_FALSE(relay("", "").hasForwarded);
+    onWorker([this] { recordClock.advance(3100ms); });
+    CHECK_FALSE(relay("north", "n1").hasForwarded);
+    CHECK(requestsRun() == 0);
+}
+
+TEST_CASE_METHOD(RelayedKeysFixture, "helper, request of an earlier build that still holds its key, checks the key itself and withholds it")
+{
+    CHECK(relay("", "", { { "Key", "s1" } }).outcome.answer.status == 200);
+    CHECK(organisationSeen() == "south");
+    CHECK(keySeen().empty());
+    CHECK_FALSE(relay("", "", { { "Key", "other" } }).hasForwarded);
+}
--- a/packages/site/tests/unit-organisation-keys.cpp
+++ b/packages/site/tests/unit-organisation-keys.cpp
@@ -15,6 +15,7 @@
 {
     SiteOrganisation result;
     result.name = OrganisationName(name);
+    result.keyDigests.reserve(keys.size());
     for (const auto& key : keys)
         result.keyDigests.push_back(keyDigest(Secret(key)));
     result.priority = priority;
@@ -23,10 +24,7 @@
 
 std::vector<Secret> keysOf(const std::vector<std::string>& texts)
 {
-    std::vector<Secret> keys;
-    for (const auto& text : texts)
-        keys.emplace_back(text);
-    return keys;
+    return { texts.begin(), texts.end() };
 }
 
 struct KeysFixture {
