Usage: last counts of a window are sent soon after its end

Change: a question carries the counts; each host asks at its own time after the end of a window; lost counts are sent again at once.

--- a/packages/hosting/src/UsageDelivery.cpp
+++ b/packages/hosting/src/UsageDelivery.cpp
@@ -7,6 +7,7 @@
 UsageDelivery::UsageDelivery(UsageCounter& counter, UsageDeliverySettings settings)
     : m_counter(counter)
     , m_settings(std::move(settings))
+    , m_ownConfirmationDelay(confirmationDelay / 2 + std::chrono::milliseconds(m_settings.firstCandidate % static_cast<std::size_t>(confirmationDelay.count() / 2)))
     , m_nextCandidate(m_settings.candidateCount > 0 ? m_settings.firstCandidate % m_settings.candidateCount : 0)
 {
 }
@@ -18,7 +19,7 @@
         return false;
     const auto end = m_counter.windows().endOf(*oldest);
     const auto time = m_counter.now();
-    const bool isUnconfirmed = time >= end + confirmationDelay && m_repliedAt < end + confirmationDelay;
+    const bool isUnconfirmed = time >= end + m_ownConfirmationDelay && m_repliedAt < end + m_ownConfirmationDelay;
     const bool isOverdue = time >= end + m_settings.settleTime + confirmationDelay;
     return isUnconfirmed || isOverdue;
 }
@@ -28,8 +29,10 @@
     m_isCalling = true;
     m_sentAt = now;
     UsageCall call { candidate, { m_settings.host, m_settings.incarnation, hasCounts ? m_counter.sequence() : 0, {} } };
-    if (hasCounts)
+    if (hasCounts) {
         call.message.windows = m_counter.changedAfter(m_acknowledged);
+        m_nextCountsAt = now + m_interval;
+    }
     return call;
 }
 
@@ -39,9 +42,9 @@
         return std::nullopt;
     const bool hasChanges = !isDelivered();
     if (m_coordinator) {
-        if (hasChanges && (isLast || now >= m_sentAt + m_interval))
-            return makeCall(*m_coordinator, true, now);
-        return hasQuestion() && now >= m_sentAt + questionInterval ? std::optional(makeCall(*m_coordinator, false, now)) : std::nullopt;
+        const bool mayAsk = now >= m_sentAt + questionInterval && hasQuestion();
+        const bool maySendCounts = hasChanges && (isLast || now >= m_nextCountsAt);
+        return maySendCounts || mayAsk ? std::optional(makeCall(*m_coordinator, hasChanges, now)) : std::nullopt;
     }
     if (!(hasChanges || hasQuestion()) || now < m_nextSearchAt)
         return std::nullopt;
@@ -78,6 +81,7 @@
         // The counts in this message, if any, are sent again with those of the other windows.
         m_collection = reply.collection;
         m_acknowledged = 0;
+        m_nextCountsAt = now;
     } else {
         m_acknowledged = std::max(m_acknowledged, call.message.sequence);
     }
@@ -91,6 +95,8 @@
 {
     m_isCalling = false;
     m_nextSearchAt = now + failureDelay;
+    if (mayHaveLostCounts(call))
+        m_nextCountsAt = now;
     if (m_coordinator != call.candidate) {
         searchNext(now);
         return;
--- a/packages/hosting/src/UsageDelivery.h
+++ b/packages/hosting/src/UsageDelivery.h
@@ -34,8 +34,9 @@
 /// that the window is closed, and asks for that, so that a new coordinator receives what its predecessor had. Has no clock and no sockets.
 class UsageDelivery {
 public:
-    /// Time after the end of a window at which its host finds out whether the coordinator still has its counts.
-    static constexpr std::chrono::milliseconds confirmationDelay { 1000 };
+    /// Time after the end of a window by which its host has found out whether the coordinator still has its counts, and has sent the last ones. The
+    /// hosts do so at different times of the second half of it.
+    static constexpr std::chrono::milliseconds confirmationDelay { 1500 };
     /// Interval between questions whether an overdue window is closed, and between two searches for the coordinator.
     static constexpr std::chrono::milliseconds questionInterval { 1000 };
     /// Interval between two questions whether the site reports usage, after a candidate has denied it.
@@ -59,6 +60,7 @@
     /// Whether the host has to find out what became of the counts of its oldest window.
     bool hasQuestion() const;
     UsageCall makeCall(std::size_t candidate, bool hasCounts, TimePoint now);
+    bool mayHaveLostCounts(const UsageCall& call) const { return call.message.sequence > m_acknowledged; }
     void searchNext(TimePoint now);
 
     UsageCounter& m_counter;
@@ -69,6 +71,9 @@
     std::uint64_t m_acknowledged = 0;
     std::chrono::milliseconds m_interval { 0 };
     TimePoint m_sentAt;
+    /// When counts may be sent again.
+    TimePoint m_nextCountsAt;
+    std::chrono::milliseconds m_ownConfirmationDelay;
     WallTime m_repliedAt;
     std::size_t m_nextCandidate;
     std::size_t m_askedInSearch = 0;
--- a/packages/hosting/tests/unit-usage-reporting.cpp
+++ b/packages/hosting/tests/unit-usage-reporting.cpp
@@ -215,7 +215,7 @@
         const auto index = static_cast<std::size_t>(&host - m_hosts.data());
         host.flight.reset();
         host.counter = std::make_unique<UsageCounter>(windows, [this] { return m_wallNow; });
-        host.delivery = std::make_unique<UsageDelivery>(*host.counter, UsageDeliverySettings { HostId(std::to_string(index)), ++m_incarnation, candidateCount, index, UsageReportingSettings { windows, 10s }.settleTime() });
+        host.delivery = std::make_unique<UsageDelivery>(*host.counter, UsageDeliverySettings { HostId(std::to_string(index)), ++m_incarnation, candidateCount, index * 7919, UsageReportingSettings { windows, 10s }.settleTime() });
     }
 
     WallTime killTimeIn(UsageWindow window) { return windows.beginOf(window) + std::chrono::milliseconds(randomIndex(m_random, 5000)); }
