--- a/packages/hosting/src/UsageDelivery.cpp
+++ b/packages/hosting/src/UsageDelivery.cpp
@@ -1,6 +1,7 @@
 #include "UsageDelivery.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalb {
 
@@ -20,7 +21,7 @@
     const auto end = m_counter.windows().endOf(*oldest);
     const auto time = m_counter.now();
     const bool isUnconfirmed = time >= end + m_ownConfirmationDelay && m_repliedAt < end + m_ownConfirmationDelay;
-    const bool isOverdue = time >= end + m_settings.settleTime + confirmationDelay;
+    const bool isOverdue = time >= end + m_settings.settleTime + m_ownConfirmationDelay / 2;
     return isUnconfirmed || isOverdue;
 }
 
@@ -57,7 +58,8 @@
     if (++m_askedInSearch < m_settings.candidateCount)
         return;
     m_askedInSearch = 0;
-    m_nextSearchAt = now + questionInterval;
+    // A candidate that has not replied may be the coordinator.
+    m_nextSearchAt = now + (std::exchange(m_hasLostReply, false) ? questionInterval / 2 : questionInterval);
 }
 
 void UsageDelivery::onReply(const UsageCall& call, const UsageReply& reply, TimePoint now)
@@ -98,6 +100,7 @@
     if (mayHaveLostCounts(call))
         m_nextCountsAt = now;
     if (m_coordinator != call.candidate) {
+        m_hasLostReply = true;
         searchNext(now);
         return;
     }
--- a/packages/hosting/src/UsageDelivery.h
+++ b/packages/hosting/src/UsageDelivery.h
@@ -78,6 +78,8 @@
     std::size_t m_nextCandidate;
     std::size_t m_askedInSearch = 0;
     TimePoint m_nextSearchAt;
+    /// Whether a candidate has not replied in the present search.
+    bool m_hasLostReply = false;
     bool m_isCalling = false;
 };
 
