--- a/packages/hosting/src/UsageDelivery.cpp
+++ b/packages/hosting/src/UsageDelivery.cpp
@@ -1,12 +1,14 @@
 #include "UsageDelivery.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadalb {
 
 UsageDelivery::UsageDelivery(UsageCounter& counter, UsageDeliverySettings settings)
     : m_counter(counter)
     , m_settings(std::move(settings))
+    , m_ownConfirmationDelay(confirmationDelay / 2 + std::chrono::milliseconds(m_settings.firstCandidate % static_cast<std::size_t>(confirmationDelay.count() / 2)))
     , m_nextCandidate(m_settings.candidateCount > 0 ? m_settings.firstCandidate % m_settings.candidateCount : 0)
 {
 }
@@ -18,8 +20,8 @@
         return false;
     const auto end = m_counter.windows().endOf(*oldest);
     const auto time = m_counter.now();
-    const bool isUnconfirmed = time >= end + confirmationDelay && m_repliedAt < end + confirmationDelay;
-    const bool isOverdue = time >= end + m_settings.settleTime + confirmationDelay;
+    const bool isUnconfirmed = time >= end + m_ownConfirmationDelay && m_repliedAt < end + m_ownConfirmationDelay;
+    const bool isOverdue = time >= end + m_settings.settleTime + m_ownConfirmationDelay / 2;
     return isUnconfirmed || isOverdue;
 }
 
@@ -28,8 +30,10 @@
     m_isCalling = true;
     m_sentAt = now;
     UsageCall call { candidate, { m_settings.host, m_settings.incarnation, hasCounts ? m_counter.sequence() : 0, {} } };
-    if (hasCounts)
+    if (hasCounts) {
         call.message.windows = m_counter.changedAfter(m_acknowledged);
+        m_nextCountsAt = now + m_interval;
+    }
     return call;
 }
 
@@ -39,9 +43,9 @@
         return std::nullopt;
     const bool hasChanges = !isDelivered();
     if (m_coordinator) {
-        if (hasChanges && (isLast || now >= m_sentAt + m_interval))
-            return makeCall(*m_coordinator, true, now);
-        return hasQuestion() && now >= m_sentAt + questionInterval ? std::optional(makeCall(*m_coordinator, false, now)) : std::nullopt;
+        const bool mayAsk = now >= m_sentAt + questionInterval && hasQuestion();
+        const bool maySendCounts = hasChanges && (isLast || now >= m_nextCountsAt);
+        return maySendCounts || mayAsk ? std::optional(makeCall(*m_coordinator, hasChanges, now)) : std::nullopt;
     }
     if (!(hasChanges || hasQuestion()) || now < m_nextSearchAt)
         return std::nullopt;
@@ -54,7 +58,8 @@
     if (++m_askedInSearch < m_settings.candidateCount)
         return;
     m_askedInSearch = 0;
-    m_nextSearchAt = now + questionInterval;
+    // A candidate that has not replied may be the coordinator.
+    m_nextSearchAt = now + (std::exchange(m_hasLostReply, false) ? questionInterval / 2 : questionInterval);
 }
 
 void UsageDelivery::onReply(const UsageCall& call, const UsageReply& reply, TimePoint now)
@@ -78,6 +83,7 @@
         // The counts in this message, if any, are sent again with those of the other windows.
         m_collection = reply.collection;
         m_acknowledged = 0;
+        m_nextCountsAt = now;
     } else {
         m_acknowledged = std::max(m_acknowledged, call.message.sequence);
     }
@@ -91,7 +97,10 @@
 {
     m_isCalling = false;
     m_nextSearchAt = now + failureDelay;
+    if (mayHaveLostCounts(call))
+        m_nextCountsAt = now;
     if (m_coordinator != call.candidate) {
+        m_hasLostReply = true;
         searchNext(now);
         return;
     }
--- a/packages/hosting/tests/unit-usage-reporting.cpp
+++ b/packages/hosting/tests/unit-usage-reporting.cpp
@@ -215,7 +215,7 @@
         const auto index = static_cast<std::size_t>(&host - m_hosts.data());
         host.flight.reset();
         host.counter = std::make_unique<UsageCounter>(windows, [this] { return m_wallNow; });
-        host.delivery = std::make_unique<UsageDelivery>(*host.counter, UsageDeliverySettings { HostId(std::to_string(index)), ++m_incarnation, candidateCount, index, UsageReportingSettings { windows, 10s }.settleTime() });
+        host.delivery = std::make_unique<UsageDelivery>(*host.counter, UsageDeliverySettings { HostId(std::to_string(index)), ++m_incarnation, candidateCount, index * 7919, UsageReportingSettings { windows, 10s }.settleTime() });
     }
 
     WallTime killTimeIn(UsageWindow window) { return windows.beginOf(window) + std::chrono::milliseconds(randomIndex(m_random, 5000)); }
@@ -244,10 +244,18 @@
         }
         if (m_simulation.hasKills && m_wallNow >= m_killAt) {
             m_killAt = killTimeIn(windows.at(m_wallNow) + 1);
-            start(m_hosts[randomIndex(m_random, m_hosts.size())]);
+            kill(m_hosts[randomIndex(m_random, m_hosts.size())]);
         }
     }
 
+    /// A message that is on its way arrives without its sender.
+    void kill(Host& host)
+    {
+        if (host.flight && !host.flight->hasArrived && randomUnit(m_random) >= lossProbability)
+            (void)answer(host.flight->call);
+        start(host);
+    }
+
     void stepCoordinators()
     {
         const bool isChangeDue = m_simulation.hasCoordinatorChanges && m_now >= m_nextChangeAt;
