--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -211,16 +211,25 @@
 
 void SampleRunner::applySubmissionRecord(const KeyValueEntry& entry)
 {
+    // Most records of a snapshot are of submissions that have ended; their items are not decoded.
+    const auto id = parseSubmissionKey(entry.key).id;
+    auto& known = m_storedSubmissions[id];
+    if (known.isEnded || m_openSubmissions.contains(id)) {
+        const auto submittedAt = decodeSubmissionTime(entry.value);
+        if (submittedAt)
+            known.submittedAt = submittedAt.value();
+        else
+            logIgnoredRecord(entry.key, entry.revision, submittedAt.error());
+        return;
+    }
     auto submission = decodeSubmission(entry.value);
     if (!submission) {
         logIgnoredRecord(entry.key, entry.revision, submission.error());
         return;
     }
-    auto& stored = m_storedSubmissions[submission.value().id];
-    stored.submittedAt = submission.value().submittedAt;
-    if (!stored.isEnded && !m_openSubmissions.contains(submission.value().id))
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
+    known.submittedAt = submission.value().submittedAt;
+    asio::co_spawn(
+        m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
 }
 
 /// Whether the configuration in force is at least as new as the one under which the submission was accepted: an older one may lack its
--- /dev/null
+++ b/packages/hosting/tests/unit-late-coordinator.cpp
@@ -0,0 +1,107 @@
+#include "FakeSiteProtocol.h"
+#include "SampleRunner.h"
+
+#include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/submissions/SubmissionRecords.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A coordinator with one waiting item and a free engine. The event loop runs only when a test lets it.
+struct LateCoordinatorFixture {
+    boost::asio::io_context context;
+    ManualClock clock;
+    FakeKeyValueService store { context.get_executor(), clock };
+    FakeSiteProtocol protocol;
+    SiteDirectory directory { context.get_executor(), store, protocol, clock, {} };
+    WorkerPool worker { 1 };
+    TargetClients clients { worker };
+    RequestPermits permits { context.get_executor(), {}, nullptr, protocol, clock };
+    std::shared_ptr<CrashGuard> crashGuard = std::make_shared<CrashGuard>(context.get_executor(), store, HostId("host"));
+    std::shared_ptr<SampleRunner> runner;
+    Submission submission;
+
+    void start(std::chrono::milliseconds endTime)
+    {
+        SampleRunnerSettings settings;
+        settings.endTime = endTime;
+        runner = std::make_shared<SampleRunner>(context.get_executor(), store, protocol, directory, clients, permits, *crashGuard, clock, settings);
+        store.put("site/configuration", "4 drafts draft train.example/drafts/");
+        store.put("targets/engine", "drafts 127.0.0.1:1 ready draft 1 100");
+        submission.id = SubmissionId("7c41e0");
+        submission.authority = "train.example";
+        submission.path = "/drafts/";
+        submission.model = ModelName("draft");
+        submission.submittedAt = std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
+        submission.items.emplace_back();
+        store.put(itemCountKey(submission.id), encodeItemCount(1));
+        store.put(submissionKey(submission.id), encodeSubmission(submission));
+        // The runner has seen no target when it starts.
+        runner->start();
+        runLoop();
+        directory.start();
+        runLoop();
+        REQUIRE(runner->scheduler().waitingCount() == 1);
+        REQUIRE(runner->scheduler().runningCount() == 0);
+    }
+
+    ~LateCoordinatorFixture()
+    {
+        runner->stop();
+        directory.stop();
+        store.advance(60s);
+        runLoop();
+        worker.stop();
+    }
+
+    void runLoop()
+    {
+        context.restart();
+        context.run_for(60ms);
+    }
+
+    /// The submission ends while a placement waits for an event loop that stands still for @p delay. @return the largest number of runs at a time
+    std::size_t runsAfterEnd(Duration delay)
+    {
+        runner->updateEngines();
+        store.advance(delay);
+        store.put(endKey(submission.id), "");
+        std::size_t runs = 0;
+        context.restart();
+        while (context.poll_one() > 0)
+            runs = std::max(runs, runner->scheduler().runningCount());
+        return runs;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, event loop late while a submission ends, begins no run of it")
+{
+    start(3s);
+    CHECK(runsAfterEnd(2500ms) == 0);
+    CHECK(runner->openSubmissions() == 0);
+}
+
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, event loop late and no end, places items once the loop is in time and the submissions are up to date")
+{
+    start(3s);
+    runner->updateEngines();
+    store.advance(2500ms);
+    runLoop();
+    CHECK(runner->isPlacementPaused());
+    runner->tick();
+    runLoop();
+    CHECK_FALSE(runner->isPlacementPaused());
+    CHECK(runner->scheduler().waitingCount() == 0);
+}
+
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, event loop late and no limit on the time after an end, begins the run")
+{
+    start(0s);
+    CHECK(runsAfterEnd(2500ms) == 1);
+}
--- a/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
+++ b/packages/submissions/include/cicadalb/submissions/SubmissionRecords.h
@@ -54,6 +54,8 @@
 std::string encodeSubmission(const Submission&);
 /// Errors: RecordInvalid.
 Result<Submission> decodeSubmission(std::string_view record);
+/// @brief Reads only when a submission was submitted, without its items. Errors: RecordInvalid.
+Result<UnixTime> decodeSubmissionTime(std::string_view record);
 std::string encodeItemCount(std::size_t items);
 /// Errors: RecordInvalid.
 Result<std::size_t> decodeItemCount(std::string_view record);
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -3,6 +3,7 @@
 #include "cicadalb/base/CborRecord.h"
 
 #include <cstdio>
+#include <utility>
 
 namespace cicadalb {
 
@@ -49,6 +50,41 @@
         return item;
     }
 
+    /// Reads the elements of the outer array up to the time, and stops there.
+    class SubmissionTimeReader final : public Json::json_sax_t {
+    public:
+        std::optional<UnixTime> time() const { return m_time; }
+
+        bool null() override { return skip(); }
+        bool boolean(bool) override { return skip(); }
+        bool number_integer(number_integer_t value) override { return onNumber(value); }
+        bool number_unsigned(number_unsigned_t value) override { return onNumber(static_cast<number_integer_t>(value)); }
+        bool number_float(number_float_t, const string_t&) override { return skip(); }
+        bool string(string_t&) override { return skip(); }
+        bool binary(binary_t&) override { return skip(); }
+        bool start_object(std::size_t) override { return false; }
+        bool key(string_t&) override { return false; }
+        bool end_object() override { return false; }
+        bool start_array(std::size_t) override { return !std::exchange(m_isInArray, true); }
+        bool end_array() override { return false; }
+        bool parse_error(std::size_t, const std::string&, const Json::exception&) override { return false; }
+
+    private:
+        static constexpr std::size_t timeElement = 3;
+
+        bool skip() { return m_isInArray && m_element++ < timeElement; }
+        bool onNumber(number_integer_t value)
+        {
+            if (m_isInArray && m_element == timeElement)
+                m_time = UnixTime(value);
+            return skip();
+        }
+
+        bool m_isInArray = false;
+        std::size_t m_element = 0;
+        std::optional<UnixTime> m_time;
+    };
+
     std::string numberedKey(const SubmissionId& id, std::size_t number)
     {
         std::array<char, 24> text {};
@@ -133,6 +169,15 @@
     });
 }
 
+Result<UnixTime> decodeSubmissionTime(std::string_view record)
+{
+    SubmissionTimeReader reader;
+    Json::sax_parse(record.begin(), record.end(), &reader, Json::input_format_t::cbor, false);
+    if (!reader.time())
+        return failure(ErrorCode::RecordInvalid, "the record of a submission has no time", "stored record");
+    return *reader.time();
+}
+
 std::string encodeItemCount(std::size_t items)
 {
     return toCbor(items);
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -62,6 +62,20 @@
     CHECK(decodeResults("\xff\xff").error().code == ErrorCode::RecordInvalid);
 }
 
+TEST_CASE("submission record, only its time is read, states the time without decoding the items")
+{
+    auto submission = exampleSubmission();
+    submission.submittedAt = UnixTime(1796421600123);
+    const auto record = encodeSubmission(submission);
+    CHECK(decodeSubmissionTime(record).value() == UnixTime(1796421600123));
+    CHECK(decodeSubmissionTime(record.substr(0, record.size() - 1)).value() == UnixTime(1796421600123));
+    CHECK(decodeSubmissionTime("").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime("{\"items\":[]}").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(toCbor({ "id", "authority", "path" })).error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(toCbor({ "id", "authority", "path", "late" })).error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(record.substr(0, 10)).error().code == ErrorCode::RecordInvalid);
+}
+
 TEST_CASE("results record decodes to the encoded results, with and without text, in order")
 {
     std::vector<SampleResult> results(2);
