Engines that never come do not keep others from being given up; none are ordered for their price while some are not to be had

Change: only orders of another number hold reductions back; while a source is unavailable only the need decides. Measured: test_site, 25 cases of capacity, need and fleets pass.

--- a/benchmarks/FleetSimulation.h
+++ b/benchmarks/FleetSimulation.h
@@ -209,6 +209,7 @@
             state.present = m_present;
             state.ordered = m_book.ordered();
             state.settling = m_book.settling(m_scaling.bootTime, now);
+            state.changing = m_book.changing(m_scaling.bootTime, now);
             state.unavailable = m_book.unavailable(now);
             for (const auto& decision : decideOrders(m_scaling, state))
                 m_book.propose(decision);
--- a/packages/hosting/src/CapacityOrders.cpp
+++ b/packages/hosting/src/CapacityOrders.cpp
@@ -116,6 +116,7 @@
     capacity.present = state.present;
     capacity.ordered = state.book.ordered();
     capacity.settling = state.book.settling(pool.scaling->bootTime, now);
+    capacity.changing = state.book.changing(pool.scaling->bootTime, now);
     capacity.unavailable = state.book.unavailable(now);
     for (const auto& decision : decideOrders(*pool.scaling, capacity))
         state.book.propose(decision);
--- a/packages/site/include/cicadalb/site/CapacityOrderBook.h
+++ b/packages/site/include/cicadalb/site/CapacityOrderBook.h
@@ -38,6 +38,8 @@
     std::set<EngineSource> unavailable(TimePoint now) const;
     /// @brief Sources whose last order may not show in the registry yet.
     std::set<EngineSource> settling(std::chrono::milliseconds bootTime, TimePoint now) const;
+    /// @brief Those of them whose last order was for another number than before.
+    std::set<EngineSource> changing(std::chrono::milliseconds bootTime, TimePoint now) const;
     /// @brief Whether fewer engines were ordered of a source recently, so that engines which leave there do so by that order.
     bool hasReduced(const EngineSource&, std::chrono::milliseconds bootTime, TimePoint now) const;
 
@@ -57,6 +59,7 @@
         TimePoint lateUntil;
         TimePoint unavailableUntil;
         std::optional<TimePoint> orderedAt;
+        std::optional<TimePoint> changedAt;
         std::optional<TimePoint> reducedAt;
     };
 
--- a/packages/site/include/cicadalb/site/CapacityPlan.h
+++ b/packages/site/include/cicadalb/site/CapacityPlan.h
@@ -149,6 +149,8 @@
     std::map<EngineSource, unsigned> ordered;
     /// Sources whose order is recent enough that its engines may still be starting or leaving.
     std::set<EngineSource> settling;
+    /// Those of them whose last order was for another number than before.
+    std::set<EngineSource> changing;
     /// Sources where none are to be had at the moment.
     std::set<EngineSource> unavailable;
 };
--- a/packages/site/src/CapacityOrderBook.cpp
+++ b/packages/site/src/CapacityOrderBook.cpp
@@ -42,6 +42,8 @@
     entry.calledNumber = entry.proposed->engines;
     entry.calledAt = now;
     // Without an answer too, since the call may be executed.
+    if (entry.proposed->engines != entry.proposed->from && entry.proposed->cause != OrderCause::Missing)
+        entry.changedAt = now;
     if (entry.proposed->engines < entry.proposed->from)
         entry.reducedAt = now;
 }
@@ -119,6 +121,16 @@
     return sources;
 }
 
+std::set<EngineSource> CapacityOrderBook::changing(std::chrono::milliseconds bootTime, TimePoint now) const
+{
+    std::set<EngineSource> sources;
+    for (const auto& [source, entry] : m_entries) {
+        if (entry.changedAt && now < *entry.changedAt + bootTime + registrationTime)
+            sources.insert(source);
+    }
+    return sources;
+}
+
 bool CapacityOrderBook::hasReduced(const EngineSource& source, std::chrono::milliseconds bootTime, TimePoint now) const
 {
     const auto found = m_entries.find(source);
--- a/packages/site/src/CapacityPlan.cpp
+++ b/packages/site/src/CapacityPlan.cpp
@@ -215,6 +215,8 @@
     const bool isCheaper = costPerSecond(desired, scaling) < (1 - minimumSaving) * costPerSecond(state.present, scaling);
     if (isNeedMet && !isCheaper)
         return {};
+    // Where engines are not to be had for a moment decides about the need, but not about the price of the fleet.
+    const bool mayRaiseForCost = state.isNeedKnown && state.unavailable.empty();
     // Engines that are there and will stay.
     Fleet staying = state.present;
     std::vector<CapacityDecision> reductions;
@@ -229,7 +231,7 @@
             stays = std::min(stays, ordered);
             const bool isSettling = state.settling.contains(source);
             if (wanted > ordered) {
-                if (!state.unavailable.contains(source) && (!isNeedMet || state.isNeedKnown))
+                if (!state.unavailable.contains(source) && (!isNeedMet || mayRaiseForCost))
                     decisions.push_back({ source, wanted, isNeedMet ? OrderCause::Cost : OrderCause::Need, ordered });
             } else if (wanted > there && !isSettling && !state.unavailable.contains(source))
                 decisions.push_back({ source, wanted, OrderCause::Missing, there });
@@ -237,7 +239,7 @@
                 reductions.push_back({ source, wanted, OrderCause::Cost, ordered });
         }
     }
-    if (!state.mayReduce || !state.settling.empty() || !decisions.empty())
+    if (!state.mayReduce || !state.changing.empty() || std::any_of(decisions.begin(), decisions.end(), [](const auto& decision) { return decision.cause != OrderCause::Missing; }))
         return decisions;
     const auto priceOf = [&](const EngineSource& source) { return scaling.prices.at(source.failureDomain) * (source.isReclaimable ? scaling.reclaimablePriceShare : 1); };
     std::stable_sort(reductions.begin(), reductions.end(), [&](const auto& left, const auto& right) { return priceOf(left.source) > priceOf(right.source); });
--- a/packages/site/tests/unit-capacity-plan.cpp
+++ b/packages/site/tests/unit-capacity-plan.cpp
@@ -215,12 +215,14 @@
         CHECK(decision.source.isReclaimable);
         state.ordered[decision.source] = decision.engines;
         state.settling.insert(decision.source);
+        state.changing.insert(decision.source);
     }
     CHECK(decideOrders(limits, state).empty());
     for (const auto& [source, number] : state.ordered)
         state.present[source.failureDomain].reclaimable = number;
     CHECK(decideOrders(limits, state).empty());
     state.settling.clear();
+    state.changing.clear();
     unsigned givenUp = 0;
     for (const auto& reduction : decideOrders(limits, state)) {
         CHECK_FALSE(reduction.source.isReclaimable);
@@ -283,6 +285,35 @@
     CHECK(decisions == std::vector<CapacityDecision> { { { domain(0), false }, 20, OrderCause::Need, 10 } });
 }
 
+TEST_CASE("capacity decisions, engines that were ordered never come, give up others that are not needed all the same")
+{
+    const auto limits = scaling({ 1.0, 1.0, 1.0 }, 0.22);
+    CapacityState state;
+    state.isNeedKnown = true;
+    state.mayReduce = true;
+    state.needed = 12;
+    state.present = { { domain(0), { 12, 2 } }, { domain(1), { 12, 6 } }, { domain(2), { 12, 6 } } };
+    state.ordered = { { { domain(0), true }, 6 }, { { domain(1), true }, 6 }, { { domain(2), true }, 6 } };
+    state.settling = { { domain(0), true } };
+    unsigned givenUp = 0;
+    for (const auto& decision : decideOrders(limits, state)) {
+        CHECK_FALSE(decision.source.isReclaimable);
+        givenUp += decision.from - decision.engines;
+    }
+    CHECK(givenUp > 0);
+}
+
+TEST_CASE("capacity decisions, need is met while none are to be had somewhere, order nothing for its price")
+{
+    const auto limits = scaling({ 0.85, 1.2, 1.0 }, 0.22);
+    CapacityState state;
+    state.isNeedKnown = true;
+    state.needed = 20;
+    state.present = plainFleet(3, 12);
+    state.unavailable = { { domain(0), true }, { domain(2), true } };
+    CHECK(decideOrders(limits, state).empty());
+}
+
 TEST_CASE("engine need, no sample has run, is unknown")
 {
     ManualClock clock;
