--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -10,7 +10,7 @@
 namespace cicadalb {
 
 /// @brief Records: configuration "VERSION POOL [MODEL | [KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
-class FakeSiteProtocol final : public SiteProtocol {
+class FakeSiteProtocol : public SiteProtocol {
 public:
     CallerRequest callerRequest(const HttpRequest&) const override { return {}; }
     RequestId attemptId(const HttpFields& fields) const override { return RequestId(std::string(fieldIn(fields, "Id"))); }
