--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -11,7 +11,7 @@
 namespace cicadalb {
 
 /// @brief Records: configuration "VERSION POOL [MODEL | organisation:NAME:KEY[,KEY]... | [public:][KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
-class FakeSiteProtocol final : public SiteProtocol {
+class FakeSiteProtocol : public SiteProtocol {
 public:
     /// The field "Call" selects a call on the submission that the path names.
     CallerRequest callerRequest(const HttpRequest& request) const override
