--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -39,8 +39,8 @@
     HttpFields fields;
     std::string body;
     /// When the request was written to the connection on which it was answered, and when the header of the answer was complete.
-    TimePoint sentAt;
-    TimePoint headAt;
+    TimePoint sentAt {};
+    TimePoint headAt {};
 
     /// @brief Value of the first field with the case-insensitive name @p name, or an empty string.
     std::string_view field(std::string_view name) const noexcept { return fieldIn(fields, name); }
