--- a/benchmarks/FleetSimulation.h
+++ b/benchmarks/FleetSimulation.h
@@ -63,7 +63,7 @@
         TrainerScenario trainers;
         trainers.seed = m_scenario.seed;
         trainers.duration = m_scenario.duration;
-        trainers.engines = 3 * enginesPerDomain;
+        trainers.engines = std::size_t { 3 } * enginesPerDomain;
         trainers.load = m_scenario.load;
         trainers.secondHalfLength = m_scenario.loadStep;
         trainers.changeEngines = [this](TrainerSimulation& simulation) { update(simulation); };
--- a/benchmarks/TrainerSimulation.h
+++ b/benchmarks/TrainerSimulation.h
@@ -89,6 +89,7 @@
     void setUsable(const std::vector<TargetId>& ids)
     {
         std::vector<SchedulableEngine> engines;
+        engines.reserve(ids.size());
         for (const auto& id : ids)
             engines.push_back(engineNamed(id));
         m_scheduler.setEngines(engines);
--- a/benchmarks/bench_prompts.cpp
+++ b/benchmarks/bench_prompts.cpp
@@ -10,7 +10,7 @@
 int main()
 {
     for (const double load : { 0.5, 0.9 }) {
-        for (const std::uint64_t tokens : { 1000, 10000, 30000 }) {
+        for (const std::uint64_t tokens : { 1000U, 10000U, 30000U }) {
             for (const bool isKnown : { false, true }) {
                 PromptScenario scenario;
                 scenario.load = load;
--- a/packages/submissions/tests/unit-prefill-load.cpp
+++ b/packages/submissions/tests/unit-prefill-load.cpp
@@ -79,7 +79,7 @@
 TEST_CASE("long prompts among short ones at 0.5 and 0.9 load, placing by prompts under way, keeps the short ones' aim and no fewer long ones in theirs")
 {
     for (const auto load : { 0.5, 0.9 }) {
-        for (const std::uint64_t tokens : { 10000, 30000 }) {
+        for (const std::uint64_t tokens : { 10000U, 30000U }) {
             PromptScenario scenario;
             scenario.load = load;
             scenario.longPromptTokens = tokens;
