--- a/packages/hosting/tests/unit-capacity-orders.cpp
+++ b/packages/hosting/tests/unit-capacity-orders.cpp
@@ -144,7 +144,7 @@
         policy.expiresAt = clock.now() + 600s;
         policy.pools = { PoolName("engines") };
         scheduler.add(submission, policy, {});
-        REQUIRE(scheduler.place(clock.now()).size() == 4 * slots);
+        REQUIRE(scheduler.place(clock.now()).size() == std::size_t { 4 } * slots);
     }
 
     /// Lets time pass in the steps of the coordinator, and waits for the answers to its calls.
--- a/packages/hosting/tests/unit-usage-reporting.cpp
+++ b/packages/hosting/tests/unit-usage-reporting.cpp
@@ -454,7 +454,7 @@
 
 TEST_CASE("usage of 1,000 windows, 8, 60 and 1,300 hosts without a kill, is reported within the tolerance for each of them")
 {
-    const std::size_t hosts = GENERATE(8, 60, 1300);
+    const std::size_t hosts = GENERATE(8U, 60U, 1300U);
     const auto result = SimulatedUsage(simulationOf(hosts)).run();
     INFO(hosts << " hosts, " << result.messagesPerWindow << " messages and " << result.storeCallsPerWindow << " store calls a window");
     CHECK(result.exact == result.windows);
@@ -465,7 +465,7 @@
 
 TEST_CASE("usage of 1,000 windows, one host killed in each window, is reported within the tolerance for 99 % of them")
 {
-    const std::size_t hosts = GENERATE(8, 60, 1300);
+    const std::size_t hosts = GENERATE(8U, 60U, 1300U);
     auto simulation = simulationOf(hosts);
     simulation.hasKills = true;
     const auto result = SimulatedUsage(simulation).run();
@@ -476,7 +476,7 @@
 
 TEST_CASE("usage of 1,000 windows, coordinator killed every 20 to 30 s, is reported within the tolerance for each of them and once")
 {
-    const std::size_t hosts = GENERATE(8, 60);
+    const std::size_t hosts = GENERATE(8U, 60U);
     auto simulation = simulationOf(hosts);
     simulation.hasCoordinatorChanges = true;
     const auto result = SimulatedUsage(simulation).run();
