Operators see the state of a site: state dump, cicadactl site-state, sources of usage reports, bounded lines of refused keys

Change: SiteState observes the parts and makes the member "site" of /state; cicadactl site-state shows it; UsageLedger tells the hosts that were not heard of after a window's end; KeyRefusalLog limits the lines; gauges of the last usage report and of answered engine orders.

--- a/apps/cicadactl/src/CommandLine.cpp
+++ b/apps/cicadactl/src/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "ConfigurationCommands.h"
 #include "Explain.h"
 #include "HostCommands.h"
+#include "SiteStateCommand.h"
 
 #include "cicadalb/config/Settings.h"
 #include "cicadalb/services/HttpKeyValueService.h"
@@ -74,6 +75,7 @@
         void addRetireCommand();
         void addDrainCommand();
         void addExplainCommand();
+        void addSiteStateCommand();
         void addHostCommand(const std::string& name, const std::string& help, HostCommand);
 
         CommandOutcome runWithClient(const ClientCommand&) const;
@@ -106,6 +108,7 @@
         addExplainCommand();
         addHostCommand("state", "Dump the state of host processes", stateCommand);
         addHostCommand("steps", "List the trainers' steps that hosts coordinate", stepsCommand);
+        addSiteStateCommand();
     }
 
     CLI::App* CommandLine::addCommand(const std::string& name, const std::string& help, Action action)
@@ -241,6 +244,15 @@
         command->add_option("--secret-file", m_hostOptions.secretFile, "File with the secret that hosts and operators share")->required();
     }
 
+    void CommandLine::addSiteStateCommand()
+    {
+        auto* command = addCommand("site-state", "Show the state of a site: organisations, coordinator, work, usage reports and orders of engines", [this] {
+            return runTask([this](const boost::asio::any_io_executor& executor) { return siteStateCommand(executor, m_hostOptions); });
+        });
+        command->footer("Example, a host and the candidates for coordination:\n  cicadactl site-state --host 10.0.0.1:8081 --host 10.0.0.7:8081 --host 10.0.0.8:8081");
+        command->add_option("--host", m_hostOptions.adminAddresses, "IP:PORT of a process's admin address; repeat for more")->required()->allow_extra_args(false);
+    }
+
     CommandOutcome CommandLine::runWithClient(const ClientCommand& command) const
     {
         const auto address = socketAddressFromText(m_keyValueAddress);
--- a/apps/cicadactl/src/HostCommands.cpp
+++ b/apps/cicadactl/src/HostCommands.cpp
@@ -5,6 +5,7 @@
 #include "cicadalb/config/Settings.h"
 #include "cicadalb/services/HttpClient.h"
 
+#include <optional>
 #include <random>
 
 namespace cicadalb {
@@ -29,16 +30,18 @@
         return std::to_string(device()) + std::to_string(device()) + std::to_string(device());
     }
 
-    HttpRequest stateRequest(const Secret& secret)
+    HttpRequest stateRequest(const std::optional<Secret>& secret)
     {
         HttpRequest request;
         request.target = statePath;
-        const auto proof = makeOperatorProof(secret, { request.method, statePath }, unixSeconds(), newNonce());
+        if (!secret)
+            return request;
+        const auto proof = makeOperatorProof(*secret, { request.method, statePath }, unixSeconds(), newNonce());
         request.fields.emplace_back(std::string(operatorProofHeader), proof);
         return request;
     }
 
-    Task<Result<json>> fetchState(boost::asio::any_io_executor executor, SocketAddress address, const Secret& secret)
+    Task<Result<json>> fetchState(boost::asio::any_io_executor executor, SocketAddress address, const std::optional<Secret>& secret)
     {
         HttpClient client(std::move(executor), Endpoint { address.address, address.port });
         auto request = stateRequest(secret);
@@ -54,35 +57,6 @@
         co_return state;
     }
 
-    /// State dumps by admin address, and the errors of the hosts that returned none.
-    struct HostStates {
-        json states = json::object();
-        Errors errors;
-    };
-
-    Task<HostStates> fetchStates(boost::asio::any_io_executor executor, HostOptions options)
-    {
-        HostStates result;
-        const auto secret = readSecretFile(options.secretFile);
-        if (!secret) {
-            result.errors.push_back(secret.error());
-            co_return result;
-        }
-        for (const auto& host : options.adminAddresses) {
-            const auto address = socketAddressFromText(host);
-            if (!address) {
-                result.errors.push_back({ ErrorCode::ValueInvalid, address.error().message, "--host" });
-                continue;
-            }
-            auto state = co_await fetchState(executor, address.value(), secret.value());
-            if (state)
-                result.states[host] = std::move(state.value());
-            else
-                result.errors.push_back(state.error());
-        }
-        co_return result;
-    }
-
     CommandOutcome makeOutcome(const HostStates& result, const char* jsonKey, json values)
     {
         CommandOutcome outcome;
@@ -95,6 +69,33 @@
 
 } // namespace
 
+Task<HostStates> fetchStates(boost::asio::any_io_executor executor, HostOptions options)
+{
+    HostStates result;
+    std::optional<Secret> secret;
+    if (!options.secretFile.empty()) {
+        const auto read = readSecretFile(options.secretFile);
+        if (!read) {
+            result.errors.push_back(read.error());
+            co_return result;
+        }
+        secret = read.value();
+    }
+    for (const auto& host : options.adminAddresses) {
+        const auto address = socketAddressFromText(host);
+        if (!address) {
+            result.errors.push_back({ ErrorCode::ValueInvalid, address.error().message, "--host" });
+            continue;
+        }
+        auto state = co_await fetchState(executor, address.value(), secret);
+        if (state)
+            result.states[host] = std::move(state.value());
+        else
+            result.errors.push_back(state.error());
+    }
+    co_return result;
+}
+
 Task<CommandOutcome> stateCommand(boost::asio::any_io_executor executor, HostOptions options)
 {
     auto result = co_await fetchStates(std::move(executor), std::move(options));
--- a/packages/hosting/src/CapacityOrders.cpp
+++ b/packages/hosting/src/CapacityOrders.cpp
@@ -135,6 +135,7 @@
         outcome = co_await m_client.send(std::move(request));
     }
     --m_callsInFlight;
+    countOrder(decision, outcome);
     const auto found = m_pools.find(pool);
     if (found == m_pools.end())
         co_return;
@@ -146,6 +147,28 @@
     state.book.onOutcome(source, outcome, m_clock.now());
 }
 
+void CapacityOrders::countOrder(const CapacityDecision& decision, DutyOutcome outcome)
+{
+    if (outcome == DutyOutcome::Refused)
+        ++m_totals.refused;
+    else if (outcome != DutyOutcome::Accepted)
+        ++m_totals.unanswered;
+    else if (decision.cause == OrderCause::Missing || decision.engines == decision.from)
+        ++m_totals.repeated;
+    else
+        ++(decision.engines > decision.from ? m_totals.raised : m_totals.lowered);
+}
+
+std::vector<EngineOrder> CapacityOrders::orders() const
+{
+    std::vector<EngineOrder> orders;
+    for (const auto& [pool, state] : m_pools) {
+        for (const auto& given : state.book.orders())
+            orders.push_back({ pool, given });
+    }
+    return orders;
+}
+
 CapacitySummary CapacityOrders::summary() const
 {
     CapacitySummary summary;
--- a/packages/hosting/src/CapacityOrders.h
+++ b/packages/hosting/src/CapacityOrders.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 /// @file
 /// Orders engines from the platform.
@@ -29,6 +30,21 @@
     unsigned registered = 0;
 };
 
+/// @brief The order in force for one kind of engine in a failure domain of a pool.
+struct EngineOrder {
+    PoolName pool;
+    GivenOrder given;
+};
+
+/// @brief Answered orders since the start, for the metrics.
+struct CapacityTotals {
+    std::uint64_t raised = 0;
+    std::uint64_t lowered = 0;
+    std::uint64_t repeated = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unanswered = 0;
+};
+
 /// @brief Orders engines for the pools whose configuration says how many may be ordered; only the coordinator has an instance. A new one knows the
 /// registered engines only: it orders once samples have run under it. Bound to one event loop.
 class CapacityOrders : public std::enable_shared_from_this<CapacityOrders> {
@@ -44,6 +60,8 @@
     /// @brief Observes the engines, decides, and sends the orders that are due.
     void tick();
     CapacitySummary summary() const;
+    std::vector<EngineOrder> orders() const;
+    const CapacityTotals& totals() const noexcept { return m_totals; }
 
 private:
     struct PoolState {
@@ -55,6 +73,7 @@
     void update(const SitePool&, PoolState&);
     EngineUse observe(const SitePool&, PoolState&) const;
     Task<void> order(PoolName, CapacityDecision);
+    void countOrder(const CapacityDecision&, DutyOutcome);
 
     boost::asio::any_io_executor m_executor;
     const SiteProtocol& m_protocol;
@@ -66,6 +85,7 @@
     DutyClient m_client;
     std::map<PoolName, PoolState> m_pools;
     TimePoint m_nextUpdateAt;
+    CapacityTotals m_totals;
     unsigned m_callsInFlight = 0;
     bool m_isStopped = false;
 };
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -102,6 +102,15 @@
 
 bool Coordination::isOwnRecord(const std::string& holder) const { return holder.starts_with(m_settings.host.value() + " "); }
 
+std::optional<LeaseHolder> Coordination::holder() const
+{
+    if (m_sampleRunner)
+        return LeaseHolder { m_settings.host, m_fence };
+    if (m_holder.empty())
+        return std::nullopt;
+    return LeaseHolder { HostId(m_holder.substr(0, m_holder.find(' '))), m_holderRevision };
+}
+
 void Coordination::recordHolder(const std::string& holder, Revision revision)
 {
     // The current holder and its predecessor.
@@ -301,6 +310,7 @@
 void Coordination::beginWork(FencingNumber fence)
 {
     m_fence = fence;
+    m_workBeganAt = m_leaseClock.now();
     m_ordersAllowedFrom = m_leaseClock.now() + m_settings.orderQuietPeriod - orderMargin;
     shortenQuietPeriod();
     m_lapseNoticedAt.reset();
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -46,6 +46,11 @@
     const Clock* leaseClock = nullptr;
 };
 
+struct LeaseHolder {
+    HostId host;
+    FencingNumber fence = 0;
+};
+
 /// @brief A candidate for the coordinator's lease. It requests the lease only while its watch shows that nobody, or an earlier process of this
 /// host, holds it. After the lease has lapsed because the store was unavailable, the previous holder requests it first and continues its work
 /// if no other host has held it in between. A holder that cannot reach the store asks the other candidates who holds the lease, since the
@@ -84,6 +89,12 @@
     /// @brief See SampleRunner::isPlacementPaused().
     bool isPlacementPaused() const { return m_sampleRunner && m_sampleRunner->isPlacementPaused(); }
     Duration loopDelay() const { return m_sampleRunner ? m_sampleRunner->placementGate().loopDelay() : Duration::zero(); }
+    /// @brief The holder of the lease as far as it is known here; nothing if nobody holds it or it is not known.
+    std::optional<LeaseHolder> holder() const;
+    /// @brief Time since this host began to coordinate; nothing if it does not.
+    std::optional<Duration> coordinatingFor() const { return m_sampleRunner ? std::optional(m_leaseClock.now() - m_workBeganAt) : std::nullopt; }
+    /// @brief The engine orders of this coordinator, or null.
+    const CapacityOrders* capacityOrders() const noexcept { return m_capacityOrders.get(); }
     CapacitySummary capacity() const { return m_capacityOrders ? m_capacityOrders->summary() : CapacitySummary {}; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
     /// @brief See SampleScheduler::prefillWaits(); of the work that runs now.
@@ -148,6 +159,7 @@
     bool m_isLeaving = false;
     bool m_wasFenced = false;
     TimePoint m_ordersAllowedFrom;
+    TimePoint m_workBeganAt;
     TimePoint m_leaseLastValidAt;
     TimePoint m_nextQueryAt;
     TimePoint m_nextYieldQueryAt;
--- a/packages/hosting/src/RequestPermits.h
+++ b/packages/hosting/src/RequestPermits.h
@@ -72,6 +72,11 @@
     void beginGranting();
     void endGranting();
     PermitReply answer(const PermitRequest&);
+    bool isGranting() const noexcept { return m_isGranting; }
+    /// @brief Number of other hosts that have asked this process for permits lately.
+    std::size_t askingHosts() const noexcept { return m_askingHosts.size(); }
+    /// @brief Whether permits are given out here or another process that does so is known.
+    bool hasCoordinator() const noexcept { return m_isGranting || m_coordinator.has_value(); }
     /// @brief The limits known here, with this process's share of them.
     TargetRateLimits& limits() noexcept { return m_limits; }
     const TargetRateLimits& limits() const noexcept { return m_limits; }
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -162,14 +162,28 @@
         m_metrics.countKeyDecision(name(check.decision));
     if (KeyChecks::isPassed(check))
         return std::nullopt;
-    logEvent(Event::KeyRefused, { { "digest", std::string(shortKeyDigest(check.digest)) }, { "decision", std::string(name(check.decision)) }, { "configuration", std::to_string(view.configuration.version) }, { "configuration-age-ms", ageText(m_directory.configurationAge()) } });
-    if (check.decision == KeyDecision::Undecided)
-        return makeRefusal(statusUnavailable, "the request was not run: this host cannot know whether the key is valid", dependencyRetryAfter);
-    auto refusal = makeRefusal(statusUnauthorized, "the request needs one key of an organisation", {});
-    refusal.response.fields.emplace_back("WWW-Authenticate", "Bearer");
+    logKeyRefusal(check, view.configuration.version);
+    EndpointResult refusal;
+    if (check.decision == KeyDecision::Undecided) {
+        refusal = makeRefusal(statusUnavailable, "the request was not run: this host cannot know whether the key is valid", dependencyRetryAfter);
+    } else {
+        refusal = makeRefusal(statusUnauthorized, "the request needs one key of an organisation", {});
+        refusal.response.fields.emplace_back("WWW-Authenticate", "Bearer");
+    }
+    // For the log only: the caller is not told.
+    refusal.reason += "; digest=" + std::string(shortKeyDigest(check.digest));
     return refusal;
 }
 
+void SiteEndpoints::logKeyRefusal(const KeyCheck& check, std::uint64_t configuration)
+{
+    const KeyRefusal refusal { std::string(shortKeyDigest(check.digest)), check.decision, configuration };
+    const auto line = m_keyRefusalLog.note(refusal, m_clock.now());
+    if (!line)
+        return;
+    logEvent(Event::KeyRefused, { { "digest", refusal.digest }, { "decision", std::string(name(check.decision)) }, { "configuration", std::to_string(configuration) }, { "configuration-age-ms", ageText(m_directory.configurationAge()) }, { "requests", std::to_string(line->requests) }, { "several-keys", line->isOfSeveralKeys ? "yes" : "no" } });
+}
+
 bool SiteEndpoints::isOfOther(const SubmissionId& submission, const OrganisationName& owner, const KeyCheck& key) const
 {
     const bool isOther = !owner.isEmpty() && owner != key.organisation;
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "KeyChecks.h"
+#include "KeyRefusalLog.h"
 #include "RequestForwarder.h"
 #include "RequestRelay.h"
 #include "ResultReader.h"
@@ -60,6 +61,7 @@
     /// Whether the submission belongs to another organisation than the caller.
     bool isOfOther(const SubmissionId&, const OrganisationName& owner, const KeyCheck&) const;
     void recordAnswer(const HttpRequest&, const CallerRequest&, const EndpointResult&, Duration latency);
+    void logKeyRefusal(const KeyCheck&, std::uint64_t configuration);
     void logIntake(const Submission&, const SiteRoute&, IntakeOutcome) const;
     EndpointResult makeRefusal(unsigned status, std::string reason, Duration retryAfter) const;
 
@@ -74,6 +76,7 @@
     const Clock& m_clock;
     RequestRelay* m_relay;
     KeyChecks m_keyChecks;
+    KeyRefusalLog m_keyRefusalLog;
     Random m_random;
     bool m_isStopping = false;
 };
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -8,6 +8,7 @@
 #include "RecordMirror.h"
 #include "RequestRelay.h"
 #include "SiteEndpoints.h"
+#include "SiteState.h"
 #include "UsageSender.h"
 
 #include "cicadalb/base/Event.h"
@@ -487,14 +488,28 @@
         m_metrics.setGauge("cicadalb_usage_windows_reported", "Usage reports accepted since this host began to coordinate", usage ? static_cast<double>(usage->totals().accepted) : 0);
         m_metrics.setGauge("cicadalb_usage_windows_late", "Usage reports accepted after they were due", usage ? static_cast<double>(usage->totals().late) : 0);
         m_metrics.setGauge("cicadalb_usage_windows_unsent", "Usage reports that are fixed and not accepted yet", usage ? static_cast<double>(usage->unsentReports()) : 0);
+        const auto last = usage ? usage->lastReport() : std::nullopt;
+        m_metrics.setGauge("cicadalb_usage_last_window", "Window of the usage report that was sent last", last ? static_cast<double>(last->window) : 0);
+        m_metrics.setGauge("cicadalb_usage_last_requests", "Requests in the usage report that was sent last", last ? static_cast<double>(last->requests) : 0);
+        m_metrics.setGauge("cicadalb_usage_last_hosts_missing", "Hosts whose last counts may be missing in it; -1 if not known", last && last->sources ? static_cast<double>(last->sources->missing.size()) : -1);
         m_metrics.setGauge("cicadalb_usage_counts_unsent", "1 if the coordinator does not have all counts of this host", m_usageSender->isDelivered() ? 0 : 1);
         const auto capacity = m_coordination ? m_coordination->capacity() : CapacitySummary {};
         m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
         m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
         m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
+        setOrderMetrics(m_coordination && m_coordination->capacityOrders() ? m_coordination->capacityOrders()->totals() : CapacityTotals {});
         return m_metrics.text();
     }
 
+    void setOrderMetrics(const CapacityTotals& totals)
+    {
+        m_metrics.setGauge("cicadalb_engine_orders_raised", "Accepted orders for more engines since this host began to coordinate", static_cast<double>(totals.raised));
+        m_metrics.setGauge("cicadalb_engine_orders_lowered", "Accepted orders that give engines up", static_cast<double>(totals.lowered));
+        m_metrics.setGauge("cicadalb_engine_orders_repeated", "Accepted orders that repeat an earlier one", static_cast<double>(totals.repeated));
+        m_metrics.setGauge("cicadalb_engine_orders_refused", "Orders that the platform refused", static_cast<double>(totals.refused));
+        m_metrics.setGauge("cicadalb_engine_orders_unanswered", "Orders without an answer that were executed or not", static_cast<double>(totals.unanswered));
+    }
+
     nlohmann::json state() const
     {
         const auto view = m_directory.view();
@@ -524,6 +539,7 @@
             { "suspect-requests", suspects },
             { "coordinating", m_coordination && m_coordination->isCoordinating() },
             { "open-submissions", m_coordination ? m_coordination->openSubmissions() : 0 },
+            { "site", toJson(observeSite(m_directory, m_permits, m_coordination.get(), m_usageSender->isDelivered())) },
         };
     }
 
--- a/packages/hosting/src/UsageLedger.cpp
+++ b/packages/hosting/src/UsageLedger.cpp
@@ -1,6 +1,7 @@
 #include "UsageLedger.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cicadalb {
 
@@ -14,6 +15,7 @@
 void UsageLedger::apply(const UsageMessage& message, WallTime now)
 {
     const auto newest = m_windows.at(now) + 1;
+    m_heardAt[message.host] = now;
     for (const auto& [window, counts] : message.windows) {
         if (window <= m_closedUpTo || window > newest || window + maximumWindows <= newest)
             continue;
@@ -47,6 +49,27 @@
     return found == m_statements.end() ? 0 : found->second.size();
 }
 
+UsageSources UsageLedger::sourcesOf(UsageWindow window) const
+{
+    UsageSources sources;
+    std::set<HostId> stating;
+    if (const auto found = m_statements.find(window); found != m_statements.end()) {
+        for (const auto& [process, statement] : found->second)
+            stating.insert(process.first);
+    }
+    sources.hosts = stating.size();
+    const auto expectedFrom = m_windows.beginOf(window > 0 ? window - 1 : 0);
+    for (const auto& [host, heardAt] : m_heardAt) {
+        if (heardAt >= m_windows.endOf(window))
+            continue;
+        if (stating.contains(host))
+            sources.missing.push_back(host);
+        else if (heardAt >= expectedFrom)
+            sources.silent.push_back(host);
+    }
+    return sources;
+}
+
 std::optional<UsageWindow> UsageLedger::oldestWindow() const
 {
     return m_statements.empty() ? std::nullopt : std::optional(m_statements.begin()->first);
@@ -56,6 +79,8 @@
 {
     m_closedUpTo = std::max(m_closedUpTo, window);
     m_statements.erase(m_statements.begin(), m_statements.upper_bound(m_closedUpTo));
+    const auto oldest = m_windows.beginOf(m_closedUpTo > maximumWindows ? m_closedUpTo - maximumWindows : 0);
+    std::erase_if(m_heardAt, [oldest](const auto& entry) { return entry.second < oldest; });
 }
 
 std::chrono::milliseconds UsageLedger::interval() const
--- a/packages/hosting/src/UsageLedger.h
+++ b/packages/hosting/src/UsageLedger.h
@@ -4,12 +4,23 @@
 
 #include <map>
 #include <utility>
+#include <vector>
 
 /// @file
 /// Collects the usage counts of all hosts at the coordinator.
 
 namespace cicadalb {
 
+/// @brief What the counts of one window come from.
+struct UsageSources {
+    /// Hosts that have stated counts for the window.
+    std::size_t hosts = 0;
+    /// Those of them that were not heard of after its end, so that their last counts may be missing.
+    std::vector<HostId> missing;
+    /// Hosts that were heard of in this window or the one before, but neither stated counts nor were heard of after its end: idle, cut off or gone.
+    std::vector<HostId> silent;
+};
+
 /// @brief Keeps for each window the newest counts of each process. Repeated and late messages change nothing. Load: one small message of each host an
 /// interval (reportInterval()); memory for the organisations that each host served in at most maximumWindows windows. Has no clock and no sockets.
 class UsageLedger {
@@ -30,6 +41,8 @@
     UsageCounts total(UsageWindow) const;
     /// @brief Number of processes that have stated counts for a window.
     std::size_t sources(UsageWindow) const;
+    /// @brief The hosts whose counts make up a window that is not closed.
+    UsageSources sourcesOf(UsageWindow) const;
     /// @brief The oldest window with counts that is not closed.
     std::optional<UsageWindow> oldestWindow() const;
     /// @brief Ends the collection of all windows up to this one.
@@ -47,6 +60,8 @@
 
     UsageWindows m_windows;
     std::map<UsageWindow, std::map<Process, Statement>> m_statements;
+    /// When each host's last message came; those of the last maximumWindows windows.
+    std::map<HostId, WallTime> m_heardAt;
     UsageWindow m_closedUpTo = 0;
 };
 
--- a/packages/hosting/src/UsageReporting.cpp
+++ b/packages/hosting/src/UsageReporting.cpp
@@ -51,14 +51,24 @@
     return write;
 }
 
+void UsageReporting::noteSources(const UsageRecord& record)
+{
+    for (const auto& report : record.unsent) {
+        if (report.window > m_stored->newest)
+            m_sources[report.window] = m_ledger.sourcesOf(report.window);
+    }
+}
+
 UsageStep UsageReporting::nextStep(TimePoint now, WallTime wallNow)
 {
     const bool mayCallStore = now >= m_nextStoreCallAt;
     if (!m_stored)
         return mayCallStore ? UsageStep(ReadUsageRecord {}) : UsageStep();
     if (mayCallStore) {
-        if (auto write = dueWrite(now, wallNow))
+        if (auto write = dueWrite(now, wallNow)) {
+            noteSources(write->record);
             return std::move(*write);
+        }
     }
     if (now < m_nextSendAt)
         return {};
@@ -74,6 +84,8 @@
     m_stored = record.value_or(UsageRecord {});
     m_revision = revision;
     m_ledger.closeUpTo(m_stored->newest);
+    // The record may be that of another coordinator.
+    m_sources.clear();
 }
 
 void UsageReporting::onStored(const UsageRecord& record, Revision revision)
@@ -81,7 +93,9 @@
     m_stored = record;
     m_revision = revision;
     m_ledger.closeUpTo(record.newest);
-    std::erase_if(m_accepted, [&](UsageWindow window) { return std::none_of(record.unsent.begin(), record.unsent.end(), [&](const auto& report) { return report.window == window; }); });
+    const auto isDone = [&](UsageWindow window) { return std::none_of(record.unsent.begin(), record.unsent.end(), [&](const auto& report) { return report.window == window; }); };
+    std::erase_if(m_accepted, isDone);
+    std::erase_if(m_sources, [&](const auto& entry) { return isDone(entry.first); });
 }
 
 void UsageReporting::onStoreFailure(TimePoint now)
@@ -98,6 +112,12 @@
         m_nextSendAt = now + sendRetryDelay;
 }
 
+std::optional<UsageSources> UsageReporting::sourcesOf(UsageWindow window) const
+{
+    const auto found = m_sources.find(window);
+    return found == m_sources.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::size_t UsageReporting::unsentReports() const
 {
     if (!m_stored)
--- a/packages/hosting/src/UsageReporting.h
+++ b/packages/hosting/src/UsageReporting.h
@@ -5,6 +5,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/services/KeyValueService.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <variant>
@@ -67,9 +68,12 @@
     void onSent(UsageWindow, DutyOutcome, TimePoint now);
     /// @brief Number of reports that are fixed and that the platform is not known to have accepted.
     std::size_t unsentReports() const;
+    /// @brief The hosts whose counts make up a fixed report; nothing if another coordinator has fixed it.
+    std::optional<UsageSources> sourcesOf(UsageWindow) const;
 
 private:
     std::optional<StoreUsageRecord> dueWrite(TimePoint now, WallTime wallNow) const;
+    void noteSources(const UsageRecord&);
     UsageWindow firstOpenWindow(WallTime wallNow) const;
     bool isRipe(UsageWindow, TimePoint now, WallTime wallNow) const;
 
@@ -81,6 +85,8 @@
     std::optional<UsageRecord> m_stored;
     Revision m_revision = 0;
     std::set<UsageWindow> m_accepted;
+    /// Of the reports in the record, and of those that are being stored.
+    std::map<UsageWindow, UsageSources> m_sources;
     TimePoint m_nextStoreCallAt;
     TimePoint m_nextSendAt;
 };
--- a/packages/hosting/src/UsageReports.cpp
+++ b/packages/hosting/src/UsageReports.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace cicadalb {
 
 namespace {
@@ -18,6 +20,21 @@
         co_return answer.error().code == ErrorCode::NotSent ? DutyOutcome::NotExecuted : DutyOutcome::Unknown;
     }
 
+    /// Names for a log line, at most eight.
+    std::string namesOf(const std::vector<HostId>& hosts)
+    {
+        constexpr std::size_t maximumNames = 8;
+        std::string names;
+        for (std::size_t i = 0; i < std::min(hosts.size(), maximumNames); ++i)
+            names += (i > 0 ? " " : "") + hosts[i].value();
+        return hosts.size() > maximumNames ? names + " ..." : names;
+    }
+
+    std::string countText(const std::optional<UsageSources>& sources, std::size_t (*count)(const UsageSources&))
+    {
+        return sources ? std::to_string(count(*sources)) : "unknown";
+    }
+
     std::uint64_t sumOf(const UsageCounts& counts)
     {
         std::uint64_t sum = 0;
@@ -134,7 +151,11 @@
         ++m_totals.late;
     const auto event = !isAccepted ? Event::UsageNotReported : isLate ? Event::UsageReportedLate
                                                                       : Event::UsageReported;
-    logEvent(event, { { "window", std::to_string(report.window) }, { "requests", std::to_string(sumOf(report.counts)) }, { "organisations", std::to_string(report.counts.size()) }, { "fence", std::to_string(m_settings.fence) }, { "milliseconds", std::to_string(age.count()) }, { "outcome", std::string(name(outcome)) } });
+    m_lastReport = SentUsageReport { report.window, sumOf(report.counts), report.counts.size(), age, outcome, m_reporting.sourcesOf(report.window) };
+    const auto& sources = m_lastReport->sources;
+    logEvent(event, { { "window", std::to_string(report.window) }, { "requests", std::to_string(m_lastReport->requests) }, { "organisations", std::to_string(report.counts.size()) },
+                        { "hosts", countText(sources, [](const auto& known) { return known.hosts; }) }, { "missing", countText(sources, [](const auto& known) { return known.missing.size(); }) }, { "missing-hosts", sources ? namesOf(sources->missing) : std::string() },
+                        { "silent", countText(sources, [](const auto& known) { return known.silent.size(); }) }, { "fence", std::to_string(m_settings.fence) }, { "milliseconds", std::to_string(age.count()) }, { "outcome", std::string(name(outcome)) } });
 }
 
 } // namespace cicadalb
--- a/packages/hosting/src/UsageReports.h
+++ b/packages/hosting/src/UsageReports.h
@@ -45,6 +45,18 @@
     std::uint64_t late = 0;
 };
 
+/// @brief The report that was sent last.
+struct SentUsageReport {
+    UsageWindow window = 0;
+    std::uint64_t requests = 0;
+    std::size_t organisations = 0;
+    /// Time from the end of the window to the platform's answer.
+    std::chrono::milliseconds age { 0 };
+    DutyOutcome outcome = DutyOutcome::Unknown;
+    /// Nothing if another coordinator has fixed the report.
+    std::optional<UsageSources> sources;
+};
+
 /// @brief Collects the counts of all hosts and makes the calls that UsageReporting decides on; only the coordinator has an instance. Bound to one event loop.
 class UsageReports : public std::enable_shared_from_this<UsageReports> {
 public:
@@ -64,6 +76,7 @@
     UsageReply collect(const UsageMessage&);
     const UsageReportTotals& totals() const noexcept { return m_totals; }
     std::size_t unsentReports() const { return m_reporting.unsentReports(); }
+    const std::optional<SentUsageReport>& lastReport() const noexcept { return m_lastReport; }
 
 private:
     Task<void> makeDueCalls();
@@ -83,6 +96,7 @@
     UsageReporting m_reporting;
     std::optional<TimePoint> m_lastCallAt;
     UsageReportTotals m_totals;
+    std::optional<SentUsageReport> m_lastReport;
     bool m_isCalling = false;
     bool m_isStopped = false;
 };
--- a/packages/site/include/cicadalb/site/CapacityOrderBook.h
+++ b/packages/site/include/cicadalb/site/CapacityOrderBook.h
@@ -8,6 +8,13 @@
 
 namespace cicadalb {
 
+/// @brief The order of one source that was given last.
+struct GivenOrder {
+    CapacityDecision decision;
+    /// Whether the platform has accepted it; if not, it is being sent or waits to be repeated.
+    bool isAccepted = false;
+};
+
 /// @brief The orders of one pool. A call without an answer may be executed seconds later, and then undo a newer order: it is repeated until it is
 /// answered, and a different number that was ordered meanwhile is ordered once more when the late call can no longer be executed. An order whose
 /// number is in force is not sent again.
@@ -35,6 +42,8 @@
 
     /// @brief Numbers ordered, whether answered or not.
     std::map<EngineSource, unsigned> ordered() const;
+    /// @brief All orders, whether answered or not.
+    std::vector<GivenOrder> orders() const;
     std::set<EngineSource> unavailable(TimePoint now) const;
     /// @brief Sources whose last order may not show in the registry yet.
     std::set<EngineSource> settling(std::chrono::milliseconds bootTime, TimePoint now) const;
--- a/packages/site/src/CapacityOrderBook.cpp
+++ b/packages/site/src/CapacityOrderBook.cpp
@@ -100,6 +100,16 @@
     return numbers;
 }
 
+std::vector<GivenOrder> CapacityOrderBook::orders() const
+{
+    std::vector<GivenOrder> orders;
+    for (const auto& [source, entry] : m_entries) {
+        if (entry.proposed)
+            orders.push_back({ *entry.proposed, entry.isInForce });
+    }
+    return orders;
+}
+
 std::set<EngineSource> CapacityOrderBook::unavailable(TimePoint now) const
 {
     std::set<EngineSource> sources;
