--- a/apps/cicadactl/src/SiteStateCommand.cpp
+++ b/apps/cicadactl/src/SiteStateCommand.cpp
@@ -32,7 +32,8 @@
         if (!value.is_string())
             return std::string(unknown);
         auto result = value.get<std::string>();
-        std::replace_if(result.begin(), result.end(), [](unsigned char character) { return character < ' ' || character == '\x7f'; }, '?');
+        std::replace_if(
+            result.begin(), result.end(), [](unsigned char character) { return character < ' ' || character == '\x7f'; }, '?');
         return result;
     }
 
--- a/packages/hosting/src/UsageReports.cpp
+++ b/packages/hosting/src/UsageReports.cpp
@@ -153,9 +153,7 @@
                                                                       : Event::UsageReported;
     m_lastReport = SentUsageReport { report.window, sumOf(report.counts), report.counts.size(), age, outcome, m_reporting.sourcesOf(report.window) };
     const auto& sources = m_lastReport->sources;
-    logEvent(event, { { "window", std::to_string(report.window) }, { "requests", std::to_string(m_lastReport->requests) }, { "organisations", std::to_string(report.counts.size()) },
-                        { "hosts", countText(sources, [](const auto& known) { return known.hosts; }) }, { "missing", countText(sources, [](const auto& known) { return known.missing.size(); }) }, { "missing-hosts", sources ? namesOf(sources->missing) : std::string() },
-                        { "silent", countText(sources, [](const auto& known) { return known.silent.size(); }) }, { "fence", std::to_string(m_settings.fence) }, { "milliseconds", std::to_string(age.count()) }, { "outcome", std::string(name(outcome)) } });
+    logEvent(event, { { "window", std::to_string(report.window) }, { "requests", std::to_string(m_lastReport->requests) }, { "organisations", std::to_string(report.counts.size()) }, { "hosts", countText(sources, [](const auto& known) { return known.hosts; }) }, { "missing", countText(sources, [](const auto& known) { return known.missing.size(); }) }, { "missing-hosts", sources ? namesOf(sources->missing) : std::string() }, { "silent", countText(sources, [](const auto& known) { return known.silent.size(); }) }, { "fence", std::to_string(m_settings.fence) }, { "milliseconds", std::to_string(age.count()) }, { "outcome", std::string(name(outcome)) } });
 }
 
 } // namespace cicadalb
