Prompts are considered only while an open submission has long ones

Cause: a text that is continued counts as a prompt of some 2,000 tokens, so that an engine that is slow to continue one, on a busy or slowed machine, seemed to read slowly; short prompts then waited for it, and engines were picked by a reading time that did not exist. Change: an item's own prompt has to have the size from which reading speeds are measured; a deployment without such prompts is placed as before prompts were considered.

--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -221,6 +221,8 @@
         std::size_t groups = 0;
         /// Number of groups that the trainer waits for.
         std::size_t wantedGroups = 0;
+        /// Whether an item has a prompt with at least PrefillLoad::minimumMeasuredTokens.
+        bool hasLongPrompt = false;
         /// Items in these states, by index.
         std::set<std::size_t> waiting;
         std::set<std::size_t> running;
@@ -285,8 +287,9 @@
     double secondsPerEvent(const Engine&) const;
     static Prompt promptToRead(const Item&);
     void updatePrefillBound();
-    /// Whether prompts matter: a first event is wanted within some time, and the reading speed of an engine is known.
-    bool considersPrompts() const noexcept { return m_prefillBound.maximum > Duration::zero() && m_isReadingSpeedKnown; }
+    /// Whether prompts matter: a first event is wanted within some time, an open submission has long prompts, and the reading speed of an
+    /// engine is known. Texts that are continued are read too, but alone they show no speed that could be held against short prompts.
+    bool considersPrompts() const noexcept { return m_hasLongPrompts && m_prefillBound.maximum > Duration::zero() && m_isReadingSpeedKnown; }
     std::optional<Reading> readingOf(const OpenSubmission&, const Item&, TimePoint now) const;
     /// Adds the time to read a prompt at an engine to the time per event. @return nothing if the item waits for another engine
     std::optional<double> readingSecondsPerEvent(const Engine&, Reading&) const;
@@ -298,6 +301,8 @@
 
     PrefillBound m_prefillBound;
     bool m_isReadingSpeedKnown = false;
+    /// Whether an item of an open submission has a prompt that takes an engine long to read.
+    bool m_hasLongPrompts = false;
     std::uint64_t m_lastRun = 0;
     std::uint64_t m_prefillWaits = 0;
     GroupOrder m_groupOrder;
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -120,6 +120,7 @@
             groups.push_back(source.group);
         item.group = group->second;
         item.prompt = source.prompt;
+        opened.hasLongPrompt = opened.hasLongPrompt || item.prompt.tokens >= PrefillLoad::minimumMeasuredTokens;
         item.expectedEvents = source.lengthHint > 0 ? source.lengthHint / tokensPerEvent : defaultExpectedEvents;
         if (done.contains(source.id))
             item.state = ItemState::Settled;
--- a/packages/submissions/src/SampleSchedulerPrompts.cpp
+++ b/packages/submissions/src/SampleSchedulerPrompts.cpp
@@ -33,7 +33,9 @@
 void SampleScheduler::updatePrefillBound()
 {
     auto nearest = Duration::max();
+    m_hasLongPrompts = false;
     for (const auto& [id, submission] : m_submissions) {
+        m_hasLongPrompts = m_hasLongPrompts || submission.hasLongPrompt;
         if (submission.policy.firstEventWithin > Duration::zero())
             nearest = std::min(nearest, submission.policy.firstEventWithin);
     }
