--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,12 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 470 to 479: runs at hosts
+    RunOwnerFound = 470,
+    RunOwnerLost = 471,
+    RunHolderFound = 472,
+    RunHolderLost = 473,
+    RunTakenOver = 474,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -17,6 +17,8 @@
     FailureDomain failureDomain;
     /// Whether the whole site starts for the first time, so that no host of an earlier build runs beside this one.
     bool isFirstStart = false;
+    /// Share of a processor core that the process may use; hosts hold runs in proportion to it.
+    double processorShare = 1;
 };
 
 struct SiteAddressSettings {
@@ -51,6 +53,8 @@
     bool serving = false;
     /// True if the process is a candidate for coordinating submissions and weights.
     bool coordinating = false;
+    /// True if the process, when it serves, holds runs of samples for the coordinator, and gives runs to such processes when it coordinates.
+    bool holdsRuns = false;
     /// Duties that the coordinator has for the whole site.
     std::vector<Duty> duties;
 
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -21,6 +21,8 @@
     using detail::TomlReader;
 
     constexpr double minimumLeaseMilliseconds = 1000.0;
+    constexpr double minimumProcessorShare = 0.01;
+    constexpr double maximumProcessorShare = 1024;
     constexpr double maximumUsageWindowSeconds = 3600.0;
     constexpr double maximumRetentionSeconds = 86400.0;
     constexpr double maximumConcurrentLoads = 1000.0;
@@ -31,6 +33,7 @@
             { "id", &SiteHostSettings::id, Presence::Required, detail::checkIdentifier<HostTag> },
             { "failure-domain", &SiteHostSettings::failureDomain, Presence::Required, detail::checkIdentifier<FailureDomainTag> },
             { "first-start", &SiteHostSettings::isFirstStart, Presence::Optional },
+            { "processor-share", &SiteHostSettings::processorShare, Presence::Optional, Between { minimumProcessorShare, maximumProcessorShare } },
         };
         return fields;
     }
@@ -54,6 +57,7 @@
         static const Fields<SitePartSettings> fields {
             { "serving", &SitePartSettings::serving, Presence::Optional },
             { "coordinating", &SitePartSettings::coordinating, Presence::Optional },
+            { "holds-runs", &SitePartSettings::holdsRuns, Presence::Optional },
             { "duties", &SitePartSettings::duties, Presence::Optional },
         };
         return fields;
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -3,6 +3,7 @@
 #include "Pause.h"
 
 #include "cicadalb/base/Event.h"
+#include "cicadalb/base/Hash.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <ctime>
 #include <iterator>
+#include <sstream>
 
 namespace cicadalb {
 
@@ -21,6 +23,9 @@
 
     constexpr std::string_view holderPrefix = "coordinator/";
     constexpr std::string_view holderKey = "coordinator/holder";
+    /// Fencing number and address of the holder, for hosts that do not know all candidates.
+    constexpr std::string_view addressKey = "coordinator/address";
+    constexpr milliseconds announcementRetryDelay { 300 };
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseStepInterval { 150 };
     /// Interval between queries to the other candidates.
@@ -128,6 +133,8 @@
     }
     m_isHolderKnown = true;
     for (const auto& entry : records.entries) {
+        if (entry.key == addressKey && !entry.isDeleted)
+            recordAddress(entry.value);
         if (entry.key != holderKey)
             continue;
         m_holder = entry.isDeleted ? std::string() : entry.value;
@@ -267,6 +274,8 @@
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
         m_weightOrders->setFence(m_fence);
+        if (m_settings.givesRunsToHosts)
+            asio::co_spawn(m_executor, announceAddress(m_fence), asio::detached);
         logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(m_fence) }, { "again", "yes" } });
     }
 }
@@ -300,7 +309,10 @@
     m_wasFenced = false;
     logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) } });
     m_permits.beginGranting();
-    m_sampleRunner = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_permits, m_crashGuard, m_clock, m_settings.samples);
+    auto samples = m_settings.samples;
+    if (m_settings.givesRunsToHosts)
+        samples.ownerId = std::max<std::uint64_t>(1, placementHash(m_settings.host.value() + " " + std::to_string(fence) + " " + std::to_string(m_settings.seed)));
+    m_sampleRunner = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_permits, m_crashGuard, m_clock, samples);
     WeightOrderHooks hooks;
     hooks.mayOrder = [weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -323,6 +335,8 @@
     m_weightOrders->start();
     m_defaultReleases = std::make_shared<DefaultReleases>(m_executor, m_store, m_directory, m_clock, m_settings.isFirstStart);
     m_defaultReleases->start();
+    if (m_settings.givesRunsToHosts)
+        asio::co_spawn(m_executor, announceAddress(fence), asio::detached);
 }
 
 void Coordination::shortenQuietPeriod()
@@ -354,6 +368,43 @@
     return !m_isLeaving && !isYielding() && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
 }
 
+void Coordination::recordAddress(const std::string& record)
+{
+    std::istringstream words(record);
+    FencingNumber fence = 0;
+    std::string address;
+    if (!(words >> fence >> address) || fence < m_announcedFence)
+        return;
+    m_announcedFence = fence;
+    m_announcedAddress = address;
+}
+
+Task<void> Coordination::announceAddress(FencingNumber fence)
+{
+    const auto self = shared_from_this();
+    while (m_sampleRunner && m_fence == fence && !m_isLeaving) {
+        Transaction announcement;
+        announcement.writes.push_back({ std::string(addressKey), std::to_string(fence) + " " + m_settings.address.address + ":" + std::to_string(m_settings.address.port) });
+        const auto written = co_await m_store.commit(std::move(announcement));
+        if (written)
+            co_return;
+        co_await pause(m_executor, announcementRetryDelay);
+    }
+}
+
+Task<RunReply> Coordination::serveHolder(RunCall call)
+{
+    const auto self = shared_from_this();
+    updateLeaseState();
+    const auto runner = m_sampleRunner;
+    RunReply elsewhere;
+    if (m_announcedFence != 0 && m_announcedFence == m_holderRevision)
+        elsewhere.ownerAddress = m_announcedAddress;
+    if (!runner)
+        co_return elsewhere;
+    co_return co_await runner->serveHolder(std::move(call));
+}
+
 void Coordination::onSiteChanged()
 {
     if (!m_sampleRunner)
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -4,6 +4,7 @@
 #include "SampleRunner.h"
 #include "WeightOrders.h"
 
+#include "cicadalb/config/Settings.h"
 #include "cicadalb/services/LeaseCandidate.h"
 
 #include <map>
@@ -28,6 +29,10 @@
     /// Whether the whole site starts for the first time.
     bool isFirstStart = false;
     SampleRunnerSettings samples;
+    /// Whether hosts may hold runs.
+    bool givesRunsToHosts = false;
+    /// Where hosts that hold runs can call this one.
+    SocketAddress address;
     LoadPlanSettings loads;
     std::uint64_t seed = 0;
     /// Client of the other candidates' mirrors, or null. Must outlive the coordination.
@@ -67,6 +72,9 @@
     void checkLease() { updateLeaseState(); }
     /// @brief Earliest time for weight orders, on the lease's clock.
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
+    /// @brief Answers a call of a host that holds runs.
+    Task<RunReply> serveHolder(RunCall);
+    std::size_t runHolders() const { return m_sampleRunner ? m_sampleRunner->holders() : 0; }
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
@@ -97,6 +105,9 @@
     /// Whether neither the store nor any other candidate can be reached, so that another host may have taken over.
     bool isIsolated(TimePoint now) const;
     void beginWork(FencingNumber);
+    /// Stores the address of this host, since hosts may know only some of the candidates.
+    Task<void> announceAddress(FencingNumber);
+    void recordAddress(const std::string& record);
     void endWork(std::string_view reason);
     bool mayOrder() const;
 
@@ -122,6 +133,9 @@
     /// When the lease was seen to become vacant before the current holder acquired it; empty after a snapshot that names a holder.
     std::optional<TimePoint> m_vacantSince;
     FencingNumber m_fence = 0;
+    /// The address that the holder with a fencing number has announced.
+    std::string m_announcedAddress;
+    FencingNumber m_announcedFence = 0;
     /// When this host, while coordinating, noticed that its lease had lapsed.
     std::optional<TimePoint> m_lapseNoticedAt;
     bool m_isLeaving = false;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -3,8 +3,6 @@
 #include "Pause.h"
 
 #include "cicadalb/base/Event.h"
-#include "cicadalb/base/Hash.h"
-#include "cicadalb/services/StreamProgress.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,21 +19,14 @@
 
     using std::chrono::milliseconds;
 
-    constexpr unsigned statusOk = 200;
-    constexpr unsigned statusUnprocessable = 422;
-    constexpr unsigned statusServerError = 500;
-    /// Longest time between two events of a run; the scheduler moves stalled runs sooner.
-    constexpr milliseconds stallTimeout { 5000 };
     /// Added to the time to live of items, since the clocks of hosts differ.
     constexpr milliseconds clockSkewMargin { 3000 };
-    /// Timeout of a reward call whose route has none.
-    constexpr milliseconds defaultRewardTimeout { 2000 };
-    /// Delay before a reward call that found no route, no target or no answer is repeated.
-    constexpr milliseconds rewardRetryDelay { 200 };
     /// Interval at which a submission that waits for a newer configuration is looked at.
     constexpr milliseconds configurationPollInterval { 25 };
     /// Delay after a failed call to the store.
     constexpr milliseconds storeRetryDelay { 200 };
+    /// Whether a run makes too little progress is judged by news of at most this age.
+    constexpr milliseconds maximumNewsAge { 150 };
     /// Texts with fewer events are not stored, since generating them again is cheaper.
     constexpr std::size_t minimumStoredEvents = 12;
     /// A value of the store holds at most 1 MB, a quarter of which is base64 overhead.
@@ -64,13 +55,6 @@
         return pools;
     }
 
-    /// Maps a request's id to a number in [0, 1), so that all attempts of the request go to the same pool of a split route.
-    double splitFractionOf(const RequestId& id)
-    {
-        constexpr std::uint64_t buckets = 1000;
-        return static_cast<double>(placementHash(id.value()) % buckets) / static_cast<double>(buckets);
-    }
-
     std::string versionsText(const std::set<WeightVersion>& versions)
     {
         std::string text;
@@ -81,43 +65,33 @@
 
 } // namespace
 
-RunOutcome runOutcomeOf(AnswerKind kind, unsigned status) noexcept
-{
-    if (kind == AnswerKind::NotRun || kind == AnswerKind::Misdirected)
-        return RunOutcome::NotRun;
-    if (kind != AnswerKind::Answered)
-        return RunOutcome::Interrupted;
-    if (status == statusUnprocessable)
-        return RunOutcome::Impossible;
-    // Any other error, such as a timeout of the target, is not caused by the item.
-    if (status == statusServerError)
-        return RunOutcome::ServerError;
-    return status == statusOk ? RunOutcome::Complete : RunOutcome::Interrupted;
-}
-
 SampleRunner::SampleRunner(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, RequestPermits& permits, CrashGuard& crashGuard, const Clock& clock, SampleRunnerSettings settings)
     : m_executor(std::move(executor))
     , m_store(store)
-    , m_protocol(protocol)
     , m_directory(directory)
-    , m_clients(clients)
     , m_permits(permits)
     , m_clock(clock)
     , m_settings(settings)
-    , m_forwarder(directory, protocol, clients, permits, crashGuard, clock, settings.reachability)
+    , m_ownHolder(std::make_shared<RunHolder>(m_executor, protocol, directory, clients, permits, crashGuard, clock, settings.reachability, static_cast<RunObserver&>(*this)))
     , m_nextExpirySearchAt(clock.now() + expirySearchInterval)
 {
     m_scheduler.setRateLimits(&permits.limits());
 }
 
+SampleRunner::~SampleRunner() { m_ownHolder->stopAll(); }
+
 void SampleRunner::start()
 {
+    if (m_settings.ownerId != 0)
+        m_placesFrom = m_clock.now() + m_settings.presentationTime;
     updateEngines();
-    const auto apply = [weak = weak_from_this()](const WatchResult& result, bool) {
-        if (const auto self = weak.lock())
-            self->applyRecords(result.entries);
+    const auto apply = [weak = weak_from_this()](bool isSnapshot) {
+        return [weak, isSnapshot](const WatchResult& result, bool) {
+            if (const auto self = weak.lock())
+                self->applyRecords(result.entries, isSnapshot);
+        };
     };
-    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply, apply, {} });
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply(true), apply(false), {} });
     asio::co_spawn(m_executor, takeOver(), asio::detached);
 }
 
@@ -159,8 +133,8 @@
 {
     m_isStopped = true;
     m_watch->stop();
-    for (const auto& [key, run] : m_runs)
-        run->cancellation->cancel();
+    m_ownHolder->stopAll();
+    wakeHolders();
     for (const auto& [id, open] : m_openSubmissions)
         open->isClosed = true;
     m_openSubmissions.clear();
@@ -181,7 +155,7 @@
     schedulePlacement();
 }
 
-void SampleRunner::applyRecords(const std::vector<KeyValueEntry>& entries)
+void SampleRunner::applyRecords(const std::vector<KeyValueEntry>& entries, bool isSnapshot)
 {
     // End records first, so that ended submissions in a snapshot are not opened.
     for (const auto& entry : entries) {
@@ -200,6 +174,9 @@
         else if (!isRefusalRecord(entry.value))
             applySubmissionRecord(entry);
     }
+    m_hasSubmissions = m_hasSubmissions || isSnapshot;
+    if (m_hasSubmissions)
+        m_holders.releaseIf([this](const HeldRun& run) { return !m_openSubmissions.contains(run.item.submission); });
     schedulePlacement();
 }
 
@@ -255,9 +232,15 @@
     entry->policy.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
     entry->policy.priority = entry->route->priority;
     entry->policy.pools = poolsOf(entry->route);
+    auto items = std::move(submission.items);
+    submission.items.clear();
+    entry->header = submission;
     entry->submission = std::move(submission);
+    entry->submission.items = std::move(items);
     entry->revision = revision;
     m_scheduler.add(entry->submission, entry->policy, entry->log->stored());
+    entry->isScheduled = true;
+    takeOverRuns(id);
     logSubmissionOpened(*entry, age);
     if (entry->log->stored().size() >= entry->submission.items.size())
         close(id, "all results are stored");
@@ -274,18 +257,28 @@
     m_openSubmissions.erase(found);
     for (const auto& key : m_scheduler.remove(id))
         stopRun(key);
+    m_holders.releaseIf([&](const HeldRun& run) { return run.item.submission == id; });
     logSubmissionClosed(id, reason, entry->log->stored().size());
     schedulePlacement();
 }
 
+SampleRunner::OpenSubmissionPointer SampleRunner::openSubmission(const SubmissionId& id) const
+{
+    const auto found = m_openSubmissions.find(id);
+    return found == m_openSubmissions.end() || found->second->isClosed ? nullptr : found->second;
+}
+
 void SampleRunner::stopRun(const ItemKey& key)
 {
-    const auto found = m_runs.find(key);
-    if (found == m_runs.end())
-        return;
-    const auto run = found->second;
-    m_runs.erase(found);
-    run->cancellation->cancel();
+    if (const auto found = m_runs.find(key); found != m_runs.end()) {
+        m_ownHolder->stop(found->second.id);
+        m_runs.erase(found);
+    }
+    if (const auto* held = m_holders.findByItem(key)) {
+        const auto holder = held->holder;
+        m_holders.release(held->id, true);
+        wakeHolder(holder);
+    }
 }
 
 void SampleRunner::schedulePlacement()
@@ -295,10 +288,10 @@
     m_isPlacementScheduled = true;
     asio::post(m_executor, [self = shared_from_this()] {
         self->m_isPlacementScheduled = false;
-        if (self->m_isStopped)
+        if (self->m_isStopped || self->m_clock.now() < self->m_placesFrom)
             return;
         for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
-            asio::co_spawn(self->m_executor, self->runItem(placement), asio::detached);
+            self->startRun(placement);
     });
 }
 
@@ -311,11 +304,9 @@
         if (found != m_openSubmissions.end())
             settle(found->second, key, ResultState::GivenUp, {}, "its time to live has ended");
     }
-    for (const auto& key : m_scheduler.itemsToMove(now)) {
-        const auto found = m_runs.find(key);
-        if (found != m_runs.end())
-            found->second->cancellation->cancel();
-    }
+    loseRuns(m_holders.removeLost(now));
+    for (const auto& key : m_scheduler.itemsToMove(now))
+        moveRun(key);
     if (now >= m_nextPartialTextsAt && !m_isStoringPartialTexts) {
         m_nextPartialTextsAt = now + m_settings.partialTextsInterval;
         auto texts = m_scheduler.partialTexts(minimumStoredEvents, maximumStoredTextBytes);
@@ -331,173 +322,141 @@
     schedulePlacement();
 }
 
-Task<void> SampleRunner::runItem(Placement placement)
+RunAssignment SampleRunner::assignmentOf(const OpenSubmission& entry, const RunId& id, const ItemKey& key, const RegisteredTarget& target) const
+{
+    RunAssignment assignment;
+    assignment.id = id;
+    assignment.index = key.index;
+    assignment.submission = entry.header;
+    assignment.submission.items.push_back(entry.submission.items[key.index]);
+    assignment.engine = target.id;
+    assignment.engineStartedAt = target.startedAt;
+    assignment.release = { target.pool, target.softwareVersion };
+    assignment.remainingTime = std::chrono::duration_cast<milliseconds>(entry.policy.expiresAt - m_clock.now());
+    assignment.priority = entry.policy.priority;
+    assignment.requiresSingleVersion = entry.policy.requiresSingleVersion;
+    assignment.isLimited = m_permits.isLimited(target);
+    if (const auto* text = m_scheduler.partialText(key))
+        assignment.text = *text;
+    return assignment;
+}
+
+void SampleRunner::startRun(const Placement& placement)
 {
-    const auto self = shared_from_this();
     const auto& key = placement.item;
-    const auto found = m_openSubmissions.find(key.submission);
-    if (found == m_openSubmissions.end())
-        co_return;
-    const auto entry = found->second;
-    const auto run = std::make_shared<Run>();
-    m_runs[key] = run;
-    const auto startedAt = m_clock.now();
-    auto end = RunOutcome::NotRun;
-    std::string cause = "the engine left the registry or has restarted";
-    const auto* initialText = m_scheduler.partialText(key);
-    RunRecord record { placement.engine, {}, initialText ? initialText->eventCount : 0 };
-    const auto* registered = m_directory.registry().find(placement.engine);
-    if (registered && registered->startedAt == placement.engineStartedAt) {
-        const auto target = *registered;
-        record.softwareVersion = target.softwareVersion;
-        cause.clear();
-        end = co_await stream(entry, key, target, run->cancellation, cause);
+    const auto entry = openSubmission(key.submission);
+    if (!entry)
+        return;
+    const auto now = m_clock.now();
+    const auto* text = m_scheduler.partialText(key);
+    auto& run = m_runs[key];
+    run = { { m_settings.ownerId, ++m_lastRunNumber }, {}, placement.engine, {}, text ? text->eventCount : 0, now };
+    const auto* target = m_directory.registry().find(placement.engine);
+    if (!target || target->startedAt != placement.engineStartedAt) {
+        finishRun(entry, key, { RunOutcome::NotRun, "the engine left the registry or has restarted" });
+        return;
     }
-    if (const auto own = m_runs.find(key); own != m_runs.end() && own->second == run)
-        m_runs.erase(own);
-    if (m_isStopped || entry->isClosed)
-        co_return;
+    run.softwareVersion = target->softwareVersion;
+    const auto holder = m_settings.ownerId != 0 ? m_holders.choose(target->id, target->failureDomain, now) : std::nullopt;
+    if (!holder) {
+        m_ownHolder->begin(assignmentOf(*entry, run.id, key, *target));
+        return;
+    }
+    run.holder = *holder;
+    m_holders.assign(*holder, run.id, key, now).events = run.eventsAtStart;
+    wakeHolder(*holder);
+}
+
+void SampleRunner::moveRun(const ItemKey& key)
+{
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end())
+        return;
+    const auto& run = found->second;
+    if (run.holder.isEmpty()) {
+        m_ownHolder->cancel(run.id);
+        return;
+    }
+    const auto entry = openSubmission(key.submission);
+    if (!entry || !m_holders.hasRecentNews(run.holder, maximumNewsAge, m_clock.now()))
+        return;
+    const auto holder = run.holder;
+    m_holders.release(run.id, true);
+    wakeHolder(holder);
+    finishRun(entry, key, { RunOutcome::Cancelled, {} });
+}
+
+/// Applies the end of the item's current run.
+void SampleRunner::finishRun(const OpenSubmissionPointer& entry, const ItemKey& key, const RunEnd& end)
+{
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end())
+        return;
+    const auto run = found->second;
+    m_runs.erase(found);
     const auto* text = m_scheduler.partialText(key);
     const auto events = text ? text->eventCount : 0;
     std::string versions;
     if (text)
         versions = versionsText(text->versions);
-    const auto nextAction = m_scheduler.onRunEnd(key, end, m_clock.now());
-    logRunEnded(*entry, key, record, end, events, versions, m_clock.now() - startedAt, cause);
-    if (nextAction == ItemAction::RequestReward)
-        asio::co_spawn(m_executor, runRewardCall(entry, key), asio::detached);
+    const auto nextAction = m_scheduler.onRunEnd(key, end.outcome, m_clock.now());
+    logRunEnded(*entry, key, run, end.outcome, events, versions, end.cause);
+    const bool isJudgedByHolder = nextAction == ItemAction::RequestReward && end.isRequestingReward;
+    const bool isKeptByHolder = nextAction == ItemAction::RequestReward && (isJudgedByHolder || !entry->submission.items[key.index].reward);
+    if (!run.holder.isEmpty() && !isKeptByHolder)
+        m_holders.release(run.id, false);
+    if (nextAction == ItemAction::RequestReward && !isJudgedByHolder)
+        requestReward(entry, key);
     else if (nextAction == ItemAction::GiveUp)
-        settle(entry, key, ResultState::GivenUp, {}, name(end));
+        settle(entry, key, ResultState::GivenUp, {}, name(end.outcome));
     schedulePlacement();
 }
 
-RunOutcome SampleRunner::processEvents(const ItemKey& key, std::string_view bytes, EventStreamParser& parser, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount)
+/// Requests the reward of a complete text from this process.
+void SampleRunner::requestReward(const OpenSubmissionPointer& entry, const ItemKey& key)
 {
-    for (const auto& event : parser.parse(bytes)) {
-        ++eventCount;
-        if (const auto changed = m_protocol.eventWeightVersion(event))
-            version = *changed;
-        if (version < oldest)
-            return RunOutcome::WrongWeights;
-        const auto* text = m_scheduler.partialText(key);
-        if (!text)
-            return RunOutcome::Cancelled;
-        if (text->lastEventId && event.id != *text->lastEventId + 1)
-            return RunOutcome::Interrupted;
-        m_scheduler.onEvent(key, event.id, event.data, version, m_clock.now());
+    const auto& item = entry->submission.items[key.index];
+    if (!item.reward) {
+        settle(entry, key, ResultState::Succeeded, {}, "complete");
+        return;
     }
-    return RunOutcome::Complete;
+    RunAssignment assignment;
+    assignment.id = { m_settings.ownerId, ++m_lastRunNumber };
+    assignment.index = key.index;
+    assignment.submission = entry->header;
+    assignment.submission.items.push_back(item);
+    m_ownHolder->requestReward(std::move(assignment));
 }
 
-Task<RunOutcome> SampleRunner::stream(const OpenSubmissionPointer& entry, ItemKey key, const RegisteredTarget& target, std::shared_ptr<HttpCancellation> cancellation, std::string& cause)
+SampleRunner::OpenSubmissionPointer SampleRunner::openSubmissionOf(const RunAssignment& assignment) const
 {
-    const auto& item = entry->submission.items[key.index];
-    SampleAttempt attempt;
-    attempt.context.expectedTarget = target.id;
-    attempt.context.remainingTime = std::chrono::duration_cast<milliseconds>(entry->policy.expiresAt - m_clock.now());
-    attempt.priority = std::min(9U, entry->policy.priority);
-    if (const auto* text = m_scheduler.partialText(key))
-        attempt.lastEventId = text->lastEventId;
-
-    const auto sentAt = m_clock.now();
-    EventStreamParser parser;
-    StreamProgress progress(stallTimeout);
-    WeightVersion version = 0;
-    auto kind = AnswerKind::Unusable;
-    auto runOutcome = RunOutcome::Complete;
-    unsigned status = 0;
-    HttpStreamHandler handler;
-    handler.stallTimeout = stallTimeout;
-    handler.onHead = [&](const HttpResponse& head) -> Task<bool> {
-        status = head.status;
-        kind = m_protocol.classifyAnswer(head, RequestId(item.id.value()));
-        m_permits.observe(target, kind, head.fields, sentAt);
-        version = m_protocol.answerWeightVersion(head.fields).value_or(0);
-        if (kind != AnswerKind::Misdirected && m_protocol.isLeaving(head.fields))
-            m_directory.markLeaving(target);
-        co_return true;
-    };
-    handler.onPart = [&](std::string_view part) -> Task<bool> {
-        std::size_t events = 0;
-        if (kind == AnswerKind::Answered && status == statusOk)
-            runOutcome = processEvents(key, part, parser, version, entry->submission.oldestVersion, events);
-        if (runOutcome == RunOutcome::Complete && !progress.onPart(part.size(), events > 0, m_clock.now())) {
-            cause = "the answer goes on without events";
-            runOutcome = RunOutcome::Interrupted;
-        }
-        co_return runOutcome == RunOutcome::Complete;
-    };
-    const auto client = m_clients.client(0, target.endpoint);
-    auto request = m_protocol.sampleRequest(entry->submission, item, attempt);
-    // A repeat on another connection would be a second request to the engine, which the scheduler has not counted.
-    request.mayRepeat = !m_permits.isLimited(target);
-    const auto response = co_await client->stream(std::move(request), entry->policy.expiresAt, std::move(handler), cancellation);
-    if (cancellation->isCancelled()) {
-        cause.clear();
-        co_return RunOutcome::Cancelled;
-    }
-    if (runOutcome != RunOutcome::Complete)
-        co_return runOutcome;
-    if (m_settings.reachability && status != 0)
-        m_settings.reachability->recordAnswer();
-    if (!response) {
-        cause = response.error().message;
-        if (m_settings.reachability && status == 0)
-            (void)co_await m_settings.reachability->examineFailure(target.id);
-        co_return response.error().code == ErrorCode::NotSent ? RunOutcome::NotRun : RunOutcome::Interrupted;
-    }
-    cause = "status " + std::to_string(status) + " " + std::string(name(kind));
-    co_return runOutcomeOf(kind, status);
+    const auto run = m_runs.find(assignment.key());
+    return run == m_runs.end() || run->second.id != assignment.id ? nullptr : openSubmission(assignment.submission.id);
 }
 
-Task<void> SampleRunner::runRewardCall(OpenSubmissionPointer entry, ItemKey key)
+void SampleRunner::onRunAnswered(const RunAssignment&, const RateStatement&, bool) { }
+
+void SampleRunner::onRunEvent(const RunAssignment& assignment, const StreamEvent& event, WeightVersion version)
 {
-    const auto self = shared_from_this();
-    const auto& item = entry->submission.items[key.index];
-    if (!item.reward) {
-        settle(entry, key, ResultState::Succeeded, {}, "complete");
-        co_return;
-    }
-    const auto& reward = *item.reward;
-    unsigned failures = 0;
-    while (!m_isStopped && !entry->isClosed && m_scheduler.isOpen(key)) {
-        const auto view = m_directory.view();
-        const auto* route = view->routes.find(reward.authority, reward.path);
-        if (!route) {
-            co_await pause(m_executor, rewardRetryDelay);
-            continue;
-        }
-        // One attempt per call, so that each failure is counted here.
-        SiteRoute singleAttemptRoute = *route;
-        singleAttemptRoute.maximumAttempts = 1;
-        ForwardRequest request;
-        request.id = reward.id;
-        request.route = &singleAttemptRoute;
-        request.pool = choosePool(*route, splitFractionOf(reward.id));
-        const auto timeout = route->timeout.count() > 0 ? route->timeout : defaultRewardTimeout;
-        request.deadline = m_clock.now() + timeout;
-        request.buildMessage = [&](const AttemptContext& context) { return m_protocol.rewardRequest(reward, context); };
-        const auto outcome = co_await m_forwarder.forward(std::move(request));
-        const auto isSuccess = outcome.state == ForwardState::Answered && outcome.answer.status >= 200 && outcome.answer.status < 300;
-        // Without a permit the call is repeated every few hundred milliseconds.
-        if (outcome.attempts > 0)
-            logRewardCall(reward, item, key, outcome);
-        if (m_isStopped || entry->isClosed)
-            co_return;
-        if (isSuccess) {
-            settle(entry, key, ResultState::Succeeded, m_protocol.signature(outcome.answer.fields), "judged");
-            co_return;
-        }
-        const bool hasFailed = outcome.state == ForwardState::Answered && outcome.answer.status == statusServerError;
-        if (hasFailed && ++failures >= std::max(1U, route->maximumAttempts)) {
-            settle(entry, key, ResultState::GivenUp, {}, "its reward call failed");
-            co_return;
-        }
-        if (!hasFailed)
-            co_await pause(m_executor, std::max<Duration>(rewardRetryDelay, outcome.retryAfter));
-    }
+    if (openSubmissionOf(assignment))
+        m_scheduler.onEvent(assignment.key(), event.id, event.data, version, m_clock.now());
+}
+
+void SampleRunner::onRunEnded(const RunAssignment& assignment, RunEnd end)
+{
+    if (const auto entry = openSubmissionOf(assignment))
+        finishRun(entry, assignment.key(), end);
 }
 
+void SampleRunner::onRewardEnded(const RunAssignment& assignment, RewardOutcome outcome)
+{
+    const auto entry = openSubmission(assignment.submission.id);
+    if (entry && m_scheduler.isOpen(assignment.key()))
+        settle(entry, assignment.key(), outcome.hasSucceeded ? ResultState::Succeeded : ResultState::GivenUp, std::move(outcome.signature), outcome.hasSucceeded ? "judged" : "its reward call failed");
+}
+
+bool SampleRunner::mayRequestReward(const RunAssignment&) const { return true; }
+
 void SampleRunner::settle(const OpenSubmissionPointer& entry, const ItemKey& key, ResultState state, std::string rewardSignature, std::string_view reason)
 {
     const auto& item = entry->submission.items[key.index];
@@ -511,6 +470,8 @@
     }
     logEvent(Event::SampleSettled, { { "id", item.id.value() }, { "submission", key.submission.value() }, { "succeeded", state == ResultState::Succeeded ? "yes" : "no" }, { "reason", std::string(reason) } });
     m_scheduler.settle(key);
+    if (const auto* held = m_holders.findByItem(key); held && state != ResultState::Succeeded)
+        m_holders.release(held->id, false);
     entry->log->add(std::move(result));
     if (!entry->isAppending) {
         entry->isAppending = true;
@@ -532,6 +493,9 @@
             continue;
         }
         logAppend(*entry, appended.value(), {});
+        m_holders.releaseIf([&](const HeldRun& run) {
+            return run.hasEnd && run.item.submission == entry->submission.id && entry->log->stored().contains(entry->submission.items[run.item.index].id);
+        });
     }
     entry->isAppending = false;
     if (!entry->isClosed && entry->log->stored().size() >= entry->submission.items.size())
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -23,14 +23,10 @@
     logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) } });
 }
 
-void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const RunRecord& run, RunOutcome end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
+void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const Run& run, RunOutcome end, std::size_t events, const std::string& versions, const std::string& cause) const
 {
-    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) }, { "cause", cause } });
-}
-
-void SampleRunner::logRewardCall(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
-{
-    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
+    const auto time = m_clock.now() - run.startedAt;
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "holder", run.holder.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) }, { "cause", cause } });
 }
 
 void SampleRunner::logAppend(const OpenSubmission& entry, std::size_t results, const std::string& failure) const
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -2,6 +2,7 @@
 
 #include "Coordination.h"
 #include "CrashGuard.h"
+#include "HolderLink.h"
 #include "HostCall.h"
 #include "MirrorClient.h"
 #include "Pause.h"
@@ -59,6 +60,12 @@
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
 
+    /// Runs that a whole core can hold beside its other work: one takes some 0.1% of a core at 25 events a second.
+    constexpr double runsPerCore = 400;
+    constexpr unsigned minimumRuns = 4;
+    /// Time in which a host that stops hands its runs back.
+    constexpr milliseconds handBackTimeout { 800 };
+
     std::uint64_t seedOf(const HostId& host)
     {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -143,6 +150,18 @@
         return [ask, clients = makeHostClients(executor, endpoints)](std::size_t candidate) { return ask(clients[candidate]); };
     }
 
+    HolderLinkSettings holderLinkSettings(const SiteSettings& settings, const TargetReachability& reachability, std::uint64_t seed)
+    {
+        HolderLinkSettings link;
+        link.host = settings.host.id;
+        link.failureDomain = settings.host.failureDomain;
+        link.process = std::max<std::uint64_t>(1, seed);
+        link.capacity = std::max(minimumRuns, static_cast<unsigned>(runsPerCore * settings.host.processorShare));
+        link.candidates = otherCandidates(settings);
+        link.reachability = &reachability;
+        return link;
+    }
+
     CoordinationSettings coordinationSettings(const asio::any_io_executor& executor, const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
     {
         CoordinationSettings coordination;
@@ -152,6 +171,8 @@
         coordination.isFirstStart = settings.host.isFirstStart;
         coordination.samples.resultRetention = settings.work.resultRetention;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
+        coordination.givesRunsToHosts = settings.parts.holdsRuns;
+        coordination.address = settings.addresses.mirrorListen;
         coordination.seed = seed;
         coordination.mirrors = &mirrors;
         coordination.samples.reachability = &reachability;
@@ -194,6 +215,10 @@
             m_mirror = std::make_shared<RecordMirror>(m_executor, m_bootClock);
             m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirrorListen), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
         }
+        if (m_settings.parts.serving && m_settings.parts.holdsRuns && !m_settings.parts.coordinating) {
+            m_holderLink = std::make_shared<HolderLink>(m_executor, holderLinkSettings(m_settings, *m_reachability, m_seed), makeHttpRunExchange(m_executor), m_directory, m_clock);
+            m_runHolder = std::make_shared<RunHolder>(m_executor, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get(), *m_holderLink);
+        }
         if (m_settings.parts.coordinating)
             m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_executor, m_settings, m_mirrorClient, *m_reachability, m_seed));
     }
@@ -228,6 +253,8 @@
         asio::post(m_executor, [this] { m_relayEndpoint.beginStopping(); });
         if (m_coordination)
             asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
+        if (m_holderLink)
+            handRunsBack();
         bool isDrained = finishRelayedRequests();
         if (m_callerListener)
             isDrained = drain() && isDrained;
@@ -258,6 +285,8 @@
             followSuspects();
         m_directory.start();
         asio::co_spawn(m_executor, tickPeriodically(), asio::detached);
+        if (m_holderLink)
+            m_holderLink->start(*m_runHolder);
         if (!m_coordination)
             return;
         m_coordination->start();
@@ -311,6 +340,19 @@
         return count() == 0;
     }
 
+    /// Has the coordinator continue the runs of this host elsewhere.
+    void handRunsBack()
+    {
+        asio::post(m_executor, [this] { m_holderLink->handBack(); });
+        const auto limit = std::chrono::steady_clock::now() + handBackTimeout;
+        const auto count = [this] { return asio::co_spawn(
+                                        m_executor, [this]() -> Task<std::size_t> { co_return m_holderLink->heldRuns(); }, asio::use_future)
+                                        .get(); };
+        while (count() > 0 && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(drainPollInterval);
+        asio::post(m_executor, [this] { m_holderLink->stop(); });
+    }
+
     bool drain()
     {
         const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
@@ -380,6 +422,10 @@
             co_await responder.send(std::move(answer));
             co_return;
         }
+        if (request.path == runPath) {
+            co_await serveHolder(request, responder);
+            co_return;
+        }
         if (request.path != permitPath) {
             co_await m_mirror->serve(request, responder);
             co_return;
@@ -393,6 +439,18 @@
         co_await responder.send(std::move(response));
     }
 
+    Task<void> serveHolder(ServerRequest& request, ServerResponder& responder)
+    {
+        auto call = decodeRunCall(request.body);
+        HttpResponse response;
+        response.status = call ? 200 : 400;
+        RunReply reply;
+        if (call && m_coordination)
+            reply = co_await m_coordination->serveHolder(std::move(call.value()));
+        response.body = call ? encodeRunReply(reply) : call.error().message;
+        co_await responder.send(std::move(response));
+    }
+
     Task<void> serveAdmin(ServerRequest& request, ServerResponder& responder)
     {
         HttpResponse response;
@@ -429,6 +487,8 @@
         m_metrics.setGauge("cicadalb_stream_records_waiting", "Records of streams that the store has not accepted yet", static_cast<double>(m_streamOrigins->waitingRecords()));
         m_metrics.setGauge("cicadalb_stream_records_stored", "Records of streams stored since the start", static_cast<double>(m_streamOrigins->storedRecords()));
         m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_runs_held", "Runs of samples that this host holds for the coordinator", m_holderLink ? static_cast<double>(m_holderLink->heldRuns()) : 0);
+        m_metrics.setGauge("cicadalb_run_holders", "Hosts that hold runs for this coordinator", m_coordination ? static_cast<double>(m_coordination->runHolders()) : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
         return m_metrics.text();
@@ -487,6 +547,8 @@
     std::optional<HttpListener> m_mirrorListener;
     std::optional<HttpListener> m_callerListener;
     std::optional<HttpListener> m_readyListener;
+    std::shared_ptr<HolderLink> m_holderLink;
+    std::shared_ptr<RunHolder> m_runHolder;
     std::shared_ptr<Coordination> m_coordination;
     std::shared_ptr<RecordWatch> m_retirementWatch;
     std::shared_ptr<RecordWatch> m_crashWatch;
--- a/packages/site/include/cicadalb/site/SiteProtocol.h
+++ b/packages/site/include/cicadalb/site/SiteProtocol.h
@@ -58,7 +58,7 @@
     /// Time after which the target stops working on the request.
     std::chrono::milliseconds remainingTime { 0 };
     /// Organisation that the request belongs to; empty for a request without a key.
-    OrganisationName organisation;
+    OrganisationName organisation {};
 };
 
 /// @brief Parameters of one attempt to generate a sample.
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -75,6 +75,19 @@
 };
 
 std::string_view name(RunOutcome) noexcept;
+/// @return the outcome with this name, or nothing
+std::optional<RunOutcome> runOutcomeNamed(std::string_view) noexcept;
+
+/// @brief A run that was started by another coordinator and goes on.
+struct RunningItem {
+    TargetId engine;
+    Incarnation engineStartedAt = 0;
+    /// Software of the engine at the start of the run.
+    SoftwareRelease release;
+    TimePoint startedAt;
+    std::size_t eventsAtStart = 0;
+    PartialText text;
+};
 
 /// @brief What to do with an item after its run has ended.
 enum class ItemAction : std::uint8_t { Retry,
@@ -130,6 +143,8 @@
 
     /// @brief Places waiting items on free slots and counts them as running. Complexity: waiting items times engines.
     std::vector<Placement> place(TimePoint now);
+    /// @brief Counts a waiting item as running. @return whether it was waiting
+    bool adopt(const ItemKey&, RunningItem, TimePoint now);
     /// @brief Records an event of a run.
     void onEvent(const ItemKey&, std::uint64_t eventId, std::string_view data, WeightVersion, TimePoint now);
     /// @brief Records the end of a run. Text that was generated with weights that the submission does not allow is dropped.
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -74,6 +74,7 @@
 } // namespace
 
 std::string_view name(RunOutcome end) noexcept { return nameIn(runOutcomeNames, end); }
+std::optional<RunOutcome> runOutcomeNamed(std::string_view name) noexcept { return valueIn(runOutcomeNames, name); }
 std::string_view name(GroupOrder order) noexcept { return nameIn(groupOrderNames, order); }
 
 void PartialText::append(std::uint64_t eventId, std::string_view data, WeightVersion version)
@@ -287,6 +288,27 @@
     return placements;
 }
 
+bool SampleScheduler::adopt(const ItemKey& key, RunningItem run, TimePoint now)
+{
+    auto* item = find(key);
+    if (!item || item->state != ItemState::Waiting)
+        return false;
+    const auto [engine, isNew] = m_engines.try_emplace(run.engine);
+    if (isNew)
+        engine->second.isPresent = false;
+    ++engine->second.running;
+    item->state = ItemState::Running;
+    item->engine = std::move(run.engine);
+    item->startedAt = run.startedAt;
+    item->lastEventAt = now;
+    item->eventsAtStart = run.eventsAtStart;
+    item->runRelease = std::move(run.release);
+    item->runEngineStartedAt = run.engineStartedAt;
+    item->text = std::move(run.text);
+    item->textBlockedSince.reset();
+    return true;
+}
+
 bool SampleScheduler::canRun(const TargetId& id, const Engine& engine, const OpenSubmission& submission, TimePoint now) const
 {
     if (!engine.isPresent || engine.running >= engine.slots || engine.pausedUntil > now)
