--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -53,6 +53,20 @@
     RequestRelayed = 417,
     StreamNotRecorded = 418,
     DefaultReleaseChanged = 419,
+    // 43x: keys of organisations
+    KeyRefused = 430,
+    SubmissionOfOtherOrganisation = 431,
+    // 44x: usage of organisations
+    UsageReported = 440,
+    UsageReportedLate = 441,
+    UsageNotReported = 442,
+    // 45x: capacity
+    CapacityOrdered = 450,
+    EnginesUnavailable = 451,
+    EngineNeedChanged = 452,
+    // 46x: load of the coordinator
+    PlacementPaused = 460,
+    PlacementResumed = 461,
     // 470 to 479: runs at hosts
     RunOwnerFound = 470,
     RunOwnerLost = 471,
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "CapacityOrders.h"
 #include "DefaultReleases.h"
 #include "SampleRunner.h"
+#include "UsageReports.h"
 #include "WeightOrders.h"
 
 #include "cicadalb/config/Settings.h"
@@ -34,7 +36,13 @@
     /// Where hosts that hold runs can call this one.
     SocketAddress address;
     LoadPlanSettings loads;
+    /// Address to which engines are ordered; empty: their number is not this system's to decide.
+    std::optional<Endpoint> capacityPlatform;
     std::uint64_t seed = 0;
+    /// Reports of organisations' usage; empty if this site has none.
+    std::optional<UsageReportingSettings> usage;
+    /// Address of the platform's interface for duties.
+    Endpoint duties;
     /// Client of the other candidates' mirrors, or null. Must outlive the coordination.
     MirrorClient* mirrors = nullptr;
     /// Asks another candidate, by its index in @c mirrors, whether it reaches the targets. Empty: a coordinator that is cut off from them keeps its lease.
@@ -72,12 +80,22 @@
     void checkLease() { updateLeaseState(); }
     /// @brief Earliest time for weight orders, on the lease's clock.
     TimePoint ordersAllowedFrom() const noexcept { return m_ordersAllowedFrom; }
+    /// @brief Answers a message with the usage counts of a host.
+    UsageReply collectUsage(const UsageMessage& message) { return m_usageReports ? m_usageReports->collect(message) : UsageReply {}; }
+    /// @brief The usage reports of this coordinator, or null.
+    const UsageReports* usageReports() const noexcept { return m_usageReports.get(); }
     /// @brief Answers a call of a host that holds runs.
     Task<RunReply> serveHolder(RunCall);
     std::size_t runHolders() const { return m_sampleRunner ? m_sampleRunner->holders() : 0; }
     std::size_t openSubmissions() const { return m_sampleRunner ? m_sampleRunner->openSubmissions() : 0; }
     std::size_t runningSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().runningCount() : 0; }
+    /// @brief See SampleRunner::isPlacementPaused().
+    bool isPlacementPaused() const { return m_sampleRunner && m_sampleRunner->isPlacementPaused(); }
+    Duration loopDelay() const { return m_sampleRunner ? m_sampleRunner->placementGate().loopDelay() : Duration::zero(); }
+    CapacitySummary capacity() const { return m_capacityOrders ? m_capacityOrders->summary() : CapacitySummary {}; }
     std::size_t waitingSamples() const { return m_sampleRunner ? m_sampleRunner->scheduler().waitingCount() : 0; }
+    /// @brief See SampleScheduler::prefillWaits(); of the work that runs now.
+    std::uint64_t prefillWaits() const { return m_sampleRunner ? m_sampleRunner->scheduler().prefillWaits() : 0; }
 
 private:
     Task<void> maintainLease();
@@ -110,6 +128,9 @@
     void recordAddress(const std::string& record);
     void endWork(std::string_view reason);
     bool mayOrder() const;
+    void beginUsageReports();
+    /// When the last call was made that the next coordinator's calls have to follow; empty if none was.
+    std::optional<TimePoint> lastOrderAt() const;
 
     boost::asio::any_io_executor m_executor;
     TransactionalStore& m_store;
@@ -152,6 +173,8 @@
     std::shared_ptr<DefaultReleases> m_defaultReleases;
     std::shared_ptr<SampleRunner> m_sampleRunner;
     std::shared_ptr<WeightOrders> m_weightOrders;
+    std::shared_ptr<UsageReports> m_usageReports;
+    std::shared_ptr<CapacityOrders> m_capacityOrders;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -38,6 +38,8 @@
     constexpr std::chrono::seconds blockedRetryAfter { 60 };
     /// Time allowed for the connection that shows whether a target still listens.
     constexpr milliseconds crashProbeTimeout { 100 };
+    /// Retry-After of a request whose key cannot be checked; this host looks for a newer configuration several times a second.
+    constexpr milliseconds uncheckedKeyRetryAfter { 300 };
     constexpr unsigned firstServerErrorStatus = 500;
     constexpr unsigned firstNormalPriority = 1;
 
@@ -48,9 +50,9 @@
         { ForwardState::Abandoned, "abandoned" },
     });
 
-    Priority priorityOf(const SiteRoute& route)
+    Priority priorityOf(const ForwardRequest& request)
     {
-        return route.priority < firstNormalPriority ? Priority::Interactive : Priority::Normal;
+        return request.priority.value_or(request.route->priority) < firstNormalPriority ? Priority::Interactive : Priority::Normal;
     }
 
     bool isIdempotent(const SiteRoute& route) { return route.kind == RequestKind::Idempotent; }
@@ -102,7 +104,7 @@
     std::string cause;
 };
 
-ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol)
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol, const OrganisationName& organisation)
 {
     /// Longest wait for a target that has reached its request rate, as a share of the route's target latency.
     constexpr double permitWaitInLatencyObjectives = 0.5;
@@ -110,7 +112,11 @@
     request.id = protocol.attemptId(message.fields);
     request.route = &route;
     request.maximumPermitWait = std::chrono::duration_cast<Duration>(route.latencyObjective * permitWaitInLatencyObjectives);
-    request.fingerprint = [&protocol, &message] { return RequestFingerprint(sha256Hex(protocol.requestIdentity(message))); };
+    request.organisation = organisation;
+    request.fingerprint = [&protocol, &message, organisation] {
+        const auto identity = protocol.requestIdentity(message);
+        return RequestFingerprint(sha256Hex(organisation.isEmpty() ? identity : organisation.value() + "\n" + identity));
+    };
     request.buildMessage = [&protocol, &message](const AttemptContext& context) { return protocol.forwardedRequest(message, context); };
     request.cancellation = std::make_shared<HttpCancellation>();
     return request;
@@ -156,6 +162,15 @@
     return isPossible && progress.run.mayAttempt() && request.deadline - m_clock.now() >= minimumAttemptTime;
 }
 
+bool RequestForwarder::isKeyReliable(const ForwardRequest& request, Progress& progress) const
+{
+    if (!request.mayBeSent || request.mayBeSent())
+        return true;
+    progress.outcome.cause = "this host cannot know whether the caller's key is still valid";
+    progress.outcome.retryAfter = uncheckedKeyRetryAfter;
+    return false;
+}
+
 Task<bool> RequestForwarder::relay(const ForwardRequest& request, Progress& progress)
 {
     const auto attemptsUsed = progress.run.attempts() - progress.attemptsNotRun;
@@ -165,6 +180,8 @@
         co_return false;
     }
     progress.hasRelayed = true;
+    if (!isKeyReliable(request, progress))
+        co_return false;
     progress.run.beginAttempt();
     auto relayed = co_await request.relay(maximumAttempts - attemptsUsed);
     if (!relayed) {
@@ -217,6 +234,19 @@
     logEvent(Event::AttemptEnded, { { "id", request.id.value() }, { "route", request.route->name.value() }, { "target", target.id.value() }, { "registry", std::to_string(m_directory.registryRevision()) }, { "answer", std::string(name(attempt.answer)) }, { "status", std::to_string(attempt.response.status) }, { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(latency).count()) }, { "cause", attempt.cause } });
 }
 
+void RequestForwarder::settleUsage(UsageCounter::Mark mark, const ForwardRequest& request, const Attempt& attempt) const
+{
+    if (attempt.kind == CompletionKind::NotRun) {
+        m_usage->withdraw(mark);
+        return;
+    }
+    if (attempt.response.status == 0)
+        return;
+    // A target begins a plain request when it receives it, and a stream with the first event, which comes with the header.
+    const auto beganAt = request.route->kind == RequestKind::Stream ? attempt.response.headAt : attempt.response.sentAt;
+    m_usage->correct(mark, m_usage->now() - std::chrono::duration_cast<WallTime::duration>(std::chrono::steady_clock::now() - beganAt));
+}
+
 bool RequestForwarder::isBlocked(const ForwardRequest& request, Progress& progress) const
 {
     if (!request.fingerprint || !m_crashGuard.hasSuspects() || !m_crashGuard.suspicion(request.fingerprint()).isBlocked)
@@ -265,7 +295,7 @@
 RequestRequirements RequestForwarder::requirementsOf(const ForwardRequest& request, const Progress& progress) const
 {
     RequestRequirements requirements;
-    requirements.priority = priorityOf(*request.route);
+    requirements.priority = priorityOf(request);
     requirements.deadline = request.deadline;
     requirements.affinity = request.affinity;
     requirements.maximumAffinityDelay = std::chrono::duration_cast<Duration>(request.route->latencyObjective * affinityWaitShare);
@@ -337,13 +367,20 @@
         outcome.retryAfter = TargetRegistry::reregistrationGracePeriod;
         co_return false;
     }
+    if (!isKeyReliable(request, progress)) {
+        balancer->recordCompletion(admission.target, abandoned);
+        co_return false;
+    }
     const auto target = *registered;
     outcome.release = { target.pool, target.softwareVersion };
     const auto startedAt = m_clock.now();
     progress.usedTargets.push_back(target.id);
     progress.run.beginAttempt();
     const auto timeout = attemptDeadline(request, progress, startedAt);
+    const auto usageMark = m_usage ? m_usage->begin(request.organisation) : std::nullopt;
     auto result = co_await exchange(request, target, timeout, request.deadline - startedAt);
+    if (usageMark)
+        settleUsage(*usageMark, request, result);
     const auto latency = m_clock.now() - startedAt;
     // An answer of another target at the same address says nothing about this one.
     if (result.answer != AnswerKind::Misdirected && m_protocol.isLeaving(result.response.fields))
@@ -405,7 +442,7 @@
 {
     Attempt attempt;
     const auto client = m_clients.client(0, target.endpoint);
-    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining) };
+    const AttemptContext context { target.id, std::chrono::duration_cast<milliseconds>(remaining), request.organisation };
     auto message = request.buildMessage(context);
     // A repeat on another connection would be a second request to the target, for which there is no permit.
     message.mayRepeat = isIdempotent(*request.route) && !m_permits.isLimited(target);
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include "RequestPermits.h"
 #include "SiteDirectory.h"
 #include "TargetReachability.h"
+#include "UsageCounter.h"
 
 #include "cicadalb/base/SoftwareRelease.h"
 #include "cicadalb/site/SiteProtocol.h"
@@ -51,6 +52,12 @@
     const SiteRoute* route = nullptr;
     PoolName pool;
     TimePoint deadline;
+    /// Organisation that the request belongs to; empty for a request without a key.
+    OrganisationName organisation;
+    /// Takes precedence over the priority of the route.
+    std::optional<unsigned> priority;
+    /// Whether the key under which the request came may still be relied on; asked directly before the request leaves this host. Empty: it needs none.
+    std::function<bool()> mayBeSent;
     /// Software that the target must run, if the request continues the answer of another target.
     std::optional<SoftwareRelease> requiredRelease;
     /// Hash that selects two preferred targets of the pool, so that their connections are reused.
@@ -67,7 +74,8 @@
 };
 
 /// @brief A request for the message of a caller, without pool and deadline. @p message, @p route and @p protocol must outlive it.
-ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol);
+/// @param organisation that the request belongs to, if it came with a key; the message no longer holds the key then
+ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol, const OrganisationName& organisation = {});
 
 /// @brief Bound to one event loop.
 class RequestForwarder {
@@ -76,11 +84,15 @@
     RequestForwarder(SiteDirectory&, const SiteProtocol&, TargetClients&, RequestPermits&, CrashGuard&, const Clock&, TargetReachability* reachability = nullptr);
 
     Task<ForwardOutcome> forward(ForwardRequest);
+    /// @brief Has the attempts of organisations' requests counted. @p usage must outlive this object
+    void setUsageCounter(UsageCounter& usage) { m_usage = &usage; }
 
 private:
     struct Progress;
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
+    /// Whether the request may leave this host, as far as its key is concerned.
+    bool isKeyReliable(const ForwardRequest&, Progress&) const;
     bool shouldRelay(const ForwardRequest&, const Progress&) const;
     /// Has the request forwarded by another host. @return whether an attempt from this host makes sense
     Task<bool> relay(const ForwardRequest&, Progress&);
@@ -96,6 +108,8 @@
     /// Finds out whether a target crashed while it ran the request. @return whether the request may be sent to another one
     Task<bool> examineLoss(const ForwardRequest&, Progress&, const RegisteredTarget&, bool hasTimedOut);
     Task<Attempt> exchange(const ForwardRequest&, const RegisteredTarget&, TimePoint deadline, Duration remaining);
+    /// Brings the count of an attempt into line with its result.
+    void settleUsage(UsageCounter::Mark, const ForwardRequest&, const Attempt&) const;
     void logAttempt(const ForwardRequest&, const RegisteredTarget&, const Attempt&, Duration latency) const;
     TimePoint attemptDeadline(const ForwardRequest&, const Progress&, TimePoint now) const;
 
@@ -106,6 +120,7 @@
     CrashGuard& m_crashGuard;
     const Clock& m_clock;
     TargetReachability* m_reachability;
+    UsageCounter* m_usage = nullptr;
 };
 
 /// @brief Chooses a pool of the route in proportion to the pools' weights. @param fraction uniform in [0, 1)
--- a/packages/hosting/src/RunHolder.cpp
+++ b/packages/hosting/src/RunHolder.cpp
@@ -160,6 +160,7 @@
     auto& cause = held->cause;
     SampleAttempt attempt;
     attempt.context.expectedTarget = target.id;
+    attempt.context.organisation = assignment.submission.organisation;
     attempt.context.remainingTime = std::chrono::duration_cast<milliseconds>(held->expiresAt - m_clock.now());
     attempt.priority = std::min(lowestPriority, assignment.priority);
     attempt.lastEventId = assignment.text.lastEventId;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -68,12 +68,14 @@
 SampleRunner::SampleRunner(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, RequestPermits& permits, CrashGuard& crashGuard, const Clock& clock, SampleRunnerSettings settings)
     : m_executor(std::move(executor))
     , m_store(store)
+    , m_protocol(protocol)
     , m_directory(directory)
     , m_permits(permits)
     , m_clock(clock)
     , m_settings(settings)
     , m_ownHolder(std::make_shared<RunHolder>(m_executor, protocol, directory, clients, permits, crashGuard, clock, settings.reachability, static_cast<RunObserver&>(*this)))
     , m_nextExpirySearchAt(clock.now() + expirySearchInterval)
+    , m_placementGate(settings.endTime)
 {
     m_scheduler.setRateLimits(&permits.limits());
 }
@@ -91,7 +93,12 @@
                 self->applyRecords(result.entries, isSnapshot);
         };
     };
-    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, RecordWatchSettings { std::string(submissionPrefix) }, RecordWatchHandler { apply(true), apply(false), {} });
+    RecordWatchSettings watch { std::string(submissionPrefix) };
+    if (const auto interval = std::chrono::duration_cast<milliseconds>(m_placementGate.recordInterval()); interval.count() > 0) {
+        watch.maximumWait = std::min(watch.maximumWait, interval);
+        watch.keepsCurrent = true;
+    }
+    m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_clock, std::move(watch), RecordWatchHandler { apply(true), apply(false), {} });
     asio::co_spawn(m_executor, takeOver(), asio::detached);
 }
 
@@ -148,6 +155,10 @@
             engines.push_back({ id, target.pool, target.slots, target.models, target.softwareVersion, target.startedAt });
     }
     m_scheduler.setEngines(engines);
+    for (const auto& [id, target] : m_directory.registry().targets()) {
+        if (target.isDraining && target.leavesWithin)
+            m_scheduler.setLeaving(id, m_clock.now() + *target.leavesWithin);
+    }
     if (const auto view = m_directory.view()) {
         for (const auto& [id, entry] : m_openSubmissions)
             m_scheduler.setPools(id, poolsOf(view->routes.find(entry->submission.authority, entry->submission.path)));
@@ -182,16 +193,25 @@
 
 void SampleRunner::applySubmissionRecord(const KeyValueEntry& entry)
 {
+    // Most records of a snapshot are of submissions that have ended; their items are not decoded.
+    const auto id = parseSubmissionKey(entry.key).id;
+    auto& known = m_storedSubmissions[id];
+    if (known.isEnded || m_openSubmissions.contains(id)) {
+        const auto submittedAt = decodeSubmissionTime(entry.value);
+        if (submittedAt)
+            known.submittedAt = submittedAt.value();
+        else
+            logIgnoredRecord(entry.key, entry.revision, submittedAt.error());
+        return;
+    }
     auto submission = decodeSubmission(entry.value);
     if (!submission) {
         logIgnoredRecord(entry.key, entry.revision, submission.error());
         return;
     }
-    auto& stored = m_storedSubmissions[submission.value().id];
-    stored.submittedAt = submission.value().submittedAt;
-    if (!stored.isEnded && !m_openSubmissions.contains(submission.value().id))
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
+    known.submittedAt = submission.value().submittedAt;
+    asio::co_spawn(
+        m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
 }
 
 /// Whether the configuration in force is at least as new as the one under which the submission was accepted: an older one may lack its
@@ -230,11 +250,15 @@
     entry->policy.expiresAt = submittedAt + entry->route->itemTimeToLive + clockSkewMargin;
     entry->policy.requiresSingleVersion = entry->route->requiresSingleVersion;
     entry->policy.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
-    entry->policy.priority = entry->route->priority;
+    const auto* organisation = entry->view->configuration.organisation(submission.organisation);
+    entry->policy.priority = organisation ? organisation->priority.value_or(entry->route->priority) : entry->route->priority;
+    entry->policy.firstEventWithin = entry->route->latencyObjective;
     entry->policy.pools = poolsOf(entry->route);
     auto items = std::move(submission.items);
     submission.items.clear();
     entry->header = submission;
+    for (auto& item : items)
+        item.prompt = m_protocol.prompt(item.fields);
     entry->submission = std::move(submission);
     entry->submission.items = std::move(items);
     entry->revision = revision;
@@ -286,13 +310,17 @@
     if (m_isPlacementScheduled || m_isStopped)
         return;
     m_isPlacementScheduled = true;
-    asio::post(m_executor, [self = shared_from_this()] {
-        self->m_isPlacementScheduled = false;
-        if (self->m_isStopped || self->m_clock.now() < self->m_placesFrom)
-            return;
-        for (const auto& placement : self->m_scheduler.place(self->m_clock.now()))
-            self->startRun(placement);
-    });
+    asio::post(m_executor, [self = shared_from_this(), requestedAt = m_clock.now()] { self->placeItems(requestedAt); });
+}
+
+void SampleRunner::placeItems(TimePoint requestedAt)
+{
+    m_isPlacementScheduled = false;
+    // During a pause, tick() requests the next placement.
+    if (m_isStopped || m_clock.now() < m_placesFrom || !updatePlacementPause(requestedAt))
+        return;
+    for (const auto& placement : m_scheduler.place(m_clock.now()))
+        startRun(placement);
 }
 
 void SampleRunner::tick()
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HolderTable.h"
+#include "PlacementGate.h"
 #include "ResultLog.h"
 #include "RunHolder.h"
 #include "SiteDirectory.h"
@@ -23,6 +24,8 @@
     std::chrono::milliseconds appendInterval { 400 };
     /// Interval at which incomplete texts are stored, so that the next coordinator can continue them.
     std::chrono::milliseconds partialTextsInterval { 1000 };
+    /// Longest time from the end of a submission to the last begin of one of its runs; 0: no limit. See PlacementGate.
+    std::chrono::milliseconds endTime { 0 };
     /// Whether this host reaches the targets, or null. Must outlive the runner.
     TargetReachability* reachability = nullptr;
     /// Identifies this runner as the owner of runs; 0: it runs all items itself.
@@ -57,6 +60,9 @@
 
     SampleScheduler& scheduler() noexcept { return m_scheduler; }
     std::size_t openSubmissions() const noexcept { return m_openSubmissions.size(); }
+    const PlacementGate& placementGate() const noexcept { return m_placementGate; }
+    /// @brief Whether waiting items are not placed, since this process is behind.
+    bool isPlacementPaused() const noexcept { return m_placementPausedSince.has_value(); }
     std::size_t holders() const noexcept { return m_holders.holderCount(); }
     std::size_t runsAtHolders() const noexcept { return m_holders.runCount(); }
 
@@ -97,6 +103,9 @@
         bool isEnded = false;
     };
 
+    void placeItems(TimePoint requestedAt);
+    /// Notes begin and end of a pause of placement. @return whether items may be placed now
+    bool updatePlacementPause(TimePoint requestedAt);
     void applyRecords(const std::vector<KeyValueEntry>&, bool isSnapshot);
     void applySubmissionRecord(const KeyValueEntry&);
     bool hasConfigurationFor(const Submission&) const;
@@ -147,6 +156,7 @@
 
     boost::asio::any_io_executor m_executor;
     TransactionalStore& m_store;
+    const SiteProtocol& m_protocol;
     SiteDirectory& m_directory;
     RequestPermits& m_permits;
     const Clock& m_clock;
@@ -170,6 +180,9 @@
     bool m_isStoringPartialTexts = false;
     bool m_isStopped = false;
     bool m_isPlacementScheduled = false;
+    PlacementGate m_placementGate;
+    std::optional<TimePoint> m_placementPausedSince;
+    bool m_isPlacementPauseLogged = false;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -9,6 +9,7 @@
 #include "RecordMirror.h"
 #include "RequestRelay.h"
 #include "SiteEndpoints.h"
+#include "UsageSender.h"
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
@@ -57,6 +58,8 @@
     /// Covers the probe of the targets; a lease is renewed between two questions.
     constexpr milliseconds reachabilityQueryTimeout = 2 * TargetReachability::probeTimeout + milliseconds(50);
     constexpr milliseconds retirementRetryDelay { 300 };
+    /// Longest time for which a host that stops sends the usage counts that the coordinator does not have yet.
+    constexpr milliseconds usageFlushTimeout { 600 };
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
 
@@ -139,6 +142,19 @@
         };
     }
 
+    UsageReportingSettings usageSettings(const SiteSettings& settings)
+    {
+        return { { settings.work.usageWindow }, settings.work.usageReportTime };
+    }
+
+    /// The candidates for coordination that usage counts may be sent to: the other ones and, if it is one, this process.
+    UsageDeliverySettings deliverySettings(const SiteSettings& settings, std::uint64_t seed)
+    {
+        const auto others = otherCandidates(settings).size();
+        const auto candidates = settings.parts.coordinating ? others + 1 : others;
+        return { settings.host.id, seed, candidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
+    }
+
     /// Asks the candidates whether they reach the targets. @return false if a candidate does not reply
     std::function<Task<bool>(std::size_t)> makeReachabilityQuery(const asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
     {
@@ -170,10 +186,17 @@
         coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
         coordination.isFirstStart = settings.host.isFirstStart;
         coordination.samples.resultRetention = settings.work.resultRetention;
+        coordination.samples.endTime = settings.work.endTime;
         coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
+        if (settings.parts.hasDuty(Duty::Autoscaling))
+            coordination.capacityPlatform = Endpoint { settings.addresses.duties.address, settings.addresses.duties.port };
         coordination.givesRunsToHosts = settings.parts.holdsRuns;
         coordination.address = settings.addresses.mirrorListen;
         coordination.seed = seed;
+        if (settings.parts.hasDuty(Duty::Metering)) {
+            coordination.usage = usageSettings(settings);
+            coordination.duties = { settings.addresses.duties.address, settings.addresses.duties.port };
+        }
         coordination.mirrors = &mirrors;
         coordination.samples.reachability = &reachability;
         coordination.reachesTargets = makeReachabilityQuery(executor, otherCandidates(settings));
@@ -198,12 +221,14 @@
         , m_crashGuard(std::make_shared<CrashGuard>(m_executor, *m_store, m_settings.host.id))
         , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
+        , m_usageCounter(usageSettings(m_settings).windows, [] { return std::chrono::system_clock::now(); })
+        , m_usageSender(std::make_shared<UsageSender>(m_executor, m_usageCounter, makeHttpUsageExchange(m_executor, otherCandidates(m_settings), [this](const auto& message) { return collectUsage(message); }), m_clock, deliverySettings(m_settings, m_seed)))
         , m_relay(makeRelay(m_executor, m_settings, m_clock))
-        , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability)
+        , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability, KeyValidity(m_settings.work.keyValidity))
         , m_intake(*m_store)
         , m_reader(m_executor, *m_store, m_clock)
         , m_streamOrigins(std::make_shared<StreamOrigins>(m_executor, *m_store, m_bootClock))
-        , m_endpoints({ m_settings.host.id, m_seed }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
+        , m_endpoints({ m_settings.host.id, m_seed, KeyValidity(m_settings.work.keyValidity) }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
@@ -258,6 +283,7 @@
         bool isDrained = finishRelayedRequests();
         if (m_callerListener)
             isDrained = drain() && isDrained;
+        asio::co_spawn(m_executor, m_usageSender->flush(usageFlushTimeout), asio::use_future).wait_for(usageFlushTimeout + drainPollInterval);
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
     }
@@ -265,6 +291,8 @@
 private:
     void startWork()
     {
+        m_usageCounter.setChangeHandler([this] { m_usageSender->tick(); });
+        m_forwarder.setUsageCounter(m_usageCounter);
         m_directory.setChangeHandler([this] {
             if (m_coordination)
                 m_coordination->onSiteChanged();
@@ -371,6 +399,7 @@
         while (true) {
             co_await pause(m_executor, tickInterval);
             m_directory.tick();
+            m_usageSender->tick();
             if (m_clock.now() < nextEvictionAt)
                 continue;
             nextEvictionAt = m_clock.now() + evictionInterval;
@@ -410,7 +439,7 @@
     /// Answers requests of other hosts.
     Task<void> serveHosts(ServerRequest& request, ServerResponder& responder)
     {
-        if (request.path == relayPath) {
+        if (request.path == relayPath || request.path == organisationRelayPath) {
             co_await m_relayEndpoint.serve(request, responder);
             co_return;
         }
@@ -422,6 +451,10 @@
             co_await responder.send(std::move(answer));
             co_return;
         }
+        if (request.path == usagePath) {
+            co_await serveUsage(request, responder);
+            co_return;
+        }
         if (request.path == runPath) {
             co_await serveHolder(request, responder);
             co_return;
@@ -451,6 +484,22 @@
         co_await responder.send(std::move(response));
     }
 
+    UsageReply collectUsage(const UsageMessage& message)
+    {
+        auto reply = m_coordination ? m_coordination->collectUsage(message) : UsageReply {};
+        reply.isReporting = m_settings.parts.hasDuty(Duty::Metering);
+        return reply;
+    }
+
+    Task<void> serveUsage(ServerRequest& request, ServerResponder& responder)
+    {
+        const auto message = decodeUsageMessage(request.body);
+        HttpResponse response;
+        response.status = message ? 200 : 400;
+        response.body = message ? encodeUsageReply(collectUsage(message.value())) : message.error().message;
+        co_await responder.send(std::move(response));
+    }
+
     Task<void> serveAdmin(ServerRequest& request, ServerResponder& responder)
     {
         HttpResponse response;
@@ -490,7 +539,19 @@
         m_metrics.setGauge("cicadalb_runs_held", "Runs of samples that this host holds for the coordinator", m_holderLink ? static_cast<double>(m_holderLink->heldRuns()) : 0);
         m_metrics.setGauge("cicadalb_run_holders", "Hosts that hold runs for this coordinator", m_coordination ? static_cast<double>(m_coordination->runHolders()) : 0);
         m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
+        m_metrics.setGauge("cicadalb_prompt_waits", "Times that a sample waited although an engine had a free slot, because of the prompts that it reads", m_coordination ? static_cast<double>(m_coordination->prefillWaits()) : 0);
         m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
+        m_metrics.setGauge("cicadalb_placement_paused", "1 if the coordinator places no samples because it is behind", m_coordination && m_coordination->isPlacementPaused() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_coordinator_loop_delay_seconds", "Time that the coordinator's event loop last took to get to an action that was ready", m_coordination ? std::chrono::duration<double>(m_coordination->loopDelay()).count() : 0);
+        const auto* usage = m_coordination ? m_coordination->usageReports() : nullptr;
+        m_metrics.setGauge("cicadalb_usage_windows_reported", "Usage reports accepted since this host began to coordinate", usage ? static_cast<double>(usage->totals().accepted) : 0);
+        m_metrics.setGauge("cicadalb_usage_windows_late", "Usage reports accepted after they were due", usage ? static_cast<double>(usage->totals().late) : 0);
+        m_metrics.setGauge("cicadalb_usage_windows_unsent", "Usage reports that are fixed and not accepted yet", usage ? static_cast<double>(usage->unsentReports()) : 0);
+        m_metrics.setGauge("cicadalb_usage_counts_unsent", "1 if the coordinator does not have all counts of this host", m_usageSender->isDelivered() ? 0 : 1);
+        const auto capacity = m_coordination ? m_coordination->capacity() : CapacitySummary {};
+        m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
+        m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
+        m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
         return m_metrics.text();
     }
 
@@ -506,11 +567,17 @@
         nlohmann::json requestLimits = nlohmann::json::object();
         for (const auto& [id, requestsPerSecond] : m_permits.limits().all())
             requestLimits[id.value()] = requestsPerSecond;
+        nlohmann::json organisations = nlohmann::json::object();
+        if (view) {
+            for (const auto& organisation : view->configuration.organisations)
+                organisations[organisation.name.value()] = { { "keys", organisation.keyDigests.size() } };
+        }
         return {
             { "host", m_settings.host.id.value() },
             { "ready", m_endpoints.isReady() },
             { "configuration", view ? view->configuration.version : 0 },
             { "registry-revision", m_directory.registryRevision() },
+            { "organisations", organisations },
             { "targets", targets },
             { "cut-off", m_reachability->isCutOff() },
             { "request-limits", requestLimits },
@@ -536,6 +603,8 @@
     std::shared_ptr<CrashGuard> m_crashGuard;
     std::shared_ptr<TargetReachability> m_reachability;
     RequestForwarder m_forwarder;
+    UsageCounter m_usageCounter;
+    std::shared_ptr<UsageSender> m_usageSender;
     RequestRelay m_relay;
     RelayEndpoint m_relayEndpoint;
     SubmissionIntake m_intake;
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -16,6 +16,7 @@
     submission.path = "/drafts/";
     submission.submittedAt = UnixTime(1781007254016);
     submission.acceptedUnder = 31;
+    submission.organisation = OrganisationName("north");
     submission.step = 7;
     submission.model = ModelName("draft");
     submission.oldestVersion = 6;
@@ -46,6 +47,7 @@
     CHECK(copy.submittedAt == source.submittedAt);
     CHECK(copy.oldestVersion == 6);
     CHECK(copy.acceptedUnder == 31);
+    CHECK(copy.organisation == source.organisation);
     REQUIRE(copy.items.size() == 2);
     CHECK(copy.items[0].body == source.items[0].body);
     CHECK(copy.items[0].fields == source.items[0].fields);
@@ -62,6 +64,20 @@
     CHECK(decodeResults("\xff\xff").error().code == ErrorCode::RecordInvalid);
 }
 
+TEST_CASE("submission record, only its time is read, states the time without decoding the items")
+{
+    auto submission = exampleSubmission();
+    submission.submittedAt = UnixTime(1796421600123);
+    const auto record = encodeSubmission(submission);
+    CHECK(decodeSubmissionTime(record).value() == UnixTime(1796421600123));
+    CHECK(decodeSubmissionTime(record.substr(0, record.size() - 1)).value() == UnixTime(1796421600123));
+    CHECK(decodeSubmissionTime("").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime("{\"items\":[]}").error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(toCbor({ "id", "authority", "path" })).error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(toCbor({ "id", "authority", "path", "late" })).error().code == ErrorCode::RecordInvalid);
+    CHECK(decodeSubmissionTime(record.substr(0, 10)).error().code == ErrorCode::RecordInvalid);
+}
+
 TEST_CASE("results record decodes to the encoded results, with and without text, in order")
 {
     std::vector<SampleResult> results(2);
@@ -112,6 +128,8 @@
     CHECK(resultSegmentKey(id, 9) < resultSegmentKey(id, 10));
     CHECK(itemCountKey(id) < resultSegmentKey(id, 0));
     CHECK(lastResultSegmentKey(id, 0) == itemCountKey(id));
+    CHECK(itemCountKey(id) < organisationKey(id));
+    CHECK(organisationKey(id) < resultSegmentKey(id, 0));
     CHECK(decodeItemCount(encodeItemCount(64)).value() == 64);
     CHECK(lastResultSegmentKey(id, 3) == resultSegmentKey(id, 2));
 }
