--- a/benchmarks/TrainerSimulation.h
+++ b/benchmarks/TrainerSimulation.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -31,6 +32,14 @@
     double slowestToFastest = 2.5;
     /// Whether all engines generate at a third of their speed for a quarter of the time.
     bool hasSlowPeriod = false;
+    /// Spread of the lengths of texts on a log scale, and the time that the longest need on the fastest engine with all slots in use, or zero.
+    double lengthSpread = 0.4;
+    double longestText = 0;
+    /// Share of the engines that turn slow together for slowEnginesFor, other ones each time, and the multiple of their time per event.
+    double slowEnginesShare = 0;
+    double slowEnginesFactor = 3;
+    std::chrono::seconds slowEnginesFor { 8 };
+    std::chrono::seconds slowEnginesInterval { 20 };
     /// Length of the texts of the second half, as a multiple of that of the first.
     double secondHalfLength = 1;
     /// Called every half second; may change the engines.
@@ -50,6 +59,8 @@
     double longestStep = 0;
     /// Share of the generated events that are in no whole group.
     double inVain = 0;
+    /// Runs that the scheduler cut to move their items.
+    std::size_t cutRuns = 0;
 };
 
 class TrainerSimulation {
@@ -65,11 +76,12 @@
             const auto position = static_cast<double>(i) / static_cast<double>(m_scenario.engines - 1);
             const auto secondsPerEvent = fastestSecondsPerEvent * std::pow(m_scenario.slowestToFastest, position);
             const TargetId id("engine-" + std::to_string(i));
-            m_engines[id] = { secondsPerEvent, 0 };
+            m_engines[id] = { secondsPerEvent };
             capacity += m_scenario.slots / secondsPerEvent;
             engines.push_back(engineNamed(id));
         }
         m_scheduler.setEngines(engines);
+        m_lengthFactor = boost::random::lognormal_distribution<double>(-m_scenario.lengthSpread * m_scenario.lengthSpread / 2, m_scenario.lengthSpread);
         double itemsPerSecond = 0;
         for (const auto& shape : shapes)
             itemsPerSecond += static_cast<double>(shape.groups * shape.itemsInGroup) / interval.count();
@@ -83,7 +95,7 @@
     SampleScheduler& scheduler() { return m_scheduler; }
 
     /// @brief Adds an engine with its time per event as a multiple of the fastest's.
-    void addEngine(const TargetId& id, double relativeTime) { m_engines[id] = { fastestSecondsPerEvent * relativeTime, 0 }; }
+    void addEngine(const TargetId& id, double relativeTime) { m_engines[id] = { fastestSecondsPerEvent * relativeTime }; }
 
     /// @brief Sets the engines that may get new runs; others finish theirs.
     void setUsable(const std::vector<TargetId>& ids)
@@ -128,6 +140,7 @@
             m_clock.advance(tickTime);
             const auto elapsed = m_clock.now() - start;
             const bool isSlow = m_scenario.hasSlowPeriod && elapsed > m_scenario.duration / 4 && elapsed < m_scenario.duration / 2;
+            slowSomeEngines(elapsed);
             generate(isSlow ? 1.0 / 3 : 1.0);
         }
         return summarize();
@@ -155,7 +168,6 @@
     static constexpr double fastestSecondsPerEvent = 0.02;
     /// Time per event with one run, as a share of that with all slots in use.
     static constexpr double unloadedShare = 0.4;
-    static constexpr double lengthSpread = 0.4;
     static constexpr double hintSpread = 0.5;
     static constexpr double tokensPerEvent = 54;
     static constexpr std::chrono::milliseconds tickTime { 10 };
@@ -165,6 +177,7 @@
     struct Engine {
         double secondsPerEvent = 0;
         unsigned running = 0;
+        double slowness = 1;
     };
 
     struct Run {
@@ -192,6 +205,20 @@
         std::size_t late = 0;
     };
 
+    void slowSomeEngines(Duration elapsed)
+    {
+        if (m_scenario.slowEnginesShare <= 0)
+            return;
+        const auto period = elapsed / m_scenario.slowEnginesInterval;
+        const bool isSlow = period > 0 && elapsed % m_scenario.slowEnginesInterval < m_scenario.slowEnginesFor;
+        const auto count = static_cast<std::size_t>(std::ceil(m_scenario.slowEnginesShare * static_cast<double>(m_engines.size())));
+        std::size_t position = 0;
+        for (auto& [id, engine] : m_engines) {
+            const auto turn = (position++ + static_cast<std::size_t>(period) * count) % m_engines.size();
+            engine.slowness = isSlow && turn < count ? m_scenario.slowEnginesFactor : 1;
+        }
+    }
+
     SchedulableEngine engineNamed(const TargetId& id) const
     {
         SchedulableEngine engine { id, PoolName("engines"), m_scenario.slots, {}, SoftwareVersion("r1"), 1 };
@@ -236,7 +263,8 @@
         step.openItems.assign(shape.groups, shape.itemsInGroup);
         for (std::size_t i = 0; i < shape.groups * shape.itemsInGroup; ++i) {
             const auto factor = now >= m_startedAt + m_scenario.duration / 2 ? m_scenario.secondHalfLength : 1.0;
-            const auto length = std::max(1.0, factor * m_meanEvents * m_lengthFactor(m_random));
+            const auto longest = m_scenario.longestText > 0 ? m_scenario.longestText / fastestSecondsPerEvent : std::numeric_limits<double>::infinity();
+            const auto length = std::clamp(factor * m_meanEvents * m_lengthFactor(m_random), 1.0, longest);
             step.lengths.push_back(static_cast<std::size_t>(length));
             SampleItem item;
             item.id = ItemId(submission.id.value() + "-" + std::to_string(i));
@@ -278,6 +306,7 @@
     void moveItems()
     {
         for (const auto& key : m_scheduler.itemsToMove(m_clock.now())) {
+            ++m_result.cutRuns;
             endRun(key);
             m_scheduler.onRunEnd(key, RunOutcome::Cancelled, m_clock.now());
         }
@@ -305,7 +334,7 @@
         for (auto& [key, run] : m_runs) {
             const auto& engine = m_engines.at(run.engine);
             const auto load = unloadedShare + (1 - unloadedShare) * engine.running / m_scenario.slots;
-            run.progress += speed * Seconds(tickTime).count() / (engine.secondsPerEvent * load);
+            run.progress += speed * Seconds(tickTime).count() / (engine.secondsPerEvent * engine.slowness * load);
             auto& step = stepOf(key.submission);
             for (; run.progress >= 1 && run.events < step.lengths[key.index]; run.progress -= 1) {
                 m_scheduler.onEvent(key, ++run.events, "e", 1, m_clock.now());
@@ -360,7 +389,7 @@
     TimePoint m_startedAt;
     SampleScheduler m_scheduler;
     /// With the median 1.
-    boost::random::lognormal_distribution<double> m_lengthFactor { -lengthSpread * lengthSpread / 2, lengthSpread };
+    boost::random::lognormal_distribution<double> m_lengthFactor;
     boost::random::lognormal_distribution<double> m_hintFactor { 0, hintSpread };
     double m_meanEvents = 0;
     std::map<TargetId, Engine> m_engines;
--- a/benchmarks/bench_trainers.cpp
+++ b/benchmarks/bench_trainers.cpp
@@ -30,8 +30,10 @@
         mean.inVain += result.inVain / seeds;
         mean.longestStep = std::max(mean.longestStep, result.longestStep);
         mean.steps += result.steps;
+        mean.cutRuns += result.cutRuns;
     }
     mean.steps /= seeds;
+    mean.cutRuns /= seeds;
     return mean;
 }
 
@@ -45,6 +47,7 @@
     row("most-in-time", result.mostInTime, "share");
     row("steps", static_cast<double>(result.steps), "steps");
     row("longest-step", result.longestStep, "s");
+    row("cut-runs", static_cast<double>(result.cutRuns), "runs");
     row("in-vain", result.inVain, "share");
 }
 
@@ -54,16 +57,26 @@
 {
     unsigned seeds = 5;
     bool hasSlowPeriod = false;
+    double slowEngines = 0;
     CLI::App app("Trainers that ask for less and for more than the engines can generate");
     app.add_option("--seeds", seeds, "Simulations for each row");
     app.add_flag("--slow-period", hasSlowPeriod, "Engines generate at a third of their speed for a quarter of the time");
+    app.add_option("--slow-engines", slowEngines, "Share of the engines that turn three times slower for 8 s of every 20");
+    bool hasLongTexts = false;
+    app.add_flag("--long-texts", hasLongTexts, "35 engines, and texts of which the longest need 5.6 of the 7.5 s in which steps are due");
     CLI11_PARSE(app, argc, argv);
-    for (const double load : { 0.7, 1.0, 1.3, 1.7, 2.5 }) {
+    for (const double load : { 0.7, 0.9, 1.0, 1.3, 1.7, 2.5 }) {
         for (const auto order : { GroupOrder::DueTime, GroupOrder::InTimeFirst }) {
             TrainerScenario scenario;
             scenario.load = load;
             scenario.order = order;
             scenario.hasSlowPeriod = hasSlowPeriod;
+            if (hasLongTexts) {
+                scenario.engines = 35;
+                scenario.lengthSpread = 0.9;
+                scenario.longestText = 5.6;
+            }
+            scenario.slowEnginesShare = slowEngines;
             std::ostringstream prefix;
             prefix << "load-" << load << "." << name(order);
             print(prefix.str(), meanOf(scenario, seeds));
