Not to land yet: engines' pace of the last quarter second, moves that pay, loads shared among models

Change: EnginePace; a run moves only if its group is whole earlier by a margin; a long text waits rather than run on an engine slow now; a model whose step exceeds half its slots loads on other models' engines up to its equal share of free loads.

--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -125,6 +125,7 @@
         engine.startedAt = target.startedAt;
         engine.endpoint = target.endpoint;
         engine.pool = target.pool;
+        engine.slots = std::max(1U, target.slots);
         updateVersions(id, target.models);
     }
     std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && !entry.second.isLoading; });
@@ -143,7 +144,8 @@
     for (const auto& [id, engine] : m_engines) {
         if (engine.pool != pool || (!engine.isLoading && engine.backoffUntil > m_clock.now()))
             continue;
-        LoadableEngine loadableEngine { id, engine.versions, engine.isLoading, engine.assignedModel, std::chrono::duration<double>(m_scheduler.timePerEvent(id)).count() };
+        LoadableEngine loadableEngine { id, engine.versions, engine.isLoading, engine.loadingModel, engine.assignedModel, std::chrono::duration<double>(m_scheduler.timePerEvent(id)).count() };
+        loadableEngine.slots = engine.slots;
         loadableEngine.running = m_scheduler.runningCountOn(id, engine.assignedModel);
         engines.push_back(std::move(loadableEngine));
     }
@@ -186,10 +188,11 @@
         for (const auto& name : pool.models) {
             const ModelName model(name);
             if (const auto named = m_newestVersions.find(model); named != m_newestVersions.end())
-                requirements.push_back({ model, named->second, m_scheduler.oldestAllowedVersion(model).value_or(0), m_scheduler.waitingCount(model) });
+                requirements.push_back({ model, named->second, m_scheduler.oldestAllowedVersion(model).value_or(0), m_scheduler.waitingCount(model), m_scheduler.largestStep(model) });
         }
         for (auto& decision : planLoads(loadableEngines(pool.name), requirements, m_settings.plan)) {
             m_engines[decision.engine].isLoading = true;
+            m_engines[decision.engine].loadingModel = decision.model;
             asio::co_spawn(m_executor, load(std::move(decision)), asio::detached);
         }
     }
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -63,6 +63,8 @@
         /// Model that the engine serves first.
         ModelName assignedModel;
         bool isLoading = false;
+        ModelName loadingModel;
+        unsigned slots = 1;
         /// End of the backoff after a failed load, during which other engines are loaded first.
         TimePoint backoffUntil;
     };
--- a/packages/submissions/include/cicadalb/submissions/LoadPlan.h
+++ b/packages/submissions/include/cicadalb/submissions/LoadPlan.h
@@ -16,12 +16,16 @@
     /// Loaded weight version of each model.
     std::map<ModelName, WeightVersion> versions;
     bool isLoading = false;
-    /// Model that the engine is assigned to; it loads new versions of this model only.
+    /// Model that it loads, if it is loading.
+    ModelName loadingModel;
+    /// Model that the engine is assigned to; it loads new versions of this model first.
     ModelName assignedModel;
     /// Seconds per event.
     double secondsPerEvent = 0;
     /// Number of runs of the assigned model.
     std::size_t running = 0;
+    /// Samples that it runs at the same time.
+    std::size_t slots = 1;
 };
 
 /// @brief A load to start on an engine.
@@ -55,11 +59,15 @@
     WeightVersion oldestAllowedVersion = 0;
     /// Number of samples that wait for an engine.
     std::size_t waiting = 0;
+    /// Samples of the largest recent submission.
+    std::size_t largestStep = 0;
 };
 
 /// @brief Chooses the loads to start now. Engines whose weights are too old for the next submission come first, fast ones before slow ones.
 /// Other engines load the newest version only while no sample of the model waits, and only until half of the model's engines have it or are
-/// loading it: the rest keep serving and load at the next version change.
+/// loading it: the rest keep serving and load at the next version change. A model whose largest step exceeds half the slots of its engines, which serve
+/// while the others load, also uses engines of other models that hold too old weights of it: see docs/design/uneven-engines.md. It does so only while
+/// a version is on no more engines than its model's equal share, since further loads are priced.
 std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>&, const std::vector<ModelRequirement>&, const LoadPlanSettings&);
 
 } // namespace cicadalb
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -2,6 +2,7 @@
 
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/routing/TargetRateLimits.h"
+#include "cicadalb/submissions/EnginePace.h"
 #include "cicadalb/submissions/PartialText.h"
 #include "cicadalb/submissions/PrefillLoad.h"
 #include "cicadalb/submissions/Submission.h"
@@ -160,6 +161,12 @@
     /// @brief Number of waiting items.
     std::size_t waitingCount() const;
     std::size_t waitingCount(const ModelName&) const;
+    /// @brief Samples of the largest recent submission of a model.
+    std::size_t largestStep(const ModelName&) const;
+    /// @brief Engines that generate far more slowly now than they usually do.
+    std::size_t slowEngineCount() const;
+    /// @brief Number of times that a long text waited although an engine had a free slot, because that engine is slow now.
+    std::uint64_t slowEngineWaits() const noexcept { return m_slowEngineWaits; }
     /// @brief Expected events per submission of each model, as a moving average.
     const std::map<ModelName, double>& demand() const noexcept { return m_demand; }
     /// @brief Whether the time per event of an engine was measured.
@@ -239,8 +246,7 @@
         /// Model that the engine is assigned to, or empty.
         ModelName assignedModel;
         TimePoint pausedUntil;
-        /// 0 if not measured.
-        double measuredSecondsPerEvent = 0;
+        EnginePace pace;
         PrefillLoad prefill;
     };
 
@@ -273,8 +279,16 @@
         /// Whether an engine was passed over because of the prompts that it reads.
         bool hasPassedOver = false;
     };
+    /// The time that a run may lose at an engine that is slow now.
+    struct Slowness {
+        double events = 0;
+        double acceptedLoss = 0;
+        TimePoint now;
+        /// Whether an engine was passed over because it is slow.
+        bool hasPassedOver = false;
+    };
     /// @param reading null if the prompt does not matter
-    const EngineEntry* bestEngine(const OpenSubmission&, const PartialText&, TextUse, const std::vector<const EngineEntry*>& engines, Reading* reading = nullptr) const;
+    const EngineEntry* bestEngine(const OpenSubmission&, const PartialText&, TextUse, const std::vector<const EngineEntry*>& engines, Reading* reading = nullptr, Slowness* = nullptr) const;
     /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
     const EngineEntry* chooseEngine(const OpenSubmission&, Item&, const std::vector<const EngineEntry*>& engines, TimePoint now);
     bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
@@ -282,7 +296,12 @@
     /// Whether the engine of an item's run has restarted with other software since the run was placed, so that the run's events may come from either.
     bool isRunReleaseUncertain(const Item&) const;
     void dropUncertainText(Item&) const;
-    double secondsPerEvent(const Engine&) const;
+    static double secondsPerEvent(const Engine&);
+    /// Time that a run needs for some events.
+    static double secondsFor(const Engine&, double events, TimePoint now);
+    void updatePaces(TimePoint now);
+    static double secondsToBeginAgain(const Engine&, const Item&);
+    double latestFinish(const OpenSubmission&, const Item&, TimePoint now) const;
     static Prompt promptToRead(const Item&);
     void updatePrefillBound();
     /// Whether prompts matter: a first event is wanted within some time, and the reading speed of an engine is known.
@@ -300,6 +319,9 @@
     bool m_isReadingSpeedKnown = false;
     std::uint64_t m_lastRun = 0;
     std::uint64_t m_prefillWaits = 0;
+    std::uint64_t m_slowEngineWaits = 0;
+    TimePoint m_pacesUpdatedAt;
+    std::map<ModelName, double> m_largestSteps;
     GroupOrder m_groupOrder;
     /// When the groups that can be whole in time were determined, for how long that is good, and whether a submission was added since.
     TimePoint m_plannedAt;
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 
 namespace cicadalb {
@@ -76,14 +77,21 @@
         bool isRequired = false;
         bool isSlow = false;
         std::size_t running = 0;
+        /// Whether the engine is assigned to another model.
+        bool isShared = false;
 
-        auto sortKey() const { return std::tuple(!isRequired, isSlow, running); }
+        auto sortKey() const { return std::tuple(isShared, !isRequired, isSlow, running); }
     };
 
+    WeightVersion oldestUsefulVersion(const ModelRequirement& requirement, const LoadPlanSettings& settings)
+    {
+        return std::max(requirement.oldestAllowedVersion, requirement.newestVersion > settings.allowedVersionLag ? requirement.newestVersion - settings.allowedVersionLag : 0);
+    }
+
     /// Loads to consider for one model's engines.
     std::vector<LoadCandidate> loadCandidates(const ModelRequirement& requirement, const std::vector<const LoadableEngine*>& assigned, const LoadPlanSettings& settings)
     {
-        const auto oldestUseful = std::max(requirement.oldestAllowedVersion, requirement.newestVersion > settings.allowedVersionLag ? requirement.newestVersion - settings.allowedVersionLag : 0);
+        const auto oldestUseful = oldestUsefulVersion(requirement, settings);
         auto lowestSecondsPerEvent = std::numeric_limits<double>::infinity();
         for (const auto* engine : assigned)
             lowestSecondsPerEvent = std::min(lowestSecondsPerEvent, engine->secondsPerEvent);
@@ -111,6 +119,47 @@
         return selected;
     }
 
+    /// Loads of one model to consider on engines of other models, the best first.
+    std::vector<LoadCandidate> sharedCandidates(const ModelRequirement& requirement, const std::vector<ModelRequirement>& all, const std::vector<LoadableEngine>& engines, std::size_t ownLoads, const LoadPlanSettings& settings)
+    {
+        const auto share = engines.size() / std::max<std::size_t>(1, all.size());
+        std::size_t ownSlots = 0;
+        std::size_t holders = ownLoads;
+        for (const auto& engine : engines) {
+            ownSlots += engine.assignedModel == requirement.model ? engine.slots : 0;
+            const bool isLoadingIt = engine.isLoading && engine.loadingModel == requirement.model;
+            holders += isLoadingIt || versionOf(engine, requirement.model) >= requirement.newestVersion ? 1 : 0;
+        }
+        if (requirement.largestStep * 2 <= ownSlots || holders >= share)
+            return {};
+        using Preference = std::tuple<std::size_t, double, const LoadableEngine*>;
+        std::vector<Preference> preferences;
+        for (const auto& engine : engines) {
+            if (engine.isLoading || engine.assignedModel == requirement.model || versionOf(engine, requirement.model) >= oldestUsefulVersion(requirement, settings))
+                continue;
+            // Engines whose own model has to be loaded next are left to it.
+            std::size_t usefulModels = 0;
+            bool isDue = false;
+            for (const auto& other : all) {
+                const bool isUseful = versionOf(engine, other.model) >= oldestUsefulVersion(other, settings);
+                usefulModels += isUseful ? 1 : 0;
+                isDue = isDue || (other.model == engine.assignedModel && !isUseful);
+            }
+            if (!isDue)
+                preferences.emplace_back(usefulModels, engine.secondsPerEvent, &engine);
+        }
+        std::stable_sort(preferences.begin(), preferences.end(), [](const auto& left, const auto& right) {
+            return std::tie(std::get<0>(left), std::get<1>(left)) < std::tie(std::get<0>(right), std::get<1>(right));
+        });
+        std::vector<LoadCandidate> candidates;
+        for (const auto& [usefulModels, seconds, engine] : preferences) {
+            if (holders + candidates.size() >= share)
+                break;
+            candidates.push_back({ { engine->id, requirement.model, requirement.newestVersion }, true, false, engine->running, true });
+        }
+        return candidates;
+    }
+
 } // namespace
 
 std::map<TargetId, ModelName> assignModels(std::vector<LoadableEngine> engines, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand)
@@ -147,13 +196,17 @@
         }
         const auto modelCandidates = loadCandidates(requirement, assigned, settings);
         candidates.insert(candidates.end(), modelCandidates.begin(), modelCandidates.end());
+        const auto shared = sharedCandidates(requirement, requirements, engines, modelCandidates.size(), settings);
+        candidates.insert(candidates.end(), shared.begin(), shared.end());
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.sortKey() < right.sortKey(); });
     std::vector<LoadDecision> decisions;
+    std::set<TargetId> chosen;
     for (const auto& candidate : candidates) {
         if (loading + decisions.size() >= concurrentLoadLimit(settings, engines.size()))
             break;
-        decisions.push_back(candidate.decision);
+        if (chosen.insert(candidate.decision.engine).second)
+            decisions.push_back(candidate.decision);
     }
     return decisions;
 }
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -12,10 +12,10 @@
     using Seconds = std::chrono::duration<double>;
 
     /// Moving-average weight of the newest event in an engine's time per event; the average covers some 25 events, which is a quarter of a
-    /// second of a busy engine.
-    constexpr double timePerEventWeight = 0.04;
     /// Moving-average weight of the newest submission in a model's demand.
     constexpr double demandWeight = 0.3;
+    /// Engines are compared with each other this often.
+    constexpr std::chrono::milliseconds paceInterval { 50 };
     /// Expected events of an item without a length hint.
     constexpr double defaultExpectedEvents = 20;
     /// Converts length hints from output tokens to events. Only the order and rough size of estimates depend on it.
@@ -138,6 +138,9 @@
         events += item.expectedEvents;
     auto& demand = m_demand[opened.model];
     demand = demand > 0 ? demand + demandWeight * (events - demand) : events;
+    const auto items = static_cast<double>(opened.items.size());
+    auto& largestStep = m_largestSteps[opened.model];
+    largestStep = std::max(items, largestStep + demandWeight * (items - largestStep));
     m_submissions.emplace(submission.id, std::move(opened));
     m_hasUnplannedSubmission = true;
     updatePrefillBound();
@@ -215,9 +218,32 @@
     return stopped;
 }
 
-double SampleScheduler::secondsPerEvent(const Engine& engine) const
+double SampleScheduler::secondsPerEvent(const Engine& engine)
 {
-    return engine.measuredSecondsPerEvent > 0 ? engine.measuredSecondsPerEvent : Seconds(assumedTimePerEvent).count();
+    return engine.pace.isMeasured() ? engine.pace.secondsPerEvent() : Seconds(assumedTimePerEvent).count();
+}
+
+double SampleScheduler::secondsFor(const Engine& engine, double events, TimePoint now)
+{
+    return engine.pace.isMeasured() ? engine.pace.secondsFor(events, now) : events * Seconds(assumedTimePerEvent).count();
+}
+
+void SampleScheduler::updatePaces(TimePoint now)
+{
+    if (now < m_pacesUpdatedAt + paceInterval)
+        return;
+    m_pacesUpdatedAt = now;
+    std::vector<double> ratios;
+    for (const auto& [id, engine] : m_engines) {
+        if (engine.pace.isMeasured())
+            ratios.push_back(engine.pace.ratio());
+    }
+    if (ratios.empty())
+        return;
+    const auto middle = ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    for (auto& [id, engine] : m_engines)
+        engine.pace.update(*middle, engine.running, now);
 }
 
 void SampleScheduler::onEvent(const ItemKey& key, std::uint64_t eventId, std::string_view data, WeightVersion version, TimePoint now)
@@ -272,9 +298,7 @@
     // The time to the first event includes the wait for a slot and the processing of the prompt.
     if (found == m_engines.end() || item.text.eventCount <= item.eventsAtStart)
         return;
-    auto& average = found->second.measuredSecondsPerEvent;
-    const auto elapsed = Seconds(now - item.lastEventAt).count();
-    average = average > 0 ? average + timePerEventWeight * (elapsed - average) : elapsed;
+    found->second.pace.onEvent(Seconds(now - item.lastEventAt).count(), found->second.running, now);
 }
 
 /// Drops text that was generated with weights that the submission does not allow.
--- a/packages/submissions/src/SampleSchedulerPlacement.cpp
+++ b/packages/submissions/src/SampleSchedulerPlacement.cpp
@@ -25,6 +25,14 @@
     constexpr double minimumSpeedup = 1.6;
     /// A run that is not stalled is moved only if it has run for this long and is expected to take this much longer.
     constexpr Seconds minimumElapsedAndRemaining { 0.4 };
+    /// Time from cutting a run to the next event of its text elsewhere, besides reading the prompt.
+    constexpr double restartSeconds = 0.15;
+    /// A move that makes a group whole earlier by less than this does not pay ...
+    constexpr double minimumGainSeconds = 0.25;
+    /// ... nor one that gains less than this part of the time that the group has left anyway.
+    constexpr double slackShare = 0.25;
+    /// A text waits for another engine if a slow one would cost it more time than this, for as long as it would cost.
+    constexpr double minimumLostSeconds = 0.6;
     /// Time before an engine is gone at which the runs that do not end there are moved: the announcement may be this old.
     constexpr Seconds leavingMargin { 0.8 };
     /// Placements come in bursts, in which the groups that can be whole in time hardly change.
@@ -40,6 +48,20 @@
         return std::max(expected - static_cast<double>(received), minimumRemainingShare * static_cast<double>(received));
     }
 
+    /// Expected times in seconds of a run that might be moved.
+    struct Move {
+        double finishHere = 0;
+        double finishThere = 0;
+        double timeLeft = 0;
+        /// Whether the group is whole earlier with the move by a margin that grows with the time that it has left without it.
+        /// @param latestOther when the last other item of the group is whole
+        bool pays(double latestOther) const
+        {
+            const auto gain = finishHere - std::max(finishThere, latestOther);
+            return gain > std::max(minimumGainSeconds, slackShare * (timeLeft - finishHere));
+        }
+    };
+
     /// Order in which waiting items are placed.
     struct PlacementRank {
         bool isUnwanted = false;
@@ -82,7 +104,7 @@
             if (!mayRun(entry->second, submission))
                 continue;
             choice.engines.push_back(entry);
-            choice.lowestSecondsPerEvent = std::min(choice.lowestSecondsPerEvent, m_scheduler.secondsPerEvent(entry->second));
+            choice.lowestSecondsPerEvent = std::min(choice.lowestSecondsPerEvent, secondsPerEvent(entry->second));
         }
         m_choices.push_back(std::move(choice));
         return m_choices.size() - 1;
@@ -187,6 +209,7 @@
         PlaceableSubmission source;
         std::size_t index;
     };
+    updatePaces(now);
     EngineChoices choices(*this, now);
     std::vector<PlaceableSubmission> sources;
     for (auto& [id, submission] : m_submissions) {
@@ -284,7 +307,11 @@
 const SampleScheduler::EngineEntry* SampleScheduler::chooseEngine(const OpenSubmission& submission, Item& item, const std::vector<const EngineEntry*>& engines, TimePoint now)
 {
     auto reading = readingOf(submission, item, now);
-    const auto* continuing = bestEngine(submission, item.text, TextUse::Continue, engines, reading ? &*reading : nullptr);
+    const auto waited = Seconds(now - item.waitingSince.value_or(now)).count();
+    Slowness slowness { remainingEvents(item.expectedEvents, item.text.eventCount), std::max(minimumLostSeconds, waited), now };
+    const auto* continuing = bestEngine(submission, item.text, TextUse::Continue, engines, reading ? &*reading : nullptr, &slowness);
+    if (!continuing && slowness.hasPassedOver)
+        ++m_slowEngineWaits;
     if (!continuing && reading && reading->hasPassedOver)
         ++m_prefillWaits;
     if (item.text.eventCount == 0)
@@ -315,7 +342,7 @@
     return std::any_of(m_releases.begin(), m_releases.end(), [](const auto& entry) { return entry.second.size() > 1; });
 }
 
-const SampleScheduler::EngineEntry* SampleScheduler::bestEngine(const OpenSubmission& submission, const PartialText& text, TextUse use, const std::vector<const EngineEntry*>& engines, Reading* reading) const
+const SampleScheduler::EngineEntry* SampleScheduler::bestEngine(const OpenSubmission& submission, const PartialText& text, TextUse use, const std::vector<const EngineEntry*>& engines, Reading* reading, Slowness* slowness) const
 {
     const EngineEntry* best = nullptr;
     auto lowestCost = std::numeric_limits<double>::infinity();
@@ -323,6 +350,10 @@
         const auto& engine = entry->second;
         if (!canUseText(engine, submission, text, use))
             continue;
+        if (slowness && engine.pace.isSlowNow() && engine.pace.secondsLost(slowness->events, slowness->now) > slowness->acceptedLoss) {
+            slowness->hasPassedOver = true;
+            continue;
+        }
         const auto readingSeconds = reading ? readingSecondsPerEvent(engine, *reading) : std::optional(0.0);
         if (!readingSeconds)
             continue;
@@ -338,6 +369,30 @@
     return best;
 }
 
+double SampleScheduler::secondsToBeginAgain(const Engine& engine, const Item& item)
+{
+    const auto reading = engine.prefill.isSpeedKnown() ? Seconds(engine.prefill.readingTime(engine.prefill.unreadTokens(promptToRead(item)))).count() : 0;
+    return restartSeconds + reading;
+}
+
+/// Time after which the last other item of an item's group is expected to be whole. Waiting items begin at once at the usual speed.
+double SampleScheduler::latestFinish(const OpenSubmission& submission, const Item& item, TimePoint now) const
+{
+    double latest = 0;
+    for (const auto index : submission.running) {
+        const auto& other = submission.items[index];
+        const auto* engine = other.group == item.group && &other != &item ? findEngine(other.engine) : nullptr;
+        if (engine)
+            latest = std::max(latest, secondsFor(*engine, remainingEvents(other.expectedEvents, other.text.eventCount), now));
+    }
+    for (const auto index : submission.waiting) {
+        const auto& other = submission.items[index];
+        if (other.group == item.group)
+            latest = std::max(latest, remainingEvents(other.expectedEvents, other.text.eventCount) * Seconds(assumedTimePerEvent).count());
+    }
+    return latest;
+}
+
 std::vector<ItemKey> SampleScheduler::itemsToMove(TimePoint now) const
 {
     /// The best engine for texts of one release, where nothing else about a text matters.
@@ -390,7 +445,11 @@
                 continue;
             const auto& candidate = best->second;
             const bool hasRoom = candidate.running + reservedSlots[&candidate] + 1 < candidate.slots;
-            if (hasRoom && currentSeconds > minimumSpeedup * secondsPerEvent(candidate)) {
+            if (!hasRoom || currentSeconds <= minimumSpeedup * secondsPerEvent(candidate))
+                continue;
+            const Move move { secondsFor(*current, remaining, now), secondsFor(candidate, remaining, now) + secondsToBeginAgain(candidate, item), Seconds(submission.policy.softDeadline - now).count() };
+            // The others of the group are looked at only for a run whose own move would pay.
+            if (move.pays(0) && move.pays(latestFinish(submission, item, now))) {
                 ++reservedSlots[&candidate];
                 keys.push_back({ id, index });
             }
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -65,6 +65,17 @@
     return count;
 }
 
+std::size_t SampleScheduler::largestStep(const ModelName& model) const
+{
+    const auto found = m_largestSteps.find(model);
+    return found == m_largestSteps.end() ? 0 : static_cast<std::size_t>(found->second);
+}
+
+std::size_t SampleScheduler::slowEngineCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& entry) { return entry.second.isPresent && entry.second.pace.isSlowNow(); }));
+}
+
 std::size_t SampleScheduler::waitingCount() const
 {
     std::size_t count = 0;
@@ -86,7 +97,7 @@
 bool SampleScheduler::hasMeasuredTimePerEvent(const TargetId& id) const
 {
     const auto* found = findEngine(id);
-    return found && found->measuredSecondsPerEvent > 0;
+    return found && found->pace.isMeasured();
 }
 
 std::size_t SampleScheduler::runningCountOn(const TargetId& id, const ModelName& model) const
