--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -292,10 +292,25 @@
     return !request.requiredRelease || SoftwareRelease { target.pool, target.softwareVersion }.isCompatibleWith(*request.requiredRelease);
 }
 
+bool RequestForwarder::sharesPlaces() const
+{
+    const auto view = m_directory.view();
+    return view && !view->configuration.organisations.empty();
+}
+
+Duration RequestForwarder::retryAfterOf(const ForwardRequest& request, const Admission& admission) const
+{
+    // The time at which the organisation gets a turn is told as it is, also if the caller cannot wait so long.
+    if (!request.organisation.isEmpty() && admission.reason == ErrorCode::Overloaded)
+        return admission.retryAfter;
+    return std::min(admission.retryAfter, (request.deadline - m_clock.now()) / retryAfterDivisor);
+}
+
 RequestRequirements RequestForwarder::requirementsOf(const ForwardRequest& request, const Progress& progress) const
 {
     RequestRequirements requirements;
-    requirements.priority = priorityOf(request);
+    requirements.priority = request.isInternal && sharesPlaces() ? Priority::Training : priorityOf(request);
+    requirements.organisation = request.organisation;
     requirements.deadline = request.deadline;
     requirements.affinity = request.affinity;
     requirements.maximumAffinityDelay = std::chrono::duration_cast<Duration>(request.route->latencyObjective * affinityWaitShare);
@@ -330,7 +345,7 @@
     const auto admission = co_await balancer->admit(requirementsOf(request, progress));
     if (admission.kind != AdmissionKind::Admitted) {
         outcome.cause = std::string(name(admission.reason));
-        outcome.retryAfter = std::min(admission.retryAfter, (request.deadline - m_clock.now()) / retryAfterDivisor);
+        outcome.retryAfter = retryAfterOf(request, admission);
         co_return false;
     }
     if (progress.exhaustedTargets.contains(admission.target)) {
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -56,6 +56,8 @@
     OrganisationName organisation;
     /// Takes precedence over the priority of the route.
     std::optional<unsigned> priority;
+    /// Whether the request is a call of this system and not of a caller; at a site with organisations callers go first.
+    bool isInternal = false;
     /// Whether the key under which the request came may still be relied on; asked directly before the request leaves this host. Empty: it needs none.
     std::function<bool()> mayBeSent;
     /// Software that the target must run, if the request continues the answer of another target.
@@ -99,6 +101,9 @@
     /// Updates what is known about this host's connection to the targets. @return whether the attempt failed because the host is cut off
     Task<bool> updateReachability(const RegisteredTarget&, const Attempt&, TimePoint deadline);
     static bool hasRequiredRelease(const ForwardRequest&, const RegisteredTarget&);
+    /// Whether organisations share the places of pools.
+    bool sharesPlaces() const;
+    Duration retryAfterOf(const ForwardRequest&, const Admission&) const;
     RequestRequirements requirementsOf(const ForwardRequest&, const Progress&) const;
     static bool conclude(const SiteRoute&, Progress&, Attempt&);
     /// Waits until the request may be sent to the target. @return whether it may; if not, the target is noted as exhausted
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -500,6 +500,7 @@
         singleAttemptRoute.maximumAttempts = 1;
         ForwardRequest request;
         request.id = reward.id;
+        request.isInternal = true;
         request.route = &singleAttemptRoute;
         request.pool = choosePool(*route, splitFractionOf(reward.id));
         const auto timeout = route->timeout.count() > 0 ? route->timeout : defaultRewardTimeout;
--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -3,6 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Identifier.h"
 #include "cicadalb/config/Tables.h"
+#include "cicadalb/routing/OrganisationShares.h"
 
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,8 @@
     Duration maximumAffinityDelay {};
     /// Targets of earlier attempts; used again only if no other target can serve the request.
     std::vector<TargetId> excluded;
+    /// Organisation that shares the pool with others; requests without one count as one organisation.
+    OrganisationName organisation {};
 };
 
 enum class AdmissionKind : std::uint8_t { Admitted,
@@ -87,6 +90,19 @@
     bool isLeaving = false;
 };
 
+/// @brief Numbers of decisions since the start.
+struct AdmissionTotals {
+    std::uint64_t queued = 0;
+    /// Refused at once, since the request could not be in time.
+    std::uint64_t refused = 0;
+    /// Refused at once, since as many requests waited as may, or as many of its organisation.
+    std::uint64_t refusedForRoom = 0;
+    /// Refused after it had waited.
+    std::uint64_t refusedAfterWaiting = 0;
+    /// No target was usable.
+    std::uint64_t refusedWithoutTarget = 0;
+};
+
 /// @brief Snapshot of a target for the state dump and metrics.
 struct TargetView {
     TargetId target;
@@ -144,7 +160,11 @@
     /// @brief Sets whether the host list marks the host of a target as leaving.
     void setLeaving(const TargetId&, bool isLeaving, TimePoint now);
 
+    /// @brief Sets the weights of organisations that are served by other hosts, too.
+    void setOrganisationWeights(OrganisationWeights);
+
     std::size_t queueLength() const noexcept;
+    const AdmissionTotals& totals() const noexcept;
     std::vector<TargetView> targets(TimePoint now) const;
 
 private:
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -10,20 +10,32 @@
 } // namespace
 
 AdmissionQueue::AdmissionQueue(TimePoint start)
-    : m_arrivals { RateMeter(start), RateMeter(start), RateMeter(start) }
+    : m_waiting { FairQueue(start), FairQueue(start), FairQueue(start) }
+    , m_arrivals { RateMeter(start), RateMeter(start), RateMeter(start) }
 {
 }
 
 void AdmissionQueue::push(QueuedRequest request)
 {
-    m_waiting[index(request.requirements.priority)].push_back(std::move(request));
+    m_waiting[index(request.requirements.priority)].push(std::move(request));
+}
+
+void AdmissionQueue::recordDemand(const RequestRequirements& requirements, TimePoint now)
+{
+    m_waiting[index(requirements.priority)].recordArrival(requirements.organisation, now);
+}
+
+void AdmissionQueue::updateShares(double completionsPerSecond, const OrganisationWeights& weights, TimePoint now)
+{
+    for (const auto priority : priorities)
+        m_waiting[index(priority)].updateShares(availablePerSecond(priority, completionsPerSecond, now), weights, now);
 }
 
 std::vector<Priority> AdmissionQueue::serviceOrder() const
 {
     std::vector<Priority> order;
     for (const auto priority : priorities) {
-        if (!waiting(priority).empty())
+        if (!waiting(priority).isEmpty())
             order.push_back(priority);
     }
     std::stable_partition(order.begin(), order.end(), [this](Priority priority) { return m_turnsWaited[index(priority)] + 1 >= turnsPerLowerPriorityTurn; });
@@ -34,14 +46,12 @@
 {
     m_turnsWaited[index(taken)] = 0;
     for (auto lower = index(taken) + 1; lower < priorities.size(); ++lower)
-        m_turnsWaited[lower] = m_waiting[lower].empty() ? 0 : m_turnsWaited[lower] + 1;
+        m_turnsWaited[lower] = m_waiting[lower].isEmpty() ? 0 : m_turnsWaited[lower] + 1;
 }
 
 QueuedRequest AdmissionQueue::popFront(Priority priority)
 {
-    auto& waiting = m_waiting[index(priority)];
-    auto request = std::move(waiting.front());
-    waiting.pop_front();
+    auto request = m_waiting[index(priority)].popFront();
     recordTurn(priority);
     return request;
 }
@@ -68,15 +78,28 @@
     return count;
 }
 
-double AdmissionQueue::expectedWaitSeconds(Priority priority, std::size_t position, double completionsPerSecond, TimePoint now)
+double AdmissionQueue::availablePerSecond(Priority priority, double completionsPerSecond, TimePoint now)
 {
-    if (completionsPerSecond < minimumCompletionsPerSecond)
-        return 0;
     double higherPriorityArrivals = 0;
     for (std::size_t i = 0; i < index(priority); ++i)
         higherPriorityArrivals += m_arrivals[i].perSecond(now);
-    const auto availablePerSecond = std::max(completionsPerSecond - higherPriorityArrivals, completionsPerSecond / turnsPerLowerPriorityTurn);
-    return static_cast<double>(sizeAbove(priority) + position + 1) / availablePerSecond;
+    return std::max(completionsPerSecond - higherPriorityArrivals, completionsPerSecond / turnsPerLowerPriorityTurn);
+}
+
+double AdmissionQueue::expectedWaitSeconds(Priority priority, double ahead, double completionsPerSecond, TimePoint now)
+{
+    if (completionsPerSecond < minimumCompletionsPerSecond)
+        return 0;
+    return (static_cast<double>(sizeAbove(priority)) + ahead + 1) / availablePerSecond(priority, completionsPerSecond, now);
+}
+
+double AdmissionQueue::expectedWaitSeconds(const RequestRequirements& requirements, double completionsPerSecond, TimePoint now)
+{
+    if (completionsPerSecond < minimumCompletionsPerSecond)
+        return 0;
+    const auto available = availablePerSecond(requirements.priority, completionsPerSecond, now);
+    const auto ahead = m_waiting[index(requirements.priority)].expectedAheadOf(requirements.organisation, available, now);
+    return expectedWaitSeconds(requirements.priority, ahead, completionsPerSecond, now);
 }
 
 } // namespace cicadalb
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <unordered_map>
 
 namespace cicadalb {
@@ -16,6 +17,8 @@
     /// Bounds of the retry-after time of a refusal, before jitter.
     constexpr double minimumRetryAfterSeconds = 0.5;
     constexpr double maximumRetryAfterSeconds = 30;
+    /// The least retry-after time of an organisation's request.
+    constexpr double minimumReturnSeconds = 0.1;
     /// Largest random addition to the retry-after time, as a fraction of it.
     constexpr double retryAfterJitter = 1.0;
     /// A request is queued only if it would meet its deadline after this many times the expected wait, so that requests are rarely refused
@@ -59,6 +62,10 @@
     double bestServiceSeconds = 0;
     RateMeter arrivals;
     RateMeter completions;
+    OrganisationWeights weights;
+    AdmissionTotals totals;
+    /// When each organisation's last refused request was asked to return.
+    std::map<OrganisationName, TimePoint> promisedReturns;
 
     void applyConfiguration();
     void eraseIdleRemovedTargets();
@@ -76,6 +83,8 @@
     Admission admit(std::size_t index, TimePoint now);
     Admission enqueue(const RequestRequirements&);
     Admission refuse(ErrorCode, double expectedSeconds);
+    /// Refuses a request for which there is no room now.
+    Admission refuseForNow(const RequestRequirements&, double service, double wait, TimePoint now);
     Admission refuseWithoutUsableTarget(TimePoint now);
     /// @return false if no queued request can be admitted or refused now
     bool decideOneQueued(std::vector<QueueDecision>&, TimePoint now);
@@ -199,6 +208,7 @@
     Admission admission;
     admission.kind = AdmissionKind::Queued;
     admission.ticket = ++lastTicket;
+    ++totals.queued;
     queue.push({ admission.ticket, requirements });
     return admission;
 }
@@ -213,8 +223,26 @@
     return admission;
 }
 
+/// The requests of an organisation return one after the other, at the rate at which it gets turns, so that those that return find a place.
+Admission PoolBalancer::State::refuseForNow(const RequestRequirements& requirements, double service, double wait, TimePoint now)
+{
+    if (requirements.organisation.isEmpty())
+        return refuse(ErrorCode::Overloaded, service + wait);
+    Admission admission;
+    admission.reason = ErrorCode::Overloaded;
+    const auto waiting = queue.waiting(requirements.priority).waitingOf(requirements.organisation);
+    const auto turn = toDuration(wait / static_cast<double>(waiting + 1));
+    std::erase_if(promisedReturns, [now](const auto& entry) { return entry.second <= now; });
+    auto& promised = promisedReturns.try_emplace(requirements.organisation, now).first->second;
+    const auto earliest = now + std::max(turn, toDuration(minimumReturnSeconds));
+    promised = std::min(std::max(promised + turn, earliest), now + toDuration(maximumRetryAfterSeconds));
+    admission.retryAfter = promised - now + toDuration(Seconds(turn).count() * randomUnit(random));
+    return admission;
+}
+
 Admission PoolBalancer::State::refuseWithoutUsableTarget(TimePoint now)
 {
+    ++totals.refusedWithoutTarget;
     auto seconds = maximumRetryAfterSeconds;
     for (const auto& state : targets) {
         if (state.isEligible())
@@ -234,10 +262,13 @@
     }
     const auto service = lowestDelaySeconds(now);
     const auto late = queue.removeIf([&](const QueuedRequest& request, std::size_t position) {
-        return isTooLate(request.requirements, service + queue.expectedWaitSeconds(request.requirements.priority, position, completions.perSecond(now), now), now);
+        return isTooLate(request.requirements, service + queue.expectedWaitSeconds(request.requirements.priority, static_cast<double>(position), completions.perSecond(now), now), now);
     });
-    for (const auto& request : late)
-        decisions.push_back({ request.ticket, refuse(ErrorCode::Overloaded, service) });
+    totals.refusedAfterWaiting += late.size();
+    for (const auto& request : late) {
+        const auto wait = queue.expectedWaitSeconds(request.requirements, completions.perSecond(now), now);
+        decisions.push_back({ request.ticket, refuseForNow(request.requirements, service, request.requirements.organisation.isEmpty() ? 0 : wait, now) });
+    }
 }
 
 /// If waiting for faster targets is better for all requests of a priority, a slow target is offered to the next lower priority.
@@ -246,7 +277,10 @@
     for (const auto priority : queue.serviceOrder()) {
         const auto& waiting = queue.waiting(priority);
         if (waiting.front().requirements.deadline <= now) {
-            decisions.push_back({ queue.popFront(priority).ticket, refuse(ErrorCode::Overloaded, 0) });
+            ++totals.refusedAfterWaiting;
+            const auto late = queue.popFront(priority);
+            const auto wait = queue.expectedWaitSeconds(late.requirements, completions.perSecond(now), now);
+            decisions.push_back({ late.ticket, refuseForNow(late.requirements, 0, late.requirements.organisation.isEmpty() ? 0 : wait, now) });
             return true;
         }
         if (!findUsableTargets(waiting.front().requirements, now))
@@ -273,12 +307,14 @@
 {
     auto& state = *m_state;
     state.arrivals.record(now);
+    state.queue.recordDemand(requirements, now);
     if (!state.findUsableTargets(requirements, now))
         return state.refuseWithoutUsableTarget(now);
     if (requirements.deadline <= now)
         return state.refuse(ErrorCode::Overloaded, 0);
-    const auto position = state.queue.waiting(requirements.priority).size();
-    const auto ahead = position + state.queue.sizeAbove(requirements.priority);
+    state.queue.updateShares(state.completions.perSecond(now), state.weights, now);
+    const auto& waiting = state.queue.waiting(requirements.priority);
+    const auto ahead = waiting.aheadOf(requirements.organisation) + state.queue.sizeAbove(requirements.priority);
     // With requests ahead in the queue, this one may only take a target that they pass over to wait for faster ones.
     if (ahead == 0 || state.strategy.hasAdaptiveLimit) {
         if (const auto index = state.pick(requirements, ahead, now)) {
@@ -287,9 +323,15 @@
         }
     }
     const auto service = state.lowestDelaySeconds(now);
-    const auto wait = state.queue.expectedWaitSeconds(requirements.priority, position, state.completions.perSecond(now), now);
-    if (position >= state.options.maximumQueueLength || state.isTooLate(requirements, service + expectedWaitSafetyFactor * wait, now))
-        return state.refuse(ErrorCode::Overloaded, service + wait);
+    const auto wait = state.queue.expectedWaitSeconds(requirements, state.completions.perSecond(now), now);
+    if (!waiting.hasRoom(requirements.organisation, state.options.maximumQueueLength)) {
+        ++state.totals.refusedForRoom;
+        return state.refuseForNow(requirements, service, wait, now);
+    }
+    if (state.isTooLate(requirements, service + expectedWaitSafetyFactor * wait, now)) {
+        ++state.totals.refused;
+        return state.refuseForNow(requirements, service, wait, now);
+    }
     state.queue.recordArrival(requirements.priority, now);
     return state.enqueue(requirements);
 }
@@ -340,6 +382,16 @@
         target->isListedAsLeaving = isLeaving;
 }
 
+void PoolBalancer::setOrganisationWeights(OrganisationWeights weights)
+{
+    m_state->weights = std::move(weights);
+}
+
+const AdmissionTotals& PoolBalancer::totals() const noexcept
+{
+    return m_state->totals;
+}
+
 std::size_t PoolBalancer::queueLength() const noexcept
 {
     return m_state->queue.size();
