Bytes held for slow callers are bounded where the settings limit memory

Cause: nothing bounded the bodies that a host holds for callers and targets, large bodies were copied into buffers that stay with their connections, and a caller that never reads kept its answer for 30 s. Change: ByteBudget decides (admission, pauses, time to return); the listener refuses with 503 before it runs a request; whole answers make room before they are read; [memory] limit-mb and unread-ms; metrics; events 470 and 471. Off without limit-mb, and no deploy template sets it yet.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -67,6 +67,8 @@
     // 46x: load of the coordinator
     PlacementPaused = 460,
     PlacementResumed = 461,
+    MemoryBoundReached = 470,
+    MemoryBoundLifted = 471,
     // 5xx: rollout
     StepSubmitted = 501,
     StepFinished = 502,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -134,6 +134,8 @@
         { Event::EngineNeedChanged, "engine-need-changed", Level::Info },
         { Event::PlacementPaused, "placement-paused", Level::Warning },
         { Event::PlacementResumed, "placement-resumed", Level::Info },
+        { Event::MemoryBoundReached, "memory-bound-reached", Level::Warning },
+        { Event::MemoryBoundLifted, "memory-bound-lifted", Level::Info },
         { Event::StepSubmitted, "step-submitted", Level::Info },
         { Event::StepFinished, "step-finished", Level::Info },
         { Event::WeightSwapFailed, "weight-swap-failed", Level::Warning },
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -78,11 +78,20 @@
     std::chrono::seconds usageReportTime { 10 };
 };
 
+/// @brief How much the process may hold for others.
+struct SiteMemorySettings {
+    /// Memory that the process may use in all, in MB of 1,048,576 bytes. 0: bytes held for callers and targets are not bounded.
+    unsigned limit = 0;
+    /// A caller that takes no byte of its answer for this time is disconnected.
+    std::chrono::milliseconds unreadTime { 10000 };
+};
+
 struct SiteSettings {
     SiteHostSettings host;
     SiteAddressSettings addresses;
     SitePartSettings parts;
     SiteWorkSettings work;
+    SiteMemorySettings memory;
     LogSettings log;
     ShutdownSettings shutdown { std::chrono::milliseconds(2500), std::chrono::milliseconds(7000) };
 };
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -23,6 +23,8 @@
     constexpr double minimumLeaseMilliseconds = 1000.0;
     constexpr double maximumUsageWindowSeconds = 3600.0;
     constexpr double maximumRetentionSeconds = 86400.0;
+    constexpr double maximumMemoryMegabytes = 1048576.0;
+    constexpr double minimumUnreadMilliseconds = 100.0;
     constexpr double maximumConcurrentLoads = 1000.0;
 
     const Fields<SiteHostSettings>& hostFields()
@@ -75,9 +77,18 @@
         return fields;
     }
 
+    const Fields<SiteMemorySettings>& memoryFields()
+    {
+        static const Fields<SiteMemorySettings> fields {
+            { "limit-mb", &SiteMemorySettings::limit, Presence::Optional, Between { 0, maximumMemoryMegabytes } },
+            { "unread-ms", &SiteMemorySettings::unreadTime, Presence::Optional, Between { minimumUnreadMilliseconds, detail::maximumDurationMilliseconds } },
+        };
+        return fields;
+    }
+
     const std::vector<std::string_view>& sectionNames()
     {
-        static const std::vector<std::string_view> names { "host", "addresses", "parts", "work", "log", "shutdown" };
+        static const std::vector<std::string_view> names { "host", "addresses", "parts", "work", "memory", "log", "shutdown" };
         return names;
     }
 
@@ -87,6 +98,7 @@
         detail::readSection(reader, root, "addresses", addressFields(), settings.addresses);
         detail::readSection(reader, root, "parts", partFields(), settings.parts);
         detail::readSection(reader, root, "work", workFields(), settings.work);
+        detail::readSection(reader, root, "memory", memoryFields(), settings.memory);
         detail::readSection(reader, root, "log", detail::logFields(), settings.log);
         detail::readSection(reader, root, "shutdown", detail::shutdownFields(), settings.shutdown);
         detail::reportUnknownKeys(reader, root, "settings", sectionNames());
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -132,6 +132,9 @@
     }
     auto result = co_await dispatch(message, call, receivedAt, responder);
     recordAnswer(message, call, result, m_clock.now() - receivedAt);
+    // The caller may read slowly.
+    message.body = std::string();
+    request.hold.reset();
     co_await responder.send(std::move(result.response));
 }
 
@@ -288,6 +291,7 @@
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
+        result.response.hold = std::move(outcome.answer.hold);
     } else if (outcome.state == ForwardState::NotRun) {
         result = makeRefusal(statusUnavailable, "the request was not run: " + outcome.cause, std::max<Duration>(outcome.retryAfter, milliseconds(1)));
     } else {
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -68,9 +68,16 @@
         return std::hash<HostId> {}(host) ^ static_cast<std::uint64_t>(now.count());
     }
 
-    HttpClientOptions targetOptions()
+    /// The bytes that the process may hold for callers and targets; null if the settings do not limit its memory.
+    std::shared_ptr<ByteBudget> makeByteBudget(const SiteMemorySettings& memory, const Clock& clock)
+    {
+        return memory.limit > 0 ? std::make_shared<ByteBudget>(ByteLimits::ofProcess(std::size_t { memory.limit } << 20U, memory.unreadTime), clock) : nullptr;
+    }
+
+    HttpClientOptions targetOptions(const std::shared_ptr<ByteBudget>& budget)
     {
         HttpClientOptions options;
+        options.budget = budget;
         options.idleTimeout = targetIdleTimeout;
         options.connectTimeout = targetConnectTimeout;
         options.maximumKeepAliveTimeout = longestTargetIdleTimeout;
@@ -87,6 +94,16 @@
         return options;
     }
 
+    /// For connections of callers, which may read slowly.
+    HttpListenerOptions callerListenerOptions(const SiteSettings& settings, const std::shared_ptr<ByteBudget>& budget)
+    {
+        auto options = listenerOptions(settings.addresses.callers);
+        options.budget = budget;
+        if (budget)
+            options.stallTimeout = settings.memory.unreadTime;
+        return options;
+    }
+
     double secondsOf(std::optional<Duration> age) { return age ? std::chrono::duration<double>(*age).count() : -1; }
 
     /// Port of a listener, or "none".
@@ -192,8 +209,9 @@
         , m_protocol(std::move(protocol))
         , m_workers(1)
         , m_executor(m_workers.context(0).get_executor())
+        , m_bytes(makeByteBudget(m_settings.memory, m_clock))
         , m_store(makeStore(m_executor, Endpoint { m_settings.addresses.store.address, m_settings.addresses.store.port }))
-        , m_clients(m_workers, targetOptions())
+        , m_clients(m_workers, targetOptions(m_bytes))
         , m_mirrorClient(makeMirrorClient(m_executor, m_settings, m_clock))
         , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed, m_bootClock))
         , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings)), *m_protocol, m_clock)
@@ -212,7 +230,7 @@
     {
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
         if (m_settings.parts.serving) {
-            m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
+            m_callerListener.emplace(m_workers, callerListenerOptions(m_settings, m_bytes), serve);
             m_readyListener.emplace(m_workers, listenerOptions(m_settings.addresses.ready), serve);
         }
         if (hasMirror(m_settings)) {
@@ -492,9 +510,21 @@
         m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
         m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
         m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
+        if (m_bytes)
+            setMemoryMetrics(*m_bytes);
         return m_metrics.text();
     }
 
+    void setMemoryMetrics(const ByteBudget& bytes)
+    {
+        m_metrics.setGauge("cicadalb_held_bytes_callers", "Bytes held for callers: bodies of their requests, answers of this host, and connections", static_cast<double>(bytes.held(ByteSide::Callers)));
+        m_metrics.setGauge("cicadalb_held_bytes_targets", "Bytes held of requests on their way to targets, and of targets' answers", static_cast<double>(bytes.held(ByteSide::Targets)));
+        m_metrics.setGauge("cicadalb_held_bytes_bound", "Bytes that this host may hold", static_cast<double>(bytes.limits().total));
+        m_metrics.setGauge("cicadalb_refused_for_memory", "Requests refused since the start because of the bytes held", static_cast<double>(bytes.refusedRequests()));
+        m_metrics.setGauge("cicadalb_paused_sources", "Answers of targets whose reading is paused until there is room", static_cast<double>(bytes.pausedSources()));
+        m_metrics.setGauge("cicadalb_ended_readers", "Callers disconnected since the start because they took nothing of their answers", static_cast<double>(bytes.endedReaders()));
+    }
+
     nlohmann::json state() const
     {
         const auto view = m_directory.view();
@@ -534,6 +564,7 @@
     Metrics m_metrics;
     WorkerPool m_workers;
     asio::any_io_executor m_executor;
+    std::shared_ptr<ByteBudget> m_bytes;
     std::unique_ptr<TransactionalStore> m_store;
     TargetClients m_clients;
     BootClock m_bootClock;
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cicadalb/base/ByteBudget.h"
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Task.h"
@@ -38,6 +39,8 @@
     unsigned status = 0;
     HttpFields fields;
     std::string body;
+    /// Counts the body in the client's budget for as long as anyone keeps it; null without a budget.
+    std::shared_ptr<ByteHold> hold;
     /// When the request was written to the connection on which it was answered, and when the header of the answer was complete.
     TimePoint sentAt {};
     TimePoint headAt {};
@@ -67,6 +70,11 @@
     /// Time allowed for the header of the answer to a repeatable request on a reused connection, which may have gone silent. The request is then
     /// sent again on a new connection, and the idle ones are closed. 0: until the deadline.
     std::chrono::milliseconds reusedConnectionTimeout { 0 };
+    /// Counts the bodies of requests under way and of whole answers, and pauses the reading of answers for which it has no room; null: no bound.
+    /// Bound to the client's event loop.
+    std::shared_ptr<ByteBudget> budget = nullptr;
+    /// Longest such pause, after which the exchange fails: a server may cut off an answer that nobody reads.
+    std::chrono::milliseconds maximumPause { 2000 };
 };
 
 /// @brief Receives the parts of an answer as they arrive; the next part is read only after the handler has completed. If a handler returns false,
@@ -119,6 +127,7 @@
 
 private:
     struct State;
+    class WholeBody;
     /// @return the error of the attempt, if any
     Task<boost::system::error_code> tryConnecting(std::chrono::milliseconds timeout);
 
--- a/packages/services/include/cicadalb/services/detail/FlatMessage.h
+++ b/packages/services/include/cicadalb/services/detail/FlatMessage.h
@@ -10,6 +10,9 @@
 
 namespace cicadalb::detail {
 
+/// Longest body that is copied for this. Longer ones are written from where they are, since the copy would stay with the connection.
+inline constexpr std::size_t maximumFlatBytes = std::size_t { 16 } << 10U;
+
 /// @brief Appends the wire format of @p message to @p out. Complexity: linear in the message's size.
 template <bool isRequest, typename Body, typename Fields>
 void appendMessage(boost::beast::http::message<isRequest, Body, Fields>& message, boost::beast::flat_buffer& out)
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -34,6 +35,8 @@
     constexpr std::size_t maximumBufferBytes = std::size_t { 2 } * maximumHeaderBytes;
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
+    /// First room for the body of an answer that does not state its length; doubled as it grows.
+    constexpr std::size_t firstBodyBytes = maximumPartBytes;
 
     struct Connection {
         explicit Connection(const asio::any_io_executor& executor)
@@ -221,9 +224,15 @@
     Task<beast::error_code> write(Connection& connection, http::request<http::string_body>& message)
     {
         beast::error_code error;
+        connection.bytesWritten = 0;
+        if (message.body().size() > detail::maximumFlatBytes) {
+            // A copy would double what a slow server makes this process hold, and stay with the connection.
+            http::request_serializer<http::string_body> serializer(message);
+            connection.bytesWritten = co_await http::async_write(connection.stream, serializer, completionToken(error));
+            co_return error;
+        }
         connection.output.clear();
         detail::appendMessage(message, connection.output);
-        connection.bytesWritten = 0;
         connection.bytesWritten = co_await asio::async_write(connection.stream, connection.output.cdata(), completionToken(error));
         co_return error;
     }
@@ -295,23 +304,98 @@
     return m_state->idle.size();
 }
 
+/// The body of an answer that is read as a whole, within the client's budget.
+class HttpClient::WholeBody {
+public:
+    WholeBody(const State& state, bool isHead, TimePoint deadline)
+        : m_state(state)
+        , m_isHead(isHead)
+        , m_deadline(deadline)
+        , m_limit(state.options.budget ? std::min(state.options.maximumBodyBytes, state.options.budget->limits().perConnection) : state.options.maximumBodyBytes)
+    {
+        if (state.options.budget)
+            m_hold = std::make_shared<ByteHold>(state.options.budget, ByteSide::Targets);
+    }
+
+    /// Makes room for the stated length before the first part is read. @return false if there is none
+    Task<bool> begin(const HttpResponse& head)
+    {
+        if (m_isHead)
+            co_return true;
+        const auto field = head.field("Content-Length");
+        std::size_t length = 0;
+        std::from_chars(field.data(), field.data() + field.size(), length);
+        m_isTooLarge = length > m_limit;
+        if (m_isTooLarge || length == 0 || !m_hold)
+            co_return !m_isTooLarge;
+        co_return co_await makeRoom(length);
+    }
+
+    Task<bool> append(std::string_view part)
+    {
+        const auto length = m_text.size() + part.size();
+        m_isTooLarge = length > m_limit;
+        if (m_isTooLarge)
+            co_return false;
+        if (m_hold && length > m_hold->bytes()) {
+            const auto room = std::min(m_limit, std::max({ firstBodyBytes, length, 2 * m_text.size() }));
+            if (!co_await makeRoom(room))
+                co_return false;
+        }
+        m_text.append(part);
+        co_return true;
+    }
+
+    /// The complete answer, or why there is none.
+    Result<HttpResponse> finish(Result<HttpResponse> response)
+    {
+        if (m_isTooLarge)
+            return failure(ErrorCode::AnswerInvalid, "the body of the answer exceeds the maximum size", m_state.serverAddress());
+        if (m_lacksRoom)
+            return failure(ErrorCode::OutcomeUnknown, "no memory for the body of the answer", m_state.serverAddress());
+        if (response) {
+            response.value().body = std::move(m_text);
+            response.value().hold = std::move(m_hold);
+        }
+        return response;
+    }
+
+private:
+    Task<bool> makeRoom(std::size_t bytes)
+    {
+        asio::steady_timer timer(m_state.executor, std::min(m_deadline, std::chrono::steady_clock::now() + m_state.options.maximumPause));
+        const RoomWait wait(*m_hold, bytes, [&timer] { timer.cancel(); });
+        if (!wait.isGranted()) {
+            beast::error_code error;
+            co_await timer.async_wait(completionToken(error));
+        }
+        m_lacksRoom = !wait.isGranted();
+        if (!m_lacksRoom)
+            m_text.reserve(bytes);
+        co_return !m_lacksRoom;
+    }
+
+    const State& m_state;
+    bool m_isHead;
+    TimePoint m_deadline;
+    std::size_t m_limit;
+    std::shared_ptr<ByteHold> m_hold;
+    std::string m_text;
+    bool m_isTooLarge = false;
+    bool m_lacksRoom = false;
+};
+
 Task<Result<HttpResponse>> HttpClient::send(HttpRequest request, TimePoint deadline, std::shared_ptr<HttpCancellation> cancellation)
 {
-    std::string body;
-    bool isTooLarge = false;
+    const auto state = m_state;
+    ByteHold sent(state->options.budget, ByteSide::Targets);
+    sent.set(request.body.size());
+    WholeBody body(*state, request.method == "HEAD", deadline);
     HttpStreamHandler handler;
-    handler.onPart = [&body, &isTooLarge, limit = m_state->options.maximumBodyBytes](std::string_view part) -> Task<bool> {
-        isTooLarge = body.size() + part.size() > limit;
-        if (!isTooLarge)
-            body.append(part);
-        co_return !isTooLarge;
-    };
+    handler.onHead = [&body](const HttpResponse& head) { return body.begin(head); };
+    handler.onPart = [&body](std::string_view part) { return body.append(part); };
     auto response = co_await stream(std::move(request), deadline, std::move(handler), std::move(cancellation));
-    if (isTooLarge)
-        co_return failure(ErrorCode::AnswerInvalid, "the body of the answer exceeds the maximum size", m_state->serverAddress());
-    if (response)
-        response.value().body = std::move(body);
-    co_return response;
+    co_return body.finish(std::move(response));
 }
 
 Task<Result<HttpResponse>> HttpClient::stream(HttpRequest request, TimePoint deadline, HttpStreamHandler handler, std::shared_ptr<HttpCancellation> cancellation)
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -24,6 +24,8 @@
     std::string query;
     HttpFields fields;
     std::string body;
+    /// Counts the body in the listener's budget; a handler that drops the body before it has sent its response resets this.
+    std::shared_ptr<ByteHold> hold;
     /// Index of the worker whose thread serves the connection.
     std::size_t worker = 0;
     /// When the complete request had been read.
@@ -67,7 +69,12 @@
     std::chrono::milliseconds idleTimeout { 60000 };
     /// For each write: of a complete response, of a header or of a chunk.
     std::chrono::milliseconds writeTimeout { 30000 };
+    /// Replaces writeTimeout for complete responses: longest time in which the caller's system takes no byte of one. 0: writeTimeout holds.
+    std::chrono::milliseconds stallTimeout { 0 };
     std::size_t maximumConnections = 10000;
+    /// Counts the bodies of requests and responses and the connections; requests for which it has no room are refused with 503, before they are
+    /// handled. Bound to one event loop, so that the listener must have one worker. Null: no bound.
+    std::shared_ptr<ByteBudget> budget = nullptr;
 };
 
 /// @brief Listens on one port and distributes connections over the workers round-robin. Thread-safe.
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -16,7 +16,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cstdio>
 #include <mutex>
 #include <set>
 
@@ -28,6 +31,7 @@
 
 namespace {
 
+    constexpr unsigned statusUnavailable = 503;
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
     /// Idle timeout of connections once the listener is stopping.
     constexpr auto stoppingIdleTimeout = std::chrono::milliseconds(200);
@@ -55,6 +59,21 @@
         return request;
     }
 
+    /// What one connection costs without bodies: its buffers, its coroutines and its entries in tables.
+    constexpr std::size_t connectionBytes = std::size_t { 12 } << 10U;
+    /// Send buffer of the system for each connection, if memory is limited; the system would let it grow to megabytes.
+    constexpr int boundedSendBufferBytes = 64 << 10;
+    /// Of the body of a refused request so many bytes are read, for so long, since a connection that is closed with unread bytes loses its response.
+    constexpr std::size_t maximumDiscardedBytes = std::size_t { 256 } << 10U;
+    constexpr auto discardTimeout = std::chrono::milliseconds(500);
+
+    std::string secondsText(Duration duration)
+    {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
+        return text.data();
+    }
+
     /// HTTP status for a request that could not be read.
     unsigned statusFor(const beast::error_code& error)
     {
@@ -83,6 +102,7 @@
         Session(asio::ip::tcp::socket socket, const HttpListenerOptions& options, const ListenerState& state, std::size_t worker)
             : m_stream(std::move(socket))
             , m_options(options)
+            , m_connectionHold(options.budget, ByteSide::Callers)
             , m_worker(worker)
             , m_isStopping(&state.isStopping)
             , m_isDraining(&state.isDraining)
@@ -102,6 +122,9 @@
         {
             beast::error_code error;
             m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+            if (m_options.budget)
+                m_stream.socket().set_option(asio::socket_base::send_buffer_size(boundedSendBufferBytes), error);
+            m_connectionHold.set(connectionBytes);
             bool isReusable = true;
             while (isReusable)
                 isReusable = co_await serveOneRequest(handler, state);
@@ -110,6 +133,9 @@
 
         Task<bool> send(HttpResponse response) override
         {
+            ByteHold ownHold(m_options.budget, ByteSide::Callers);
+            if (!response.hold)
+                ownHold.set(response.body.size());
             http::response<http::string_body> message { http::int_to_status(response.status), 11 };
             message.result(response.status);
             for (const auto& [name, value] : response.fields)
@@ -126,11 +152,22 @@
             if (m_isHeadRequest) {
                 http::response_serializer<http::string_body> serializer(message);
                 co_await http::async_write_header(m_stream, serializer, completionToken(error));
+            } else if (message.body().size() > detail::maximumFlatBytes) {
+                http::response_serializer<http::string_body> serializer(message);
+                while (!serializer.is_done() && !error) {
+                    restartWriteTimer();
+                    co_await http::async_write_some(m_stream, serializer, completionToken(error));
+                }
             } else {
                 m_output.clear();
                 detail::appendMessage(message, m_output);
-                co_await asio::async_write(m_stream, m_output.cdata(), completionToken(error));
+                while (m_output.size() > 0 && !error) {
+                    restartWriteTimer();
+                    m_output.consume(co_await m_stream.async_write_some(m_output.cdata(), completionToken(error)));
+                }
             }
+            if (error == beast::error::timeout && m_options.budget)
+                m_options.budget->recordEndedReader();
             m_isAnswered = !error;
             co_return m_isAnswered;
         }
@@ -185,6 +222,13 @@
         }
 
     private:
+        /// With a stall timeout each write that makes progress begins it anew.
+        void restartWriteTimer()
+        {
+            if (m_options.stallTimeout.count() > 0)
+                m_stream.expires_after(m_options.stallTimeout);
+        }
+
         /// Whether the caller has closed its end of the connection. It has not if bytes of a further request are readable.
         bool isClosedByCaller()
         {
@@ -206,6 +250,11 @@
             m_stream.socket().cancel(error);
         }
 
+        std::uint64_t maximumBodyBytes() const noexcept
+        {
+            return m_options.budget ? std::min<std::uint64_t>(m_options.maximumBodyBytes, m_options.budget->limits().perConnection) : m_options.maximumBodyBytes;
+        }
+
         bool mayKeepAlive() const noexcept { return m_requestKeepsAlive && !*m_isDraining; }
 
         /// Waits for the first bytes of a request. @return false if the connection ended or the idle timeout passed
@@ -222,13 +271,17 @@
             co_return !error;
         }
 
-        Task<beast::error_code> readRequest(RequestParser& parser)
+        Task<beast::error_code> readHeader(RequestParser& parser)
         {
             beast::error_code error;
             m_stream.expires_after(m_options.headerTimeout);
             co_await http::async_read_header(m_stream, m_buffer, parser, completionToken(error));
-            if (error)
-                co_return error;
+            co_return error;
+        }
+
+        Task<beast::error_code> readBody(RequestParser& parser)
+        {
+            beast::error_code error;
             m_stream.expires_after(m_options.bodyTimeout);
             if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
                 http::response<http::empty_body> continueResponse { http::status::continue_, 11 };
@@ -239,6 +292,40 @@
             co_return error;
         }
 
+        /// Counts the body of a request whose header has been read. @return whether there is room for it
+        bool countBody(const RequestParser& parser, ByteHold& hold) const
+        {
+            if (!m_options.budget)
+                return true;
+            // A body that does not state its length may have the largest one.
+            const auto bytes = parser.content_length() ? *parser.content_length() : parser.chunked() ? m_options.budget->limits().perConnection
+                                                                                                     : 0;
+            if (!m_options.budget->admit(bytes))
+                return false;
+            hold.set(bytes);
+            return true;
+        }
+
+        /// Refuses a request without running it, and takes what its sender has sent of the body, so that the refusal is not lost.
+        Task<void> refuseForMemory()
+        {
+            HttpResponse response;
+            response.status = statusUnavailable;
+            response.fields.emplace_back("Content-Type", "text/plain");
+            response.fields.emplace_back("Retry-After", secondsText(m_options.budget->timeToReturn()));
+            response.body = "the request was not run: this host's memory is in use\n";
+            m_requestKeepsAlive = false;
+            if (!co_await send(std::move(response)))
+                co_return;
+            beast::error_code error;
+            m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+            m_stream.expires_after(discardTimeout);
+            std::size_t discarded = 0;
+            m_buffer.clear();
+            while (!error && discarded < maximumDiscardedBytes)
+                discarded += co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), completionToken(error));
+        }
+
         /// @return whether the connection may carry another request
         Task<bool> serveOneRequest(const ServerHandler& handler, ListenerState& state)
         {
@@ -263,8 +350,15 @@
 
             RequestParser parser;
             parser.header_limit(m_options.maximumHeaderBytes);
-            parser.body_limit(m_options.maximumBodyBytes);
-            const auto error = co_await readRequest(parser);
+            parser.body_limit(maximumBodyBytes());
+            auto bodyHold = std::make_shared<ByteHold>(m_options.budget, ByteSide::Callers);
+            auto error = co_await readHeader(parser);
+            if (!error && !countBody(parser, *bodyHold)) {
+                co_await refuseForMemory();
+                co_return false;
+            }
+            if (!error)
+                error = co_await readBody(parser);
             if (error) {
                 co_await rejectMalformed(error);
                 co_return false;
@@ -272,6 +366,8 @@
             m_requestKeepsAlive = parser.get().keep_alive();
             m_isHeadRequest = parser.get().method() == http::verb::head;
             auto request = toServerRequest(parser, m_worker);
+            bodyHold->set(request.body.size());
+            request.hold = std::move(bodyHold);
             m_stream.expires_never();
             co_await handler(request, *this);
             stopWatchingCaller();
@@ -293,6 +389,7 @@
         beast::flat_buffer m_buffer;
         beast::flat_buffer m_output;
         const HttpListenerOptions& m_options;
+        ByteHold m_connectionHold;
         std::size_t m_worker;
         const std::atomic<bool>* m_isStopping;
         const std::atomic<bool>* m_isDraining;
