--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -40,7 +40,7 @@
     HttpFields fields;
     std::string body;
     /// Counts the body in the client's budget for as long as anyone keeps it; null without a budget.
-    std::shared_ptr<ByteHold> hold;
+    std::shared_ptr<ByteHold> hold = nullptr;
     /// When the request was written to the connection on which it was answered, and when the header of the answer was complete.
     TimePoint sentAt {};
     TimePoint headAt {};
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -25,7 +25,7 @@
     HttpFields fields;
     std::string body;
     /// Counts the body in the listener's budget; a handler that drops the body before it has sent its response resets this.
-    std::shared_ptr<ByteHold> hold;
+    std::shared_ptr<ByteHold> hold = nullptr;
     /// Index of the worker whose thread serves the connection.
     std::size_t worker = 0;
     /// When the complete request had been read.
