--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -1,6 +1,6 @@
 /// Reward calls of a submission that its trainer has ended. See claim.txt.
 
-#include "../common/World.h"
+#include "../common/World.hpp"
 
 using namespace review;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [1-5]/case.cpp; do
+for source in [1-5]/case.cc; do
     [ -e "$source" ] || continue
     g++ -std=c++20 -O1 -pthread "$source" -o "build/case-$(dirname "$source")"
 done
--- a/review/common/World.h
+++ b/review/common/World.hpp
@@ -182,6 +182,16 @@
     }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+    /// Closes the port and all connections, as if the process had crashed.
+    void stop()
+    {
+        const std::lock_guard lock(m_mutex);
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        for (const auto& weak : m_sockets) {
+            if (const auto socket = weak.lock())
+                ::shutdown(socket->native_handle(), SHUT_RDWR);
+        }
+    }
 
 private:
     void accept()
@@ -190,8 +200,15 @@
             boost::system::error_code error;
             auto socket = std::make_shared<Tcp::socket>(m_context);
             m_acceptor.accept(*socket, error);
-            if (error)
+            if (error) {
+                m_acceptor.close(error);
                 return;
+            }
+            {
+                const std::lock_guard lock(m_mutex);
+                std::erase_if(m_sockets, [](const auto& weak) { return weak.expired(); });
+                m_sockets.push_back(socket);
+            }
             std::thread([this, socket] { serve(*socket); }).detach();
         }
     }
@@ -219,6 +236,8 @@
     asio::io_context m_context;
     Tcp::acceptor m_acceptor;
     Handler m_handler;
+    std::mutex m_mutex;
+    std::vector<std::weak_ptr<Tcp::socket>> m_sockets;
 };
 
 /// The platform's metadata store, as its page describes it. A filter sees each call first.
@@ -613,15 +632,28 @@
         , m_record(record)
         , m_options(std::move(options))
     {
-        m_server.start([this](Exchange& exchange) { handle(exchange); });
-        publish("ready");
+        start(0);
+    }
+    /// The process ends: its port refuses connections. The platform removes its entry after three status report intervals.
+    void crash()
+    {
+        m_port = m_server->port();
+        m_server->stop();
+    }
+    void removeEntry() { m_store.remove("servers/" + m_options.id); }
+    /// A new boot at the same address, with a new id.
+    void restart(const std::string& id)
+    {
+        m_options.id = id;
+        m_bornAt = unixMilliseconds();
+        start(m_port);
     }
     void publish(const std::string& state)
     {
         Json models = Json::array();
         if (!m_options.model.empty())
             models.push_back({ { "name", m_options.model }, { "version", m_version.load() }, { "adapters", Json::array() } });
-        const Json beat { { "service", m_options.service }, { "address", m_server.address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", m_options.slots }, { "state", state },
+        const Json beat { { "service", m_options.service }, { "address", m_server->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", m_options.slots }, { "state", state },
             { "cold_remaining_ms", 0 }, { "models", models }, { "sequence", ++m_beats }, { "born", m_bornAt } };
         m_store.put("servers/" + m_options.id, beat.dump());
     }
@@ -636,6 +668,12 @@
     }
 
 private:
+    void start(std::uint16_t port)
+    {
+        m_server = new Server(port);
+        m_server->start([this](Exchange& exchange) { handle(exchange); });
+        publish("ready");
+    }
     void handle(Exchange& exchange)
     {
         const auto target = exchange.target();
@@ -676,7 +714,7 @@
             const std::lock_guard lock(m_mutex);
             m_runs.push_back({ id, arrivedAt });
         }
-        m_record.line("sampler " + m_options.id + " runs " + id + ", which arrived at " + std::to_string(arrivedAt) + " ms");
+        m_record.line("sampler " + m_options.id + " runs " + id + " (" + exchange.target() + "), which arrived at " + std::to_string(arrivedAt) + " ms");
         if (m_options.model.empty())
             answer(exchange, id);
         else
@@ -764,7 +802,9 @@
     std::atomic<unsigned> m_running { 0 };
     unsigned m_queued = 0;
     std::vector<Run> m_runs;
-    Server m_server;
+    std::uint16_t m_port = 0;
+    /// Never destroyed, as its threads still use it.
+    Server* m_server = nullptr;
 };
 
 inline bool hasTrouble()
@@ -803,7 +843,8 @@
     {
         Record record(argv[2]);
         code = run(argv[1], record);
-        record.line(code == ruleHeld ? "the rule held" : code == ruleBroken ? "the rule was broken" : "the case could not run");
+        record.line(code == ruleHeld ? "the rule held" : code == ruleBroken ? "the rule was broken"
+                                                                            : "the case could not run");
     }
     std::_Exit(code);
 }
