--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -32,7 +32,7 @@
     store.put("op/config", configuration().dump());
     std::vector<Sampler*> samplers;
     for (unsigned service = 0; service < serviceCount; ++service) {
-        Sampler::Options options { "i-" + nameOf(service), nameOf(service), "", 4, 2, Milliseconds(6), 0 };
+        Sampler::Options options { "i-" + nameOf(service), nameOf(service), {}, 4, 2, Milliseconds(6), 0 };
         // At most 3 in 100 of a sampler's answers are sent once more, late.
         options.extraShare = hasTrouble() ? 0.03 : 0;
         samplers.push_back(new Sampler(store, record, options));
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -40,8 +40,8 @@
     // Never destroyed, as their threads still use them.
     auto& store = *new Store;
     store.put("op/config", configuration().dump());
-    auto& engine = *new Sampler(store, record, { "i-engine", "draft", "m0", 8, 24, Milliseconds(20), 6 });
-    auto& ledger = *new Sampler(store, record, { "i-ledger", "ledger", "", 2, 24, Milliseconds(100), 0 });
+    auto& engine = *new Sampler(store, record, { "i-engine", "draft", { "m0" }, 8, 24, Milliseconds(20), 6 });
+    auto& ledger = *new Sampler(store, record, { "i-ledger", "ledger", {}, 2, 24, Milliseconds(100), 0 });
     // The sampler of the plain service takes four times as long as usual.
     if (hasTrouble())
         ledger.setWork(Milliseconds(400));
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -31,7 +31,7 @@
 {
     auto& store = *new Store;
     store.put("op/config", configuration().dump());
-    auto& engine = *new Sampler(store, record, { "i-engine", "draft", "m0", 8, 24, Milliseconds(20), 6 });
+    auto& engine = *new Sampler(store, record, { "i-engine", "draft", { "m0" }, 8, 24, Milliseconds(20), 6 });
     const HostPorts ports { freePort(), freePort() };
     const auto mirror = "127.0.0.1:" + std::to_string(freePort());
     Process coordinator(folder, "storage-1", coordinatorSettings("storage-1", store.address(), mirror, { mirror }));
--- a/review/common/World.hpp
+++ b/review/common/World.hpp
@@ -617,7 +617,7 @@
     struct Options {
         std::string id;
         std::string service;
-        std::string model;
+        std::vector<std::string> models;
         unsigned slots = 4;
         unsigned queue = 24;
         /// Time for an answer of a plain service, or for each event.
@@ -632,11 +632,14 @@
         , m_record(record)
         , m_options(std::move(options))
     {
+        for (const auto& model : m_options.models)
+            m_versions[model] = 1;
         start(0);
     }
     /// The process ends: its port refuses connections. The platform removes its entry after three status report intervals.
     void crash()
     {
+        m_hasCrashed = true;
         m_port = m_server->port();
         m_server->stop();
     }
@@ -646,20 +649,23 @@
     {
         m_options.id = id;
         m_bornAt = unixMilliseconds();
+        m_hasCrashed = false;
         start(m_port);
     }
     void publish(const std::string& state)
     {
-        Json models = Json::array();
-        if (!m_options.model.empty())
-            models.push_back({ { "name", m_options.model }, { "version", m_version.load() }, { "adapters", Json::array() } });
         const Json beat { { "service", m_options.service }, { "address", m_server->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", m_options.slots }, { "state", state },
-            { "cold_remaining_ms", 0 }, { "models", models }, { "sequence", ++m_beats }, { "born", m_bornAt } };
+            { "cold_remaining_ms", 0 }, { "models", modelsAsJson() }, { "sequence", ++m_beats }, { "born", m_bornAt } };
         m_store.put("servers/" + m_options.id, beat.dump());
     }
     /// Answers that were sent once more.
     unsigned extras() const { return m_extras; }
     unsigned answers() const { return m_answers; }
+    std::uint64_t versionOf(const std::string& model)
+    {
+        const std::lock_guard lock(m_versionMutex);
+        return m_versions[model];
+    }
     void setWork(Milliseconds work) { m_workMilliseconds = work.count(); }
     std::vector<Run> runs()
     {
@@ -678,8 +684,7 @@
     {
         const auto target = exchange.target();
         if (target == "/api/report") {
-            const Json model { { "name", m_options.model }, { "version", m_version.load() }, { "adapters", Json::array() } };
-            exchange.respond(200, Json { { "stage", "hybrid" }, { "models", Json::array({ model }) }, { "busy", false }, { "sequence", m_orders.load() }, { "queued", 0 }, { "active", m_running.load() }, { "born", m_bornAt } }.dump());
+            exchange.respond(200, Json { { "stage", "hybrid" }, { "models", modelsAsJson() }, { "busy", m_isLoading.load() }, { "sequence", m_orders.load() }, { "queued", 0 }, { "active", m_running.load() }, { "born", m_bornAt } }.dump());
             return;
         }
         if (!exchange.field("X-Expected-Instance").empty() && exchange.field("X-Expected-Instance") != m_options.id) {
@@ -687,14 +692,46 @@
             return;
         }
         if (target == "/api/order") {
-            m_version = Json::parse(exchange.request.body()).at("version").get<std::uint64_t>();
-            ++m_orders;
-            exchange.respond(202, "{}");
-            publish("ready");
+            order(exchange, Json::parse(exchange.request.body()));
             return;
         }
         run(exchange);
     }
+    Json modelsAsJson()
+    {
+        const std::lock_guard lock(m_versionMutex);
+        Json models = Json::array();
+        for (const auto& [model, version] : m_versions)
+            models.push_back({ { "name", model }, { "version", version }, { "adapters", Json::array() } });
+        return models;
+    }
+    /// A change of version, which takes 0.9 s.
+    void order(Exchange& exchange, const Json& order)
+    {
+        const auto model = order.at("model").get<std::string>();
+        const auto version = order.at("version").get<std::uint64_t>();
+        if (versionOf(model) == version) {
+            exchange.respond(200, "{}");
+            return;
+        }
+        if (order.value("expected", m_orders.load()) != m_orders || m_isLoading.exchange(true)) {
+            exchange.respond(409, "{}");
+            return;
+        }
+        ++m_orders;
+        m_record.line("sampler " + m_options.id + " is ordered to load version " + std::to_string(version) + " of " + model);
+        exchange.respond(202, "{}");
+        std::thread([this, model, version] {
+            sleepFor(Milliseconds(900));
+            {
+                const std::lock_guard lock(m_versionMutex);
+                m_versions[model] = version;
+            }
+            m_isLoading = false;
+            if (!m_hasCrashed)
+                publish("ready");
+        }).detach();
+    }
     void run(Exchange& exchange)
     {
         const auto id = exchange.field("X-Attempt-Id");
@@ -715,7 +752,7 @@
             m_runs.push_back({ id, arrivedAt });
         }
         m_record.line("sampler " + m_options.id + " runs " + id + " (" + exchange.target() + "), which arrived at " + std::to_string(arrivedAt) + " ms");
-        if (m_options.model.empty())
+        if (m_options.models.empty())
             answer(exchange, id);
         else
             stream(exchange, id);
@@ -755,11 +792,18 @@
     void stream(Exchange& exchange, const std::string& id)
     {
         const auto last = exchange.field("Last-Event-Id");
+        const auto model = exchange.field("X-Model");
+        auto version = versionOf(model);
         exchange.writeRaw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: sig-" + id
-            + "\r\nX-Weight-Versions: " + std::to_string(m_version) + "\r\n\r\n");
+            + "\r\nX-Weight-Versions: " + std::to_string(version) + "\r\n\r\n");
         for (auto number = last.empty() ? 1 : std::stoull(last) + 1; number <= m_options.events; ++number) {
             sleepFor(m_options.work);
-            if (!exchange.writeChunk("id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n")) {
+            std::string change;
+            if (versionOf(model) != version) {
+                version = versionOf(model);
+                change = "x-weight-versions: " + std::to_string(version) + "\n";
+            }
+            if (!exchange.writeChunk(change + "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n")) {
                 exchange.isClosing = true;
                 return;
             }
@@ -789,7 +833,10 @@
     Record& m_record;
     Options m_options;
     std::int64_t m_bornAt = unixMilliseconds();
-    std::atomic<std::uint64_t> m_version { 1 };
+    std::mutex m_versionMutex;
+    std::map<std::string, std::uint64_t> m_versions;
+    std::atomic<bool> m_isLoading { false };
+    std::atomic<bool> m_hasCrashed { false };
     std::atomic<std::uint64_t> m_orders { 0 };
     std::atomic<std::uint64_t> m_beats { 0 };
     std::atomic<std::int64_t> m_workMilliseconds { -1 };
