--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,106 +1,37 @@
-/// A step of one of six models after the loss of one of six engines. See claim.txt.
+/// A step on a route with single_version, one of whose engines is lost while new weights are loaded. See claim.txt.
 
-#include "../common/World.hpp"
+#include "../common/Trainer.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr Milliseconds stepDeadline { 12000 };
+constexpr unsigned engineCount = 7;
+constexpr unsigned slots = 4;
+constexpr unsigned itemCount = 8;
+constexpr unsigned eventCount = 10;
+constexpr Milliseconds timePerEvent { 400 };
+constexpr Milliseconds trainingTime { 500 };
 constexpr Milliseconds maximumIdleTime { 5000 };
-/// Each model has a trainer of the same name.
-const std::vector<std::string> names { "a", "b", "c", "d", "e", "f" };
-/// The model whose steps are the smallest.
-constexpr std::size_t smallest = 1;
-
-Json route(const std::string& name, const std::string& prefix)
-{
-    return { { "name", name }, { "hostname", "site.example" }, { "prefix", prefix }, { "type", "rollout" }, { "service", "draft" }, { "timeout_ms", 10000 }, { "target_latency_ms", 500 },
-        { "target_finish_ms", 7500 }, { "item_ttl_s", 40 }, { "priority", 1 }, { "max_attempts", 3 } };
-}
+constexpr unsigned largeStep = 2;
 
 Json configuration()
 {
-    Json models = Json::array();
-    Json routes = Json::array();
-    for (const auto& name : names) {
-        models.push_back(Json { { "name", "model-" + name } });
-        routes.push_back(route("drafts-" + name, "/" + name + "/"));
-    }
-    return { { "version", 3 }, { "routes", routes }, { "services", Json::array({ Json { { "name", "draft" }, { "max_connections", 140 }, { "engine", { { "models", models } } } } }) },
+    const Json drafts { { "name", "drafts" }, { "hostname", "site.example" }, { "prefix", "/a/" }, { "type", "rollout" }, { "service", "draft" }, { "timeout_ms", 10000 }, { "target_latency_ms", 500 },
+        { "target_finish_ms", 7500 }, { "item_ttl_s", 40 }, { "priority", 1 }, { "max_attempts", 3 }, { "single_version", true } };
+    const Json models = Json::array({ Json { { "name", "model-a" } } });
+    return { { "version", 3 }, { "routes", Json::array({ drafts }) }, { "services", Json::array({ Json { { "name", "draft" }, { "max_connections", 140 }, { "engine", { { "models", models } } } } }) },
         { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 33554432 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
 }
 
-/// A trainer of one model.
-class Trainer {
-public:
-    Trainer(Record& record, std::uint16_t port, std::string name)
-        : m_record(record)
-        , m_port(port)
-        , m_name(std::move(name))
-    {
-    }
-    std::string itemId(unsigned step, unsigned item) const { return m_name + "-step-" + std::to_string(step) + "-item-" + std::to_string(item); }
-    bool submit(unsigned step, unsigned oldestVersion, unsigned itemCount)
-    {
-        Json items = Json::array();
-        for (unsigned i = 0; i < itemCount; ++i)
-            items.push_back({ { "id", itemId(step, i) }, { "path", "/" + m_name + "/" + std::to_string(i) }, { "headers", { { "X-Model", "model-" + m_name }, { "X-Token-Usage", "100,300" } } }, { "body", base64("prompt") }, { "tokens", 400 },
-                { "group_id", "g" + std::to_string(i / 4) } });
-        const Json body { { "step", step }, { "model", "model-" + m_name }, { "min_version", oldestVersion }, { "target_groups", itemCount / 4 }, { "items", items } };
-        const auto answer = call(m_port, "POST", "/" + m_name + "/step", { { "Host", "site.example" }, { "X-Attempt-Id", idOf(step) }, { "Content-Type", "application/json" } }, body.dump(), Milliseconds(4000));
-        m_record.line("trainer of model-" + m_name + " submits step " + std::to_string(step) + " with " + std::to_string(itemCount) + " items and min_version " + std::to_string(oldestVersion) + "; answer " + std::to_string(answer.status));
-        return answer.status == 202;
-    }
-    /// The ids of the items that are listed, with their states.
-    std::map<std::string, std::string> results(unsigned step)
-    {
-        std::map<std::string, std::string> states;
-        for (std::size_t after = 0;;) {
-            const auto answer = call(m_port, "GET", "/api/lots/" + idOf(step) + "?after=" + std::to_string(after), { { "Host", "site.example" } }, "", Milliseconds(2500));
-            const auto page = answer.status == 200 ? Json::parse(answer.body) : Json { { "results", Json::array() } };
-            if (page.at("results").empty())
-                return states;
-            for (const auto& result : page.at("results"))
-                states[result.at("id").get<std::string>()] = result.at("state").get<std::string>();
-            after = page.at("next").get<std::size_t>();
-        }
-    }
-    bool awaitResults(unsigned step, std::size_t count)
-    {
-        return waitUntil([&] { return results(step).size() >= count; }, stepDeadline);
-    }
-    void end(unsigned step)
-    {
-        const auto answer = call(m_port, "DELETE", "/api/lots/" + idOf(step), { { "Host", "site.example" } }, "", Milliseconds(4000));
-        m_record.line("trainer of model-" + m_name + " ends step " + std::to_string(step) + "; answer " + std::to_string(answer.status));
-    }
-
-private:
-    std::string idOf(unsigned step) const { return "lot-" + m_name + "-" + std::to_string(step); }
-
-    Record& m_record;
-    std::uint16_t m_port;
-    std::string m_name;
-};
-
-void nameVersion(Store& store, Record& record, const std::string& model, unsigned version)
-{
-    store.put("op/version/" + model, Json { { "model", model }, { "version", version } }.dump());
-    record.line("version " + std::to_string(version) + " of " + model + " is named");
-}
-
 int run(const std::string& folder, Record& record)
 {
     // Never destroyed, as their threads still use them.
     auto& store = *new Store;
     store.put("op/config", configuration().dump());
-    std::vector<std::string> models;
-    for (const auto& name : names)
-        models.push_back("model-" + name);
     std::vector<Sampler*> engines;
-    for (std::size_t i = 0; i < names.size(); ++i)
-        engines.push_back(new Sampler(store, record, { "i-engine-" + std::to_string(i + 1), "draft", models, 4, 24, Milliseconds(100), 6 }));
+    for (unsigned i = 0; i < engineCount; ++i)
+        engines.push_back(new Sampler(store, record, { "i-engine-" + std::to_string(i + 1), "draft", { "model-a" }, slots, 24, timePerEvent, eventCount }));
     const HostPorts ports { freePort(), freePort() };
     const auto mirror = "127.0.0.1:" + std::to_string(freePort());
     Process coordinator(folder, "storage-1", coordinatorSettings("storage-1", store.address(), mirror, { mirror }));
@@ -109,58 +40,58 @@
     host.start();
     if (!waitUntil([&] { return isReady(ports.ready) && store.value("coordinator/holder"); }, Milliseconds(15000)))
         return couldNotRun;
-    sleepFor(Milliseconds(3000));
+    sleepFor(Milliseconds(4000));
 
-    std::vector<Trainer> trainers;
-    for (const auto& name : names)
-        trainers.emplace_back(record, ports.callers, name);
-    // All trainers take their first steps.
-    const auto itemsOf = [](std::size_t index) { return index == smallest ? 32U : 48U; };
-    for (std::size_t i = 0; i < trainers.size(); ++i) {
-        if (!trainers[i].submit(0, 1, itemsOf(i)))
+    // The trainer asks for steps ahead: step 2, which allows version 1 and newer, is open when steps 0 and 1 end and versions 2 and 3 are named.
+    Trainer trainer(record, ports.callers, "a");
+    for (unsigned step = 0; step < largeStep; ++step) {
+        if (!trainer.submit(step, 1, 4))
             return couldNotRun;
     }
-    for (std::size_t i = 0; i < trainers.size(); ++i) {
-        if (!trainers[i].awaitResults(0, itemsOf(i)))
+    for (unsigned step = 0; step < largeStep; ++step) {
+        if (!trainer.awaitResults(step, 4))
             return couldNotRun;
-        trainers[i].end(0);
-    }
-    for (unsigned version = 2; version <= 3; ++version) {
-        for (const auto& model : models)
-            nameVersion(store, record, model, version);
-        sleepFor(Milliseconds(2000));
     }
-    const auto enginesWith = [&](const std::string& model) {
-        std::vector<Sampler*> found;
-        std::copy_if(engines.begin(), engines.end(), std::back_inserter(found), [&](auto* engine) { return engine->versionOf(model) >= 2; });
-        return found;
-    };
-    if (!waitUntil([&] { return std::none_of(models.begin(), models.end(), [&](const auto& model) { return enginesWith(model).empty(); }); }, Milliseconds(20000)))
-        return couldNotRun;
-    sleepFor(Milliseconds(1000));
-
-    // Step 3 is asked for after version 3 was named, and allows version 2 and newer.
-    auto& trainer = trainers[smallest];
     const auto submittedAt = record.now();
-    if (!trainer.submit(3, 2, 32))
+    if (!trainer.submit(largeStep, 1, itemCount))
         return couldNotRun;
-    sleepFor(Milliseconds(1500));
+    sleepFor(Milliseconds(300));
+    for (unsigned step = 0; step < largeStep; ++step) {
+        trainer.end(step);
+        sleepFor(trainingTime);
+        nameVersion(store, record, "model-a", step + 2);
+    }
     if (hasTrouble()) {
-        const auto found = enginesWith(models[smallest]);
-        if (found.size() != 1)
+        Sampler* lost = nullptr;
+        // The third pair of engines is being loaded, and one engine still has version 1 and runs an item.
+        const bool isFound = waitUntil([&] {
+            const auto ordered = std::count_if(engines.begin(), engines.end(), [](auto* engine) { return engine->orders() > 0; });
+            const auto found = std::find_if(engines.begin(), engines.end(), [](auto* engine) { return engine->orders() == 0 && engine->running() > 0; });
+            lost = found == engines.end() ? nullptr : *found;
+            return ordered + 1 >= engineCount && lost;
+        },
+            Milliseconds(6000));
+        if (!isFound)
             return couldNotRun;
-        found.front()->crash();
-        record.line("the engine that has " + models[smallest] + " in version 2 or newer is lost for good; five engines are left");
+        lost->crash();
+        record.line("the one engine that still has version 1 is lost for good, with " + std::to_string(lost->running()) + " items that it runs");
         sleepFor(Milliseconds(3600));
-        found.front()->removeEntry();
+        lost->removeEntry();
         record.line("its entry is removed, after three status report intervals");
     }
-    while (record.now() < submittedAt + stepDeadline.count())
-        sleepFor(Milliseconds(50));
-    const auto listed = trainer.results(3);
+    unsigned mostRunning = 0;
+    while (record.now() < submittedAt + trainerStepDeadline.count()) {
+        unsigned running = 0;
+        for (auto* engine : engines)
+            running += engine->running();
+        if (record.now() > submittedAt + trainerStepDeadline.count() - maximumIdleTime.count())
+            mostRunning = std::max(mostRunning, running);
+        sleepFor(Milliseconds(20));
+    }
+    const auto listed = trainer.results(largeStep);
     const auto deadlineAt = record.now();
-    record.line("step 3 of " + models[smallest] + " runs out of time with " + std::to_string(listed.size()) + " of 32 results");
-    trainer.end(3);
+    record.line("the step runs out of time with " + std::to_string(listed.size()) + " of " + std::to_string(itemCount) + " results");
+    trainer.end(largeStep);
 
     std::map<std::string, std::int64_t> lastRun;
     for (auto* engine : engines) {
@@ -169,15 +100,20 @@
     }
     unsigned begun = 0;
     unsigned idle = 0;
-    for (unsigned i = 0; i < 32; ++i) {
-        const auto id = trainer.itemId(3, i);
+    for (unsigned i = 0; i < itemCount; ++i) {
+        const auto id = trainer.itemId(largeStep, i);
         begun += lastRun.contains(id) ? 1 : 0;
         const auto since = lastRun.contains(id) ? lastRun[id] : submittedAt;
-        // A run takes 0.6 s.
-        const bool isIdle = !listed.contains(id) && deadlineAt - since > maximumIdleTime.count() + 600;
+        const auto longestRun = timePerEvent.count() * eventCount;
+        const bool isIdle = !listed.contains(id) && deadlineAt - since > maximumIdleTime.count() + longestRun;
         idle += isIdle ? 1 : 0;
+        if (isIdle)
+            record.line(id + " is not listed, and last reached a sampler " + std::to_string(deadlineAt - since) + " ms ago");
     }
-    record.line(std::to_string(begun) + " items of the step had begun; " + std::to_string(idle) + " unfinished ones have been at no sampler for 5 s or more, while the other engines had nothing to do");
+    record.line(std::to_string(begun) + " items of the step had begun; " + std::to_string(idle) + " unfinished ones have been at no sampler for 5 s or more; in these 5 s at most " + std::to_string(mostRunning) + " of "
+        + std::to_string((engineCount - 1) * slots) + " slots were taken");
+    if (mostRunning * 2 >= (engineCount - 1) * slots)
+        return couldNotRun;
     return begun > 0 && idle > 0 ? ruleBroken : ruleHeld;
 }
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,28 +1,34 @@
-/// Requests that must not be repeated, at samplers that are full and send some of their answers once more. See claim.txt.
+/// A step of one of six models after the loss of one of six engines. See claim.txt.
 
-#include "../common/World.hpp"
+#include "../common/Trainer.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr unsigned hostCount = 3;
-constexpr unsigned serviceCount = 3;
-constexpr unsigned callersOfService = 18;
-constexpr Milliseconds loadTime { 60000 };
+constexpr Milliseconds stepDeadline = trainerStepDeadline;
+constexpr Milliseconds maximumIdleTime { 5000 };
+/// Each model has a trainer of the same name.
+const std::vector<std::string> names { "a", "b", "c", "d", "e", "f" };
+/// The model whose steps are the smallest.
+constexpr std::size_t smallest = 1;
 
-std::string nameOf(unsigned service) { return "ledger-" + std::to_string(service); }
+Json route(const std::string& name, const std::string& prefix)
+{
+    return { { "name", name }, { "hostname", "site.example" }, { "prefix", prefix }, { "type", "rollout" }, { "service", "draft" }, { "timeout_ms", 10000 }, { "target_latency_ms", 500 },
+        { "target_finish_ms", 7500 }, { "item_ttl_s", 40 }, { "priority", 1 }, { "max_attempts", 3 } };
+}
 
 Json configuration()
 {
+    Json models = Json::array();
     Json routes = Json::array();
-    Json services = Json::array();
-    for (unsigned service = 0; service < serviceCount; ++service) {
-        routes.push_back({ { "name", "posts-" + std::to_string(service) }, { "hostname", "site.example" }, { "prefix", "/posts/" + std::to_string(service) + "/" }, { "type", "non_idempotent" }, { "service", nameOf(service) },
-            { "timeout_ms", 2000 }, { "target_latency_ms", 150 }, { "priority", 1 }, { "max_attempts", 2 } });
-        services.push_back({ { "name", nameOf(service) }, { "max_connections", 110 } });
+    for (const auto& name : names) {
+        models.push_back(Json { { "name", "model-" + name } });
+        routes.push_back(route("drafts-" + name, "/" + name + "/"));
     }
-    return { { "version", 3 }, { "routes", routes }, { "services", services }, { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 33554432 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+    return { { "version", 3 }, { "routes", routes }, { "services", Json::array({ Json { { "name", "draft" }, { "max_connections", 140 }, { "engine", { { "models", models } } } } }) },
+        { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 33554432 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
 }
 
 int run(const std::string& folder, Record& record)
@@ -30,83 +36,90 @@
     // Never destroyed, as their threads still use them.
     auto& store = *new Store;
     store.put("op/config", configuration().dump());
-    std::vector<Sampler*> samplers;
-    for (unsigned service = 0; service < serviceCount; ++service) {
-        Sampler::Options options { "i-" + nameOf(service), nameOf(service), {}, 4, 2, Milliseconds(6), 0 };
-        // At most 3 in 100 of a sampler's answers are sent once more, late.
-        options.extraShare = hasTrouble() ? 0.03 : 0;
-        samplers.push_back(new Sampler(store, record, options));
-    }
+    std::vector<std::string> models;
+    for (const auto& name : names)
+        models.push_back("model-" + name);
+    std::vector<Sampler*> engines;
+    for (std::size_t i = 0; i < names.size(); ++i)
+        engines.push_back(new Sampler(store, record, { "i-engine-" + std::to_string(i + 1), "draft", models, 4, 24, Milliseconds(100), 6 }));
+    const HostPorts ports { freePort(), freePort() };
     const auto mirror = "127.0.0.1:" + std::to_string(freePort());
     Process coordinator(folder, "storage-1", coordinatorSettings("storage-1", store.address(), mirror, { mirror }));
+    Process host(folder, "edge-1", hostSettings("edge-1", store.address(), ports, { mirror }));
     coordinator.start();
-    std::vector<HostPorts> ports;
-    std::vector<std::unique_ptr<Process>> hosts;
-    for (unsigned i = 0; i < hostCount; ++i) {
-        ports.push_back({ freePort(), freePort() });
-        const auto name = "edge-" + std::to_string(i + 1);
-        hosts.push_back(std::make_unique<Process>(folder, name, hostSettings(name, store.address(), ports.back(), { mirror })));
-        hosts.back()->start();
+    host.start();
+    if (!waitUntil([&] { return isReady(ports.ready) && store.value("coordinator/holder"); }, Milliseconds(15000)))
+        return couldNotRun;
+    sleepFor(Milliseconds(3000));
+
+    std::vector<Trainer> trainers;
+    for (const auto& name : names)
+        trainers.emplace_back(record, ports.callers, name);
+    // All trainers take their first steps.
+    const auto itemsOf = [](std::size_t index) { return index == smallest ? 32U : 48U; };
+    for (std::size_t i = 0; i < trainers.size(); ++i) {
+        if (!trainers[i].submit(0, 1, itemsOf(i)))
+            return couldNotRun;
     }
-    for (const auto& port : ports) {
-        if (!waitUntil([&] { return isReady(port.ready); }, Milliseconds(15000)))
+    for (std::size_t i = 0; i < trainers.size(); ++i) {
+        if (!trainers[i].awaitResults(0, itemsOf(i)))
             return couldNotRun;
+        trainers[i].end(0);
     }
-    sleepFor(Milliseconds(2000));
-
-    std::mutex mutex;
-    std::map<std::string, unsigned> statuses;
-    std::atomic<bool> isOver { false };
-    std::vector<std::thread> callers;
-    for (unsigned caller = 0; caller < serviceCount * callersOfService; ++caller) {
-        callers.emplace_back([&, caller] {
-            for (unsigned number = 0; !isOver; ++number) {
-                // Each attempt of a client has an id of its own.
-                const auto id = "post-" + std::to_string(caller) + "-" + std::to_string(number);
-                const auto answer = call(ports[caller / serviceCount % hostCount].callers, "POST", "/posts/" + std::to_string(caller % serviceCount) + "/" + std::to_string(number), { { "Host", "site.example" }, { "X-Attempt-Id", id }, { "X-Deadline-Ms", "2000" } }, "amount", Milliseconds(2000));
-                {
-                    const std::lock_guard lock(mutex);
-                    statuses[id] = answer.status;
-                }
-                record.line("answer to " + id + ": " + std::to_string(answer.status));
-                const auto retryAfter = answer.fields.find("Retry-After");
-                sleepFor(Milliseconds(retryAfter == answer.fields.end() ? number % 7 * 3 : static_cast<int>(1000 * std::stod(retryAfter->second))));
-            }
-        });
+    for (unsigned version = 2; version <= 3; ++version) {
+        for (const auto& model : models)
+            nameVersion(store, record, model, version);
+        sleepFor(Milliseconds(2000));
     }
-    sleepFor(loadTime);
-    isOver = true;
-    for (auto& caller : callers)
-        caller.join();
+    const auto enginesWith = [&](const std::string& model) {
+        std::vector<Sampler*> found;
+        std::copy_if(engines.begin(), engines.end(), std::back_inserter(found), [&](auto* engine) { return engine->versionOf(model) >= 2; });
+        return found;
+    };
+    if (!waitUntil([&] { return std::none_of(models.begin(), models.end(), [&](const auto& model) { return enginesWith(model).empty(); }); }, Milliseconds(20000)))
+        return couldNotRun;
     sleepFor(Milliseconds(1000));
 
-    std::map<std::string, unsigned> runs;
-    for (auto* sampler : samplers) {
-        for (const auto& run : sampler->runs())
-            ++runs[run.id];
-        record.line("a sampler gave " + std::to_string(sampler->answers()) + " answers and sent " + std::to_string(sampler->extras()) + " of them once more");
+    // Step 3 is asked for after version 3 was named, and allows version 2 and newer.
+    auto& trainer = trainers[smallest];
+    const auto submittedAt = record.now();
+    if (!trainer.submit(3, 2, 32))
+        return couldNotRun;
+    sleepFor(Milliseconds(1500));
+    if (hasTrouble()) {
+        const auto found = enginesWith(models[smallest]);
+        if (found.size() != 1)
+            return couldNotRun;
+        found.front()->crash();
+        record.line("the engine that has " + models[smallest] + " in version 2 or newer is lost for good; five engines are left");
+        sleepFor(Milliseconds(3600));
+        found.front()->removeEntry();
+        record.line("its entry is removed, after three status report intervals");
+    }
+    while (record.now() < submittedAt + stepDeadline.count())
+        sleepFor(Milliseconds(50));
+    const auto listed = trainer.results(3);
+    const auto deadlineAt = record.now();
+    record.line("step 3 of " + models[smallest] + " runs out of time with " + std::to_string(listed.size()) + " of 32 results");
+    trainer.end(3);
+
+    std::map<std::string, std::int64_t> lastRun;
+    for (auto* engine : engines) {
+        for (const auto& one : engine->runs())
+            lastRun[one.id] = std::max(lastRun[one.id], one.arrivedAt);
     }
-    unsigned twice = 0;
-    unsigned refused = 0;
-    std::map<unsigned, unsigned> counts;
-    for (const auto& [id, status] : statuses) {
-        ++counts[status];
-        const auto count = runs.contains(id) ? runs[id] : 0;
-        if (count > 1) {
-            ++twice;
-            record.line(id + " ran " + std::to_string(count) + " times; its answer was " + std::to_string(status));
-        }
-        if (count > 0 && (status == 503 || status == 429)) {
-            ++refused;
-            record.line(id + " was answered " + std::to_string(status) + " and ran");
-        }
+    unsigned begun = 0;
+    unsigned idle = 0;
+    for (unsigned i = 0; i < 32; ++i) {
+        const auto id = trainer.itemId(3, i);
+        begun += lastRun.contains(id) ? 1 : 0;
+        const auto since = lastRun.contains(id) ? lastRun[id] : submittedAt;
+        // A run takes 0.6 s.
+        const bool isIdle = !listed.contains(id) && deadlineAt - since > maximumIdleTime.count() + 600;
+        idle += isIdle ? 1 : 0;
     }
-    for (const auto& [status, count] : counts)
-        record.line(std::to_string(count) + " answers with status " + std::to_string(status));
-    record.line(std::to_string(twice) + " requests ran more than once (TWICE); " + std::to_string(refused) + " were answered 503 or 429 and ran (REFUSED)");
-    if (counts[200] == 0)
-        return couldNotRun;
-    return twice + refused > 0 ? ruleBroken : ruleHeld;
+    record.line(std::to_string(begun) + " items of the step had begun; " + std::to_string(idle) + " unfinished ones have been at no sampler for 5 s or more, while the other engines had nothing to do");
+    return begun > 0 && idle > 0 ? ruleBroken : ruleHeld;
 }
 
 } // namespace
--- a/review/common/World.hpp
+++ b/review/common/World.hpp
@@ -658,6 +658,9 @@
             { "cold_remaining_ms", 0 }, { "models", modelsAsJson() }, { "sequence", ++m_beats }, { "born", m_bornAt } };
         m_store.put("servers/" + m_options.id, beat.dump());
     }
+    /// Orders that it has accepted, and requests that it runs now.
+    std::uint64_t orders() const { return m_orders; }
+    unsigned running() const { return m_running; }
     /// Answers that were sent once more.
     unsigned extras() const { return m_extras; }
     unsigned answers() const { return m_answers; }
