Load a model that has no engine of its own on another model's engine

Cause: each engine is assigned to one model, and only a model's own engines loaded its weights. A model whose share is no engine, or whose only engine fails its loads, does not end one, or came with a configuration, had none for good.

Change: planLoads() loads such a model on one engine of another model, unless an engine has or is loading useful weights. A load counts no longer as progress after 3.6 s. Engines are assigned anew when the models of a pool change. Event 519 states assignments, event 515 whose engine was ordered.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -85,6 +85,7 @@
     RewardCallEnded = 516,
     VersionNamed = 517,
     ResultsServed = 518,
+    EngineAssigned = 519,
     // 6xx: process and links
     ProcessStarted = 601,
     ProcessStopping = 602,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -151,6 +151,7 @@
         { Event::RewardCallEnded, "reward-call-ended", Level::Info },
         { Event::VersionNamed, "version-named", Level::Info },
         { Event::ResultsServed, "results-served", Level::Debug },
+        { Event::EngineAssigned, "engine-assigned", Level::Info },
         { Event::ProcessStarted, "process-started", Level::Info },
         { Event::ProcessStopping, "process-stopping", Level::Info },
         { Event::ProcessStopped, "process-stopped", Level::Info },
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -23,6 +23,8 @@
     constexpr milliseconds callTimeout { 600 };
     /// Time for which an engine is not loaded again after a failed load.
     constexpr milliseconds failureBackoff { 1000 };
+    /// Time after which a load counts as overdue: four times the 0.9 s that the users' data sheets state.
+    constexpr milliseconds overdueLoadTime { 3600 };
     /// Engines are assigned by speed once at most one in this many has not been measured.
     constexpr std::size_t enginesPerUnmeasured = 5;
 
@@ -107,9 +109,15 @@
     updateVersions(decision.engine, { { decision.model.value(), decision.version } });
 }
 
+std::string WeightOrders::assignedModelOf(const TargetId& id) const
+{
+    const auto found = m_engines.find(id);
+    return found == m_engines.end() ? std::string() : found->second.assignedModel.value();
+}
+
 void WeightOrders::logOrder(const LoadOrder& order, std::optional<OrderOutcome> outcome) const
 {
-    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.expectedAcceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "assigned-model", assignedModelOf(order.engine) }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.expectedAcceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
 }
 
 void WeightOrders::updateEngines()
@@ -127,23 +135,41 @@
         engine.pool = target.pool;
         updateVersions(id, target.models);
     }
-    std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && !entry.second.isLoading; });
-    std::set<TargetId> engineIds;
-    for (const auto& [id, engine] : m_engines)
-        engineIds.insert(id);
-    if (engineIds != m_assignedEngines)
+    std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && entry.second.loadingModel.isEmpty(); });
+    if (auto input = assignmentInput(); input != m_assigned) {
+        m_assigned = std::move(input);
         assignHomeModels();
-    m_assignedEngines = std::move(engineIds);
+    }
     tick();
 }
 
+WeightOrders::AssignmentInput WeightOrders::assignmentInput() const
+{
+    AssignmentInput input;
+    for (const auto& [id, engine] : m_engines)
+        input.engines.insert(id);
+    if (const auto view = m_directory.view()) {
+        for (const auto& pool : view->configuration.pools)
+            input.models.emplace(pool.name, pool.models);
+    }
+    return input;
+}
+
 std::vector<LoadableEngine> WeightOrders::loadableEngines(const PoolName& pool) const
 {
     std::vector<LoadableEngine> engines;
+    const auto now = m_clock.now();
     for (const auto& [id, engine] : m_engines) {
-        if (engine.pool != pool || (!engine.isLoading && engine.backoffUntil > m_clock.now()))
+        if (engine.pool != pool)
             continue;
-        LoadableEngine loadableEngine { id, engine.versions, engine.isLoading, engine.assignedModel, std::chrono::duration<double>(m_scheduler.timePerEvent(id)).count() };
+        LoadableEngine loadableEngine;
+        loadableEngine.id = id;
+        loadableEngine.versions = engine.versions;
+        loadableEngine.loadingModel = engine.loadingModel;
+        loadableEngine.isLoadOverdue = loadableEngine.isLoading() && now - engine.loadStartedAt > overdueLoadTime;
+        loadableEngine.isBackingOff = engine.backoffUntil > now;
+        loadableEngine.assignedModel = engine.assignedModel;
+        loadableEngine.secondsPerEvent = std::chrono::duration<double>(m_scheduler.timePerEvent(id)).count();
         loadableEngine.running = m_scheduler.runningCountOn(id, engine.assignedModel);
         engines.push_back(std::move(loadableEngine));
     }
@@ -167,7 +193,10 @@
                 engine.assignedModel = newest->first;
         }
         for (const auto& [id, model] : assignModels(std::move(engines), models, m_scheduler.demand())) {
-            m_engines[id].assignedModel = model;
+            auto& assignedModel = m_engines[id].assignedModel;
+            if (assignedModel != model)
+                logEvent(Event::EngineAssigned, { { "engine", id.value() }, { "model", model.value() }, { "models", std::to_string(models.size()) } });
+            assignedModel = model;
             m_scheduler.setAssignedModel(id, model);
         }
     }
@@ -189,7 +218,9 @@
                 requirements.push_back({ model, named->second, m_scheduler.oldestAllowedVersion(model).value_or(0), m_scheduler.waitingCount(model) });
         }
         for (auto& decision : planLoads(loadableEngines(pool.name), requirements, m_settings.plan)) {
-            m_engines[decision.engine].isLoading = true;
+            auto& engine = m_engines[decision.engine];
+            engine.loadingModel = decision.model;
+            engine.loadStartedAt = m_clock.now();
             asio::co_spawn(m_executor, load(std::move(decision)), asio::detached);
         }
     }
@@ -248,7 +279,7 @@
     const auto found = m_engines.find(decision.engine);
     if (found == m_engines.end())
         return;
-    found->second.isLoading = false;
+    found->second.loadingModel = {};
     if (load.attempt.consecutiveFailures() > 0)
         found->second.backoffUntil = m_clock.now() + failureBackoff;
     if (!m_directory.registry().find(decision.engine)) {
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -62,7 +62,9 @@
         std::map<ModelName, WeightVersion> versions;
         /// Model that the engine serves first.
         ModelName assignedModel;
-        bool isLoading = false;
+        /// Model of the load in progress, or empty, and when it began.
+        ModelName loadingModel;
+        TimePoint loadStartedAt;
         /// End of the backoff after a failed load, during which other engines are loaded first.
         TimePoint backoffUntil;
     };
@@ -75,6 +77,14 @@
     };
 
     void applyNamedVersions(const std::vector<KeyValueEntry>&);
+    /// What the assignment of models depends on, apart from speed and demand.
+    struct AssignmentInput {
+        std::set<TargetId> engines;
+        std::map<PoolName, std::vector<std::string>> models;
+        bool operator==(const AssignmentInput&) const = default;
+    };
+
+    AssignmentInput assignmentInput() const;
     void assignHomeModels();
     void assignWhenMeasured();
     std::vector<LoadableEngine> loadableEngines(const PoolName&) const;
@@ -87,6 +97,7 @@
     Task<Result<EngineReport>> fetchReport(const TargetId&, const Endpoint&);
     void updateVersions(const TargetId&, const std::map<std::string, WeightVersion>&);
     void addLoadedVersion(const LoadDecision&);
+    std::string assignedModelOf(const TargetId&) const;
     void logOrder(const LoadOrder&, std::optional<OrderOutcome>) const;
 
     boost::asio::any_io_executor m_executor;
@@ -103,7 +114,8 @@
     std::map<TargetId, Engine> m_engines;
     /// Whether the engines have been assigned to models by their measured speed.
     bool m_isAssignedBySpeed = false;
-    std::set<TargetId> m_assignedEngines;
+    /// Input of the last assignment.
+    AssignmentInput m_assigned;
     std::optional<TimePoint> m_lastOrderAt;
     bool m_isStopped = false;
 };
--- a/packages/submissions/include/cicadalb/submissions/LoadPlan.h
+++ b/packages/submissions/include/cicadalb/submissions/LoadPlan.h
@@ -15,13 +15,22 @@
     TargetId id;
     /// Loaded weight version of each model.
     std::map<ModelName, WeightVersion> versions;
-    bool isLoading = false;
-    /// Model that the engine is assigned to; it loads new versions of this model only.
+    /// Model that the engine is loading; empty if it is not loading.
+    ModelName loadingModel;
+    /// Whether the load in progress takes so long that it may never end.
+    bool isLoadOverdue = false;
+    /// Whether the last load failed so recently that no other is started yet.
+    bool isBackingOff = false;
+    /// Model that the engine is assigned to. It loads other models only while these have no engine.
     ModelName assignedModel;
     /// Seconds per event.
     double secondsPerEvent = 0;
     /// Number of runs of the assigned model.
     std::size_t running = 0;
+
+    bool isLoading() const { return !loadingModel.isEmpty(); }
+    /// @brief Whether the engine can start a load now, or is expected to end the one in progress soon.
+    bool canLoad() const { return isLoading() ? !isLoadOverdue : !isBackingOff; }
 };
 
 /// @brief A load to start on an engine.
@@ -59,7 +68,9 @@
 
 /// @brief Chooses the loads to start now. Engines whose weights are too old for the next submission come first, fast ones before slow ones.
 /// Other engines load the newest version only while no sample of the model waits, and only until half of the model's engines have it or are
-/// loading it: the rest keep serving and load at the next version change.
+/// loading it: the rest keep serving and load at the next version change. A model without an engine that can load it, because there are fewer
+/// engines than models or because loads on its own engines fail or do not end, is loaded on one engine of another model, unless an engine has
+/// weights that are new enough.
 std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>&, const std::vector<ModelRequirement>&, const LoadPlanSettings&);
 
 } // namespace cicadalb
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <tuple>
 
 namespace cicadalb {
@@ -80,10 +81,37 @@
         auto sortKey() const { return std::tuple(!isRequired, isSlow, running); }
     };
 
+    /// The oldest version that the open submissions of a model and the next one allow.
+    WeightVersion oldestUsefulVersion(const ModelRequirement& requirement, const LoadPlanSettings& settings)
+    {
+        return std::max(requirement.oldestAllowedVersion, requirement.newestVersion > settings.allowedVersionLag ? requirement.newestVersion - settings.allowedVersionLag : 0);
+    }
+
+    /// The load of a model that none of its own engines can load, on another model's engine. Nothing if an engine has useful weights or is
+    /// loading them. Engines with newer weights of the model come first, then those with fewer runs.
+    std::optional<LoadCandidate> substituteCandidate(const ModelRequirement& requirement, const std::vector<LoadableEngine>& engines, const LoadPlanSettings& settings)
+    {
+        const auto oldestUseful = oldestUsefulVersion(requirement, settings);
+        const auto preference = [&](const LoadableEngine& engine) { return std::tuple(-static_cast<std::int64_t>(versionOf(engine, requirement.model)), engine.running, engine.secondsPerEvent); };
+        const LoadableEngine* best = nullptr;
+        for (const auto& engine : engines) {
+            const bool isLoadingModel = engine.loadingModel == requirement.model;
+            if (isLoadingModel ? engine.canLoad() : versionOf(engine, requirement.model) >= oldestUseful)
+                return std::nullopt;
+            if (engine.isLoading() || !engine.canLoad())
+                continue;
+            if (!best || preference(engine) < preference(*best))
+                best = &engine;
+        }
+        if (!best)
+            return std::nullopt;
+        return LoadCandidate { { best->id, requirement.model, requirement.newestVersion }, true, false, best->running };
+    }
+
     /// Loads to consider for one model's engines.
     std::vector<LoadCandidate> loadCandidates(const ModelRequirement& requirement, const std::vector<const LoadableEngine*>& assigned, const LoadPlanSettings& settings)
     {
-        const auto oldestUseful = std::max(requirement.oldestAllowedVersion, requirement.newestVersion > settings.allowedVersionLag ? requirement.newestVersion - settings.allowedVersionLag : 0);
+        const auto oldestUseful = oldestUsefulVersion(requirement, settings);
         auto lowestSecondsPerEvent = std::numeric_limits<double>::infinity();
         for (const auto* engine : assigned)
             lowestSecondsPerEvent = std::min(lowestSecondsPerEvent, engine->secondsPerEvent);
@@ -92,10 +120,12 @@
         std::size_t upToDateOrLoading = 0;
         for (const auto* engine : assigned) {
             const auto version = versionOf(*engine, requirement.model);
-            if (version >= requirement.newestVersion || engine->isLoading) {
+            if (version >= requirement.newestVersion || engine->loadingModel == requirement.model) {
                 ++upToDateOrLoading;
                 continue;
             }
+            if (engine->isLoading())
+                continue;
             const bool isRequired = version < oldestUseful;
             const bool isSlow = engine->secondsPerEvent > lowestSecondsPerEvent * slowEngineRatio;
             (isRequired ? selected : others).push_back({ { engine->id, requirement.model, requirement.newestVersion }, isRequired, isSlow, engine->running });
@@ -137,22 +167,31 @@
 
 std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>& engines, const std::vector<ModelRequirement>& requirements, const LoadPlanSettings& settings)
 {
-    const auto loading = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return engine.isLoading; }));
+    const auto loading = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return engine.isLoading() && engine.canLoad(); }));
     std::vector<LoadCandidate> candidates;
     for (const auto& requirement : requirements) {
         std::vector<const LoadableEngine*> assigned;
         for (const auto& engine : engines) {
-            if (engine.assignedModel == requirement.model)
+            if (engine.assignedModel == requirement.model && engine.canLoad())
                 assigned.push_back(&engine);
         }
+        if (assigned.empty()) {
+            if (auto substitute = substituteCandidate(requirement, engines, settings))
+                candidates.push_back(std::move(*substitute));
+            continue;
+        }
         const auto modelCandidates = loadCandidates(requirement, assigned, settings);
         candidates.insert(candidates.end(), modelCandidates.begin(), modelCandidates.end());
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.sortKey() < right.sortKey(); });
     std::vector<LoadDecision> decisions;
+    const auto isChosen = [&decisions](const TargetId& engine) { return std::any_of(decisions.begin(), decisions.end(), [&](const auto& decision) { return decision.engine == engine; }); };
     for (const auto& candidate : candidates) {
         if (loading + decisions.size() >= concurrentLoadLimit(settings, engines.size()))
             break;
+        // An engine loads one model at a time.
+        if (isChosen(candidate.decision.engine))
+            continue;
         decisions.push_back(candidate.decision);
     }
     return decisions;
