Begin a text again on any engine that may not continue it

Cause: an engine could continue a text if software and weights are those of the text, but begin it again only if its software is another one.

Change: canContinue() is the one condition, and its complement decides on beginning again. The wait for an engine that continues the text looks for one by software and weights.

--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -99,8 +99,9 @@
 /// @brief Assigns the items of all open submissions to engines. Designed for several trainers that submit steps of 30 to 300 items every few
 /// seconds, with text lengths known only roughly, on engines that differ in speed by a factor of two or more, and that may be asked for more than
 /// they can generate. Groups that can be whole by their due times take precedence; of their items, the longest are placed first, on the fastest engines. A text is continued only by engines
-/// with the software that began it. It begins again on another engine once none of these is left, or once it has been without a new event, although
-/// an engine with other software was free, for longer than generating its events again takes. Not thread-safe.
+/// with the software that began it and, on a route that requires a single version, with the weights that it was generated with. It begins again on
+/// another engine once none of these is left, or once it has been without a new event, although another engine was free, for longer than
+/// generating its events again takes. Not thread-safe.
 class SampleScheduler {
 public:
     /// Assumed time per event of an engine without measurements.
@@ -209,7 +210,7 @@
         /// Software and start of the engine that the current run was placed on.
         SoftwareRelease runRelease;
         Incarnation runEngineStartedAt = 0;
-        /// Since when the text has not grown although an engine with other software could have begun it again.
+        /// Since when the text has not grown although an engine that cannot continue it could have begun it again.
         std::optional<TimePoint> textBlockedSince;
     };
 
@@ -263,7 +264,9 @@
 
     bool canTakeRun(const EngineEntry&, TimePoint now) const;
     static bool mayRun(const Engine&, const OpenSubmission&);
-    static bool canUseText(const Engine&, const OpenSubmission&, const PartialText&, TextUse);
+    /// Whether a run on the engine may continue the text: its software is the one that began the text and, on a route that requires a single
+    /// version, its weights are those of the text. A run on any other engine has to begin the text again.
+    static bool canContinue(const Engine&, const OpenSubmission&, const PartialText&);
     const Engine* findEngine(const TargetId&) const;
     /// @param engines engines that may run the item now
     /// The prompt that a run has to read first, and what the item's group leaves as time.
@@ -279,7 +282,8 @@
     const EngineEntry* bestEngine(const OpenSubmission&, const PartialText&, TextUse, const std::vector<const EngineEntry*>& engines, Reading* reading = nullptr) const;
     /// Chooses the engine of an item's next run, and drops the item's text if the run has to begin it again.
     const EngineEntry* chooseEngine(const OpenSubmission&, Item&, const std::vector<const EngineEntry*>& engines, TimePoint now);
-    bool hasEngineWith(const SoftwareRelease&, const OpenSubmission&) const;
+    /// Whether an engine that is present, although it may have no free slot now, can continue the text.
+    bool hasContinuingEngine(const OpenSubmission&, const PartialText&) const;
     bool hasSeveralReleases() const;
     /// Whether the engine of an item's run has restarted with other software since the run was placed, so that the run's events may come from either.
     bool isRunReleaseUncertain(const Item&) const;
--- a/packages/submissions/src/SampleSchedulerPlacement.cpp
+++ b/packages/submissions/src/SampleSchedulerPlacement.cpp
@@ -268,14 +268,13 @@
     return weights != engine.weights.end() && weights->second && *weights->second >= submission.oldestVersion;
 }
 
-bool SampleScheduler::canUseText(const Engine& engine, const OpenSubmission& submission, const PartialText& text, TextUse use)
+bool SampleScheduler::canContinue(const Engine& engine, const OpenSubmission& submission, const PartialText& text)
 {
-    const bool isCompatible = text.eventCount == 0 || engine.release.isCompatibleWith(text.release);
-    if (use == TextUse::BeginAgain)
-        return !isCompatible;
-    if (!isCompatible)
+    if (text.eventCount == 0)
+        return true;
+    if (!engine.release.isCompatibleWith(text.release))
         return false;
-    if (!submission.policy.requiresSingleVersion || text.versions.empty())
+    if (!submission.policy.requiresSingleVersion)
         return true;
     const auto weights = engine.weights.find(submission.model);
     return weights != engine.weights.end() && weights->second && text.versions.contains(*weights->second);
@@ -295,19 +294,20 @@
     if (!item.textBlockedSince)
         item.textBlockedSince = now;
     const auto timeToRegenerate = Seconds(secondsPerEvent(beginning->second) * static_cast<double>(item.text.eventCount));
-    if (hasEngineWith(item.text.release, submission) && now - *item.textBlockedSince <= timeToRegenerate)
+    if (hasContinuingEngine(submission, item.text) && now - *item.textBlockedSince <= timeToRegenerate)
         return continuing;
     item.text = {};
     item.textBlockedSince.reset();
     return beginning;
 }
 
-bool SampleScheduler::hasEngineWith(const SoftwareRelease& release, const OpenSubmission& submission) const
+bool SampleScheduler::hasContinuingEngine(const OpenSubmission& submission, const PartialText& text) const
 {
     const auto& pools = submission.policy.pools;
-    const auto found = m_releases.find(release.pool);
-    return !release.version.isEmpty() && found != m_releases.end() && found->second.contains(release.version)
-        && std::find(pools.begin(), pools.end(), release.pool) != pools.end();
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& entry) {
+        const auto& engine = entry.second;
+        return engine.isPresent && canContinue(engine, submission, text) && std::find(pools.begin(), pools.end(), engine.release.pool) != pools.end();
+    });
 }
 
 bool SampleScheduler::hasSeveralReleases() const
@@ -321,7 +321,7 @@
     auto lowestCost = std::numeric_limits<double>::infinity();
     for (const auto* entry : engines) {
         const auto& engine = entry->second;
-        if (!canUseText(engine, submission, text, use))
+        if (canContinue(engine, submission, text) != (use == TextUse::Continue))
             continue;
         const auto readingSeconds = reading ? readingSecondsPerEvent(engine, *reading) : std::optional(0.0);
         if (!readingSeconds)
