Drop reward calls that wait when their submission ends

Cause: a call that waits in the balancer's queue was sent when a slot came free, whatever had become of its submission; the end was looked at only before and after the call. Log of the case on: the late calls have one attempt each, so that repeats are ruled out.

Change: a call has a cancellation, triggered by the end of the submission, of the item and of the coordinator's work. RequestForwarder looks at it before each attempt too. A run whose item was settled before it started is not sent.

--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -138,6 +138,10 @@
     Progress progress(*request.route);
     bool shouldRetry = !isBlocked(request, progress);
     while (shouldRetry) {
+        if (request.cancellation && request.cancellation->isCancelled()) {
+            progress.outcome.state = ForwardState::Abandoned;
+            break;
+        }
         if (shouldRelay(request, progress))
             shouldRetry = co_await relay(request, progress);
         else
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -3,7 +3,6 @@
 #include "Pause.h"
 
 #include "cicadalb/base/Event.h"
-#include "cicadalb/base/Hash.h"
 #include "cicadalb/services/StreamProgress.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
@@ -28,10 +27,6 @@
     constexpr milliseconds stallTimeout { 5000 };
     /// Added to the time to live of items, since the clocks of hosts differ.
     constexpr milliseconds clockSkewMargin { 3000 };
-    /// Timeout of a reward call whose route has none.
-    constexpr milliseconds defaultRewardTimeout { 2000 };
-    /// Delay before a reward call that found no route, no target or no answer is repeated.
-    constexpr milliseconds rewardRetryDelay { 200 };
     /// Interval at which a submission that waits for a newer configuration is looked at.
     constexpr milliseconds configurationPollInterval { 25 };
     /// Delay after a failed call to the store.
@@ -64,13 +59,6 @@
         return pools;
     }
 
-    /// Maps a request's id to a number in [0, 1), so that all attempts of the request go to the same pool of a split route.
-    double splitFractionOf(const RequestId& id)
-    {
-        constexpr std::uint64_t buckets = 1000;
-        return static_cast<double>(placementHash(id.value()) % buckets) / static_cast<double>(buckets);
-    }
-
     std::string versionsText(const std::set<WeightVersion>& versions)
     {
         std::string text;
@@ -167,6 +155,8 @@
     m_watch->stop();
     for (const auto& [key, run] : m_runs)
         run->cancellation->cancel();
+    for (const auto& [key, cancellation] : m_rewardCalls)
+        cancellation->cancel();
     for (const auto& [id, open] : m_openSubmissions)
         open->isClosed = true;
     m_openSubmissions.clear();
@@ -297,12 +287,15 @@
     m_openSubmissions.erase(found);
     for (const auto& key : m_scheduler.remove(id))
         stopRun(key);
+    stopRewardCalls(id);
     logSubmissionClosed(id, reason, entry->log->stored().size());
     schedulePlacement();
 }
 
 void SampleRunner::stopRun(const ItemKey& key)
 {
+    if (const auto call = m_rewardCalls.find(key); call != m_rewardCalls.end())
+        call->second->cancel();
     const auto found = m_runs.find(key);
     if (found == m_runs.end())
         return;
@@ -363,7 +356,7 @@
     const auto self = shared_from_this();
     const auto& key = placement.item;
     const auto found = m_openSubmissions.find(key.submission);
-    if (found == m_openSubmissions.end())
+    if (found == m_openSubmissions.end() || !m_scheduler.isOpen(key))
         co_return;
     const auto entry = found->second;
     const auto run = std::make_shared<Run>();
@@ -478,54 +471,6 @@
     co_return runOutcomeOf(kind, status);
 }
 
-Task<void> SampleRunner::runRewardCall(OpenSubmissionPointer entry, ItemKey key)
-{
-    const auto self = shared_from_this();
-    const auto& item = entry->submission.items[key.index];
-    if (!item.reward) {
-        settle(entry, key, ResultState::Succeeded, {}, "complete");
-        co_return;
-    }
-    const auto& reward = *item.reward;
-    unsigned failures = 0;
-    while (!m_isStopped && !entry->isClosed && m_scheduler.isOpen(key)) {
-        const auto view = m_directory.view();
-        const auto* route = view->routes.find(reward.authority, reward.path);
-        if (!route) {
-            co_await pause(m_executor, rewardRetryDelay);
-            continue;
-        }
-        // One attempt per call, so that each failure is counted here.
-        SiteRoute singleAttemptRoute = *route;
-        singleAttemptRoute.maximumAttempts = 1;
-        ForwardRequest request;
-        request.id = reward.id;
-        request.route = &singleAttemptRoute;
-        request.pool = choosePool(*route, splitFractionOf(reward.id));
-        const auto timeout = route->timeout.count() > 0 ? route->timeout : defaultRewardTimeout;
-        request.deadline = m_clock.now() + timeout;
-        request.buildMessage = [&](const AttemptContext& context) { return m_protocol.rewardRequest(reward, context); };
-        const auto outcome = co_await m_forwarder.forward(std::move(request));
-        const auto isSuccess = outcome.state == ForwardState::Answered && outcome.answer.status >= 200 && outcome.answer.status < 300;
-        // Without a permit the call is repeated every few hundred milliseconds.
-        if (outcome.attempts > 0)
-            logRewardCall(reward, item, key, outcome);
-        if (m_isStopped || entry->isClosed)
-            co_return;
-        if (isSuccess) {
-            settle(entry, key, ResultState::Succeeded, m_protocol.signature(outcome.answer.fields), "judged");
-            co_return;
-        }
-        const bool hasFailed = outcome.state == ForwardState::Answered && outcome.answer.status == statusServerError;
-        if (hasFailed && ++failures >= std::max(1U, route->maximumAttempts)) {
-            settle(entry, key, ResultState::GivenUp, {}, "its reward call failed");
-            co_return;
-        }
-        if (!hasFailed)
-            co_await pause(m_executor, std::max<Duration>(rewardRetryDelay, outcome.retryAfter));
-    }
-}
-
 void SampleRunner::settle(const OpenSubmissionPointer& entry, const ItemKey& key, ResultState state, std::string rewardSignature, std::string_view reason)
 {
     const auto& item = entry->submission.items[key.index];
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -100,7 +100,11 @@
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
     void settle(const OpenSubmissionPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
     Task<void> append(OpenSubmissionPointer);
+    /// Stops the run or the reward call of an item.
     void stopRun(const ItemKey&);
+    void stopRewardCalls(const SubmissionId&);
+    /// Makes one reward call. It is not sent any more once it is cancelled, even if it waits for a target then.
+    Task<ForwardOutcome> callReward(const RewardCall&, const SiteRoute&, std::shared_ptr<HttpCancellation>);
     Task<void> deleteExpiredSubmissions();
     Task<void> takeOver();
     Task<void> storePartialTexts(std::vector<ItemText>);
@@ -127,6 +131,7 @@
     std::map<SubmissionId, OpenSubmissionPointer> m_openSubmissions;
     std::map<SubmissionId, StoredSubmission> m_storedSubmissions;
     std::map<ItemKey, std::shared_ptr<Run>> m_runs;
+    std::map<ItemKey, std::shared_ptr<HttpCancellation>> m_rewardCalls;
     TimePoint m_nextExpirySearchAt;
     TimePoint m_nextPartialTextsAt;
     bool m_isStoringPartialTexts = false;
