Never send a request on a connection that has carried its id

Cause: a refused request was sent again on the connection that had just carried it. The id of an answer tells requests apart, not two sends of one.

Change: HttpClient remembers the ids that a connection has carried (1,000, then it is closed) and uses another one for a further send. Requests with an id do not share connections with those that have none. A second answer to an earlier request is skipped and the answer behind it read; a connection with an answer of a foreign id is closed.

--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -50,6 +50,7 @@
     HttpRequest forwardedRequest(const HttpRequest& request, const AttemptContext& context) const override
     {
         auto forwarded = request;
+        forwarded.exchangeId = { std::string(fieldIn(request.fields, "Id")), "Id" };
         std::erase_if(forwarded.fields, [](const auto& field) { return field.first == "Organisation"; });
         forwarded.fields.emplace_back("Remaining", std::to_string(context.remainingTime.count()));
         if (!context.organisation.isEmpty())
--- a/packages/hosting/tests/ForwardingFixture.h
+++ b/packages/hosting/tests/ForwardingFixture.h
@@ -146,6 +146,7 @@
         request.buildMessage = [id = request.id](const AttemptContext&) {
             HttpRequest message;
             message.fields.emplace_back("Id", id.value());
+            message.exchangeId = { id.value(), "Id" };
             return message;
         };
         return boost::asio::co_spawn(workers.context(0), forwarder.forward(std::move(request)), boost::asio::use_future).get();
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -24,6 +24,14 @@
 /// @brief Value of the first field with the case-insensitive name @p name, or an empty string.
 std::string_view fieldIn(const HttpFields&, std::string_view name) noexcept;
 
+/// @brief Id by which a server's answer is attributed to a request.
+struct ExchangeId {
+    /// Shared by all sends of the request. Empty: the request has none.
+    std::string value;
+    /// Field of the answer that repeats the id. Empty: answers do not repeat it.
+    std::string_view answerField;
+};
+
 struct HttpRequest {
     std::string method = "GET";
     std::string target = "/";
@@ -32,6 +40,9 @@
     /// Whether to send the request again on a new connection if the server closes a reused one before the answer begins, or does not answer on it
     /// (HttpClientOptions::reusedConnectionTimeout).
     bool mayRepeat = false;
+    /// A server may send an answer twice, the second time where the answer to a later request is expected. Therefore a request is sent only on a
+    /// connection that has carried neither a request with the same id nor one without an id.
+    ExchangeId exchangeId {};
 };
 
 struct HttpResponse {
@@ -94,7 +105,8 @@
 /// The error of an exchange says what is known about the request: NotSent (no byte of it was written), OutcomeUnknown (it may have run:
 /// the connection broke or the deadline passed after the first byte, or the answer was truncated), Cancelled, AnswerInvalid.
 /// An answer with neither a Content-Length nor chunked encoding cannot be told from a truncated one and fails with OutcomeUnknown.
-/// A connection returns to the pool only after exactly one complete answer was read from it; otherwise it is closed.
+/// A connection returns to the pool only after exactly one complete answer was read from it, which must repeat the request's ExchangeId if it has
+/// an answer field; otherwise the connection is closed.
 class HttpClient {
 public:
     HttpClient(boost::asio::any_io_executor, Endpoint, HttpClientOptions = {});
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -12,10 +12,13 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace cicadalb {
 
@@ -32,6 +35,8 @@
     constexpr std::chrono::milliseconds keepAliveMargin { 1000 };
     /// Bytes that are kept while a chunk's header or the trailer is incomplete; a header of maximumHeaderBytes and the bytes read ahead fit.
     constexpr std::size_t maximumBufferBytes = std::size_t { 2 } * maximumHeaderBytes;
+    /// Number of requests after which a connection is closed, which bounds the ids that it remembers.
+    constexpr std::size_t maximumRequestsPerConnection = 1000;
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
 
@@ -48,13 +53,53 @@
         bool isReused = false;
         /// Bytes of the current request that were handed to the socket.
         std::size_t bytesWritten = 0;
+        /// Hashes of the ids of all requests that were sent.
+        std::vector<std::size_t> sentIds;
+        bool hasSentWithoutId = false;
         /// Buffer for one part of an answer's body. Kept with the connection, because a new buffer would be zero-filled for each answer.
         std::string partBuffer = std::string(maximumPartBytes, '\0');
     };
 
-    using ConnectionPointer = std::unique_ptr<Connection>;
     using AnswerParser = http::response_parser<http::buffer_body>;
 
+    std::size_t hashOf(std::string_view id) { return std::hash<std::string_view> {}(id); }
+
+    /// Whether the connection has carried a request with this id.
+    bool hasSent(const Connection& connection, std::string_view id)
+    {
+        return std::find(connection.sentIds.begin(), connection.sentIds.end(), hashOf(id)) != connection.sentIds.end();
+    }
+
+    /// Whether an answer to an earlier request on the connection could be taken for the answer to this one.
+    bool mayConfuseAnswers(const Connection& connection, const ExchangeId& id)
+    {
+        return !id.value.empty() && (connection.hasSentWithoutId || hasSent(connection, id.value));
+    }
+
+    void recordSent(Connection& connection, const ExchangeId& id)
+    {
+        if (id.value.empty())
+            connection.hasSentWithoutId = true;
+        else
+            connection.sentIds.push_back(hashOf(id.value));
+    }
+
+    /// Whether an answer is the second one to an earlier request on the connection.
+    bool isRepeatedAnswer(const Connection& connection, const AnswerParser& parser, const ExchangeId& id)
+    {
+        if (id.value.empty() || id.answerField.empty())
+            return false;
+        const std::string_view answered = parser.get()[id.answerField];
+        return !answered.empty() && answered != id.value && hasSent(connection, answered);
+    }
+
+    bool isAnswerTo(const HttpResponse& head, const ExchangeId& id)
+    {
+        return id.value.empty() || id.answerField.empty() || head.field(id.answerField) == id.value;
+    }
+
+    using ConnectionPointer = std::unique_ptr<Connection>;
+
     auto completionToken(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
     http::request<http::string_body> toBeast(HttpRequest& request, const Endpoint& endpoint)
@@ -161,14 +206,20 @@
     std::mutex mutex;
     std::deque<ConnectionPointer> idle;
 
-    ConnectionPointer takeIdle()
+    /// The idle connection that was used last, of those that are suitable for a request with this id; null if there is none.
+    ConnectionPointer takeIdle(const ExchangeId& id)
     {
         const std::lock_guard lock(mutex);
         const auto now = std::chrono::steady_clock::now();
-        while (!idle.empty()) {
-            auto connection = std::move(idle.back());
-            idle.pop_back();
-            if (connection->usableUntil > now && isReusable(*connection)) {
+        std::erase_if(idle, [&](const auto& connection) { return connection->usableUntil <= now; });
+        for (auto entry = idle.rbegin(); entry != idle.rend();) {
+            if (mayConfuseAnswers(**entry, id)) {
+                ++entry;
+                continue;
+            }
+            auto connection = std::move(*entry);
+            entry = std::make_reverse_iterator(idle.erase(std::next(entry).base()));
+            if (isReusable(*connection)) {
                 connection->isReused = true;
                 return connection;
             }
@@ -184,6 +235,8 @@
 
     void returnToPool(ConnectionPointer connection, Duration idleTime)
     {
+        if (connection->sentIds.size() >= maximumRequestsPerConnection)
+            return;
         connection->stream.expires_never();
         connection->usableUntil = std::chrono::steady_clock::now() + idleTime;
         const std::lock_guard lock(mutex);
@@ -228,16 +281,33 @@
         co_return error;
     }
 
-    /// Sends a request and reads the header of its answer.
-    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, AnswerParser& parser)
+    /// Reads the header of an answer.
+    static Task<beast::error_code> readHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody)
     {
+        beast::error_code error;
+        parser.emplace();
+        parser->header_limit(maximumHeaderBytes);
+        parser->body_limit(boost::none);
+        parser->skip(!hasBody);
+        co_await http::async_read_header(connection.stream, connection.buffer, *parser, completionToken(error));
+        co_return error;
+    }
+
+    /// Sends a request and reads the header of its answer. Second answers to earlier requests are skipped.
+    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser)
+    {
+        parser.emplace();
         beast::error_code error = co_await write(connection, message);
         if (error)
             co_return error;
-        parser.header_limit(maximumHeaderBytes);
-        parser.body_limit(boost::none);
-        parser.skip(message.method() == http::verb::head);
-        co_await http::async_read_header(connection.stream, connection.buffer, parser, completionToken(error));
+        const bool hasBody = message.method() != http::verb::head;
+        error = co_await readHeader(connection, parser, hasBody);
+        while (!error && !parser->need_eof() && isRepeatedAnswer(connection, *parser, id)) {
+            while (!error && !parser->is_done())
+                co_await readPart(connection, *parser, connection.partBuffer, error);
+            if (!error)
+                error = co_await readHeader(connection, parser, hasBody);
+        }
         co_return error;
     }
 
@@ -329,7 +399,7 @@
         }
     } clearOnExit { cancellation.get() };
 
-    auto connection = state->takeIdle();
+    auto connection = state->takeIdle(request.exchangeId);
     auto message = toBeast(request, state->endpoint);
     std::optional<AnswerParser> attemptParser;
     beast::error_code error;
@@ -349,9 +419,9 @@
         const auto silenceTimeout = state->options.reusedConnectionTimeout;
         const bool mayBeSilent = connection->isReused && request.mayRepeat && silenceTimeout.count() > 0;
         connection->stream.expires_at(mayBeSilent ? std::min(deadline, std::chrono::steady_clock::now() + silenceTimeout) : deadline);
-        attemptParser.emplace();
+        recordSent(*connection, request.exchangeId);
         sentAt = std::chrono::steady_clock::now();
-        error = co_await state->sendAndReadHeader(*connection, message, *attemptParser);
+        error = co_await state->sendAndReadHeader(*connection, message, request.exchangeId, attemptParser);
         connection->stream.expires_at(deadline);
         if (!error)
             break;
@@ -394,7 +464,8 @@
         if (!shouldContinue)
             co_return failure(ErrorCode::Cancelled, "cancelled by the caller", state->serverAddress());
     }
-    if (parser.keep_alive() && connection->buffer.size() == 0 && !(cancellation && cancellation->isCancelled()))
+    // A connection that has carried an answer with another id may still owe the answer to this request.
+    if (parser.keep_alive() && connection->buffer.size() == 0 && isAnswerTo(head, request.exchangeId) && !(cancellation && cancellation->isCancelled()))
         state->returnToPool(std::move(connection), allowedIdleTime(head, state->options));
     co_return head;
 }
--- a/packages/transport/src/EngineProtocol.cpp
+++ b/packages/transport/src/EngineProtocol.cpp
@@ -38,13 +38,15 @@
 
 HttpRequest makeGenerateRequest(const GenerationRequest& request)
 {
-    return jsonPost("/generate", {
-                                     { "request-id", request.id.value() },
-                                     { "prompt", request.prompt },
-                                     { "prefix-key", request.prefixKey },
-                                     { "maximum-tokens", request.maximumTokens },
-                                     { "priority", request.priority },
-                                 });
+    auto message = jsonPost("/generate", {
+                                             { "request-id", request.id.value() },
+                                             { "prompt", request.prompt },
+                                             { "prefix-key", request.prefixKey },
+                                             { "maximum-tokens", request.maximumTokens },
+                                             { "priority", request.priority },
+                                         });
+    message.exchangeId.value = request.id.value();
+    return message;
 }
 
 HttpRequest makeCancelRequest(const RequestId& id)
--- a/packages/transport/src/ForwardCall.cpp
+++ b/packages/transport/src/ForwardCall.cpp
@@ -40,6 +40,7 @@
                 request.fields.push_back(field);
         }
         request.fields.emplace_back(requestIdField, context.id.value());
+        request.exchangeId.value = context.id.value();
         request.fields.emplace_back("Cicadalb-Caller", context.caller.value());
         request.body = context.request.body;
         return request;
