Continue streams by the store's records, not by a copy of the registry that may be old

Cause: a host decided by its own copy of the registry whether all targets run one version, and which version a target runs.

Change: with the first record of a stream under a lease, hosts write a record for the route; a stream whose first attempt is not named is continued only if there is none. Before a request that continues a stream is sent, the target's entry is read from the store and compared. Streams that callers take up cost one call to the store more; others none.

--- a/packages/hosting/src/DefaultRelease.cpp
+++ b/packages/hosting/src/DefaultRelease.cpp
@@ -15,6 +15,7 @@
     using Json = nlohmann::json;
 
     constexpr std::string_view streamPrefix = "streams/begun/";
+    constexpr std::string_view otherReleasesRoot = "streams/others/";
 
     /// The part of a key that names a route or an attempt; names that are too long for a key are replaced by their hash.
     std::string keyPart(const std::string& name) { return name.size() <= maximumIdLength ? name : sha256Hex(name); }
@@ -69,6 +70,8 @@
 
 std::string streamKey(const RequestId& firstAttempt) { return std::string(streamPrefix) + keyPart(firstAttempt.value()); }
 
+std::string otherReleasesPrefix(const RouteName& route) { return std::string(otherReleasesRoot) + keyPart(route.value()) + "/"; }
+
 std::string encodeDefaultRelease(const DefaultRelease& record)
 {
     auto json = toJson(record.release);
--- a/packages/hosting/src/DefaultRelease.h
+++ b/packages/hosting/src/DefaultRelease.h
@@ -16,6 +16,7 @@
 ///
 ///     streams/defaults/<route>     DefaultRelease of a route, written by the coordinator
 ///     streams/begun/<id>           release of one stream, by the caller's attempt that received its first event; expires
+///     streams/others/<route>/<n>   streams of the route have records of their own; written with the first one under lease n, expires with it
 ///
 /// Records are CBOR.
 
@@ -54,6 +55,8 @@
 
 std::string defaultReleaseKey(const RouteName&);
 std::string streamKey(const RequestId& firstAttempt);
+/// @brief Prefix of the records that say that streams of a route began at another release than its default one.
+std::string otherReleasesPrefix(const RouteName&);
 std::string encodeDefaultRelease(const DefaultRelease&);
 /// @brief Errors: RecordInvalid.
 Result<DefaultRelease> decodeDefaultRelease(std::string_view record);
--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -91,6 +91,8 @@
     /// Targets that have reached their limit on requests a second, and the shortest time until one of them accepts a request.
     std::set<TargetId> exhaustedTargets;
     Duration untilNextPermit = Duration::max();
+    /// Targets whose entry in the store differs from the one that this host knows.
+    std::set<TargetId> changedTargets;
     unsigned attemptsNotRun = 0;
     bool hasRelayed = false;
     /// Attempts that another host made; the call to it counts as one in RequestRun.
@@ -296,6 +298,27 @@
     return !request.requiredRelease || SoftwareRelease { target.pool, target.softwareVersion }.isCompatibleWith(*request.requiredRelease);
 }
 
+Task<RequestForwarder::ReleaseCheck> RequestForwarder::checkRelease(const ForwardRequest& request, Progress& progress, RegisteredTarget target)
+{
+    if (!request.requiredRelease)
+        co_return ReleaseCheck::Passed;
+    progress.outcome.cause = "no target runs the software that began the stream";
+    // A target that was restarted or missing for a moment is registered again by then.
+    progress.outcome.retryAfter = TargetRegistry::reregistrationGracePeriod;
+    // The balancer returns an excluded target only if there is no other one.
+    if (!hasRequiredRelease(request, target) || progress.changedTargets.contains(target.id))
+        co_return ReleaseCheck::NoTarget;
+    const auto isUnchanged = co_await m_directory.isUnchanged(target);
+    if (!isUnchanged) {
+        progress.outcome.cause = "the software of the target cannot be looked up: " + isUnchanged.error().message;
+        co_return ReleaseCheck::NoTarget;
+    }
+    if (isUnchanged.value())
+        co_return ReleaseCheck::Passed;
+    progress.changedTargets.insert(target.id);
+    co_return ReleaseCheck::OtherTarget;
+}
+
 RequestRequirements RequestForwarder::requirementsOf(const ForwardRequest& request, const Progress& progress) const
 {
     RequestRequirements requirements;
@@ -305,6 +328,7 @@
     requirements.maximumAffinityDelay = std::chrono::duration_cast<Duration>(request.route->latencyObjective * affinityWaitShare);
     requirements.excluded = progress.usedTargets;
     requirements.excluded.insert(requirements.excluded.end(), progress.exhaustedTargets.begin(), progress.exhaustedTargets.end());
+    requirements.excluded.insert(requirements.excluded.end(), progress.changedTargets.begin(), progress.changedTargets.end());
     for (auto& target : m_permits.exhaustedTargets(request.maximumPermitWait))
         requirements.excluded.push_back(std::move(target));
     for (const auto& [id, target] : m_directory.registry().targets()) {
@@ -363,19 +387,15 @@
         ++progress.attemptsNotRun;
         co_return true;
     }
-    if (!hasRequiredRelease(request, *registered)) {
-        // The balancer returns an excluded target only if there is no other one.
+    const auto target = *registered;
+    if (const auto check = co_await checkRelease(request, progress, target); check != ReleaseCheck::Passed) {
         balancer->recordCompletion(admission.target, abandoned);
-        outcome.cause = "no target runs the software that began the stream";
-        // A target that was restarted or missing for a moment is registered again by then.
-        outcome.retryAfter = TargetRegistry::reregistrationGracePeriod;
-        co_return false;
+        co_return check == ReleaseCheck::OtherTarget;
     }
     if (!isKeyReliable(request, progress)) {
         balancer->recordCompletion(admission.target, abandoned);
         co_return false;
     }
-    const auto target = *registered;
     outcome.release = { target.pool, target.softwareVersion };
     const auto startedAt = m_clock.now();
     progress.usedTargets.push_back(target.id);
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -99,6 +99,11 @@
     /// Updates what is known about this host's connection to the targets. @return whether the attempt failed because the host is cut off
     Task<bool> updateReachability(const RegisteredTarget&, const Attempt&, TimePoint deadline);
     static bool hasRequiredRelease(const ForwardRequest&, const RegisteredTarget&);
+    enum class ReleaseCheck : std::uint8_t { Passed,
+        OtherTarget,
+        NoTarget };
+    /// Whether the target runs the software that the request requires, if any, by the store: the registry of this host may be out of date.
+    Task<ReleaseCheck> checkRelease(const ForwardRequest&, Progress&, RegisteredTarget);
     RequestRequirements requirementsOf(const ForwardRequest&, const Progress&) const;
     static bool conclude(const SiteRoute&, Progress&, Attempt&);
     /// Waits until the request may be sent to the target. @return whether it may; if not, the target is noted as exhausted
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -32,6 +32,7 @@
 
 SiteDirectory::SiteDirectory(boost::asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, const Clock& clock, SiteDirectorySettings settings)
     : m_executor(executor)
+    , m_store(store)
     , m_protocol(protocol)
     , m_clock(clock)
     , m_settings(std::move(settings))
@@ -139,6 +140,18 @@
     return std::nullopt;
 }
 
+Task<Result<bool>> SiteDirectory::isUnchanged(RegisteredTarget target)
+{
+    const auto entry = co_await m_store.read(m_protocol.keys().targets + target.id.value());
+    if (!entry)
+        co_return entry.as_failure();
+    if (!entry.value())
+        co_return false;
+    const auto current = decodeTarget(*entry.value());
+    co_return current && current->startedAt == target.startedAt && current->endpoint == target.endpoint && current->pool == target.pool
+        && current->softwareVersion == target.softwareVersion;
+}
+
 void SiteDirectory::replaceTargets(const WatchResult& result, bool afterOutage)
 {
     std::vector<RegisteredTarget> targets;
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -64,6 +64,8 @@
     /// @brief The configuration in force, or null before the first one.
     std::shared_ptr<const SiteView> view() const noexcept { return m_view; }
     const TargetRegistry& registry() const noexcept { return m_registry; }
+    /// @brief Whether the store's entry of a target, read now, is of the same start and software. Errors: those of the store.
+    Task<Result<bool>> isUnchanged(RegisteredTarget);
     Revision registryRevision() const noexcept { return m_targetsWatch->revision(); }
     /// @brief Time since the configuration was last known to be the newest one; empty before the first answer from the store or a mirror.
     std::optional<Duration> configurationAge() const { return ageOf(*m_configurationWatch); }
@@ -100,6 +102,7 @@
     Pool poolOf(const PoolName&) const;
 
     boost::asio::any_io_executor m_executor;
+    TransactionalStore& m_store;
     const SiteProtocol& m_protocol;
     const Clock& m_clock;
     SiteDirectorySettings m_settings;
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -241,7 +241,13 @@
     const auto& value = known.value();
     const auto registered = registeredReleases(m_directory.registry(), route);
     const bool isOnly = value && !value->isRetired && std::all_of(registered.begin(), registered.end(), [&](const auto& release) { return release == value->release; });
-    co_return isOnly ? std::optional(value->release) : std::nullopt;
+    if (!isOnly)
+        co_return std::nullopt;
+    // The registry of this host may lack targets that joined a moment ago, or have left since.
+    const auto haveBegunElsewhere = co_await m_streamOrigins.haveBegunElsewhere(route);
+    if (!haveBegunElsewhere)
+        co_return haveBegunElsewhere.as_failure();
+    co_return haveBegunElsewhere.value() ? std::nullopt : std::optional(value->release);
 }
 
 Task<std::optional<SiteEndpoints::EndpointResult>> SiteEndpoints::requireOrigin(ForwardRequest& request, const ContinuedStream& continued)
--- a/packages/hosting/src/StreamOrigins.cpp
+++ b/packages/hosting/src/StreamOrigins.cpp
@@ -91,6 +91,7 @@
     }
     auto waiting = std::make_shared<WaitingRecord>(m_executor, m_clock);
     waiting->write = { streamKey(firstAttempt), encodeStreamRelease(release) };
+    waiting->route = route.name;
     m_waiting.push_back(waiting);
     if (!std::exchange(m_isWriting, true))
         boost::asio::co_spawn(m_executor, writeWaiting(), boost::asio::detached);
@@ -122,6 +123,7 @@
     if (!granted)
         co_return granted.as_failure();
     m_lease = granted.value();
+    m_markedRoutes.clear();
     m_leaseGrantedAt = now;
     co_return success();
 }
@@ -131,12 +133,19 @@
     const auto leased = co_await ensureLease();
     if (!leased)
         co_return leased.as_failure();
-    const std::vector<std::shared_ptr<WaitingRecord>> batch(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(std::min(m_waiting.size(), maximumRecordsInWrite)));
+    std::vector<std::shared_ptr<WaitingRecord>> batch;
+    std::set<RouteName> newRoutes;
     Transaction transaction;
-    for (const auto& record : batch) {
-        auto write = record->write;
-        write.lease = m_lease;
-        transaction.writes.push_back(std::move(write));
+    for (const auto& record : m_waiting) {
+        const bool isMarked = m_markedRoutes.contains(record->route) || newRoutes.contains(record->route);
+        if (transaction.writes.size() + (isMarked ? 1 : 2) > maximumEntriesInWrite)
+            break;
+        if (!isMarked) {
+            newRoutes.insert(record->route);
+            transaction.writes.push_back({ otherReleasesPrefix(record->route) + std::to_string(m_lease), {}, m_lease });
+        }
+        transaction.writes.push_back({ record->write.key, record->write.value, m_lease });
+        batch.push_back(record);
     }
     // Written again after a lost answer, which is harmless: the same records with the same values.
     const auto written = co_await m_store.commit(std::move(transaction));
@@ -145,6 +154,7 @@
     if (!written)
         co_return written.as_failure();
     m_storedRecords += batch.size();
+    m_markedRoutes.merge(newRoutes);
     for (const auto& record : batch) {
         m_waiting.pop_front();
         record->isStored = true;
@@ -175,6 +185,15 @@
     co_return value && !value->release.version.isEmpty() ? std::optional(value->release) : std::nullopt;
 }
 
+Task<Result<bool>> StreamOrigins::haveBegunElsewhere(const SiteRoute& route)
+{
+    const auto self = shared_from_this();
+    const auto records = co_await m_store.snapshot(otherReleasesPrefix(route.name), {});
+    if (!records)
+        co_return records.as_failure();
+    co_return !records.value().entries.empty();
+}
+
 Task<Result<std::optional<DefaultRelease>>> StreamOrigins::readDefault(const SiteRoute& route)
 {
     const auto self = shared_from_this();
--- a/packages/hosting/src/StreamOrigins.h
+++ b/packages/hosting/src/StreamOrigins.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 /// @file
 /// The software that began the streams of callers, as every host can find it out.
@@ -26,8 +27,8 @@
     static constexpr std::size_t maximumStreams = 20000;
     /// Number of records that wait for the store; streams beyond it are not recorded.
     static constexpr std::size_t maximumWaitingRecords = 20000;
-    /// Records of one write.
-    static constexpr std::size_t maximumRecordsInWrite = 32;
+    /// Entries of one write.
+    static constexpr std::size_t maximumEntriesInWrite = 32;
     /// The store removes records no earlier than longestStream after they were written, and no later than this.
     static constexpr std::chrono::minutes recordTimeToLive { 10 };
     /// Age from which the known default release of a route is read again, while it is still used.
@@ -48,6 +49,9 @@
     /// @brief The default release of a route as it is stored now. Errors: those of the store.
     Task<Result<std::optional<DefaultRelease>>> readDefault(const SiteRoute&);
 
+    /// @brief Whether streams of a route that may still be continued began at another release than its default one. Errors: those of the store.
+    Task<Result<bool>> haveBegunElsewhere(const SiteRoute&);
+
     /// @brief Number of records that are not stored yet.
     std::size_t waitingRecords() const noexcept { return m_waiting.size(); }
     /// @brief Number of records stored since the start.
@@ -66,6 +70,7 @@
         {
         }
         StoreWrite write;
+        RouteName route;
         ClockTimer stored;
         bool isStored = false;
     };
@@ -87,6 +92,8 @@
     std::map<std::string, KnownDefault> m_defaults;
     std::deque<std::shared_ptr<WaitingRecord>> m_waiting;
     LeaseId m_lease = 0;
+    /// Routes under otherReleasesPrefix() with a record under the lease.
+    std::set<RouteName> m_markedRoutes;
     TimePoint m_leaseGrantedAt;
     std::uint64_t m_storedRecords = 0;
     bool m_isWriting = false;
--- a/packages/hosting/tests/ForwardingFixture.h
+++ b/packages/hosting/tests/ForwardingFixture.h
@@ -48,6 +48,8 @@
     /// 0: states no limit.
     std::atomic<unsigned> requestsPerSecond = 0;
     std::atomic<unsigned> requests = 0;
+    /// Status of the answers; other ones than 200 have the body "error".
+    std::atomic<unsigned> status = 200;
     /// Fields "Organisation" and "Key" of the last request, which the test reads after its answer.
     std::string organisation;
     std::string key;
@@ -64,7 +66,9 @@
         if (answerDelay.load().count() > 0)
             co_await pause(co_await boost::asio::this_coro::executor, answerDelay.load());
         HttpResponse response;
-        response.status = 200;
+        response.status = status;
+        if (status != 200)
+            response.body = "error";
         if (!isSpoilingAnswers)
             response.fields.emplace_back("Id", std::string(request.field("Id")));
         if (isLeaving)
--- a/packages/hosting/tests/unit-continued-stream.cpp
+++ b/packages/hosting/tests/unit-continued-stream.cpp
@@ -154,3 +154,50 @@
     CHECK(responseTo(unnamed).status == 400);
     CHECK(requests() == 1);
 }
+
+// Issue 43, first report: a host that was out of step while targets of a new software version joined continued streams at another version.
+TEST_CASE_METHOD(ContinuedStreamFixture, "continued stream, host out of step, first attempt not named and a stream begun elsewhere at a new version, is not continued")
+{
+    putDefault("r1");
+    const auto otherHost = std::make_shared<StreamOrigins>(workers.context(0).get_executor(), store, clock);
+    onWorker([this] { directory.stop(); });
+    putTarget("third", second.record("ready", 300, "r2"));
+    SiteRoute streams;
+    streams.name = RouteName("chat.example/talk/");
+    const auto recorded = boost::asio::co_spawn(workers.context(0), otherHost->record(streams, RequestId("stream-of-another-host"), { PoolName("ledger"), SoftwareVersion("r2") }, 1s), boost::asio::use_future).get();
+    REQUIRE(recorded);
+    CHECK(responseTo({ { "Id", "again" }, { "Last-Event", "1" } }).status == 400);
+    CHECK(requests() == 0);
+}
+
+TEST_CASE_METHOD(ContinuedStreamFixture, "continued stream, host out of step while its targets restart under their ids with new software, is refused without running")
+{
+    putDefault("r1");
+    onWorker([this] { directory.stop(); });
+    putTarget("first", first.record("ready", 200, "r2"));
+    putTarget("second", second.record("ready", 200, "r2"));
+    CHECK(call("again", "stream-of-another-host") == 503);
+    CHECK(requests() == 0);
+}
+
+TEST_CASE_METHOD(ContinuedStreamFixture, "continued stream, host out of step while one of its targets restarts with new software, goes on at the other one")
+{
+    putDefault("r1");
+    onWorker([this] { directory.stop(); });
+    putTarget("first", first.record("ready", 200, "r2"));
+    for (int i = 0; i < 10; ++i)
+        CHECK(call("again-" + std::to_string(i), "stream-of-another-host") == 200);
+    CHECK(first.requests == 0);
+    CHECK(second.requests == 10);
+}
+
+// Issue 43, third report: the error of the target that should have continued a stream was found in the middle of the stream.
+TEST_CASE_METHOD(ContinuedStreamFixture, "continued stream, target answers with an error, reaches the caller as that error and not as a part of the stream")
+{
+    putDefault("r1");
+    first.status = 500;
+    second.status = 500;
+    const auto response = responseTo({ { "Id", "again" }, { "Continues", "stream-of-another-host" }, { "Last-Event", "1" } });
+    CHECK(response.status == 500);
+    CHECK(response.body == "error");
+}
--- a/packages/hosting/tests/unit-stream-origins.cpp
+++ b/packages/hosting/tests/unit-stream-origins.cpp
@@ -197,12 +197,12 @@
     pending.reserve(streams);
     for (int i = 0; i < streams; ++i)
         pending.push_back(startTask(context.get_executor(), host->record(route, RequestId("new-" + std::to_string(i)), release("r2"), 1s)));
-    for (int i = 0; i <= streams / static_cast<int>(StreamOrigins::maximumRecordsInWrite) + 2; ++i)
+    for (int i = 0; i <= streams / static_cast<int>(StreamOrigins::maximumEntriesInWrite) + 2; ++i)
         advance(4ms);
     store.answerDelay = 0ms;
     for (const auto& recorded : pending)
         CHECK((recorded->has_value() && **recorded));
-    CHECK(store.counts().writes - writes <= streams / StreamOrigins::maximumRecordsInWrite + 2);
+    CHECK(store.counts().writes - writes <= streams / StreamOrigins::maximumEntriesInWrite + 2);
     CHECK(find("new-199") == "r2");
 }
 
