Continue a text whose answer ends within an event

Cause: an answer that is whole by its framing but ends within an event was taken for the whole text.

Change: such a run counts as broken off, and the text goes on after its last whole event.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -467,6 +467,10 @@
             (void)co_await m_settings.reachability->examineFailure(target.id);
         co_return response.error().code == ErrorCode::NotSent ? RunOutcome::NotRun : RunOutcome::Interrupted;
     }
+    if (status == statusOk && parser.isWithinEvent()) {
+        cause = "the answer ends within an event";
+        co_return RunOutcome::Interrupted;
+    }
     cause = "status " + std::to_string(status) + " " + std::string(name(kind));
     co_return runOutcomeOf(kind, status);
 }
--- a/packages/submissions/include/cicadalb/submissions/EventStream.h
+++ b/packages/submissions/include/cicadalb/submissions/EventStream.h
@@ -25,6 +25,8 @@
 public:
     /// @return the events that are complete with @p bytes
     std::vector<StreamEvent> parse(std::string_view bytes);
+    /// @brief Whether the bytes so far end within an event.
+    bool isWithinEvent() const noexcept { return !m_partialLine.empty() || m_hasFields; }
 
 private:
     void processLine(std::string_view line, std::vector<StreamEvent>& events);
@@ -32,6 +34,7 @@
     std::string m_partialLine;
     StreamEvent m_event;
     bool m_hasData = false;
+    bool m_hasFields = false;
 };
 
 } // namespace cicadalb
--- a/packages/submissions/src/EventStream.cpp
+++ b/packages/submissions/src/EventStream.cpp
@@ -29,6 +29,7 @@
             events.push_back(std::move(m_event));
         m_event = {};
         m_hasData = false;
+        m_hasFields = false;
         return;
     }
     const auto colon = line.find(':');
@@ -36,6 +37,8 @@
     auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
     if (value.starts_with(' '))
         value.remove_prefix(1);
+    // A line that begins with a colon is a comment.
+    m_hasFields = m_hasFields || !name.empty();
     if (name == "data") {
         if (m_hasData)
             m_event.data += '\n';
