--- a/packages/base/include/cicadalb/base/Cbor.h
+++ b/packages/base/include/cicadalb/base/Cbor.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cicadalb/base/CborNesting.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -16,6 +18,8 @@
 /// allow_exceptions is false.
 inline std::optional<nlohmann::json> jsonFromCbor(const std::vector<std::uint8_t>& bytes)
 {
+    if (isCborNestedTooDeeply({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }))
+        return std::nullopt;
     try {
         auto document = nlohmann::json::from_cbor(bytes, true, false);
         if (document.is_discarded())
--- a/packages/transport/src/websocket/PeerMessage.cpp
+++ b/packages/transport/src/websocket/PeerMessage.cpp
@@ -1,5 +1,7 @@
 #include "PeerMessage.h"
 
+#include "cicadalb/base/CborNesting.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cicadalb::detail {
@@ -87,6 +89,8 @@
 
 std::optional<PeerMessage> decode(const std::string& bytes)
 {
+    if (isCborNestedTooDeeply(bytes))
+        return std::nullopt;
     // from_cbor() throws on some invalid lengths even with exceptions disabled.
     try {
         const auto json = Json::from_cbor(bytes, true, false);
