--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -23,7 +23,7 @@
     constexpr milliseconds callTimeout { 600 };
     /// Time for which an engine is not loaded again after a failed load.
     constexpr milliseconds failureBackoff { 1000 };
-    /// Time after which a load counts as overdue: four times the 0.9 s that the users' data sheets state.
+    /// Time after which a load that has not ended counts as overdue.
     constexpr milliseconds overdueLoadTime { 3600 };
     /// Engines are assigned by speed once at most one in this many has not been measured.
     constexpr std::size_t enginesPerUnmeasured = 5;
--- a/packages/submissions/tests/unit-load-plan.cpp
+++ b/packages/submissions/tests/unit-load-plan.cpp
@@ -188,10 +188,11 @@
             engines[i].id = TargetId("e" + std::to_string(i));
             engines[i].secondsPerEvent = *rc::gen::element(fastSecondsPerEvent, slowSecondsPerEvent);
             for (const auto& model : models)
-                engines[i].versions[model] = *rc::gen::inRange(1, 4);
+                engines[i].versions[model] = *rc::gen::inRange<WeightVersion>(1, 4);
         }
-        for (const auto& [id, model] : assignModels(engines, models, demand))
-            std::find_if(engines.begin(), engines.end(), [&](const auto& candidate) { return candidate.id == id; })->assignedModel = model;
+        const auto assignments = assignModels(engines, models, demand);
+        for (auto& assigned : engines)
+            assigned.assignedModel = assignments.at(assigned.id);
         // All engines but one may fail each load or never end one.
         for (std::size_t i = 1; i < engines.size(); ++i) {
             engines[i].isBackingOff = *rc::gen::arbitrary<bool>();
@@ -201,6 +202,7 @@
             }
         }
         std::vector<ModelRequirement> requirements;
+        requirements.reserve(models.size());
         for (const auto& model : models)
             requirements.push_back({ model, 4, 3, *rc::gen::inRange<std::size_t>(0, 9) });
         for (std::size_t round = 0; round <= models.size() * engines.size(); ++round) {
