--- a/review/stage-2/stage.py
+++ b/review/stage-2/stage.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import re
@@ -456,6 +457,12 @@
     return re.sub(r"\{\{([\w.]+)\}\}", value_of, text)
 
 
+def end_with_parent():
+    """Lets the kernel end a program of the project when this process ends, however it ends."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Machine:
     """A machine that runs one role of the deploy file."""
 
@@ -490,7 +497,7 @@
             raise CannotRun(f"{words[0]} is not built")
         self.log = open(self.stage.folder / f"{self.name}.log", "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": str(self.stage.folder), "CICADALB_BOOT": str(file)}
-        self.process = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stdout=self.log, stderr=self.log, env=environment)
+        self.process = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stdout=self.log, stderr=self.log, env=environment, preexec_fn=end_with_parent)
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
@@ -585,7 +592,7 @@
         code = 2
         try:
             await stage.store.start()
-            broken = await asyncio.wait_for(case(stage), float(os.environ.get("CASE_LIMIT_S", "110")))
+            broken = await asyncio.wait_for(case(stage), 110)
             code = 1 if broken else 0
             for text in broken or ["the rule held"]:
                 stage.record("verdict: " + text)
