Keep a submission whose route is missing when its coordinator changes

Cause: SampleRunner::open erased a submission without a route and nothing read the record again before the next change of coordinator.

Change: the record of a submission holds the terms of its route (SubmissionTerms). A submission without a route is opened under them, without pools: its items run once the route is back and are given up when their time to live ends. A route of another kind that matches the path no longer counts as the submission's route. Records of earlier builds wait for the route.

It works because the terms no longer depend on the configuration in force when a coordinator starts.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -47,6 +47,13 @@
         return std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     }
 
+    /// The route of a submission, or null if the configuration has none. A route of another kind that matches the path is another route.
+    const SiteRoute* routeOf(const SiteView& view, const Submission& submission)
+    {
+        const auto* route = view.routes.find(submission.authority, submission.path);
+        return route && route->kind == RequestKind::Submission ? route : nullptr;
+    }
+
     /// Pools that a route sends to; none if the route no longer exists.
     std::vector<PoolName> poolsOf(const SiteRoute* route)
     {
@@ -176,7 +183,7 @@
     }
     if (const auto view = m_directory.view()) {
         for (const auto& [id, entry] : m_openSubmissions)
-            m_scheduler.setPools(id, poolsOf(view->routes.find(entry->submission.authority, entry->submission.path)));
+            m_scheduler.setPools(id, poolsOf(routeOf(*view, entry->submission)));
     }
     schedulePlacement();
 }
@@ -233,6 +240,13 @@
     return m_directory.isReady() && m_directory.view()->configuration.version >= submission.acceptedUnder;
 }
 
+/// Terms of the submission's route or, while the configuration lacks the route, those under which the submission was accepted.
+std::optional<SubmissionTerms> SampleRunner::termsOf(const Submission& submission) const
+{
+    const auto* route = routeOf(*m_directory.view(), submission);
+    return route ? route->submissionTerms() : submission.acceptedTerms;
+}
+
 Task<void> SampleRunner::open(Submission submission, Revision revision)
 {
     const auto self = shared_from_this();
@@ -247,25 +261,26 @@
             break;
         co_await pause(m_executor, storeRetryDelay);
     }
+    auto accepted = m_isStopped || entry->isClosed ? std::nullopt : termsOf(submission);
+    while (!m_isStopped && !entry->isClosed && !accepted) {
+        co_await pause(m_executor, configurationPollInterval);
+        accepted = termsOf(submission);
+    }
     if (m_isStopped || entry->isClosed)
         co_return;
-    entry->view = m_directory.view();
-    entry->route = entry->view->routes.find(submission.authority, submission.path);
-    if (!entry->route) {
-        m_openSubmissions.erase(id);
-        logSubmissionClosed(id, "its route no longer exists", 0);
-        co_return;
-    }
+    const auto view = m_directory.view();
+    const auto& terms = *accepted;
     const auto age = std::max(UnixTime(0), unixNow() - submission.submittedAt);
     const auto submittedAt = m_clock.now() - age;
-    entry->policy.softDeadline = submittedAt + entry->route->finishWithin;
-    entry->policy.expiresAt = submittedAt + entry->route->itemTimeToLive + clockSkewMargin;
-    entry->policy.requiresSingleVersion = entry->route->requiresSingleVersion;
-    entry->policy.maximumServerErrors = std::max(1U, entry->route->maximumAttempts);
-    const auto* organisation = entry->view->configuration.organisation(submission.organisation);
-    entry->policy.priority = organisation ? organisation->priority.value_or(entry->route->priority) : entry->route->priority;
-    entry->policy.firstEventWithin = entry->route->latencyObjective;
-    entry->policy.pools = poolsOf(entry->route);
+    entry->policy.softDeadline = submittedAt + terms.finishWithin;
+    entry->policy.expiresAt = submittedAt + terms.itemTimeToLive + clockSkewMargin;
+    entry->policy.requiresSingleVersion = terms.requiresSingleVersion;
+    entry->policy.maximumServerErrors = std::max(1U, terms.maximumAttempts);
+    const auto* organisation = view->configuration.organisation(submission.organisation);
+    entry->policy.priority = organisation ? organisation->priority.value_or(terms.priority) : terms.priority;
+    entry->policy.firstEventWithin = terms.firstEventWithin;
+    // Without a route the items wait, until it is back or their time to live ends.
+    entry->policy.pools = poolsOf(routeOf(*view, submission));
     for (auto& item : submission.items)
         item.prompt = m_protocol.prompt(item.fields);
     entry->submission = std::move(submission);
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -60,8 +60,6 @@
     struct OpenSubmission {
         Submission submission;
         SubmissionPolicy policy;
-        const SiteRoute* route = nullptr;
-        std::shared_ptr<const SiteView> view;
         std::shared_ptr<ResultLog> log;
         bool isAppending = false;
         bool isClosed = false;
@@ -92,6 +90,7 @@
     void applyRecords(const std::vector<KeyValueEntry>&);
     void applySubmissionRecord(const KeyValueEntry&);
     bool hasConfigurationFor(const Submission&) const;
+    std::optional<SubmissionTerms> termsOf(const Submission&) const;
     Task<void> open(Submission, Revision);
     void close(const SubmissionId&, std::string_view reason);
     Task<void> runItem(Placement);
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -49,7 +49,7 @@
 void SampleRunner::logSubmissionOpened(const OpenSubmission& entry, UnixTime age) const
 {
     const auto& submission = entry.submission;
-    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) }, { "accepted-under", std::to_string(submission.acceptedUnder) }, { "configuration", std::to_string(entry.view->configuration.version) } });
+    logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) }, { "accepted-under", std::to_string(submission.acceptedUnder) }, { "configuration", std::to_string(m_directory.view()->configuration.version) }, { "pools", std::to_string(entry.policy.pools.size()) } });
 }
 
 void SampleRunner::logSubmissionClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -330,6 +330,7 @@
     accepted.submittedAt = std::chrono::duration_cast<UnixTime>(std::chrono::system_clock::now().time_since_epoch());
     accepted.acceptedUnder = view.configuration.version;
     accepted.organisation = key.organisation;
+    accepted.acceptedTerms = route.submissionTerms();
     const auto outcome = co_await m_intake.accept(accepted);
     logIntake(accepted, route, outcome);
     if (outcome == IntakeOutcome::NotAccepted)
--- a/packages/site/include/cicadalb/site/SiteConfiguration.h
+++ b/packages/site/include/cicadalb/site/SiteConfiguration.h
@@ -2,6 +2,7 @@
 
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Identifier.h"
+#include "cicadalb/submissions/Submission.h"
 
 #include <chrono>
 #include <cstdint>
@@ -65,6 +66,8 @@
     std::vector<PoolShare> pools;
 
     bool hasPool(const PoolName&) const noexcept;
+    /// @brief What the route sets for submissions.
+    SubmissionTerms submissionTerms() const noexcept;
 };
 
 /// @brief How many engines of a pool may be ordered, and at which price.
--- a/packages/site/src/SiteConfiguration.cpp
+++ b/packages/site/src/SiteConfiguration.cpp
@@ -34,6 +34,11 @@
     return std::any_of(pools.begin(), pools.end(), [&](const auto& share) { return share.pool == pool; });
 }
 
+SubmissionTerms SiteRoute::submissionTerms() const noexcept
+{
+    return { finishWithin, itemTimeToLive, latencyObjective, maximumAttempts, priority, requiresSingleVersion };
+}
+
 const SitePool* SiteConfiguration::pool(const PoolName& poolName) const noexcept
 {
     const auto found = std::find_if(pools.begin(), pools.end(), [&](const auto& pool) { return pool.name == poolName; });
--- a/packages/submissions/include/cicadalb/submissions/Submission.h
+++ b/packages/submissions/include/cicadalb/submissions/Submission.h
@@ -61,6 +61,23 @@
     std::optional<RewardCall> reward;
 };
 
+/// @brief Rules that a route sets for its submissions.
+struct SubmissionTerms {
+    /// Time after the submission by which all results are wanted.
+    std::chrono::milliseconds finishWithin { 0 };
+    /// Time after the submission from which an unfinished item may be given up.
+    std::chrono::milliseconds itemTimeToLive { 0 };
+    /// Time within which the first event of an item is wanted.
+    std::chrono::milliseconds firstEventWithin { 0 };
+    /// Number of server errors after which an item is given up.
+    unsigned maximumAttempts = 1;
+    /// 0 is the most urgent.
+    unsigned priority = 0;
+    /// Whether the whole text of a sample has to come from one weight version.
+    bool requiresSingleVersion = false;
+    bool operator==(const SubmissionTerms&) const = default;
+};
+
 struct Submission {
     SubmissionId id;
     /// Selects the route together with the path.
@@ -71,6 +88,8 @@
     std::uint64_t acceptedUnder = 0;
     /// Organisation whose key the trainer presented; empty where none was needed.
     OrganisationName organisation;
+    /// Terms of the route under which the submission was accepted. They apply while the route is missing. Records of earlier builds have none.
+    std::optional<SubmissionTerms> acceptedTerms {};
     /// Number of the trainer's step, from 0.
     std::uint64_t step = 0;
     ModelName model;
--- a/packages/submissions/src/SubmissionRecords.cpp
+++ b/packages/submissions/src/SubmissionRecords.cpp
@@ -35,6 +35,17 @@
         return RewardCall { RequestId(json.at(0).get<std::string>()), json.at(1).get<std::string>(), json.at(2).get<std::string>(), bytesFromBinaryValue(json.at(3)) };
     }
 
+    Json toJson(const SubmissionTerms& terms)
+    {
+        return { terms.finishWithin.count(), terms.itemTimeToLive.count(), terms.firstEventWithin.count(), terms.maximumAttempts, terms.priority, terms.requiresSingleVersion };
+    }
+
+    SubmissionTerms termsFromJson(const Json& json)
+    {
+        const auto millisecondsAt = [&json](std::size_t index) { return std::chrono::milliseconds(json.at(index).get<std::int64_t>()); };
+        return { millisecondsAt(0), millisecondsAt(1), millisecondsAt(2), json.at(3).get<unsigned>(), json.at(4).get<unsigned>(), json.at(5).get<bool>() };
+    }
+
     SampleItem itemFromJson(const Json& json)
     {
         SampleItem item;
@@ -151,7 +162,8 @@
     for (const auto& item : submission.items)
         items.push_back(toJson(item));
     return toCbor({ submission.id.value(), submission.authority, submission.path, submission.submittedAt.count(), submission.step,
-        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items), submission.acceptedUnder, submission.organisation.value() });
+        submission.model.value(), submission.oldestVersion, submission.wantedGroupCount, std::move(items), submission.acceptedUnder, submission.organisation.value(),
+        submission.acceptedTerms ? toJson(*submission.acceptedTerms) : Json() });
 }
 
 Result<Submission> decodeSubmission(std::string_view record)
@@ -173,6 +185,8 @@
             submission.acceptedUnder = json.at(9).get<std::uint64_t>();
         if (json.size() > 10)
             submission.organisation = OrganisationName(json.at(10).get<std::string>());
+        if (json.size() > 11 && !json.at(11).is_null())
+            submission.acceptedTerms = termsFromJson(json.at(11));
         return submission;
     });
 }
--- a/packages/submissions/tests/unit-submission-records.cpp
+++ b/packages/submissions/tests/unit-submission-records.cpp
@@ -17,6 +17,7 @@
     submission.submittedAt = UnixTime(1781007254016);
     submission.acceptedUnder = 31;
     submission.organisation = OrganisationName("north");
+    submission.acceptedTerms = SubmissionTerms { std::chrono::milliseconds(7500), std::chrono::milliseconds(20000), std::chrono::milliseconds(400), 3, 2, true };
     submission.step = 7;
     submission.model = ModelName("draft");
     submission.oldestVersion = 6;
@@ -48,6 +49,7 @@
     CHECK(copy.oldestVersion == 6);
     CHECK(copy.acceptedUnder == 31);
     CHECK(copy.organisation == source.organisation);
+    CHECK(copy.acceptedTerms == source.acceptedTerms);
     REQUIRE(copy.items.size() == 2);
     CHECK(copy.items[0].body == source.items[0].body);
     CHECK(copy.items[0].fields == source.items[0].fields);
