Ignore reports of targets that the store carries out late

Cause: TargetRegistry took the entry with the highest revision for the newest state. The entry's own order (start, number of the report) was not read. Mirrors kept the older entry for hosts that start later.

Change: an entry that is older by revision, start or report number replaces neither a target's state nor its removal, however it arrives: as a change, in a list, from a mirror. Mirrors keep newer records, and outdated ones out of their copy, for versions of the configuration too. Records of the lease holder are compared by revision.

It works because a target numbers its reports itself, so that their order does not depend on the store's.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -131,13 +131,15 @@
     if (m_updateHandler)
         m_updateHandler({ holderKeyPrefix(), records, isSnapshot, false });
     const bool wasVacant = m_isHolderKnown && m_holder.empty();
-    if (isSnapshot) {
+    // Another candidate may have told of a later holder than this process's own watch has seen.
+    const bool isOlderSnapshot = isSnapshot && records.revision < m_holderRevision;
+    if (isSnapshot && !isOlderSnapshot) {
         m_holder.clear();
         m_recentHolders.clear();
     }
     m_isHolderKnown = true;
     for (const auto& entry : records.entries) {
-        if (entry.key != holderKey)
+        if (entry.key != holderKey || entry.revision < m_holderRevision)
             continue;
         m_holder = entry.isDeleted ? std::string() : entry.value;
         m_holderRevision = entry.revision;
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -53,17 +53,10 @@
 void RecordMirror::apply(const RecordUpdate& update)
 {
     auto& cache = m_caches[update.prefix];
-    if (update.isSnapshot) {
-        cache.entries.clear();
-        cache.tombstones = 0;
-        cache.compactedRevision = update.records.revision;
-    }
-    for (const auto& entry : update.records.entries) {
-        auto& cached = cache.entries[entry.key];
-        cache.tombstones -= cached.isDeleted ? 1 : 0;
-        cached = entry;
-        cache.tombstones += cached.isDeleted ? 1 : 0;
-    }
+    if (update.isSnapshot)
+        removeAbsent(cache, update.records);
+    for (const auto& entry : update.records.entries)
+        applyEntry(cache, entry);
     cache.revision = std::max(cache.revision, update.records.revision);
     if (cache.tombstones > maximumTombstones) {
         std::erase_if(cache.entries, [](const auto& entry) { return entry.second.isDeleted; });
@@ -76,6 +69,29 @@
     wakeWaiters();
 }
 
+/// Removes the records that a snapshot lacks. Those that were written or deleted after it are kept.
+void RecordMirror::removeAbsent(PrefixCache& cache, const WatchResult& snapshot)
+{
+    std::set<std::string_view> present;
+    for (const auto& entry : snapshot.entries)
+        present.insert(entry.key);
+    std::erase_if(cache.entries, [&](const auto& cached) { return cached.second.revision <= snapshot.revision && !present.contains(cached.first); });
+    cache.tombstones = static_cast<std::size_t>(std::count_if(cache.entries.begin(), cache.entries.end(), [](const auto& cached) { return cached.second.isDeleted; }));
+    cache.compactedRevision = std::max(cache.compactedRevision, snapshot.revision);
+}
+
+void RecordMirror::applyEntry(PrefixCache& cache, const KeyValueEntry& entry)
+{
+    const auto found = cache.entries.find(entry.key);
+    const bool isOlder = found != cache.entries.end() && entry.revision < found->second.revision;
+    if (isOlder || (m_isOutdated && m_isOutdated(entry)))
+        return;
+    auto& cached = cache.entries[entry.key];
+    cache.tombstones -= cached.isDeleted ? 1 : 0;
+    cached = entry;
+    cache.tombstones += cached.isDeleted ? 1 : 0;
+}
+
 void RecordMirror::wakeWaiters()
 {
     for (auto* timer : m_waitingTimers)
--- a/packages/hosting/src/RecordMirror.h
+++ b/packages/hosting/src/RecordMirror.h
@@ -26,9 +26,12 @@
 
     void stop();
 
-    /// @brief Applies an update that a watch of this process has received.
+    /// @brief Applies an update that a watch of this process has received. A record that is older than the cached one, or outdated, does not replace it.
     void apply(const RecordUpdate&);
 
+    /// @brief Sets the check whether a record states an older state than one that was received before. It is asked before the process itself has seen the record.
+    void setOutdatedCheck(std::function<bool(const KeyValueEntry&)> check) { m_isOutdated = std::move(check); }
+
     /// @brief Sets the source of the time as of which the records of a prefix are known to be complete, on the mirror's clock; empty if unknown.
     void setCompleteAsOfSource(std::function<std::optional<TimePoint>(const std::string& prefix)> source) { m_completeAsOf = std::move(source); }
 
@@ -58,11 +61,14 @@
     Result<std::optional<MirrorReply>> findChanges(const MirrorQuery&, TimePoint receivedAt, bool isWaitOver);
     Task<void> waitForUpdate(TimePoint until);
     void wakeWaiters();
+    static void removeAbsent(PrefixCache&, const WatchResult& snapshot);
+    void applyEntry(PrefixCache&, const KeyValueEntry&);
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     std::function<std::optional<TimePoint>(const std::string&)> m_completeAsOf;
     std::function<const SuspectList&()> m_suspects;
+    std::function<bool(const KeyValueEntry&)> m_isOutdated;
     std::map<std::string, PrefixCache> m_caches;
     std::set<ClockTimer*> m_waitingTimers;
     bool m_isStopped = false;
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -134,8 +134,10 @@
 std::optional<RegisteredTarget> SiteDirectory::decodeTarget(const KeyValueEntry& entry) const
 {
     auto target = m_protocol.target(entry.key, entry.value);
-    if (target)
+    if (target) {
+        target.value().revision = entry.revision;
         return std::move(target.value());
+    }
     logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", target.error().message } });
     return std::nullopt;
 }
@@ -152,6 +154,23 @@
         && current->softwareVersion == target.softwareVersion;
 }
 
+bool SiteDirectory::isOutdated(const KeyValueEntry& entry) const
+{
+    if (entry.isDeleted)
+        return false;
+    if (entry.key == m_protocol.keys().configuration) {
+        const auto configuration = m_view ? m_protocol.configuration(entry.value) : Result<SiteConfiguration>(SiteConfiguration {});
+        return m_view && configuration && configuration.value().version < m_view->configuration.version;
+    }
+    if (!entry.key.starts_with(m_protocol.keys().targets))
+        return false;
+    auto target = m_protocol.target(entry.key, entry.value);
+    if (!target)
+        return false;
+    target.value().revision = entry.revision;
+    return m_registry.isOutdated(target.value(), m_clock.now());
+}
+
 void SiteDirectory::replaceTargets(const WatchResult& result, bool afterOutage)
 {
     std::vector<RegisteredTarget> targets;
@@ -159,7 +178,7 @@
         if (auto target = decodeTarget(entry))
             targets.push_back(std::move(*target));
     }
-    m_registry.replace(std::move(targets), m_clock.now(), afterOutage);
+    m_registry.replace(std::move(targets), { result.revision, m_clock.now(), afterOutage });
     m_hasTargets = true;
     onTargetsChanged();
 }
@@ -169,10 +188,12 @@
     for (const auto& entry : result.entries) {
         const TargetId id(entry.key.substr(m_protocol.keys().targets.size()));
         auto target = entry.isDeleted ? std::nullopt : decodeTarget(entry);
-        if (target)
-            m_registry.put(std::move(*target));
+        if (target && m_registry.isOutdated(*target, m_clock.now()))
+            logEvent(Event::RecordIgnored, { { "key", entry.key }, { "revision", std::to_string(entry.revision) }, { "cause", "the target has sent a newer report or was removed since" } });
+        else if (target)
+            m_registry.put(std::move(*target), m_clock.now());
         else
-            m_registry.remove(id, m_clock.now(), afterOutage && entry.isDeleted);
+            m_registry.remove(id, { entry.revision, m_clock.now(), afterOutage && entry.isDeleted });
     }
     onTargetsChanged();
 }
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -66,6 +66,9 @@
     const TargetRegistry& registry() const noexcept { return m_registry; }
     /// @brief Whether the store's entry of a target, read now, is of the same start and software. Errors: those of the store.
     Task<Result<bool>> isUnchanged(RegisteredTarget);
+    /// @brief Whether a record of the configuration or of a target shows an older state than the one known here, although the store has it from now on:
+    /// the store may carry out a write late, after newer ones.
+    bool isOutdated(const KeyValueEntry&) const;
     Revision registryRevision() const noexcept { return m_targetsWatch->revision(); }
     /// @brief Time since the configuration was last known to be the newest one; empty before the first answer from the store or a mirror.
     std::optional<Duration> configurationAge() const { return ageOf(*m_configurationWatch); }
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -274,6 +274,7 @@
         if (m_mirror) {
             m_mirror->setCompleteAsOfSource([this](const auto& prefix) { return completeAsOf(prefix); });
             const auto apply = [this](const auto& update) { m_mirror->apply(update); };
+            m_mirror->setOutdatedCheck([this](const auto& entry) { return m_directory.isOutdated(entry); });
             m_directory.setUpdateHandler(apply);
             if (m_coordination)
                 m_coordination->setUpdateHandler(apply);
--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -10,7 +10,7 @@
 
 namespace cicadalb {
 
-/// @brief Records: configuration "VERSION POOL [MODEL | organisation:NAME:KEY[,KEY]... | [public:][KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE", announced version "MODEL VERSION".
+/// @brief Records: configuration "VERSION POOL [MODEL | organisation:NAME:KEY[,KEY]... | [public:][KIND:]AUTHORITY/PATH]...", where each path is a route of that kind (stream, idempotent or once; submissions without one) to the pool, target "POOL IP:PORT ready|leaving MODEL VERSION START SOFTWARE REPORT", announced version "MODEL VERSION".
 class FakeSiteProtocol : public SiteProtocol {
 public:
     /// The field "Call" selects a call on the submission that the path names.
@@ -165,6 +165,8 @@
         std::string software;
         words >> target.startedAt >> software;
         target.softwareVersion = SoftwareVersion(software);
+        if (std::uint64_t report = 0; words >> report)
+            target.reportNumber = report;
         return target;
     }
 
--- a/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -88,6 +88,15 @@
     /// @brief Writes a key directly, as another client would; no fault or delay applies.
     Revision put(std::string key, std::string value) { return storeEntry(std::move(key), std::move(value), 0); }
 
+    /// @brief Removes a key directly.
+    void remove(const std::string& key)
+    {
+        if (m_entries.erase(key) == 0)
+            return;
+        m_removalRevisions[key] = ++m_revision;
+        wakeWaitingCalls();
+    }
+
     Task<Result<std::optional<KeyValueEntry>>> read(std::string key) override
     {
         const auto fault = beginCall(CallKind::Read, m_counts.reads);
@@ -293,14 +302,6 @@
         }
     }
 
-    void remove(const std::string& key)
-    {
-        if (m_entries.erase(key) == 0)
-            return;
-        m_removalRevisions[key] = ++m_revision;
-        wakeWaitingCalls();
-    }
-
     Revision storeEntry(std::string key, std::string value, LeaseId lease)
     {
         ++m_revision;
