--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -70,6 +70,7 @@
             { "key-validity-ms", &SiteWorkSettings::keyValidity, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "usage-window-s", &SiteWorkSettings::usageWindow, Presence::Optional, Between { 1, maximumUsageWindowSeconds } },
             { "usage-report-s", &SiteWorkSettings::usageReportTime, Presence::Optional, Between { 0, maximumUsageWindowSeconds } },
+            { "target-report-ms", &SiteWorkSettings::targetReportInterval, Presence::Optional, Between { 1, detail::maximumDurationMilliseconds } },
             { "leaving-ms", &SiteWorkSettings::targetDrainTime, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
         };
         return fields;
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -81,7 +81,7 @@
 void Coordination::start()
 {
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_leaseClock, RecordWatchSettings { std::string(holderPrefix) },
-        RecordWatchHandler { [this](const auto& result, bool) { applyHolderRecords(result, true); }, [this](const auto& result, bool) { applyHolderRecords(result, false); }, {} });
+        RecordWatchHandler { [this](const auto& result, Duration) { applyHolderRecords(result, true); }, [this](const auto& result, Duration) { applyHolderRecords(result, false); }, {} });
     m_watch->start();
     asio::co_spawn(
         m_executor, [self = shared_from_this()]() { return self->maintainLease(); }, asio::detached);
@@ -129,7 +129,7 @@
 void Coordination::applyHolderRecords(const WatchResult& records, bool isSnapshot)
 {
     if (m_updateHandler)
-        m_updateHandler({ holderKeyPrefix(), records, isSnapshot, false });
+        m_updateHandler({ holderKeyPrefix(), records, isSnapshot, {} });
     const bool wasVacant = m_isHolderKnown && m_holder.empty();
     // Another candidate may have told of a later holder than this process's own watch has seen.
     const bool isOlderSnapshot = isSnapshot && records.revision < m_holderRevision;
--- a/packages/hosting/src/MirrorMessages.cpp
+++ b/packages/hosting/src/MirrorMessages.cpp
@@ -1,6 +1,7 @@
 #include "MirrorMessages.h"
 
 #include "cicadalb/base/CborRecord.h"
+#include "cicadalb/site/TargetRegistry.h"
 
 namespace cicadalb {
 
@@ -68,7 +69,7 @@
     for (const auto& entry : reply.records.entries)
         entries.push_back(toJson(entry));
     return toCbor({ { "entries", std::move(entries) }, { "revision", reply.records.revision }, { "snapshot", reply.isSnapshot },
-        { "after-outage", reply.isAfterOutage }, { "age-ms", reply.age.count() }, { "waited-ms", reply.waited.count() }, { "suspects", reply.suspects ? toJson(*reply.suspects) : Json() } });
+        { "after-outage", reply.mayReturnWithin.count() > 0 }, { "return-ms", reply.mayReturnWithin.count() }, { "age-ms", reply.age.count() }, { "waited-ms", reply.waited.count() }, { "suspects", reply.suspects ? toJson(*reply.suspects) : Json() } });
 }
 
 Result<MirrorReply> decodeMirrorReply(std::string_view body)
@@ -79,7 +80,9 @@
             reply.records.entries.push_back(entryFrom(entry));
         reply.records.revision = json.at("revision").get<Revision>();
         reply.isSnapshot = json.at("snapshot").get<bool>();
-        reply.isAfterOutage = json.at("after-outage").get<bool>();
+        // Replies of earlier builds state only whether there was an outage.
+        const auto returnTime = json.at("after-outage").get<bool>() ? TargetRegistry::reregistrationGracePeriod : std::chrono::milliseconds(0);
+        reply.mayReturnWithin = std::chrono::milliseconds(json.value("return-ms", std::int64_t { returnTime.count() }));
         reply.age = std::chrono::milliseconds(json.at("age-ms").get<std::int64_t>());
         // Replies of earlier builds lack these fields.
         reply.waited = std::chrono::milliseconds(json.value("waited-ms", std::int64_t { 0 }));
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -42,8 +42,8 @@
     WatchResult records;
     /// Whether these are all records under the prefix; any other record has been deleted.
     bool isSnapshot = false;
-    /// Whether a record may be missing only because the store was unavailable shortly before.
-    bool isAfterOutage = false;
+    /// Time for which a missing record may still return, since it may have lapsed while the store was unavailable; zero: it is gone.
+    std::chrono::milliseconds mayReturnWithin { 0 };
     /// Time since the records were known to be complete, by an answer of the store to the mirror's own watch. Changes made since then may be missing.
     std::chrono::milliseconds age { 0 };
     /// Time for which the mirror waited for a change before it replied.
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -1,7 +1,5 @@
 #include "RecordMirror.h"
 
-#include "cicadalb/site/TargetRegistry.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -63,9 +61,7 @@
         cache.tombstones = 0;
         cache.compactedRevision = cache.revision;
     }
-    if (update.isAfterOutage)
-        cache.outageReportedAt = m_clock.now();
-    cache.isAfterOutage = cache.isAfterOutage || update.isAfterOutage;
+    cache.mayReturnUntil = std::max(cache.mayReturnUntil, m_clock.now() + update.mayReturnWithin);
     wakeWaiters();
 }
 
@@ -122,7 +118,7 @@
     if (reply.records.entries.empty() && !reply.isSnapshot && mayWait)
         return std::optional<MirrorReply>();
     reply.records.revision = cache.revision;
-    reply.isAfterOutage = cache.isAfterOutage && now < cache.outageReportedAt + TargetRegistry::reregistrationGracePeriod;
+    reply.mayReturnWithin = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(cache.mayReturnUntil - now));
     reply.waited = std::chrono::duration_cast<milliseconds>(now - receivedAt);
     return std::optional(std::move(reply));
 }
--- a/packages/hosting/src/RecordMirror.h
+++ b/packages/hosting/src/RecordMirror.h
@@ -54,8 +54,8 @@
         Revision revision = 0;
         /// Tombstones up to this revision may have been dropped; a query for changes after an earlier revision gets a snapshot.
         Revision compactedRevision = 0;
-        bool isAfterOutage = false;
-        TimePoint outageReportedAt;
+        /// Until when records that lapsed in an outage may return.
+        TimePoint mayReturnUntil;
     };
 
     Result<std::optional<MirrorReply>> findChanges(const MirrorQuery&, TimePoint receivedAt, bool isWaitOver);
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -170,16 +170,20 @@
         co_return MirrorOutcome::Failed;
     if (reply.value().isSnapshot && reply.value().records.revision < m_revision)
         co_return MirrorOutcome::Lagging;
-    const auto& [records, isSnapshot, isAfterMirrorOutage, age, waited, suspects] = reply.value();
+    const auto& [records, isSnapshot, mirrorReturnTime, age, waited, suspects] = reply.value();
     raiseCompleteAsOf(sentAt + waited - age);
+    const bool wasFailing = m_hasFailed;
     recordOutcome(success());
+    // The mirror may have reached the store before this process reached the mirror.
+    if (wasFailing && m_restoredAt && mirrorReturnTime.count() > 0)
+        m_restoredAt = m_clock.now() + mirrorReturnTime - TargetRegistry::reregistrationGracePeriod;
     m_hasSnapshot = true;
     m_revision = std::max(m_revision, records.revision);
-    const bool isAfterAnyOutage = isAfterMirrorOutage || isAfterOutage();
+    const auto mayReturnWithin = std::max<Duration>(mirrorReturnTime, remainingReturnTime());
     if (isSnapshot)
-        m_handler.onSnapshot(records, isAfterAnyOutage);
+        m_handler.onSnapshot(records, mayReturnWithin);
     else if (!records.entries.empty())
-        m_handler.onChanges(records, isAfterAnyOutage);
+        m_handler.onChanges(records, mayReturnWithin);
     co_return MirrorOutcome::Applied;
 }
 
@@ -201,7 +205,7 @@
     m_hasSnapshot = true;
     m_shouldReadAll = false;
     m_revision = std::max(m_revision, snapshot.value().revision);
-    m_handler.onSnapshot(snapshot.value(), isAfterOutage());
+    m_handler.onSnapshot(snapshot.value(), remainingReturnTime());
     if (m_hasWatchFailed)
         co_await wait(waitAfterFailedWatch);
     co_return success();
@@ -227,7 +231,7 @@
     m_revision = std::max(m_revision, changes.value().revision);
     if (changes.value().entries.empty())
         co_return success();
-    m_handler.onChanges(changes.value(), isAfterOutage());
+    m_handler.onChanges(changes.value(), remainingReturnTime());
     auto delay = m_settings.coalescingDelay;
     if (m_settings.keepsCurrent)
         delay = std::min(delay, timeUntilAge(m_settings.maximumWait));
@@ -246,6 +250,7 @@
         if (!m_hasFailed) {
             m_hasFailed = true;
             m_failedAt = now;
+            m_outageSince = m_completeAsOf.value_or(TimePoint::min());
             logEvent(Event::WatchLost, { { "prefix", m_settings.prefix }, { "revision", std::to_string(m_revision) }, { "cause", outcome.error().message } });
         }
         m_isConnected = false;
@@ -253,8 +258,9 @@
     }
     if (m_hasFailed) {
         const auto outage = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_failedAt);
+        if (now - m_settings.minimumOutage >= m_outageSince)
+            m_restoredAt = now;
         logEvent(Event::WatchRestored, { { "prefix", m_settings.prefix }, { "revision", std::to_string(m_revision) }, { "milliseconds", std::to_string(outage.count()) } });
-        m_restoredAt = now;
     }
     const bool wasRestored = std::exchange(m_hasFailed, false);
     m_consecutiveFailures = 0;
@@ -263,9 +269,11 @@
         m_handler.onRestored();
 }
 
-bool RecordWatch::isAfterOutage() const
+Duration RecordWatch::remainingReturnTime() const
 {
-    return m_restoredAt != TimePoint() && m_clock.now() < m_restoredAt + TargetRegistry::reregistrationGracePeriod;
+    if (!m_restoredAt)
+        return Duration::zero();
+    return std::max(Duration::zero(), *m_restoredAt + TargetRegistry::reregistrationGracePeriod - m_clock.now());
 }
 
 } // namespace cicadalb
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -17,10 +17,10 @@
 
 namespace cicadalb {
 
-/// @brief Receives records. @c afterOutage: a record may be missing only because it lapsed while the store was unavailable.
+/// @brief Receives records. @c mayReturnWithin: time for which a missing record may still return, since it may have lapsed while the store was unavailable.
 struct RecordWatchHandler {
-    std::function<void(const WatchResult&, bool afterOutage)> onSnapshot;
-    std::function<void(const WatchResult&, bool afterOutage)> onChanges;
+    std::function<void(const WatchResult&, Duration mayReturnWithin)> onSnapshot;
+    std::function<void(const WatchResult&, Duration mayReturnWithin)> onChanges;
     /// Called after the first successful call that follows a failed one; may be empty.
     std::function<void()> onRestored;
 };
@@ -31,8 +31,8 @@
     WatchResult records;
     /// These are all records under the prefix; any other record has been deleted.
     bool isSnapshot = false;
-    /// A record may be missing only because the store was unavailable.
-    bool isAfterOutage = false;
+    /// Time for which a missing record may still return, since it may have lapsed while the store was unavailable; zero: it is gone.
+    Duration mayReturnWithin {};
 };
 
 struct RecordWatchSettings {
@@ -45,6 +45,8 @@
     bool keepsCurrent = false;
     /// Whether a failed call is followed by a read of all records, which is answered at once, unlike a watch. For prefixes with few records.
     bool readsAfterFailure = false;
+    /// Shortest time without an answer in which records can lapse. Shorter ones, such as that of a call that breaks, do not count as outages.
+    std::chrono::milliseconds minimumOutage { 0 };
     /// Longest delay between two calls while the store is unavailable; each delay is twice the one before.
     std::chrono::milliseconds maximumRetryDelay { 500 };
     /// Client of mirrors to query instead of the store, or null. Must outlive the watch.
@@ -89,7 +91,8 @@
     Task<MirrorOutcome> pollMirror();
     void recordOutcome(const Result<void>&);
     void raiseCompleteAsOf(TimePoint);
-    bool isAfterOutage() const;
+    /// Time for which records that lapsed in the last outage may still return.
+    Duration remainingReturnTime() const;
     std::chrono::milliseconds nextWait() const;
     /// Time until completeAsOf() has the age @p maximum.
     std::chrono::milliseconds timeUntilAge(std::chrono::milliseconds maximum) const;
@@ -122,7 +125,10 @@
     bool m_isStopped = false;
     bool m_hasFailed = false;
     TimePoint m_failedAt;
-    TimePoint m_restoredAt;
+    /// Since when records may have lapsed unnoticed, if calls fail.
+    TimePoint m_outageSince;
+    /// End of the last outage.
+    std::optional<TimePoint> m_restoredAt;
     unsigned m_consecutiveFailures = 0;
 };
 
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -109,7 +109,7 @@
 void SampleRunner::start()
 {
     updateEngines();
-    const auto apply = [weak = weak_from_this()](const WatchResult& result, bool) {
+    const auto apply = [weak = weak_from_this()](const WatchResult& result, Duration) {
         if (const auto self = weak.lock())
             self->applyRecords(result.entries);
     };
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -38,22 +38,24 @@
     , m_settings(std::move(settings))
     , m_recordClock(m_settings.recordClock ? *m_settings.recordClock : clock)
 {
-    const auto applyConfiguration = [this](const WatchResult& result, bool) { this->applyConfiguration(result.entries); };
-    const auto replaceTargets = [this](const WatchResult& result, bool afterOutage) { this->replaceTargets(result, afterOutage); };
-    const auto applyTargetChanges = [this](const WatchResult& result, bool afterOutage) { this->applyTargetChanges(result, afterOutage); };
+    const auto applyConfiguration = [this](const WatchResult& result, Duration) { this->applyConfiguration(result.entries); };
+    const auto replaceTargets = [this](const WatchResult& result, Duration mayReturnWithin) { this->replaceTargets(result, mayReturnWithin); };
+    const auto applyTargetChanges = [this](const WatchResult& result, Duration mayReturnWithin) { this->applyTargetChanges(result, mayReturnWithin); };
     // A registry is read again as a whole only by the few processes that query the store in any case.
     const bool hasMirrors = m_settings.mirror && m_settings.mirror->mirrorCount() > 0;
     m_configurationWatch = makeWatch(executor, store, watchSettings(protocol.keys().configuration, std::chrono::milliseconds(0), m_settings.mirror, true), applyConfiguration, applyConfiguration);
-    m_targetsWatch = makeWatch(executor, store, watchSettings(protocol.keys().targets, m_settings.registryCoalescingDelay, m_settings.mirror, !hasMirrors), replaceTargets, applyTargetChanges);
+    auto targetsSettings = watchSettings(protocol.keys().targets, m_settings.registryCoalescingDelay, m_settings.mirror, !hasMirrors);
+    targetsSettings.minimumOutage = m_settings.minimumOutage;
+    m_targetsWatch = makeWatch(executor, store, std::move(targetsSettings), replaceTargets, applyTargetChanges);
 }
 
 std::shared_ptr<RecordWatch> SiteDirectory::makeWatch(const boost::asio::any_io_executor& executor, TransactionalStore& store, RecordWatchSettings settings, RecordCallback onSnapshot, RecordCallback onChanges)
 {
     const auto handler = [this, prefix = settings.prefix](RecordCallback next, bool isSnapshot) {
-        return [this, prefix, next = std::move(next), isSnapshot](const WatchResult& records, bool afterOutage) {
+        return [this, prefix, next = std::move(next), isSnapshot](const WatchResult& records, Duration mayReturnWithin) {
             if (m_updateHandler)
-                m_updateHandler({ prefix, records, isSnapshot, afterOutage });
-            next(records, afterOutage);
+                m_updateHandler({ prefix, records, isSnapshot, mayReturnWithin });
+            next(records, mayReturnWithin);
         };
     };
     const auto onRestored = [this, isConfiguration = settings.prefix == m_protocol.keys().configuration] {
@@ -171,19 +173,19 @@
     return m_registry.isOutdated(target.value(), m_clock.now());
 }
 
-void SiteDirectory::replaceTargets(const WatchResult& result, bool afterOutage)
+void SiteDirectory::replaceTargets(const WatchResult& result, Duration mayReturnWithin)
 {
     std::vector<RegisteredTarget> targets;
     for (const auto& entry : result.entries) {
         if (auto target = decodeTarget(entry))
             targets.push_back(std::move(*target));
     }
-    m_registry.replace(std::move(targets), { result.revision, m_clock.now(), afterOutage });
+    m_registry.replace(std::move(targets), { result.revision, m_clock.now(), mayReturnWithin });
     m_hasTargets = true;
     onTargetsChanged();
 }
 
-void SiteDirectory::applyTargetChanges(const WatchResult& result, bool afterOutage)
+void SiteDirectory::applyTargetChanges(const WatchResult& result, Duration mayReturnWithin)
 {
     for (const auto& entry : result.entries) {
         const TargetId id(entry.key.substr(m_protocol.keys().targets.size()));
@@ -193,7 +195,7 @@
         else if (target)
             m_registry.put(std::move(*target), m_clock.now());
         else
-            m_registry.remove(id, { entry.revision, m_clock.now(), afterOutage && entry.isDeleted });
+            m_registry.remove(id, { entry.revision, m_clock.now(), entry.isDeleted ? mayReturnWithin : Duration::zero() });
     }
     onTargetsChanged();
 }
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -40,6 +40,8 @@
     std::uint64_t seed = 0;
     /// Clock of the ages of records, which must also count the time in which the machine is suspended; null selects the directory's clock.
     const Clock* recordClock = nullptr;
+    /// Shortest outage of the store in which entries of targets can lapse.
+    std::chrono::milliseconds minimumOutage { 0 };
 };
 
 /// @brief Bound to one event loop.
@@ -87,7 +89,7 @@
     void tick();
 
 private:
-    using RecordCallback = std::function<void(const WatchResult&, bool afterOutage)>;
+    using RecordCallback = std::function<void(const WatchResult&, Duration mayReturnWithin)>;
     /// Creates a watch that passes snapshots to @p onSnapshot, changes to @p onChanges, and both to the handler of setUpdateHandler() first.
     std::shared_ptr<RecordWatch> makeWatch(const boost::asio::any_io_executor&, TransactionalStore&, RecordWatchSettings, RecordCallback onSnapshot, RecordCallback onChanges);
     const RecordWatch& watchOf(const std::string& prefix) const;
@@ -95,8 +97,8 @@
     /// Logs when a copy becomes older than maximumRecordAge, and when it is current again.
     void reportAge(const RecordWatch&, bool& isOutdated) const;
     void applyConfiguration(const std::vector<KeyValueEntry>&);
-    void replaceTargets(const WatchResult&, bool afterOutage);
-    void applyTargetChanges(const WatchResult&, bool afterOutage);
+    void replaceTargets(const WatchResult&, Duration mayReturnWithin);
+    void applyTargetChanges(const WatchResult&, Duration mayReturnWithin);
     std::optional<RegisteredTarget> decodeTarget(const KeyValueEntry&) const;
     void onTargetsChanged();
     /// Logs changes of the targets; those that come within targetsLogInterval share a line.
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -42,6 +42,8 @@
     /// Longest delay for which changes of the registry share a call at a process that is a mirror: other hosts receive them only after this delay,
     /// in addition to the times in MirrorClient.h.
     constexpr milliseconds mirrorCoalescingDelay { 500 };
+    /// A target's entry lapses after three report intervals without a report, the first of which may have begun before an outage.
+    constexpr int minimumOutageReports = 2;
     /// Time for which idle connections to targets are kept; a trainer's next step comes within it ...
     constexpr milliseconds targetIdleTimeout { 4000 };
     /// ... and the limit for targets that state their own idle timeout.
@@ -102,7 +104,7 @@
     {
         // Changes may share a call for as long as a leaving target still serves, less the delay of a slow store.
         const auto usualDelay = std::max(milliseconds(0), settings.work.targetDrainTime - slowStoreDelay);
-        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualDelay, mirrorCoalescingDelay) : usualDelay, hasMirror(settings) ? nullptr : &mirror, seed, &recordClock };
+        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualDelay, mirrorCoalescingDelay) : usualDelay, hasMirror(settings) ? nullptr : &mirror, seed, &recordClock, minimumOutageReports * settings.work.targetReportInterval };
     }
 
     /// The other processes that may coordinate.
@@ -291,7 +293,7 @@
         if (!m_coordination)
             return;
         m_coordination->start();
-        const auto apply = [this](const WatchResult& result, bool) { applyRetirements(result.entries); };
+        const auto apply = [this](const WatchResult& result, Duration) { applyRetirements(result.entries); };
         m_retirementWatch = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { m_protocol->keys().retirements }, RecordWatchHandler { apply, apply, {} });
         m_retirementWatch->start();
     }
@@ -305,7 +307,7 @@
     void watchCrashes()
     {
         const auto apply = [this](bool isSnapshot) {
-            return [this, isSnapshot](const WatchResult& result, bool) { m_crashGuard->applyRecords(result, isSnapshot); };
+            return [this, isSnapshot](const WatchResult& result, Duration) { m_crashGuard->applyRecords(result, isSnapshot); };
         };
         m_crashWatch = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { CrashGuard::keyPrefix() }, RecordWatchHandler { apply(true), apply(false), {} });
         m_crashWatch->start();
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -45,7 +45,7 @@
 
 void WeightOrders::start()
 {
-    const auto apply = [weak = weak_from_this()](const WatchResult& result, bool) {
+    const auto apply = [weak = weak_from_this()](const WatchResult& result, Duration) {
         if (const auto self = weak.lock())
             self->applyNamedVersions(result.entries);
     };
--- a/packages/hosting/tests/unit-crash-guard.cpp
+++ b/packages/hosting/tests/unit-crash-guard.cpp
@@ -159,7 +159,7 @@
     mirror->setCompleteAsOfSource([this](const std::string&) { return clock.now(); });
     mirror->setSuspectsSource([this]() -> const SuspectList& { return candidate->suspects(); });
     candidate->setChangeHandler([mirror] { mirror->onSuspectsChanged(); });
-    mirror->apply({ "targets/", {}, true, false });
+    mirror->apply({ "targets/", {}, true, {} });
     MirrorQuery query { "targets/", Revision { 0 }, 5s, Revision { 0 } };
     const auto reply = startTask(context.get_executor(), mirror->waitForChanges(query));
     runFor(20ms);
--- a/packages/hosting/tests/unit-record-mirror.cpp
+++ b/packages/hosting/tests/unit-record-mirror.cpp
@@ -72,7 +72,7 @@
 
     void apply(std::vector<KeyValueEntry> entries, Revision revision, bool isSnapshot)
     {
-        mirror->apply({ targetsPrefix, { std::move(entries), revision }, isSnapshot, false });
+        mirror->apply({ targetsPrefix, { std::move(entries), revision }, isSnapshot, {} });
     }
 
     /// Gives the mirror targets a and b as of revision 7.
--- a/packages/site/include/cicadalb/site/TargetRegistry.h
+++ b/packages/site/include/cicadalb/site/TargetRegistry.h
@@ -47,12 +47,12 @@
     /// Revision of the store that the change shows; 0 if unknown.
     Revision revision = 0;
     TimePoint now {};
-    /// Whether entries may be missing only because the registry was unreachable.
-    bool isAfterOutage = false;
+    /// Time for which a missing entry may still return, since it may have lapsed while the registry was unreachable; zero: it is gone.
+    Duration mayReturnWithin {};
 };
 
 /// @brief The registered targets as last read by this host. Targets whose entries lapsed while the registry was unreachable register again
-/// soon after its return, so that removals seen right after an outage take effect only after reregistrationGracePeriod. What a target has said in
+/// soon after its return, so that removals seen right after an outage take effect only reregistrationGracePeriod after the registry's return. What a target has said in
 /// an answer takes precedence over its entry, which may be out of date. A report that the store carries out late does not replace a newer one, nor an entry's
 /// removal. Not thread-safe.
 class TargetRegistry {
--- a/packages/site/src/TargetRegistry.cpp
+++ b/packages/site/src/TargetRegistry.cpp
@@ -71,8 +71,8 @@
             return;
         newest->second.revision = reading.revision;
     }
-    if (reading.isAfterOutage && m_targets.contains(id)) {
-        m_missingUntil.try_emplace(id, reading.now + reregistrationGracePeriod);
+    if (reading.mayReturnWithin > Duration::zero() && m_targets.contains(id)) {
+        m_missingUntil.try_emplace(id, reading.now + reading.mayReturnWithin);
         return;
     }
     if (newest != m_newestReports.end())
--- a/packages/site/tests/unit-site.cpp
+++ b/packages/site/tests/unit-site.cpp
@@ -63,7 +63,7 @@
     // Entries of the same start, also after the entry was missing for some time.
     registry.put(registered, clock.now());
     registry.remove(registered.id, { 0, clock.now() });
-    registry.replace({ registered }, { 0, clock.now(), true });
+    registry.replace({ registered }, { 0, clock.now(), TargetRegistry::reregistrationGracePeriod });
     CHECK(registry.usableTargets(PoolName("ledger")).empty());
     registered.startedAt = 200;
     registry.put(registered, clock.now());
@@ -87,7 +87,7 @@
     ManualClock clock;
     TargetRegistry registry;
     registry.replace({ target("a"), target("b") }, { 0, clock.now() });
-    registry.replace({}, { 0, clock.now(), true });
+    registry.replace({}, { 0, clock.now(), TargetRegistry::reregistrationGracePeriod });
     CHECK(registry.targets().size() == 2);
     registry.put(target("a"), clock.now());
     clock.advance(TargetRegistry::reregistrationGracePeriod);
