Reject answers whose status or framing is not HTTP, and skip interim answers

Cause: the parser checks syntax only. The range of status codes, which answers have a body, and which transfer codings a client understands were not checked by anyone. Names of fields and heads that break off were rejected already.

Change: HttpClient, through which calls, streams, rewards, loads, the store and duties read, rejects status codes outside 100 to 599 and 101, transfer codings other than chunked alone in HTTP/1.1, bodies of 1xx and 204, and control characters in chunk extensions. Interim answers are skipped, at most 16.

It works because no reader sees an answer before the check.

--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -104,6 +104,8 @@
 /// @brief Client for one server. Thread-safe; the connection pool has its own lock.
 /// The error of an exchange says what is known about the request: NotSent (no byte of it was written), OutcomeUnknown (it may have run:
 /// the connection broke or the deadline passed after the first byte, or the answer was truncated), Cancelled, AnswerInvalid.
+/// An answer that does not conform to RFC 9110 and RFC 9112 (status code, field names and values, framing) fails with OutcomeUnknown and closes its
+/// connection. Interim answers (1xx) are skipped.
 /// An answer with neither a Content-Length nor chunked encoding cannot be told from a truncated one and fails with OutcomeUnknown.
 /// A connection returns to the pool only after exactly one complete answer was read from it, which must repeat the request's ExchangeId if it has
 /// an answer field; otherwise the connection is closed.
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -40,6 +40,9 @@
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
 
+    /// Maximum number of interim answers (1xx) before the final one.
+    constexpr unsigned maximumInterimAnswers = 16;
+
     struct Connection {
         explicit Connection(const asio::any_io_executor& executor)
             : stream(executor)
@@ -53,6 +56,8 @@
         bool isReused = false;
         /// Bytes of the current request that were handed to the socket.
         std::size_t bytesWritten = 0;
+        /// Whether the header of an answer was read since the current request was written.
+        bool hasReceivedHeader = false;
         /// Hashes of the ids of all requests that were sent.
         std::vector<std::size_t> sentIds;
         bool hasSentWithoutId = false;
@@ -98,6 +103,43 @@
         return id.value.empty() || id.answerField.empty() || head.field(id.answerField) == id.value;
     }
 
+    bool isInterim(const AnswerParser& parser) { return parser.get().result_int() / 100 == 1; }
+
+    /// Whether the transfer coding is one that the client has to understand: chunked alone, in HTTP/1.1.
+    bool hasValidTransferCoding(const http::response<http::buffer_body>& answer)
+    {
+        const auto codings = answer.equal_range(http::field::transfer_encoding);
+        return std::distance(codings.first, codings.second) == 1 && beast::iequals(codings.first->value(), "chunked") && answer.version() == 11;
+    }
+
+    /// Checks of RFC 9110 (status codes) and RFC 9112 (framing) that the parser does not make.
+    beast::error_code checkHeader(const AnswerParser& parser)
+    {
+        constexpr unsigned lowestStatus = 100;
+        constexpr unsigned highestStatus = 599;
+        constexpr unsigned switchingProtocols = 101;
+        constexpr unsigned noContent = 204;
+        const auto& answer = parser.get();
+        const auto status = answer.result_int();
+        if (status < lowestStatus || status > highestStatus || status == switchingProtocols)
+            return http::make_error_code(http::error::bad_status);
+        const auto length = answer[http::field::content_length];
+        const bool isCoded = answer.find(http::field::transfer_encoding) != answer.end();
+        if (isCoded && (!hasValidTransferCoding(answer) || isInterim(parser) || status == noContent))
+            return http::make_error_code(http::error::bad_transfer_encoding);
+        if ((isInterim(parser) && !length.empty()) || (status == noContent && length.find_first_not_of('0') != std::string_view::npos))
+            return http::make_error_code(http::error::bad_content_length);
+        return {};
+    }
+
+    /// Rejects control characters in the extensions of a chunk, which the parser accepts in quoted strings.
+    void checkChunkHeader(std::uint64_t, beast::string_view extensions, beast::error_code& error)
+    {
+        const auto isControlCharacter = [](unsigned char character) { return (character < 0x20 && character != '\t') || character == 0x7f; };
+        if (std::any_of(extensions.begin(), extensions.end(), isControlCharacter))
+            error = http::error::bad_chunk_extension;
+    }
+
     using ConnectionPointer = std::unique_ptr<Connection>;
 
     auto completionToken(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
@@ -277,6 +319,7 @@
         connection.output.clear();
         detail::appendMessage(message, connection.output);
         connection.bytesWritten = 0;
+        connection.hasReceivedHeader = false;
         connection.bytesWritten = co_await asio::async_write(connection.stream, connection.output.cdata(), completionToken(error));
         co_return error;
     }
@@ -289,7 +332,24 @@
         parser->header_limit(maximumHeaderBytes);
         parser->body_limit(boost::none);
         parser->skip(!hasBody);
+        static std::function<void(std::uint64_t, beast::string_view, beast::error_code&)> chunkCheck = checkChunkHeader;
+        parser->on_chunk_header(chunkCheck);
         co_await http::async_read_header(connection.stream, connection.buffer, *parser, completionToken(error));
+        if (error)
+            co_return error;
+        connection.hasReceivedHeader = true;
+        co_return checkHeader(*parser);
+    }
+
+    /// Reads the header of a final answer. Interim answers before it are skipped.
+    static Task<beast::error_code> readFinalHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody)
+    {
+        auto error = co_await readHeader(connection, parser, hasBody);
+        for (unsigned interim = 0; !error && isInterim(*parser); ++interim) {
+            if (interim == maximumInterimAnswers)
+                co_return http::make_error_code(http::error::bad_status);
+            error = co_await readHeader(connection, parser, hasBody);
+        }
         co_return error;
     }
 
@@ -301,12 +361,12 @@
         if (error)
             co_return error;
         const bool hasBody = message.method() != http::verb::head;
-        error = co_await readHeader(connection, parser, hasBody);
+        error = co_await readFinalHeader(connection, parser, hasBody);
         while (!error && !parser->need_eof() && isRepeatedAnswer(connection, *parser, id)) {
             while (!error && !parser->is_done())
                 co_await readPart(connection, *parser, connection.partBuffer, error);
             if (!error)
-                error = co_await readHeader(connection, parser, hasBody);
+                error = co_await readFinalHeader(connection, parser, hasBody);
         }
         co_return error;
     }
@@ -426,8 +486,9 @@
         if (!error)
             break;
         const auto lastError = state->exchangeError(*connection, error, cancellation.get());
-        const bool wasClosedWhileIdle = connection->isReused && !attemptParser->got_some() && isClosedByServer(error);
-        const bool wasSilent = mayBeSilent && !attemptParser->got_some() && error == beast::error::timeout && std::chrono::steady_clock::now() < deadline;
+        const bool hasReceived = connection->hasReceivedHeader || attemptParser->got_some();
+        const bool wasClosedWhileIdle = connection->isReused && !hasReceived && isClosedByServer(error);
+        const bool wasSilent = mayBeSilent && !hasReceived && error == beast::error::timeout && std::chrono::steady_clock::now() < deadline;
         mayHaveRun = mayHaveRun || connection->bytesWritten > 0;
         if (wasSilent)
             state->closeIdle();
