Limit the memory of all answers together

Cause: each answer was limited (16 MiB of body, 64 KiB of head), their sum was not. Texts of samples and generations were not limited at all while events arrived, nor in bytes once kept for reuse.

Change: AnswerMemory, a quarter of the process's memory (memory-mb, from the platform's settings), is shared by all answers that are being read or not written to their callers yet, and by the texts of samples. Once it is three quarters full, an answer larger than its equal share may not grow; its exchange fails and the connection is closed. Bodies over 64 KiB are written to callers without a copy.

Evidence: 16 endless bodies at once took over 48 MiB of resident memory without the sum (the test's bound for 16 MiB of answers), and stay below it now, while a sound server's answers arrive. A sample with endless events was not ended after 20 s without the limit, and is now. It works because what grows without end is always larger than its equal share.

--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -69,6 +69,8 @@
     unsigned maximumConcurrentLoads = 0;
     /// How long a target goes on serving after it announced that it leaves.
     std::chrono::milliseconds targetDrainTime { 2000 };
+    /// Memory that the process may use, in MiB. 0: not limited.
+    unsigned memoryMebibytes = 0;
     /// Interval at which a target renews its entry in the registry.
     std::chrono::milliseconds targetReportInterval { 1200 };
     /// Longest time from the end of a submission to the last begin of one of its samples' runs. 0: no limit.
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -24,6 +24,7 @@
     constexpr double maximumUsageWindowSeconds = 3600.0;
     constexpr double maximumRetentionSeconds = 86400.0;
     constexpr double maximumConcurrentLoads = 1000.0;
+    constexpr double maximumMemoryMebibytes = 1048576.0;
 
     const Fields<SiteHostSettings>& hostFields()
     {
@@ -70,6 +71,7 @@
             { "key-validity-ms", &SiteWorkSettings::keyValidity, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
             { "usage-window-s", &SiteWorkSettings::usageWindow, Presence::Optional, Between { 1, maximumUsageWindowSeconds } },
             { "usage-report-s", &SiteWorkSettings::usageReportTime, Presence::Optional, Between { 0, maximumUsageWindowSeconds } },
+            { "memory-mb", &SiteWorkSettings::memoryMebibytes, Presence::Optional, Between { 0, maximumMemoryMebibytes } },
             { "target-report-ms", &SiteWorkSettings::targetReportInterval, Presence::Optional, Between { 1, detail::maximumDurationMilliseconds } },
             { "leaving-ms", &SiteWorkSettings::targetDrainTime, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
         };
--- a/packages/hosting/src/HostCall.cpp
+++ b/packages/hosting/src/HostCall.cpp
@@ -2,7 +2,7 @@
 
 namespace cicadalb {
 
-Task<Result<std::string>> callHost(std::shared_ptr<HttpClient> client, HostCall call)
+Task<Result<HostAnswer>> callHost(std::shared_ptr<HttpClient> client, HostCall call)
 {
     constexpr unsigned statusOk = 200;
     HttpRequest request;
@@ -16,7 +16,7 @@
         co_return response.as_failure();
     if (response.value().status != statusOk)
         co_return failure(ErrorCode::Unavailable, "answered with status " + std::to_string(response.value().status), std::string(call.path));
-    co_return std::move(response.value().body);
+    co_return HostAnswer { std::move(response.value().body), std::move(response.value().memory) };
 }
 
 std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, const HttpClientOptions& options)
--- a/packages/hosting/src/HostCall.h
+++ b/packages/hosting/src/HostCall.h
@@ -25,8 +25,14 @@
     std::shared_ptr<HttpCancellation> cancellation = nullptr;
 };
 
-/// @brief Sends a call to another process. @return the body of its answer. Errors: those of HttpClient, and Unavailable if it answers with an error status
-Task<Result<std::string>> callHost(std::shared_ptr<HttpClient>, HostCall);
+struct HostAnswer {
+    std::string body;
+    /// See HttpResponse::memory.
+    std::shared_ptr<AnswerMemory::Share> memory;
+};
+
+/// @brief Sends a call to another process. Errors: those of HttpClient, and Unavailable if it answers with an error status
+Task<Result<HostAnswer>> callHost(std::shared_ptr<HttpClient>, HostCall);
 
 /// @brief A client for each of the endpoints.
 std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, const HttpClientOptions& = {});
--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -23,10 +23,10 @@
     Task<Result<MirrorReply>> sendQuery(std::shared_ptr<HttpClient> client, MirrorQuery query)
     {
         HostCall call { mirrorPath, encodeMirrorQuery(query), query.maximumWait + query.responseTimeout, true };
-        const auto body = co_await callHost(std::move(client), std::move(call));
-        if (!body)
-            co_return body.as_failure();
-        co_return decodeMirrorReply(body.value());
+        const auto answer = co_await callHost(std::move(client), std::move(call));
+        if (!answer)
+            co_return answer.as_failure();
+        co_return decodeMirrorReply(answer.value().body);
     }
 
 } // namespace
--- a/packages/hosting/src/RequestPermits.cpp
+++ b/packages/hosting/src/RequestPermits.cpp
@@ -22,10 +22,10 @@
     Task<Result<PermitReply>> sendRequest(std::shared_ptr<HttpClient> client, PermitRequest request)
     {
         HostCall call { permitPath, encodePermitRequest(request), RequestPermits::replyTimeout, false };
-        const auto body = co_await callHost(std::move(client), std::move(call));
-        if (!body)
-            co_return body.as_failure();
-        co_return decodePermitReply(body.value());
+        const auto answer = co_await callHost(std::move(client), std::move(call));
+        if (!answer)
+            co_return answer.as_failure();
+        co_return decodePermitReply(answer.value().body);
     }
 
 } // namespace
--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -21,10 +21,13 @@
     {
         const auto path = request.organisation.isEmpty() ? relayPath : organisationRelayPath;
         HostCall call { path, encodeRelayRequest(request), request.remainingTime, false, std::move(cancellation) };
-        const auto body = co_await callHost(std::move(client), std::move(call));
-        if (!body)
-            co_return body.as_failure();
-        co_return decodeRelayReply(body.value());
+        const auto answer = co_await callHost(std::move(client), std::move(call));
+        if (!answer)
+            co_return answer.as_failure();
+        auto reply = decodeRelayReply(answer.value().body);
+        if (reply)
+            reply.value().outcome.answer.memory = answer.value().memory;
+        co_return reply;
     }
 
     const SiteRoute* routeOf(const SiteView& view, const HttpRequest& message)
@@ -123,6 +126,7 @@
         if (refusal.outcome.cause.empty()) {
             const auto reply = co_await forward(std::move(decoded.value()), receivedAt, responder);
             response.body = encodeRelayReply(reply);
+            response.memory = reply.outcome.answer.memory;
         } else {
             response.body = encodeRelayReply(refusal);
         }
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace cicadalb {
 
@@ -35,6 +36,8 @@
     constexpr std::size_t minimumStoredEvents = 12;
     /// A value of the store holds at most 1 MB, a quarter of which is base64 overhead.
     constexpr std::size_t maximumStoredTextBytes = std::size_t { 600 } << 10U;
+    /// A longer text could not be stored as a result: a value of the store holds at most 1 MB in base64.
+    constexpr std::size_t maximumTextBytes = std::size_t { 700 } << 10U;
     /// Interval between searches for expired submissions ...
     constexpr std::chrono::seconds expirySearchInterval { 10 };
     /// ... and the time for which these are kept beyond resultRetention.
@@ -303,6 +306,7 @@
     for (const auto& key : m_scheduler.remove(id))
         stopRun(key);
     stopRewardCalls(id);
+    m_textMemory.erase(m_textMemory.lower_bound({ id, 0 }), m_textMemory.upper_bound({ id, std::numeric_limits<std::size_t>::max() }));
     logSubmissionClosed(id, reason, entry->log->stored().size());
     schedulePlacement();
 }
@@ -398,6 +402,8 @@
     if (text)
         versions = versionsText(text->versions);
     const auto nextAction = m_scheduler.onRunEnd(key, end, m_clock.now());
+    if (!m_scheduler.partialText(key) || m_scheduler.partialText(key)->eventCount == 0)
+        m_textMemory.erase(key);
     logRunEnded(*entry, key, record, end, events, versions, m_clock.now() - startedAt, cause);
     if (nextAction == ItemAction::RequestReward)
         asio::co_spawn(m_executor, runRewardCall(entry, key), asio::detached);
@@ -424,6 +430,16 @@
     return RunOutcome::Complete;
 }
 
+/// Whether the item's text, and the event that is being read, may be kept.
+bool SampleRunner::hasMemoryFor(const ItemKey& key, const EventStreamParser& parser)
+{
+    const auto* text = m_scheduler.partialText(key);
+    if (!text || text->text.size() > maximumTextBytes)
+        return !text;
+    const auto share = m_textMemory.try_emplace(key, AnswerMemory::ofProcess()).first;
+    return share->second.resize(text->text.capacity() + parser.memoryBytes());
+}
+
 Task<RunOutcome> SampleRunner::stream(const OpenSubmissionPointer& entry, ItemKey key, const RegisteredTarget& target, std::shared_ptr<HttpCancellation> cancellation, std::string& cause)
 {
     const auto& item = entry->submission.items[key.index];
@@ -457,6 +473,10 @@
         std::size_t events = 0;
         if (kind == AnswerKind::Answered && status == statusOk)
             runOutcome = processEvents(key, part, parser, version, entry->submission.oldestVersion, events);
+        if (runOutcome == RunOutcome::Complete && !hasMemoryFor(key, parser)) {
+            cause = "the text is too long, or the texts of all runs exceed their memory";
+            runOutcome = RunOutcome::Oversized;
+        }
         if (runOutcome == RunOutcome::Complete && !progress.onPart(part.size(), events > 0, m_clock.now())) {
             cause = "the answer goes on without events";
             runOutcome = RunOutcome::Interrupted;
@@ -503,6 +523,7 @@
     }
     logEvent(Event::SampleSettled, { { "id", item.id.value() }, { "submission", key.submission.value() }, { "succeeded", state == ResultState::Succeeded ? "yes" : "no" }, { "reason", std::string(reason) } });
     m_scheduler.settle(key);
+    m_textMemory.erase(key);
     entry->log->add(std::move(result));
     if (!entry->isAppending) {
         entry->isAppending = true;
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -96,6 +96,7 @@
     Task<void> runItem(Placement);
     Task<RunOutcome> stream(const OpenSubmissionPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, std::string& cause);
     RunOutcome processEvents(const ItemKey&, std::string_view bytes, EventStreamParser&, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount);
+    bool hasMemoryFor(const ItemKey&, const EventStreamParser&);
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
     void settle(const OpenSubmissionPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
     Task<void> append(OpenSubmissionPointer);
@@ -131,6 +132,8 @@
     std::map<SubmissionId, StoredSubmission> m_storedSubmissions;
     std::map<ItemKey, std::shared_ptr<Run>> m_runs;
     std::map<ItemKey, std::shared_ptr<HttpCancellation>> m_rewardCalls;
+    /// Memory of the texts that runs have received.
+    std::map<ItemKey, AnswerMemory::Share> m_textMemory;
     TimePoint m_nextExpirySearchAt;
     TimePoint m_nextPartialTextsAt;
     bool m_isStoringPartialTexts = false;
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -308,6 +308,7 @@
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
+        result.response.memory = std::move(outcome.answer.memory);
     } else if (outcome.state == ForwardState::NotRun) {
         result = makeRefusal(statusUnavailable, "the request was not run: " + outcome.cause, std::max<Duration>(outcome.retryAfter, milliseconds(1)));
     } else {
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -65,6 +65,9 @@
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
 
+    /// The share of the process's memory that answers of other processes may take, as a divisor. Bodies are held once, beside buffers and copies of parts.
+    constexpr std::size_t answerMemoryDivisor = 4;
+
     std::uint64_t seedOf(const HostId& host)
     {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -156,8 +159,8 @@
     {
         const auto ask = [](std::shared_ptr<HttpClient> client) -> Task<bool> {
             HostCall call { reachabilityPath, {}, reachabilityQueryTimeout };
-            const auto reply = co_await callHost(std::move(client), std::move(call));
-            co_return reply&& reply.value() == reachableReply;
+            const auto answer = co_await callHost(std::move(client), std::move(call));
+            co_return answer&& answer.value().body == reachableReply;
         };
         return [ask, clients = makeHostClients(executor, endpoints)](std::size_t candidate) { return ask(clients[candidate]); };
     }
@@ -213,6 +216,8 @@
         , m_endpoints({ m_settings.host.id, m_seed, KeyValidity(m_settings.work.keyValidity) }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
+        if (m_settings.work.memoryMebibytes > 0)
+            AnswerMemory::ofProcess()->setCapacity((std::size_t { m_settings.work.memoryMebibytes } << 20U) / answerMemoryDivisor);
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
         if (m_settings.parts.serving) {
             m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
--- a/packages/hosting/src/UsageSender.cpp
+++ b/packages/hosting/src/UsageSender.cpp
@@ -14,10 +14,10 @@
     Task<Result<UsageReply>> sendMessage(std::shared_ptr<HttpClient> client, UsageMessage message)
     {
         HostCall call { usagePath, encodeUsageMessage(message), UsageSender::replyTimeout, true };
-        const auto body = co_await callHost(std::move(client), std::move(call));
-        if (!body)
-            co_return body.as_failure();
-        co_return decodeUsageReply(body.value());
+        const auto answer = co_await callHost(std::move(client), std::move(call));
+        if (!answer)
+            co_return answer.as_failure();
+        co_return decodeUsageReply(answer.value().body);
     }
 
     Task<Result<UsageReply>> answerOwn(UsageReply reply) { co_return reply; }
--- a/packages/hosting/tests/unit-endless-sample.cpp
+++ b/packages/hosting/tests/unit-endless-sample.cpp
@@ -102,3 +102,15 @@
     start(std::string(head), ": nothing\n");
     CHECK(isConnectionClosedSoon());
 }
+
+TEST_CASE_METHOD(EndlessSampleFixture, "sample runner, events without end, ends the run, closes the connection and drops the text")
+{
+    engine.makeFiller = [id = 0]() mutable { return "id: " + std::to_string(++id) + "\ndata: " + std::string(10000, 'a') + "\n\n"; };
+    start(std::string(head), {});
+    CHECK(isConnectionClosedSoon());
+    CHECK(onWorker([this] {
+        runner->stop();
+        const auto* text = runner->scheduler().partialText({ SubmissionId("7c41e0"), 0 });
+        return text && text->text.size() < 1U << 20U;
+    }));
+}
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -29,7 +29,7 @@
 namespace {
 
     /// Maximum size of an answer's header.
-    constexpr std::uint32_t maximumHeaderBytes = 64U << 10U;
+    constexpr std::uint32_t maximumHeaderBytes = 16U << 10U;
     /// Time before the server's idle timeout at which the client stops reusing a connection, because a request in transit when the server closes
     /// the connection would be lost.
     constexpr std::chrono::milliseconds keepAliveMargin { 1000 };
@@ -325,7 +325,7 @@
     }
 
     /// Reads the header of an answer.
-    static Task<beast::error_code> readHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody)
+    static Task<beast::error_code> readHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, AnswerMemory::Share& memory)
     {
         beast::error_code error;
         parser.emplace();
@@ -334,7 +334,11 @@
         parser->skip(!hasBody);
         static std::function<void(std::uint64_t, beast::string_view, beast::error_code&)> chunkCheck = checkChunkHeader;
         parser->on_chunk_header(chunkCheck);
-        co_await http::async_read_header(connection.stream, connection.buffer, *parser, completionToken(error));
+        while (!parser->is_header_done() && !error) {
+            co_await http::async_read_some(connection.stream, connection.buffer, *parser, completionToken(error));
+            if (!error && !memory.resize(connection.buffer.capacity()))
+                error = make_error_code(boost::system::errc::not_enough_memory);
+        }
         if (error)
             co_return error;
         connection.hasReceivedHeader = true;
@@ -342,31 +346,31 @@
     }
 
     /// Reads the header of a final answer. Interim answers before it are skipped.
-    static Task<beast::error_code> readFinalHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody)
+    static Task<beast::error_code> readFinalHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, AnswerMemory::Share& memory)
     {
-        auto error = co_await readHeader(connection, parser, hasBody);
+        auto error = co_await readHeader(connection, parser, hasBody, memory);
         for (unsigned interim = 0; !error && isInterim(*parser); ++interim) {
             if (interim == maximumInterimAnswers)
                 co_return http::make_error_code(http::error::bad_status);
-            error = co_await readHeader(connection, parser, hasBody);
+            error = co_await readHeader(connection, parser, hasBody, memory);
         }
         co_return error;
     }
 
     /// Sends a request and reads the header of its answer. Second answers to earlier requests are skipped.
-    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser)
+    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser, AnswerMemory::Share& memory)
     {
         parser.emplace();
         beast::error_code error = co_await write(connection, message);
         if (error)
             co_return error;
         const bool hasBody = message.method() != http::verb::head;
-        error = co_await readFinalHeader(connection, parser, hasBody);
+        error = co_await readFinalHeader(connection, parser, hasBody, memory);
         while (!error && !parser->need_eof() && isRepeatedAnswer(connection, *parser, id)) {
             while (!error && !parser->is_done())
                 co_await readPart(connection, *parser, connection.partBuffer, error);
             if (!error)
-                error = co_await readFinalHeader(connection, parser, hasBody);
+                error = co_await readFinalHeader(connection, parser, hasBody, memory);
         }
         co_return error;
     }
@@ -428,19 +432,30 @@
 Task<Result<HttpResponse>> HttpClient::send(HttpRequest request, TimePoint deadline, std::shared_ptr<HttpCancellation> cancellation)
 {
     std::string body;
-    bool isTooLarge = false;
+    std::string_view obstacle;
+    const auto memory = std::make_shared<AnswerMemory::Share>(m_state->options.memory);
     HttpStreamHandler handler;
-    handler.onPart = [&body, &isTooLarge, limit = m_state->options.maximumBodyBytes](std::string_view part) -> Task<bool> {
-        isTooLarge = body.size() + part.size() > limit;
-        if (!isTooLarge)
-            body.append(part);
-        co_return !isTooLarge;
+    handler.memory = memory;
+    handler.onPart = [&body, &obstacle, &memory, limit = m_state->options.maximumBodyBytes](std::string_view part) -> Task<bool> {
+        const auto size = body.size() + part.size();
+        const auto capacity = size <= body.capacity() ? body.capacity() : std::max(size, std::min(2 * body.capacity(), limit));
+        if (size > limit)
+            obstacle = "the body of the answer exceeds the maximum size";
+        else if (!memory->resize(capacity))
+            obstacle = "the answers of all calls exceed their memory";
+        if (!obstacle.empty())
+            co_return false;
+        body.reserve(capacity);
+        body.append(part);
+        co_return true;
     };
     auto response = co_await stream(std::move(request), deadline, std::move(handler), std::move(cancellation));
-    if (isTooLarge)
-        co_return failure(ErrorCode::AnswerInvalid, "the body of the answer exceeds the maximum size", m_state->serverAddress());
-    if (response)
+    if (!obstacle.empty())
+        co_return failure(ErrorCode::AnswerInvalid, std::string(obstacle), m_state->serverAddress());
+    if (response && !body.empty()) {
         response.value().body = std::move(body);
+        response.value().memory = memory;
+    }
     co_return response;
 }
 
@@ -459,6 +474,7 @@
         }
     } clearOnExit { cancellation.get() };
 
+    const auto memory = handler.memory ? std::move(handler.memory) : std::make_shared<AnswerMemory::Share>(state->options.memory);
     auto connection = state->takeIdle(request.exchangeId);
     auto message = toBeast(request, state->endpoint);
     std::optional<AnswerParser> attemptParser;
@@ -481,7 +497,7 @@
         connection->stream.expires_at(mayBeSilent ? std::min(deadline, std::chrono::steady_clock::now() + silenceTimeout) : deadline);
         recordSent(*connection, request.exchangeId);
         sentAt = std::chrono::steady_clock::now();
-        error = co_await state->sendAndReadHeader(*connection, message, request.exchangeId, attemptParser);
+        error = co_await state->sendAndReadHeader(*connection, message, request.exchangeId, attemptParser, *memory);
         connection->stream.expires_at(deadline);
         if (!error)
             break;
--- a/packages/services/tests/support/cicadalb/services/EndlessServer.h
+++ b/packages/services/tests/support/cicadalb/services/EndlessServer.h
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 /// @file
@@ -33,6 +34,8 @@
 
     std::string begin;
     std::string filler;
+    /// Replaces the filler each time, if it is set.
+    std::function<std::string()> makeFiller;
     /// Bytes that the system took for sending.
     std::size_t bytesSent = 0;
     bool wasClosedByClient = false;
@@ -54,8 +57,10 @@
         co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", boost::asio::use_awaitable);
         boost::system::error_code error;
         bytesSent += co_await boost::asio::async_write(socket, boost::asio::buffer(begin), boost::asio::redirect_error(boost::asio::use_awaitable, error));
-        while (!error)
-            bytesSent += co_await boost::asio::async_write(socket, boost::asio::buffer(filler), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        while (!error) {
+            const auto next = makeFiller ? makeFiller() : filler;
+            bytesSent += co_await boost::asio::async_write(socket, boost::asio::buffer(next), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        }
         wasClosedByClient = true;
     }
 
--- /dev/null
+++ b/packages/services/tests/unit-answer-memory.cpp
@@ -0,0 +1,153 @@
+#include "cicadalb/services/AnswerMemory.h"
+#include "cicadalb/services/EndlessServer.h"
+#include "cicadalb/services/HttpClient.h"
+#include "cicadalb/services/ResettingServer.h"
+#include "cicadalb/services/RunTask.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <limits>
+#include <list>
+
+using namespace cicadalb;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t mebibyte = std::size_t { 1 } << 20U;
+
+/// Resident memory of this process in bytes.
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t pages = 0;
+    std::size_t resident = 0;
+    file >> pages >> resident;
+    return resident * 4096;
+}
+
+/// Several servers whose answers never end, and one that answers with a short body, all called by the same process.
+struct EndlessAnswersFixture {
+    static constexpr std::size_t servers = 16;
+    static constexpr std::size_t capacity = 16 * mebibyte;
+    /// Buffers of connections and sockets, and copies of parts, beside the bodies.
+    static constexpr std::size_t allowance = 32 * mebibyte;
+
+    boost::asio::io_context context;
+    std::list<EndlessServer> endless;
+    ResettingServer sound { context };
+    std::list<HttpClient> clients;
+    HttpClient soundClient { context.get_executor(), Endpoint { "127.0.0.1", sound.port() } };
+    std::vector<Pending<Result<HttpResponse>>> calls;
+    std::size_t highest = 0;
+
+    EndlessAnswersFixture()
+    {
+        AnswerMemory::ofProcess()->setCapacity(capacity);
+        sound.body = std::string(10000, 's');
+        sound.answersPerConnection = std::numeric_limits<int>::max();
+    }
+
+    ~EndlessAnswersFixture() { AnswerMemory::ofProcess()->setCapacity(AnswerMemory::defaultCapacity); }
+
+    void callAll(const std::string& begin)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 60s;
+        for (std::size_t i = 0; i < servers; ++i) {
+            auto& server = endless.emplace_back(context);
+            server.begin = begin;
+            server.filler = std::string(mebibyte / 16, 'a');
+            auto& client = clients.emplace_back(context.get_executor(), Endpoint { "127.0.0.1", server.port() });
+            calls.push_back(startTask(context.get_executor(), client.send({}, deadline)));
+        }
+    }
+
+    /// Runs until all calls to the endless servers have ended; calls the sound server meanwhile. @return the number of its answers
+    std::size_t answersOfSoundServer()
+    {
+        std::size_t answers = 0;
+        const auto limit = std::chrono::steady_clock::now() + 20s;
+        auto call = startTask(context.get_executor(), soundClient.send({}, limit));
+        const auto isPending = [](const auto& pending) { return !pending->has_value(); };
+        while ((std::any_of(calls.begin(), calls.end(), isPending) || answers == 0) && std::chrono::steady_clock::now() < limit) {
+            context.restart();
+            context.run_for(1ms);
+            highest = std::max(highest, residentBytes());
+            if (!call->has_value())
+                continue;
+            REQUIRE(call->value());
+            ++answers;
+            call = startTask(context.get_executor(), soundClient.send({}, limit));
+        }
+        CHECK(std::none_of(calls.begin(), calls.end(), isPending));
+        return answers;
+    }
+
+    void checkMemory(const std::string& begin)
+    {
+        const auto before = residentBytes();
+        callAll(begin);
+        CHECK(answersOfSoundServer() > 0);
+        CHECK(highest - before <= capacity + allowance);
+        for (const auto& call : calls)
+            CHECK_FALSE(call->value());
+        CHECK(AnswerMemory::ofProcess()->used() <= 2 * mebibyte);
+    }
+};
+
+} // namespace
+
+// Guards against several endless answers that take the memory of the process together, although each of them is limited.
+TEST_CASE_METHOD(EndlessAnswersFixture, "HTTP clients, bodies without end on many connections at once, stay within the memory of all answers")
+{
+    checkMemory("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+}
+
+TEST_CASE_METHOD(EndlessAnswersFixture, "HTTP clients, heads without end on many connections at once, stay within the memory of all answers")
+{
+    checkMemory("HTTP/1.1 200 OK\r\nX-Long: ");
+}
+
+TEST_CASE_METHOD(EndlessAnswersFixture, "HTTP client, answer that is kept by its reader, counts until it is given up")
+{
+    sound.body = std::string(3 * mebibyte, 's');
+    auto call = startTask(context.get_executor(), soundClient.send({}, std::chrono::steady_clock::now() + 30s));
+    while (!call->has_value() && context.run_one() > 0) { }
+    REQUIRE(call->value());
+    CHECK(AnswerMemory::ofProcess()->used() >= 3 * mebibyte);
+    call->reset();
+    CHECK(AnswerMemory::ofProcess()->used() < 3 * mebibyte);
+}
+
+TEST_CASE("answer memory, answers that grow and end in any order, is never exceeded and serves small answers")
+{
+    CHECK(rc::check([] {
+        constexpr std::size_t capacity = 1000;
+        const auto memory = std::make_shared<AnswerMemory>(capacity);
+        std::vector<std::pair<std::unique_ptr<AnswerMemory::Share>, std::size_t>> shares;
+        for (int i = 0; i < 8; ++i)
+            shares.emplace_back(std::make_unique<AnswerMemory::Share>(memory), 0);
+        const auto steps = *rc::gen::inRange(1, 200);
+        for (int step = 0; step < steps; ++step) {
+            auto& [share, bytes] = shares[*rc::gen::inRange<std::size_t>(0, shares.size())];
+            const auto wanted = *rc::gen::inRange<std::size_t>(0, 1200);
+            if (share->resize(wanted))
+                bytes = wanted;
+            else
+                RC_ASSERT(wanted > bytes);
+            std::size_t sum = 0;
+            for (const auto& entry : shares)
+                sum += entry.second;
+            RC_ASSERT(memory->used() == sum);
+            RC_ASSERT(sum <= capacity);
+        }
+        // What is left when large answers have stopped growing is enough for a small one.
+        AnswerMemory::Share small(memory);
+        RC_ASSERT(memory->used() > capacity - capacity / 10 || small.resize(capacity / 20));
+        for (auto& [share, bytes] : shares)
+            share.reset();
+    }));
+}
--- a/packages/submissions/include/cicadalb/submissions/EventStream.h
+++ b/packages/submissions/include/cicadalb/submissions/EventStream.h
@@ -27,12 +27,16 @@
     std::vector<StreamEvent> parse(std::string_view bytes);
     /// @brief Whether the bytes so far end within an event.
     bool isWithinEvent() const noexcept { return !m_partialLine.empty() || m_hasFields; }
+    /// @brief Memory that an incomplete event takes.
+    std::size_t memoryBytes() const noexcept { return m_partialLine.capacity() + m_event.data.capacity() + m_otherFieldBytes; }
 
 private:
     void processLine(std::string_view line, std::vector<StreamEvent>& events);
 
     std::string m_partialLine;
     StreamEvent m_event;
+    /// Text of the other fields of the event, with a surcharge for each of them.
+    std::size_t m_otherFieldBytes = 0;
     bool m_hasData = false;
     bool m_hasFields = false;
 };
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -75,6 +75,8 @@
     Cancelled,
     /// The engine generated text with weights that the submission does not allow.
     WrongWeights,
+    /// The engine sent more text than can be kept.
+    Oversized,
 };
 
 std::string_view name(RunOutcome) noexcept;
@@ -229,6 +231,8 @@
         std::set<std::size_t> running;
     };
 
+    void keepReusableText(const ItemId&, PartialText);
+
     struct Engine {
         SoftwareRelease release;
         Incarnation startedAt = 0;
@@ -320,6 +324,7 @@
     std::map<PoolName, std::set<SoftwareVersion>> m_releases;
     /// Partial texts of ended submissions and of another coordinator, for items that are submitted again.
     std::map<ItemId, PartialText> m_reusableTexts;
+    std::size_t m_reusableBytes = 0;
     std::map<ModelName, double> m_demand;
     double m_lateShare = 0;
     TargetRateLimits* m_rateLimits = nullptr;
--- a/packages/submissions/src/EventStream.cpp
+++ b/packages/submissions/src/EventStream.cpp
@@ -28,6 +28,7 @@
         if (m_hasData)
             events.push_back(std::move(m_event));
         m_event = {};
+        m_otherFieldBytes = 0;
         m_hasData = false;
         m_hasFields = false;
         return;
@@ -48,6 +49,7 @@
         std::from_chars(value.data(), value.data() + value.size(), m_event.id);
     } else if (!name.empty()) {
         m_event.otherFields.emplace_back(name, value);
+        m_otherFieldBytes += line.size() + 2 * sizeof(m_event.otherFields.front());
     }
 }
 
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -22,6 +22,8 @@
     constexpr double tokensPerEvent = 54;
     /// Maximum number of partial texts that are kept when submissions end.
     constexpr std::size_t maximumReusableTexts = 4096;
+    /// Maximum size of these texts together.
+    constexpr std::size_t maximumReusableBytes = std::size_t { 8 } << 20U;
 
     constexpr auto runOutcomeNames = std::to_array<EnumName<RunOutcome>>({
         { RunOutcome::Complete, "complete" },
@@ -31,6 +33,7 @@
         { RunOutcome::Impossible, "impossible" },
         { RunOutcome::Cancelled, "abandoned" },
         { RunOutcome::WrongWeights, "wrong-weights" },
+        { RunOutcome::Oversized, "oversized" },
     });
 
     constexpr auto groupOrderNames = std::to_array<EnumName<GroupOrder>>({
@@ -128,6 +131,7 @@
             opened.waiting.insert(opened.items.size());
         if (const auto reusable = m_reusableTexts.find(source.id); reusable != m_reusableTexts.end()) {
             item.text = std::move(reusable->second);
+            m_reusableBytes -= item.text.text.size();
             m_reusableTexts.erase(reusable);
             dropDisallowedText(opened, item);
         }
@@ -208,14 +212,25 @@
             releaseSlot(found->second, item);
         }
         dropUncertainText(item);
-        if (item.state != ItemState::Settled && item.text.eventCount > 0 && m_reusableTexts.size() < maximumReusableTexts)
-            m_reusableTexts.insert_or_assign(item.id, std::move(item.text));
+        if (item.state != ItemState::Settled && item.text.eventCount > 0)
+            keepReusableText(item.id, std::move(item.text));
     }
     m_submissions.erase(found);
     updatePrefillBound();
     return stopped;
 }
 
+void SampleScheduler::keepReusableText(const ItemId& id, PartialText text)
+{
+    const auto found = m_reusableTexts.find(id);
+    const auto replaced = found == m_reusableTexts.end() ? 0 : found->second.text.size();
+    const auto bytes = m_reusableBytes - replaced + text.text.size();
+    if ((found == m_reusableTexts.end() && m_reusableTexts.size() >= maximumReusableTexts) || bytes > maximumReusableBytes)
+        return;
+    m_reusableBytes = bytes;
+    m_reusableTexts.insert_or_assign(id, std::move(text));
+}
+
 double SampleScheduler::secondsPerEvent(const Engine& engine) const
 {
     return engine.measuredSecondsPerEvent > 0 ? engine.measuredSecondsPerEvent : Seconds(assumedTimePerEvent).count();
@@ -322,6 +337,10 @@
     case RunOutcome::NotRun:
         pauseEngine(refusalBackoff);
         return ItemAction::Retry;
+    case RunOutcome::Oversized:
+        item->text = {};
+        pauseEngine(interruptionBackoff);
+        return ItemAction::Retry;
     case RunOutcome::Interrupted:
     case RunOutcome::WrongWeights:
         // An engine whose weights differ from its report would waste the next runs as well.
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -54,7 +54,8 @@
 void SampleScheduler::addPartialTexts(std::vector<ItemText> texts)
 {
     for (auto& entry : texts)
-        m_reusableTexts.try_emplace(entry.item, std::move(entry.text));
+        if (!m_reusableTexts.contains(entry.item))
+            keepReusableText(entry.item, std::move(entry.text));
 }
 
 std::size_t SampleScheduler::runningCount() const
--- a/packages/transport/src/EngineHttpClient.cpp
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -91,6 +91,7 @@
         onStart(std::make_shared<HttpGenerationHandle>(executor, cancellation, client, request.id));
 
     GenerationReader reader;
+    AnswerMemory::Share memory(AnswerMemory::ofProcess());
     StreamProgress streamProgress(generationStallTimeout);
     unsigned status = 0;
     bool isWellFormed = true;
@@ -99,11 +100,11 @@
         status = head.status;
         co_return true;
     };
-    handler.onPart = [&reader, &streamProgress, &status, &isWellFormed, &onProgress](std::string_view part) -> Task<bool> {
+    handler.onPart = [&reader, &memory, &streamProgress, &status, &isWellFormed, &onProgress](std::string_view part) -> Task<bool> {
         const auto tokensBefore = reader.progress().tokens;
         // The body of an error is not a generation.
         if (status == statusOk)
-            isWellFormed = reader.append(part);
+            isWellFormed = reader.append(part) && memory.resize(reader.memoryBytes());
         if (status == statusOk && isWellFormed && onProgress)
             onProgress(reader.progress());
         isWellFormed = isWellFormed && streamProgress.onPart(part.size(), reader.progress().tokens > tokensBefore, std::chrono::steady_clock::now());
--- a/packages/transport/src/EngineProtocol.h
+++ b/packages/transport/src/EngineProtocol.h
@@ -34,6 +34,8 @@
     /// @brief The generation so far. Its versions are sorted and distinct, or empty if any chunk named no version.
     Generation generation() const;
     GenerationProgress progress() const noexcept { return m_progress; }
+    /// @brief Memory that the generation takes.
+    std::size_t memoryBytes() const noexcept { return m_unparsed.capacity() + m_generation.text.capacity() + m_generation.versions.capacity() * sizeof(WeightVersion); }
 
 private:
     bool parseLine(std::string_view line);
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -82,7 +82,7 @@
         {
             if (m_status != statusOk)
                 co_return true;
-            m_isWellFormed = m_isWellFormed && m_reader.append(part);
+            m_isWellFormed = m_isWellFormed && m_reader.append(part) && m_memory.resize(m_reader.memoryBytes());
             if (!m_isWellFormed || !m_isStreamed)
                 co_return m_isWellFormed;
             if (!m_context.responder.hasBegun()) {
@@ -97,6 +97,7 @@
 
         const RequestContext& m_context;
         GenerationReader m_reader;
+        AnswerMemory::Share m_memory { AnswerMemory::ofProcess() };
         bool m_isStreamed;
         bool m_isWellFormed = true;
         bool m_isReportedNotRun = false;
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -127,9 +127,7 @@
                 http::response_serializer<http::string_body> serializer(message);
                 co_await http::async_write_header(m_stream, serializer, completionToken(error));
             } else {
-                m_output.clear();
-                detail::appendMessage(message, m_output);
-                co_await asio::async_write(m_stream, m_output.cdata(), completionToken(error));
+                co_await writeMessage(message, error);
             }
             m_isAnswered = !error;
             co_return m_isAnswered;
@@ -206,6 +204,17 @@
             m_stream.socket().cancel(error);
         }
 
+        Task<void> writeMessage(http::response<http::string_body>& message, beast::error_code& error)
+        {
+            if (message.body().size() > maximumCopiedBytes) {
+                co_await http::async_write(m_stream, message, completionToken(error));
+                co_return;
+            }
+            m_output.clear();
+            detail::appendMessage(message, m_output);
+            co_await asio::async_write(m_stream, m_output.cdata(), completionToken(error));
+        }
+
         bool mayKeepAlive() const noexcept { return m_requestKeepsAlive && !*m_isDraining; }
 
         /// Waits for the first bytes of a request. @return false if the connection ended or the idle timeout passed
@@ -288,6 +297,8 @@
         }
 
         static constexpr std::size_t firstReadBytes = 4096;
+        /// Larger bodies are written from where they are; m_output keeps the size of the largest message.
+        static constexpr std::size_t maximumCopiedBytes = std::size_t { 64 } << 10U;
 
         beast::tcp_stream m_stream;
         beast::flat_buffer m_buffer;
