Answer every request before a planned stop ends

Cause: a stopping host took requests without asking whether they could end in time, cut what still ran at the end, queued requests included, and gave each part of the stop a time of its own.

Change: one limit for the whole stop. A request that must not be repeated and could outlast it is refused at once with 503; one that may be repeated is taken while twice its route's target latency is left, and limited to the end. 300 ms before the end all requests in progress are answered: 502, or 503 where they have not run.

It works because no request outlives the time in which it can be answered.

--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -151,6 +151,7 @@
     }
     auto& outcome = progress.outcome;
     outcome.attempts = progress.run.attempts() + progress.relayedAttempts - (progress.hasRelayed ? 1 : 0);
+    outcome.isKnownNotRun = progress.run.isKnownNotRun();
     if (outcome.state == ForwardState::Answered || outcome.state == ForwardState::Abandoned)
         co_return std::move(outcome);
     if (progress.serverErrorResponse) {
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -45,6 +45,8 @@
     SoftwareRelease release;
     /// Why the request ended without an answer.
     std::string cause;
+    /// Whether the request is known not to have run, also if it was abandoned.
+    bool isKnownNotRun = false;
 };
 
 struct ForwardRequest {
--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -107,7 +107,7 @@
         return "this host is stopping";
     if (m_reachability.isCutOff())
         return "this host is cut off from the targets as well";
-    if (m_requestsInFlight >= maximumRequests)
+    if (m_running.size() >= maximumRequests)
         return "this host forwards too many requests";
     if (!m_directory.isReady() || view->configuration.version < request.configurationVersion)
         return "this host's configuration is older";
@@ -163,9 +163,10 @@
     forwarded.deadline = receivedAt + request.remainingTime - replyMargin;
     forwarded.requiredRelease = request.requiredRelease;
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
-    ++m_requestsInFlight;
+    const RunningRequests::Entry running(m_running, forwarded.cancellation);
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
-    --m_requestsInFlight;
+    if (outcome.state == ForwardState::Abandoned && m_running.isCancelled())
+        outcome.state = outcome.isKnownNotRun ? ForwardState::NotRun : ForwardState::Unknown;
     reply.hasForwarded = true;
     reply.outcome = std::move(outcome);
     co_return reply;
--- a/packages/hosting/src/RequestRelay.h
+++ b/packages/hosting/src/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "KeyChecks.h"
 #include "RelayMessages.h"
+#include "RunningRequests.h"
 
 #include "cicadalb/transport/HttpListener.h"
 
@@ -54,7 +55,9 @@
     Task<void> serve(ServerRequest&, ServerResponder&);
     /// @brief Makes the endpoint leave further requests to other helpers, before the host stops.
     void beginStopping() noexcept { m_isStopping = true; }
-    std::size_t requestsInFlight() const noexcept { return m_requestsInFlight; }
+    /// @brief Replies to the requests that still wait for their targets.
+    void endRequests() { m_running.cancelAll(); }
+    std::size_t requestsInFlight() const noexcept { return m_running.size(); }
 
 private:
     /// Why this host cannot forward the request, or an empty text.
@@ -68,7 +71,7 @@
     RequestForwarder& m_forwarder;
     const TargetReachability& m_reachability;
     KeyChecks m_keyChecks;
-    std::size_t m_requestsInFlight = 0;
+    RunningRequests m_running;
     bool m_isStopping = false;
 };
 
--- a/packages/hosting/src/SiteDirectory.cpp
+++ b/packages/hosting/src/SiteDirectory.cpp
@@ -266,6 +266,12 @@
     return balancer;
 }
 
+void SiteDirectory::refuseQueued()
+{
+    for (const auto& [name, balancer] : m_balancers)
+        balancer->refuseQueued();
+}
+
 void SiteDirectory::tick()
 {
     reportAge(*m_configurationWatch, m_isConfigurationOutdated);
--- a/packages/hosting/src/SiteDirectory.h
+++ b/packages/hosting/src/SiteDirectory.h
@@ -85,6 +85,8 @@
     bool isReady() const noexcept { return m_view != nullptr && m_hasTargets; }
     /// @brief Sends no further requests to a target that has stated in an answer that it is leaving, even if the registry does not say so.
     void markLeaving(const RegisteredTarget&);
+    /// @brief Refuses all requests that wait for a target, since this host stops.
+    void refuseQueued();
     /// @brief Removes targets that have not reappeared after an outage, and admits or refuses queued requests. Called every few milliseconds.
     void tick();
 
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -27,6 +27,10 @@
     constexpr milliseconds dependencyRetryAfter { 300 };
     /// Longest time for which the beginning of a stream waits for the store to record the software that began it.
     constexpr milliseconds maximumRecordWait { 1000 };
+    /// Retry-After of requests that this host refuses because it stops; other hosts serve them.
+    constexpr milliseconds stoppingRetryAfter { 1 };
+    /// A repeatable request is taken while this host stops if so many times the route's target latency are left.
+    constexpr int latencyObjectivesBeforeEnd = 2;
     /// Limit on the text in one page of results; the platform allows 1 MB of results.
     constexpr std::size_t maximumPageBytes = std::size_t { 900 } << 10U;
 
@@ -274,6 +278,31 @@
     co_return std::nullopt;
 }
 
+bool SiteEndpoints::fitsBeforeEnd(ForwardRequest& request) const
+{
+    if (!m_endsAt || request.deadline <= *m_endsAt)
+        return true;
+    const bool mayBeRepeated = request.route->kind == RequestKind::Idempotent;
+    if (!mayBeRepeated || *m_endsAt - m_clock.now() < latencyObjectivesBeforeEnd * request.route->latencyObjective)
+        return false;
+    request.deadline = *m_endsAt;
+    return true;
+}
+
+milliseconds SiteEndpoints::timeUntilEnd(milliseconds maximum) const
+{
+    return std::clamp(std::chrono::duration_cast<milliseconds>(*m_endsAt - m_clock.now()), milliseconds(0), maximum);
+}
+
+SiteEndpoints::EndpointResult SiteEndpoints::makeUnanswered(const ForwardOutcome& outcome, bool isTimeout) const
+{
+    const bool hasStopped = m_running.isCancelled();
+    const auto cause = hasStopped ? "this host has stopped before a target answered" : outcome.cause;
+    if (outcome.state == ForwardState::NotRun || (hasStopped && outcome.isKnownNotRun))
+        return makeRefusal(statusUnavailable, "the request was not run: " + cause, std::max<Duration>(outcome.retryAfter, milliseconds(1)));
+    return makeRefusal(isTimeout ? statusGatewayTimeout : statusBadGateway, "the request may have run: " + cause, {});
+}
+
 Task<SiteEndpoints::EndpointResult> SiteEndpoints::forward(const HttpRequest& request, std::shared_ptr<const SiteView> view, const SiteRoute& route, const KeyCheck& key, TimePoint receivedAt, ServerResponder& responder)
 {
     auto forwarded = makeForwardRequest(request, route, m_protocol, key.organisation);
@@ -281,6 +310,10 @@
     forwarded.mayBeSent = m_keyChecks.condition(key);
     if (forwarded.id.isEmpty())
         co_return makeRefusal(statusBadRequest, "the request has no id", {});
+    const auto callerTimeout = m_protocol.callerTimeout(request.fields).value_or(route.timeout);
+    forwarded.deadline = receivedAt + (route.timeout.count() > 0 ? std::min(callerTimeout, route.timeout) : callerTimeout);
+    if (!fitsBeforeEnd(forwarded))
+        co_return makeRefusal(statusUnavailable, "the request was not run: this host is stopping", stoppingRetryAfter);
     forwarded.pool = choosePool(route, randomUnit(m_random));
     const auto continued = route.kind == RequestKind::Stream ? m_protocol.continuedStream(request.fields) : std::nullopt;
     if (continued) {
@@ -290,8 +323,6 @@
     }
     // A host sends few requests to each target, and a new connection for each request would occupy one of the target's connection slots for a while.
     forwarded.affinity = placementHash(m_options.host.value());
-    const auto callerTimeout = m_protocol.callerTimeout(request.fields).value_or(route.timeout);
-    forwarded.deadline = receivedAt + (route.timeout.count() > 0 ? std::min(callerTimeout, route.timeout) : callerTimeout);
     if (m_relay) {
         forwarded.relay = [this, &request, &key, pool = forwarded.pool, version = view->configuration.version, release = forwarded.requiredRelease, deadline = forwarded.deadline,
                               cancellation = forwarded.cancellation](unsigned attemptsLeft) {
@@ -299,21 +330,19 @@
         };
     }
     responder.onCallerDisconnected([cancellation = forwarded.cancellation] { cancellation->cancel(); });
+    const RunningRequests::Entry running(m_running, forwarded.cancellation);
     const auto attemptId = forwarded.id;
     auto outcome = co_await m_forwarder.forward(std::move(forwarded));
     EndpointResult result;
     if (outcome.state == ForwardState::Answered) {
         if (route.kind == RequestKind::Stream && !continued && outcome.answer.status == statusOk)
-            (void)co_await m_streamOrigins.record(route, attemptId, outcome.release, maximumRecordWait);
+            (void)co_await m_streamOrigins.record(route, attemptId, outcome.release, m_endsAt ? timeUntilEnd(maximumRecordWait) : maximumRecordWait);
         result.response.status = outcome.answer.status;
         result.response.fields = m_protocol.answerFields(outcome.answer.fields);
         result.response.body = std::move(outcome.answer.body);
         result.response.memory = std::move(outcome.answer.memory);
-    } else if (outcome.state == ForwardState::NotRun) {
-        result = makeRefusal(statusUnavailable, "the request was not run: " + outcome.cause, std::max<Duration>(outcome.retryAfter, milliseconds(1)));
     } else {
-        const bool isTimeout = m_clock.now() >= receivedAt + callerTimeout;
-        result = makeRefusal(isTimeout ? statusGatewayTimeout : statusBadGateway, "the request may have run: " + outcome.cause, {});
+        result = makeUnanswered(outcome, m_clock.now() >= receivedAt + callerTimeout);
     }
     result.runState = runStateOf(outcome.state);
     result.attempts = outcome.attempts;
@@ -355,7 +384,7 @@
 
 Task<SiteEndpoints::EndpointResult> SiteEndpoints::readResults(const CallerRequest& call, const KeyCheck& key)
 {
-    const auto maximumWait = m_isStopping ? milliseconds(0) : call.maximumWait;
+    const auto maximumWait = m_endsAt ? milliseconds(0) : call.maximumWait;
     const auto cached = co_await m_reader.readResults(call.submission, call.position, maximumWait);
     if (!cached) {
         if (cached.error().code == ErrorCode::StepUnknown)
--- a/packages/hosting/src/SiteEndpoints.h
+++ b/packages/hosting/src/SiteEndpoints.h
@@ -5,6 +5,7 @@
 #include "RequestForwarder.h"
 #include "RequestRelay.h"
 #include "ResultReader.h"
+#include "RunningRequests.h"
 #include "SiteDirectory.h"
 #include "StreamOrigins.h"
 #include "SubmissionIntake.h"
@@ -31,9 +32,12 @@
     SiteEndpoints(SiteEndpointsOptions, SiteDirectory&, const SiteProtocol&, RequestForwarder&, SubmissionIntake&, ResultReader&, StreamOrigins&, Metrics&, const Clock&, RequestRelay* relay = nullptr);
 
     Task<void> serve(ServerRequest&, ServerResponder&);
-    /// @brief Makes the host report itself as not ready, before it stops.
-    void beginStopping() noexcept { m_isStopping = true; }
-    bool isReady() const noexcept { return !m_isStopping && m_directory.isReady(); }
+    /// @brief Makes the host report itself as not ready, before it stops. Requests that could last beyond @p endsAt are refused from now on, unless they may be
+    /// repeated and usually end before it.
+    void beginStopping(TimePoint endsAt) noexcept { m_endsAt = endsAt; }
+    /// @brief Answers the requests that still wait for their targets.
+    void endRequests() { m_running.cancelAll(); }
+    bool isReady() const noexcept { return !m_endsAt && m_directory.isReady(); }
 
 private:
     struct EndpointResult {
@@ -48,6 +52,10 @@
     Task<EndpointResult> handleRouted(HttpRequest&, TimePoint receivedAt, ServerResponder&);
     Task<EndpointResult> handleSubmissionCall(HttpRequest&, const CallerRequest&);
     Task<EndpointResult> forward(const HttpRequest&, std::shared_ptr<const SiteView>, const SiteRoute&, const KeyCheck&, TimePoint receivedAt, ServerResponder&);
+    /// Limits the time of a request while this host stops. @return whether the request can end before the host does
+    bool fitsBeforeEnd(ForwardRequest&) const;
+    std::chrono::milliseconds timeUntilEnd(std::chrono::milliseconds maximum) const;
+    EndpointResult makeUnanswered(const ForwardOutcome&, bool isTimeout) const;
     /// The route's default release if all registered targets run it.
     Task<Result<std::optional<SoftwareRelease>>> onlyRelease(const SiteRoute&);
     /// Makes a request that continues a stream go to the software that began it. @return why it cannot be continued, or nothing
@@ -78,7 +86,9 @@
     KeyChecks m_keyChecks;
     KeyRefusalLog m_keyRefusalLog;
     Random m_random;
-    bool m_isStopping = false;
+    RunningRequests m_running;
+    /// When this host has to have answered all requests, if it stops.
+    std::optional<TimePoint> m_endsAt;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -8,6 +8,7 @@
 #include "RecordMirror.h"
 #include "RequestRelay.h"
 #include "SiteEndpoints.h"
+#include "SiteParts.h"
 #include "SiteState.h"
 #include "UsageSender.h"
 
@@ -37,13 +38,6 @@
     constexpr milliseconds tickInterval { 25 };
     constexpr milliseconds evictionInterval { 1000 };
     constexpr milliseconds drainPollInterval { 20 };
-    /// Longest usual delay from a change in the store to its arrival here, when the store is slow.
-    constexpr milliseconds slowStoreDelay { 800 };
-    /// Longest delay for which changes of the registry share a call at a process that is a mirror: other hosts receive them only after this delay,
-    /// in addition to the times in MirrorClient.h.
-    constexpr milliseconds mirrorCoalescingDelay { 500 };
-    /// A target's entry lapses after three report intervals without a report, the first of which may have begun before an outage.
-    constexpr int minimumOutageReports = 2;
     /// Time for which idle connections to targets are kept; a trainer's next step comes within it ...
     constexpr milliseconds targetIdleTimeout { 4000 };
     /// ... and the limit for targets that state their own idle timeout.
@@ -54,12 +48,9 @@
     /// Longer than the 12 s (four fifths of the site's limit of 15 s) for which callers reuse idle connections.
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
-    /// Asks a host whether it reaches the targets.
-    constexpr std::string_view reachabilityPath = "/reachability";
-    constexpr std::string_view reachableReply = "reachable";
-    /// Covers the probe of the targets; a lease is renewed between two questions.
-    constexpr milliseconds reachabilityQueryTimeout = 2 * TargetReachability::probeTimeout + milliseconds(50);
     constexpr milliseconds retirementRetryDelay { 300 };
+    /// Time before the end of the grace period at which requests in progress are answered without their targets.
+    constexpr milliseconds answerMargin { 300 };
     /// Longest time for which a host that stops sends the usage counts that the coordinator does not have yet.
     constexpr milliseconds usageFlushTimeout { 600 };
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
@@ -101,93 +92,6 @@
         return listener ? std::to_string(listener->port()) : "none";
     }
 
-    bool hasMirror(const SiteSettings& settings) { return !settings.addresses.mirrorListen.address.empty(); }
-
-    SiteDirectorySettings directorySettings(const SiteSettings& settings, MirrorClient& mirror, std::uint64_t seed, const Clock& recordClock)
-    {
-        // Changes may share a call for as long as a leaving target still serves, less the delay of a slow store.
-        const auto usualDelay = std::max(milliseconds(0), settings.work.targetDrainTime - slowStoreDelay);
-        return { settings.host.failureDomain, hasMirror(settings) ? std::min(usualDelay, mirrorCoalescingDelay) : usualDelay, hasMirror(settings) ? nullptr : &mirror, seed, &recordClock, minimumOutageReports * settings.work.targetReportInterval };
-    }
-
-    /// The other processes that may coordinate.
-    std::vector<Endpoint> otherCandidates(const SiteSettings& settings)
-    {
-        std::vector<Endpoint> endpoints;
-        for (const auto& address : settings.addresses.mirrorSources) {
-            if (address != settings.addresses.mirrorListen)
-                endpoints.push_back({ address.address, address.port });
-        }
-        return endpoints;
-    }
-
-    MirrorClient makeMirrorClient(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
-    {
-        const auto endpoints = otherCandidates(settings);
-        return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), makeHttpMirrorExchange(executor, endpoints), clock };
-    }
-
-    RequestRelay makeRelay(const asio::any_io_executor& executor, const SiteSettings& settings, const Clock& clock)
-    {
-        const auto endpoints = otherCandidates(settings);
-        return { endpoints.size(), static_cast<std::size_t>(placementHash(settings.host.id.value())), makeHttpRelayExchange(executor, endpoints), clock };
-    }
-
-    TargetProbe makeTargetProbe(TargetClients& clients)
-    {
-        return [&clients](const Endpoint& endpoint, milliseconds timeout) -> Task<bool> {
-            const auto client = clients.client(0, endpoint);
-            co_return co_await client->acceptsConnections(timeout);
-        };
-    }
-
-    UsageReportingSettings usageSettings(const SiteSettings& settings)
-    {
-        return { { settings.work.usageWindow }, settings.work.usageReportTime };
-    }
-
-    /// The candidates for coordination that usage counts may be sent to: the other ones and, if it is one, this process.
-    UsageDeliverySettings deliverySettings(const SiteSettings& settings, std::uint64_t seed)
-    {
-        const auto others = otherCandidates(settings).size();
-        const auto candidates = settings.parts.coordinating ? others + 1 : others;
-        return { settings.host.id, seed, candidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
-    }
-
-    /// Asks the candidates whether they reach the targets. @return false if a candidate does not reply
-    std::function<Task<bool>(std::size_t)> makeReachabilityQuery(const asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
-    {
-        const auto ask = [](std::shared_ptr<HttpClient> client) -> Task<bool> {
-            HostCall call { reachabilityPath, {}, reachabilityQueryTimeout };
-            const auto answer = co_await callHost(std::move(client), std::move(call));
-            co_return answer&& answer.value().body == reachableReply;
-        };
-        return [ask, clients = makeHostClients(executor, endpoints)](std::size_t candidate) { return ask(clients[candidate]); };
-    }
-
-    CoordinationSettings coordinationSettings(const asio::any_io_executor& executor, const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
-    {
-        CoordinationSettings coordination;
-        coordination.host = settings.host.id;
-        coordination.leaseTimeToLive = settings.work.leaseTimeToLive;
-        coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
-        coordination.isFirstStart = settings.host.isFirstStart;
-        coordination.samples.resultRetention = settings.work.resultRetention;
-        coordination.samples.endTime = settings.work.endTime;
-        coordination.loads.maximumConcurrentLoads = settings.work.maximumConcurrentLoads;
-        if (settings.parts.hasDuty(Duty::Autoscaling))
-            coordination.capacityPlatform = Endpoint { settings.addresses.duties.address, settings.addresses.duties.port };
-        coordination.seed = seed;
-        if (settings.parts.hasDuty(Duty::Metering)) {
-            coordination.usage = usageSettings(settings);
-            coordination.duties = { settings.addresses.duties.address, settings.addresses.duties.port };
-        }
-        coordination.mirrors = &mirrors;
-        coordination.samples.reachability = &reachability;
-        coordination.reachesTargets = makeReachabilityQuery(executor, otherCandidates(settings));
-        return coordination;
-    }
-
 } // namespace
 
 class SiteHost::Implementation {
@@ -258,12 +162,28 @@
     bool shutDown()
     {
         logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() } });
-        asio::post(m_executor, [this] { m_relayEndpoint.beginStopping(); });
+        const auto begunAt = m_clock.now();
+        const auto limit = begunAt + m_settings.shutdown.gracePeriod;
+        const auto endsAt = limit - std::min(answerMargin, m_settings.shutdown.gracePeriod / 2);
+        asio::post(m_executor, [this, endsAt] {
+            m_endpoints.beginStopping(endsAt);
+            m_relayEndpoint.beginStopping();
+        });
+        if (m_callerListener)
+            m_callerListener->beginDraining();
         if (m_coordination)
             asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
-        bool isDrained = finishRelayedRequests();
-        if (m_callerListener)
-            isDrained = drain() && isDrained;
+        if (m_callerListener) {
+            std::this_thread::sleep_until(std::min(begunAt + m_settings.shutdown.unreadyPeriod, endsAt));
+            m_callerListener->stopAccepting();
+        }
+        awaitRequests(endsAt);
+        asio::post(m_executor, [this] {
+            m_endpoints.endRequests();
+            m_relayEndpoint.endRequests();
+            m_directory.refuseQueued();
+        });
+        const bool isDrained = awaitRequests(limit);
         asio::co_spawn(m_executor, m_usageSender->flush(usageFlushTimeout), asio::use_future).wait_for(usageFlushTimeout + drainPollInterval);
         logEvent(Event::ProcessStopped, { { "host", m_settings.host.id.value() }, { "drained", isDrained ? "yes" : "no" } });
         return isDrained;
@@ -336,28 +256,15 @@
         return m_directory.completeAsOf(prefix);
     }
 
-    /// Waits for the requests that this host forwards for others.
-    bool finishRelayedRequests()
-    {
-        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
-        const auto count = [this] { return asio::co_spawn(
-                                        m_executor, [this]() -> Task<std::size_t> { co_return m_relayEndpoint.requestsInFlight(); }, asio::use_future)
-                                        .get(); };
-        while (count() > 0 && std::chrono::steady_clock::now() < limit)
-            std::this_thread::sleep_for(drainPollInterval);
-        return count() == 0;
-    }
-
-    bool drain()
+    /// Waits until no caller is connected and no request of another host is forwarded. @return whether all requests have been answered
+    bool awaitRequests(TimePoint limit)
     {
-        const auto limit = std::chrono::steady_clock::now() + m_settings.shutdown.gracePeriod;
-        asio::post(m_executor, [this] { m_endpoints.beginStopping(); });
-        m_callerListener->beginDraining();
-        std::this_thread::sleep_for(m_settings.shutdown.unreadyPeriod);
-        m_callerListener->stopAccepting();
-        while (m_callerListener->connections() > 0 && std::chrono::steady_clock::now() < limit)
+        const auto relayed = [this] { return asio::co_spawn(
+                                          m_executor, [this]() -> Task<std::size_t> { co_return m_relayEndpoint.requestsInFlight(); }, asio::use_future)
+                                          .get(); };
+        while (((m_callerListener && m_callerListener->connections() > 0) || relayed() > 0) && m_clock.now() < limit)
             std::this_thread::sleep_for(drainPollInterval);
-        return m_callerListener->requestsInFlight() == 0;
+        return (!m_callerListener || m_callerListener->requestsInFlight() == 0) && relayed() == 0;
     }
 
     Task<void> tickPeriodically()
--- /dev/null
+++ b/packages/hosting/src/SiteParts.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Coordination.h"
+#include "MirrorClient.h"
+#include "RequestRelay.h"
+#include "UsageSender.h"
+
+#include "cicadalb/config/SiteSettings.h"
+
+#include <string_view>
+#include <vector>
+
+/// @file
+/// Makes the parts of a host process, and their settings, from the settings of the process.
+
+namespace cicadalb {
+
+/// Asks a host whether it reaches the targets, and its reply if it does.
+inline constexpr std::string_view reachabilityPath = "/reachability";
+inline constexpr std::string_view reachableReply = "reachable";
+
+/// @brief Whether the process mirrors the store's records for others.
+bool hasMirror(const SiteSettings&);
+SiteDirectorySettings directorySettings(const SiteSettings&, MirrorClient&, std::uint64_t seed, const Clock& recordClock);
+/// @brief The other processes that may coordinate.
+std::vector<Endpoint> otherCandidates(const SiteSettings&);
+MirrorClient makeMirrorClient(const boost::asio::any_io_executor&, const SiteSettings&, const Clock&);
+RequestRelay makeRelay(const boost::asio::any_io_executor&, const SiteSettings&, const Clock&);
+TargetProbe makeTargetProbe(TargetClients&);
+UsageReportingSettings usageSettings(const SiteSettings&);
+/// @brief The candidates for coordination that usage counts may be sent to: the other ones and, if it is one, this process.
+UsageDeliverySettings deliverySettings(const SiteSettings&, std::uint64_t seed);
+CoordinationSettings coordinationSettings(const boost::asio::any_io_executor&, const SiteSettings&, MirrorClient&, TargetReachability&, std::uint64_t seed);
+
+} // namespace cicadalb
--- a/packages/routing/include/cicadalb/routing/PoolBalancer.h
+++ b/packages/routing/include/cicadalb/routing/PoolBalancer.h
@@ -135,6 +135,8 @@
     std::vector<QueueDecision> recordCompletion(const TargetId&, const Completion&, TimePoint now);
     /// @brief Removes a queued request, e.g. because its caller has disconnected. @return false if it was not queued
     bool withdraw(QueueTicket, TimePoint now);
+    /// @brief Refuses all queued requests, since this host stops.
+    std::vector<QueueDecision> refuseQueued();
     /// @brief Refuses queued requests that can no longer meet their deadlines and admits those that can run now. Call it every few milliseconds.
     std::vector<QueueDecision> tick(TimePoint now);
 
--- a/packages/routing/src/PoolBalancer.cpp
+++ b/packages/routing/src/PoolBalancer.cpp
@@ -322,6 +322,14 @@
     return decisions;
 }
 
+std::vector<QueueDecision> PoolBalancer::refuseQueued()
+{
+    std::vector<QueueDecision> decisions;
+    for (const auto& request : m_state->queue.removeIf([](const QueuedRequest&, std::size_t) { return true; }))
+        decisions.push_back({ request.ticket, m_state->refuse(ErrorCode::Overloaded, 0) });
+    return decisions;
+}
+
 void PoolBalancer::update(const Pool& pool, TimePoint)
 {
     m_state->pool = pool;
--- a/packages/transport/include/cicadalb/transport/SharedPoolBalancer.h
+++ b/packages/transport/include/cicadalb/transport/SharedPoolBalancer.h
@@ -27,6 +27,9 @@
     /// @brief Refuses queued requests that can no longer meet their deadlines and admits those that can run now. Called every few milliseconds.
     void tick();
 
+    /// @brief Refuses all queued requests, since this host stops.
+    void refuseQueued();
+
     void update(const Pool&);
     void reportLoad(const TargetId&, const LoadReport&);
     void setLeaving(const TargetId&, bool isLeaving);
--- a/packages/transport/src/SharedPoolBalancer.cpp
+++ b/packages/transport/src/SharedPoolBalancer.cpp
@@ -64,6 +64,12 @@
     resumeWaiters(m_balancer.tick(m_clock.now()));
 }
 
+void SharedPoolBalancer::refuseQueued()
+{
+    const std::lock_guard lock(m_mutex);
+    resumeWaiters(m_balancer.refuseQueued());
+}
+
 void SharedPoolBalancer::resumeWaiters(const std::vector<QueueDecision>& decisions)
 {
     for (const auto& decision : decisions) {
