Limit the answers that are parsed as a whole to a few times their usual size

Cause: a report of an engine may have up to 16 MiB, and takes many times its bytes when it is parsed.

Change: reports and orders of engines allow 1 MiB of answer, duties 64 KiB (HttpRequest::maximumAnswerBytes).

Evidence: the case 'answer longer than its request allows' of unit-answer-memory.cpp passes; it is new, as is the limit.

--- a/packages/hosting/src/DutyClient.cpp
+++ b/packages/hosting/src/DutyClient.cpp
@@ -4,10 +4,14 @@
 
 namespace {
 
+    /// Only the status of an answer matters.
+    constexpr std::size_t maximumAnswerBytes = std::size_t { 64 } << 10U;
+
     HttpClientOptions dutyClientOptions()
     {
         HttpClientOptions options;
         options.connectTimeout = DutyClient::callTimeout;
+        options.maximumBodyBytes = maximumAnswerBytes;
         return options;
     }
 
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -21,6 +21,8 @@
 
     /// Timeout of a report or an order; engines answer both without using a slot.
     constexpr milliseconds callTimeout { 600 };
+    /// Limit on the answer to either: parsed, it takes many times its bytes.
+    constexpr std::size_t maximumAnswerBytes = std::size_t { 1 } << 20U;
     /// Time for which an engine is not loaded again after a failed load.
     constexpr milliseconds failureBackoff { 1000 };
     /// Time after which a load that has not ended counts as overdue.
@@ -296,6 +298,7 @@
     m_hooks.onCall(engine);
     auto request = m_protocol.reportRequest();
     request.mayRepeat = true;
+    request.maximumAnswerBytes = maximumAnswerBytes;
     const auto answer = co_await m_clients.client(0, endpoint)->send(std::move(request), m_clock.now() + callTimeout);
     if (!answer)
         co_return answer.as_failure();
@@ -308,7 +311,9 @@
     const LoadOrder order { decision.engine, decision.model, decision.version, LoadMode::Continue, m_settings.holder, m_settings.fence, load.attempt.acceptedOrders() };
     m_lastOrderAt = m_clock.now();
     m_hooks.onCall(decision.engine);
-    const auto answer = co_await m_clients.client(0, load.endpoint)->send(m_protocol.loadOrder(order), m_clock.now() + callTimeout);
+    auto request = m_protocol.loadOrder(order);
+    request.maximumAnswerBytes = maximumAnswerBytes;
+    const auto answer = co_await m_clients.client(0, load.endpoint)->send(std::move(request), m_clock.now() + callTimeout);
     std::optional<OrderOutcome> outcome;
     if (answer)
         outcome = m_protocol.orderOutcome(answer.value());
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -44,6 +44,8 @@
     /// A server may send an answer twice, the second time where the answer to a later request is expected. Therefore a request is sent only on a
     /// connection that has carried neither a request with the same id nor one without an id.
     ExchangeId exchangeId {};
+    /// Limit on the body of the answer below HttpClientOptions::maximumBodyBytes, for answers that are parsed as a whole and are short; 0: none.
+    std::size_t maximumAnswerBytes = 0;
 };
 
 struct HttpResponse {
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -433,10 +433,11 @@
 {
     std::string body;
     std::string_view obstacle;
+    const auto maximum = m_state->options.maximumBodyBytes;
     const auto memory = std::make_shared<AnswerMemory::Share>(m_state->options.memory);
     HttpStreamHandler handler;
     handler.memory = memory;
-    handler.onPart = [&body, &obstacle, &memory, limit = m_state->options.maximumBodyBytes](std::string_view part) -> Task<bool> {
+    handler.onPart = [&body, &obstacle, &memory, limit = request.maximumAnswerBytes > 0 ? std::min(request.maximumAnswerBytes, maximum) : maximum](std::string_view part) -> Task<bool> {
         const auto size = body.size() + part.size();
         const auto capacity = size <= body.capacity() ? body.capacity() : std::max(size, std::min(2 * body.capacity(), limit));
         if (size > limit)
--- a/packages/services/tests/unit-answer-memory.cpp
+++ b/packages/services/tests/unit-answer-memory.cpp
@@ -122,6 +122,18 @@
     CHECK(AnswerMemory::ofProcess()->used() < 3 * mebibyte);
 }
 
+TEST_CASE_METHOD(EndlessAnswersFixture, "HTTP client, answer longer than its request allows, is rejected")
+{
+    sound.body = std::string(2000, 's');
+    for (const auto& [maximum, isAccepted] : { std::pair<std::size_t, bool>(1999, false), std::pair<std::size_t, bool>(2000, true), std::pair<std::size_t, bool>(0, true) }) {
+        HttpRequest request;
+        request.maximumAnswerBytes = maximum;
+        auto call = startTask(context.get_executor(), soundClient.send(std::move(request), std::chrono::steady_clock::now() + 30s));
+        while (!call->has_value() && context.run_one() > 0) { }
+        CHECK(call->value().has_value() == isAccepted);
+    }
+}
+
 TEST_CASE("answer memory, answers that grow and end in any order, is never exceeded and serves small answers")
 {
     CHECK(rc::check([] {
