--- a/packages/hosting/tests/unit-planned-stop.cpp
+++ b/packages/hosting/tests/unit-planned-stop.cpp
@@ -50,7 +50,7 @@
             return created;
         });
         REQUIRE(host->start());
-        for (int tries = 0; tries < 500 && statusOf(call("/lookups/")) != 200; ++tries)
+        for (int tries = 0; tries < 500 && statusOfCall("/lookups/") != 200; ++tries)
             std::this_thread::sleep_for(10ms);
         target.requests = 0;
     }
@@ -79,12 +79,18 @@
     }
 
     /// Status of the answer; 0 if the connection ended without one.
-    static unsigned statusOf(std::future<std::shared_ptr<Result<HttpResponse>>> answer)
+    static unsigned statusOf(std::future<std::shared_ptr<Result<HttpResponse>>>& answer)
     {
         const auto result = answer.get();
         return *result ? result->value().status : 0;
     }
 
+    unsigned statusOfCall(const std::string& path)
+    {
+        auto answer = call(path);
+        return statusOf(answer);
+    }
+
     void beginStop()
     {
         stop = std::async(std::launch::async, [this] {
@@ -126,8 +132,8 @@
     REQUIRE(target.requests == 1);
     const auto begunAt = std::chrono::steady_clock::now();
     beginStop();
-    CHECK(statusOf(std::move(once)) == 502);
-    CHECK(statusOf(std::move(lookup)) == 503);
+    CHECK(statusOf(once) == 502);
+    CHECK(statusOf(lookup) == 503);
     CHECK(stop.get());
     CHECK(std::chrono::steady_clock::now() - begunAt < gracePeriod + 500ms);
 }
@@ -135,9 +141,9 @@
 TEST_CASE_METHOD(PlannedStopFixture, "site host, request that may be repeated early in a planned stop, is served")
 {
     beginStop();
-    CHECK(statusOf(call("/lookups/")) == 200);
+    CHECK(statusOfCall("/lookups/") == 200);
     target.answerDelay = 4000ms;
-    CHECK(statusOf(call("/lookups/")) == 502);
+    CHECK(statusOfCall("/lookups/") == 502);
     CHECK(stop.get());
 }
 
@@ -147,6 +153,6 @@
     auto once = call("/once/");
     std::this_thread::sleep_for(200ms);
     beginStop();
-    CHECK(statusOf(std::move(once)) == 200);
+    CHECK(statusOf(once) == 200);
     CHECK(stop.get());
 }
--- a/packages/services/tests/unit-answer-memory.cpp
+++ b/packages/services/tests/unit-answer-memory.cpp
@@ -140,7 +140,9 @@
         constexpr std::size_t capacity = 1000;
         const auto memory = std::make_shared<AnswerMemory>(capacity);
         std::vector<std::pair<std::unique_ptr<AnswerMemory::Share>, std::size_t>> shares;
-        for (int i = 0; i < 8; ++i)
+        constexpr std::size_t answers = 8;
+        shares.reserve(answers);
+        for (std::size_t i = 0; i < answers; ++i)
             shares.emplace_back(std::make_unique<AnswerMemory::Share>(memory), 0);
         const auto steps = *rc::gen::inRange(1, 200);
         for (int step = 0; step < steps; ++step) {
