--- a/packages/services/tests/unit-answer-memory.cpp
+++ b/packages/services/tests/unit-answer-memory.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <fstream>
 #include <limits>
 #include <list>
@@ -26,7 +28,7 @@
     std::size_t pages = 0;
     std::size_t resident = 0;
     file >> pages >> resident;
-    return resident * 4096;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
 /// Several servers whose answers never end, and one that answers with a short body, all called by the same process.
