--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -264,15 +264,13 @@
             break;
         co_await pause(m_executor, storeRetryDelay);
     }
-    auto accepted = m_isStopped || entry->isClosed ? std::nullopt : termsOf(submission);
-    while (!m_isStopped && !entry->isClosed && !accepted) {
+    // A record of an earlier build has no terms, so that its submission waits for the route.
+    while (!m_isStopped && !entry->isClosed && !termsOf(submission))
         co_await pause(m_executor, configurationPollInterval);
-        accepted = termsOf(submission);
-    }
     if (m_isStopped || entry->isClosed)
         co_return;
     const auto view = m_directory.view();
-    const auto& terms = *accepted;
+    const auto terms = *termsOf(submission);
     const auto age = std::max(UnixTime(0), unixNow() - submission.submittedAt);
     const auto submittedAt = m_clock.now() - age;
     entry->policy.softDeadline = submittedAt + terms.finishWithin;
@@ -434,8 +432,10 @@
 bool SampleRunner::hasMemoryFor(const ItemKey& key, const EventStreamParser& parser)
 {
     const auto* text = m_scheduler.partialText(key);
-    if (!text || text->text.size() > maximumTextBytes)
-        return !text;
+    if (!text)
+        return true;
+    if (text->text.size() > maximumTextBytes)
+        return false;
     const auto share = m_textMemory.try_emplace(key, AnswerMemory::ofProcess()).first;
     return share->second.resize(text->text.capacity() + parser.memoryBytes());
 }
