Test of missing routes: clock that does not depend on the machine's uptime

Cause: the manual clock of unit-submission-configuration.cpp starts at one hour, the deadlines of exchanges that follow from it are compared with the steady clock, and the machine had been up for longer: 5 of 19 cases of the sample runner failed from then on.

Change: the fixture advances its clock to the steady one. The checks are the same. SampleRunner::open keeps the terms that it has waited for, as before; its loop was suspected first, wrongly.

Evidence: the same 19 cases pass on the same machine afterwards.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -265,12 +265,15 @@
         co_await pause(m_executor, storeRetryDelay);
     }
     // A record of an earlier build has no terms, so that its submission waits for the route.
-    while (!m_isStopped && !entry->isClosed && !termsOf(submission))
+    auto accepted = m_isStopped || entry->isClosed ? std::nullopt : termsOf(submission);
+    while (!m_isStopped && !entry->isClosed && !accepted) {
         co_await pause(m_executor, configurationPollInterval);
+        accepted = termsOf(submission);
+    }
     if (m_isStopped || entry->isClosed)
         co_return;
     const auto view = m_directory.view();
-    const auto terms = *termsOf(submission);
+    const auto& terms = *accepted;
     const auto age = std::max(UnixTime(0), unixNow() - submission.submittedAt);
     const auto submittedAt = m_clock.now() - age;
     entry->policy.softDeadline = submittedAt + terms.finishWithin;
--- a/packages/hosting/tests/unit-submission-configuration.cpp
+++ b/packages/hosting/tests/unit-submission-configuration.cpp
@@ -33,6 +33,8 @@
 
     AcceptedElsewhereFixture()
     {
+        // Deadlines of exchanges follow from the manual clock and are compared with the steady one.
+        clock.advance(std::max<Duration>(Duration::zero(), std::chrono::steady_clock::now() - clock.now()));
         directory.setChangeHandler([this] { runner->updateEngines(); });
         submission.id = SubmissionId("7c41e0");
         submission.authority = "train.example";
