Tests: check again that a submission is not opened under an older configuration

Cause: isRunning replaced the check that no item waits, and cannot tell a submission that was opened under the wrong pools from one that was not. Change: both are checked. The cases of submissions in unit-submission-configuration.cpp pass.

--- a/packages/hosting/tests/unit-submission-configuration.cpp
+++ b/packages/hosting/tests/unit-submission-configuration.cpp
@@ -111,6 +111,7 @@
     run(300ms);
     CHECK(runner->openSubmissions() == 1);
     CHECK_FALSE(isRunning());
+    CHECK(runner->scheduler().waitingCount() == 0);
     isConfigurationSilent = false;
     run(2s);
     CHECK(directory.view()->configuration.version == 9);
@@ -125,6 +126,7 @@
     submit(9);
     run(300ms);
     CHECK_FALSE(isRunning());
+    CHECK(runner->scheduler().waitingCount() == 0);
     isConfigurationSilent = false;
     run(2s);
     CHECK(isRunning());
