--- a/testing/process/ChildProcess.h
+++ b/testing/process/ChildProcess.h
@@ -27,6 +27,8 @@
     void signal(int number) const;
     /// @brief Waits until the program ends. @return its exit code, or -1 if a signal ended it or it was already waited for
     int wait();
+    /// @brief Id of the process, or -1 after wait().
+    pid_t id() const noexcept { return m_pid; }
 
 private:
     pid_t m_pid = -1;
--- a/testing/process/Deployment.cpp
+++ b/testing/process/Deployment.cpp
@@ -34,6 +34,7 @@
 } // namespace
 
 Deployment::Deployment(DeploymentOptions options)
+    : m_options(options)
 {
     auto pattern = (std::filesystem::temp_directory_path() / "cicadalb-test-XXXXXX").string();
     REQUIRE(::mkdtemp(pattern.data()) != nullptr);
@@ -87,7 +88,7 @@
     if (m_seedPort != 0)
         text += "seeds = [\"host-0@127.0.0.1:" + std::to_string(m_seedPort) + "\"]\n";
     text += "[platform]\nkey-value = " + address(*keyValue) + "\nhost-list = " + address(*hostList) + "\nweight-store = " + address(*m_weightStore) + "\n";
-    text += "[limits]\nbody-bytes = 65536\nheader-timeout-ms = 1000\nbody-timeout-ms = 1000\n";
+    text += "[limits]\nbody-bytes = " + std::to_string(m_options.maximumBodyBytes) + "\nheader-timeout-ms = 1000\nbody-timeout-ms = 1000\n";
     text += "[shutdown]\nunready-ms = 400\ngrace-ms = 20000\n";
     return text;
 }
@@ -102,7 +103,9 @@
     host->callerPort = numberAfter(line, "callers");
     host->membershipPort = numberAfter(line, "membership");
     host->callerClient = makeClient(host->callerPort);
-    host->adminClient = makeClient(numberAfter(line, "admin"));
+    host->adminPort = numberAfter(line, "admin");
+    host->peerPort = numberAfter(line, "peers");
+    host->adminClient = makeClient(host->adminPort);
     if (m_seedPort == 0)
         m_seedPort = host->membershipPort;
     waitUntilReady(*host);
--- a/testing/process/Deployment.h
+++ b/testing/process/Deployment.h
@@ -32,6 +32,8 @@
     std::string name;
     std::unique_ptr<ChildProcess> process;
     std::uint16_t callerPort = 0;
+    std::uint16_t adminPort = 0;
+    std::uint16_t peerPort = 0;
     std::uint16_t membershipPort = 0;
     std::unique_ptr<HttpClient> callerClient;
     std::unique_ptr<HttpClient> adminClient;
@@ -40,6 +42,7 @@
 struct DeploymentOptions {
     std::size_t hosts = 2;
     std::size_t ledgers = 1;
+    std::size_t maximumBodyBytes = 65536;
 };
 
 /// @brief An I/O context for clients, with a thread that runs it.
@@ -101,6 +104,7 @@
     std::string settings(const std::string& name) const;
     void applyConfiguration();
 
+    DeploymentOptions m_options;
     std::unique_ptr<StandIn> m_weightStore;
     std::uint16_t m_seedPort = 0;
 };
