Limit the trailer and the chunk extensions of a request

What callers saw: one client whose chunk extension or trailer never ends took the memory of a host, which was ended with all requests in progress.

Cause: the parser needs a chunk's header and the trailer as a whole, and the buffer in which they are collected had no limit; the limits of head and body do not apply to them.

Change: the buffer holds at most twice the limit of the head, so that a head and the bytes read ahead fit. What does not fit is refused with 431, as a head that is too large. The listener is the same for callers, readiness, admin and mirrors, on both editions. The buffer of HttpClient had its limit.

--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <set>
@@ -60,7 +61,7 @@
     {
         if (error == http::error::body_limit)
             return 413;
-        if (error == http::error::header_limit)
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return 431;
         if (error == beast::error::timeout)
             return 408;
@@ -234,6 +235,8 @@
         Task<beast::error_code> readRequest(RequestParser& parser)
         {
             beast::error_code error;
+            // Bounds what is buffered as a whole: the head, the header of a chunk, and the trailer. The bytes read ahead fit as well.
+            m_buffer.max_size(std::max<std::size_t>(firstReadBytes, std::size_t { 2 } * m_options.maximumHeaderBytes));
             m_stream.expires_after(m_options.headerTimeout);
             co_await http::async_read_header(m_stream, m_buffer, parser, completionToken(error));
             if (error)
