Hold callers to the operator's limits

What callers saw: a body over the operator's limit was read, and run, as long as it was within 32 MiB; one within a higher limit would have been refused with 413, which callers never retry. Head and idle timeouts did not follow the operator either.

Cause: the site edition did not read the limits of the configuration and used constants.

Change: the limits are part of the configuration, and each request is held to those in force when it begins.

--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -84,6 +84,13 @@
         return options;
     }
 
+    /// Limits of the operator, and of @p defaults where the operator sets none.
+    RequestLimits requestLimits(const CallerLimits& limits, const RequestLimits& defaults)
+    {
+        return { limits.maximumHeaderBytes.value_or(defaults.maximumHeaderBytes), limits.maximumBodyBytes.value_or(defaults.maximumBodyBytes),
+            limits.headerTimeout.value_or(defaults.headerTimeout), limits.idleTimeout.value_or(defaults.idleTimeout) };
+    }
+
     double secondsOf(std::optional<Duration> age) { return age ? std::chrono::duration<double>(*age).count() : -1; }
 
     /// Port of a listener, or "none".
@@ -195,6 +202,7 @@
         m_usageCounter.setChangeHandler([this] { m_usageSender->tick(); });
         m_forwarder.setUsageCounter(m_usageCounter);
         m_directory.setChangeHandler([this] {
+            applyLimits();
             if (m_coordination)
                 m_coordination->onSiteChanged();
         });
@@ -223,6 +231,13 @@
         m_retirementWatch->start();
     }
 
+    void applyLimits()
+    {
+        const auto view = m_directory.view();
+        if (m_callerListener && view)
+            m_callerListener->setLimits(requestLimits(view->configuration.limits, listenerOptions(m_settings.addresses.callers)));
+    }
+
     void followSuspects()
     {
         m_mirrorClient.setSuspectsHandler([this](const SuspectList& list) { m_crashGuard->applySuspects(list); });
--- a/packages/site/include/cicadalb/site/SiteConfiguration.h
+++ b/packages/site/include/cicadalb/site/SiteConfiguration.h
@@ -102,6 +102,14 @@
     std::optional<PoolScaling> scaling;
 };
 
+/// @brief What the operator lets a caller send, and how long a caller may take or stay idle. What is not set is left to the host.
+struct CallerLimits {
+    std::optional<std::uint32_t> maximumHeaderBytes;
+    std::optional<std::uint64_t> maximumBodyBytes;
+    std::optional<std::chrono::milliseconds> headerTimeout;
+    std::optional<std::chrono::milliseconds> idleTimeout;
+};
+
 struct SiteConfiguration {
     /// Increases with each configuration, not always by one.
     std::uint64_t version = 0;
@@ -109,6 +117,7 @@
     std::vector<SitePool> pools;
     /// Empty if requests need no key.
     std::vector<SiteOrganisation> organisations;
+    CallerLimits limits;
 
     const SitePool* pool(const PoolName&) const noexcept;
     const SiteOrganisation* organisation(const OrganisationName&) const noexcept;
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -53,18 +53,22 @@
 
 using ServerHandler = std::function<Task<void>(ServerRequest&, ServerResponder&)>;
 
-struct HttpListenerOptions {
-    std::string address = "127.0.0.1";
-    /// 0 selects any free port.
-    std::uint16_t port = 0;
+/// @brief What a client may send, and how long it may take. A request beyond it is refused with 431, 413 or 408.
+struct RequestLimits {
     std::uint32_t maximumHeaderBytes = 16U << 10U;
     std::uint64_t maximumBodyBytes = 1U << 20U;
     /// From the first byte of a request to the end of its header.
     std::chrono::milliseconds headerTimeout { 5000 };
-    /// From the end of the header to the end of the body.
-    std::chrono::milliseconds bodyTimeout { 10000 };
     /// Between two requests on one connection.
     std::chrono::milliseconds idleTimeout { 60000 };
+};
+
+struct HttpListenerOptions : RequestLimits {
+    std::string address = "127.0.0.1";
+    /// 0 selects any free port.
+    std::uint16_t port = 0;
+    /// From the end of the header to the end of the body.
+    std::chrono::milliseconds bodyTimeout { 10000 };
     /// For each write: of a complete response, of a header or of a chunk.
     std::chrono::milliseconds writeTimeout { 30000 };
     std::size_t maximumConnections = 10000;
@@ -82,6 +86,8 @@
     Result<void> start();
     std::uint16_t port() const noexcept;
 
+    /// @brief Replaces the limits for all requests that begin from now on.
+    void setLimits(const RequestLimits&);
     /// @brief Closes each connection after its next response. New connections are still accepted.
     void beginDraining();
     /// @brief Stops accepting, closes idle connections, and closes every other connection after its response in progress.
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -70,12 +70,33 @@
 
     /// State that a listener shares with its sessions.
     struct ListenerState {
+        explicit ListenerState(const RequestLimits& initialLimits)
+            : m_limits(initialLimits)
+        {
+        }
+
+        RequestLimits limits() const
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_limits;
+        }
+
+        void setLimits(const RequestLimits& limits)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_limits = limits;
+        }
+
         /// No new connections are accepted, and open ones use the shorter idle timeout.
         std::atomic<bool> isStopping { false };
         /// Each connection is closed after its next response.
         std::atomic<bool> isDraining { false };
         std::atomic<std::size_t> inFlight { 0 };
         std::atomic<std::size_t> connections { 0 };
+
+    private:
+        mutable std::mutex m_mutex;
+        RequestLimits m_limits;
     };
 
     /// One connection from a caller.
@@ -219,12 +240,12 @@
         bool mayKeepAlive() const noexcept { return m_requestKeepsAlive && !*m_isDraining; }
 
         /// Waits for the first bytes of a request. @return false if the connection ended or the idle timeout passed
-        Task<bool> waitForRequest()
+        Task<bool> waitForRequest(const RequestLimits& limits)
         {
             if (m_buffer.size() > 0)
                 co_return true;
             m_isBetweenRequests = true;
-            m_stream.expires_after(*m_isStopping ? stoppingIdleTimeout : m_options.idleTimeout);
+            m_stream.expires_after(*m_isStopping ? stoppingIdleTimeout : limits.idleTimeout);
             beast::error_code error;
             const auto length = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), completionToken(error));
             m_isBetweenRequests = false;
@@ -232,12 +253,12 @@
             co_return !error;
         }
 
-        Task<beast::error_code> readRequest(RequestParser& parser)
+        Task<beast::error_code> readRequest(RequestParser& parser, const RequestLimits& limits)
         {
             beast::error_code error;
             // Bounds what is buffered as a whole: the head, the header of a chunk, and the trailer. The bytes read ahead fit as well.
-            m_buffer.max_size(std::max<std::size_t>(firstReadBytes, std::size_t { 2 } * m_options.maximumHeaderBytes));
-            m_stream.expires_after(m_options.headerTimeout);
+            m_buffer.max_size(std::max<std::size_t>(firstReadBytes, std::size_t { 2 } * limits.maximumHeaderBytes));
+            m_stream.expires_after(limits.headerTimeout);
             co_await http::async_read_header(m_stream, m_buffer, parser, completionToken(error));
             if (error)
                 co_return error;
@@ -258,7 +279,8 @@
             m_isAnswered = false;
             m_isHeadRequest = false;
             m_requestKeepsAlive = false;
-            const bool hasRequest = co_await waitForRequest();
+            const auto limits = state.limits();
+            const bool hasRequest = co_await waitForRequest(limits);
             if (!hasRequest)
                 co_return false;
             struct InFlightGuard {
@@ -274,9 +296,9 @@
             } guard(state.inFlight);
 
             RequestParser parser;
-            parser.header_limit(m_options.maximumHeaderBytes);
-            parser.body_limit(m_options.maximumBodyBytes);
-            const auto error = co_await readRequest(parser);
+            parser.header_limit(limits.maximumHeaderBytes);
+            parser.body_limit(limits.maximumBodyBytes);
+            const auto error = co_await readRequest(parser, limits);
             if (error) {
                 co_await rejectMalformed(error);
                 co_return false;
@@ -329,6 +351,7 @@
         , m_handler(std::move(handler))
         , m_acceptor(workers.context(0))
         , m_workerSessions(workers.size())
+        , m_state(m_options)
     {
     }
 
@@ -352,6 +375,7 @@
         return success();
     }
 
+    void setLimits(const RequestLimits& limits) { m_state.setLimits(limits); }
     void beginDraining() { m_state.isDraining = true; }
 
     void stopAccepting()
@@ -429,6 +453,7 @@
 HttpListener::~HttpListener() = default;
 Result<void> HttpListener::start() { return m_implementation->start(); }
 std::uint16_t HttpListener::port() const noexcept { return m_implementation->port(); }
+void HttpListener::setLimits(const RequestLimits& limits) { m_implementation->setLimits(limits); }
 void HttpListener::beginDraining() { m_implementation->beginDraining(); }
 void HttpListener::stopAccepting() { m_implementation->stopAccepting(); }
 std::size_t HttpListener::requestsInFlight() const noexcept { return m_implementation->requestsInFlight(); }
