Rename AnswerMemory to MessageMemory

It will hold requests as well, so that one limit bounds the sum. No change of behaviour: the class, its files and its test keep their content.

--- a/packages/hosting/src/HostCall.h
+++ b/packages/hosting/src/HostCall.h
@@ -28,7 +28,7 @@
 struct HostAnswer {
     std::string body;
     /// See HttpResponse::memory.
-    std::shared_ptr<AnswerMemory::Share> memory;
+    std::shared_ptr<MessageMemory::Share> memory;
 };
 
 /// @brief Sends a call to another process. Errors: those of HttpClient, and Unavailable if it answers with an error status
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -439,7 +439,7 @@
         return true;
     if (text->text.size() > maximumTextBytes)
         return false;
-    const auto share = m_textMemory.try_emplace(key, AnswerMemory::ofProcess()).first;
+    const auto share = m_textMemory.try_emplace(key, MessageMemory::ofProcess()).first;
     return share->second.resize(text->text.capacity() + parser.memoryBytes());
 }
 
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -133,7 +133,7 @@
     std::map<ItemKey, std::shared_ptr<Run>> m_runs;
     std::map<ItemKey, std::shared_ptr<HttpCancellation>> m_rewardCalls;
     /// Memory of the texts that runs have received.
-    std::map<ItemKey, AnswerMemory::Share> m_textMemory;
+    std::map<ItemKey, MessageMemory::Share> m_textMemory;
     TimePoint m_nextExpirySearchAt;
     TimePoint m_nextPartialTextsAt;
     bool m_isStoringPartialTexts = false;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -128,7 +128,7 @@
         , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         if (m_settings.work.memoryMebibytes > 0)
-            AnswerMemory::ofProcess()->setCapacity((std::size_t { m_settings.work.memoryMebibytes } << 20U) / answerMemoryDivisor);
+            MessageMemory::ofProcess()->setCapacity((std::size_t { m_settings.work.memoryMebibytes } << 20U) / answerMemoryDivisor);
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
         if (m_settings.parts.serving) {
             m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
@@ -402,7 +402,7 @@
         m_metrics.setGauge("cicadalb_registry_age_seconds", "Time since the registry of targets was last known to be complete", secondsOf(m_directory.registryAge()));
         m_metrics.setGauge("cicadalb_cut_off", "1 if this host reaches no target", m_reachability->isCutOff() ? 1 : 0);
         m_metrics.setGauge("cicadalb_targets", "Targets in the registry", static_cast<double>(m_directory.registry().targets().size()));
-        m_metrics.setGauge("cicadalb_answer_bytes", "Memory of the answers and texts that are being read or have not been passed on", static_cast<double>(AnswerMemory::ofProcess()->used()));
+        m_metrics.setGauge("cicadalb_answer_bytes", "Memory of the answers and texts that are being read or have not been passed on", static_cast<double>(MessageMemory::ofProcess()->used()));
         m_metrics.setGauge("cicadalb_limited_targets", "Targets that state a limit on requests a second", static_cast<double>(m_permits.limits().size()));
         const auto suspects = m_crashGuard->knownSuspects();
         m_metrics.setGauge("cicadalb_suspect_requests", "Requests under which two targets or more have crashed", static_cast<double>(suspects.size()));
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -3,7 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Task.h"
-#include "cicadalb/services/AnswerMemory.h"
+#include "cicadalb/services/MessageMemory.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -56,7 +56,7 @@
     TimePoint sentAt {};
     TimePoint headAt {};
     /// Memory that the body takes, held for as long as the answer; null if it has none.
-    std::shared_ptr<AnswerMemory::Share> memory {};
+    std::shared_ptr<MessageMemory::Share> memory {};
 
     /// @brief Value of the first field with the case-insensitive name @p name, or an empty string.
     std::string_view field(std::string_view name) const noexcept { return fieldIn(fields, name); }
@@ -84,7 +84,7 @@
     /// sent again on a new connection, and the idle ones are closed. 0: until the deadline.
     std::chrono::milliseconds reusedConnectionTimeout { 0 };
     /// Limits all answers together. An exchange whose answer may not grow fails. Not null.
-    std::shared_ptr<AnswerMemory> memory = AnswerMemory::ofProcess();
+    std::shared_ptr<MessageMemory> memory = MessageMemory::ofProcess();
 };
 
 /// @brief Receives the parts of an answer as they arrive; the next part is read only after the handler has completed. If a handler returns false,
@@ -95,7 +95,7 @@
     /// Maximum time between two parts of the body, after the first one; 0: limited only by the deadline.
     std::chrono::milliseconds stallTimeout { 0 };
     /// Holds the memory of the answer's header until its first part; null: the exchange holds it.
-    std::shared_ptr<AnswerMemory::Share> memory {};
+    std::shared_ptr<MessageMemory::Share> memory {};
 };
 
 /// @brief Lets another coroutine cancel a running exchange. The exchange then ends with Cancelled and closes its connection.
--- a/packages/services/include/cicadalb/services/AnswerMemory.h
+++ b/packages/services/include/cicadalb/services/MessageMemory.h
@@ -12,17 +12,17 @@
 /// @brief Memory for all answers that a process is reading or has not passed on yet. A server that sends without end must not take the process's memory, nor
 /// must several of them together. Once three quarters are in use, an answer that is larger than its equal share may not grow; the last quarter is for the
 /// others. Thread-safe.
-class AnswerMemory {
+class MessageMemory {
 public:
     static constexpr std::size_t defaultCapacity = std::size_t { 128 } << 20U;
 
-    explicit AnswerMemory(std::size_t capacity = defaultCapacity)
+    explicit MessageMemory(std::size_t capacity = defaultCapacity)
         : m_capacity(capacity)
     {
     }
 
     /// @brief The memory that all clients of the process share unless they are given another one.
-    static const std::shared_ptr<AnswerMemory>& ofProcess();
+    static const std::shared_ptr<MessageMemory>& ofProcess();
 
     /// @brief Sets the limit in bytes. Answers that exceed a lower limit keep what they have.
     void setCapacity(std::size_t);
@@ -32,7 +32,7 @@
     /// @brief The part of one answer, which is released when it is destroyed.
     class Share {
     public:
-        explicit Share(std::shared_ptr<AnswerMemory>);
+        explicit Share(std::shared_ptr<MessageMemory>);
         ~Share();
         Share(const Share&) = delete;
         Share& operator=(const Share&) = delete;
@@ -41,7 +41,7 @@
         bool resize(std::size_t bytes);
 
     private:
-        std::shared_ptr<AnswerMemory> m_memory;
+        std::shared_ptr<MessageMemory> m_memory;
         std::size_t m_bytes = 0;
     };
 
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -325,7 +325,7 @@
     }
 
     /// Reads the header of an answer.
-    static Task<beast::error_code> readHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, AnswerMemory::Share& memory)
+    static Task<beast::error_code> readHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, MessageMemory::Share& memory)
     {
         beast::error_code error;
         parser.emplace();
@@ -346,7 +346,7 @@
     }
 
     /// Reads the header of a final answer. Interim answers before it are skipped.
-    static Task<beast::error_code> readFinalHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, AnswerMemory::Share& memory)
+    static Task<beast::error_code> readFinalHeader(Connection& connection, std::optional<AnswerParser>& parser, bool hasBody, MessageMemory::Share& memory)
     {
         auto error = co_await readHeader(connection, parser, hasBody, memory);
         for (unsigned interim = 0; !error && isInterim(*parser); ++interim) {
@@ -358,7 +358,7 @@
     }
 
     /// Sends a request and reads the header of its answer. Second answers to earlier requests are skipped.
-    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser, AnswerMemory::Share& memory)
+    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser, MessageMemory::Share& memory)
     {
         parser.emplace();
         beast::error_code error = co_await write(connection, message);
@@ -434,7 +434,7 @@
     std::string body;
     std::string_view obstacle;
     const auto maximum = m_state->options.maximumBodyBytes;
-    const auto memory = std::make_shared<AnswerMemory::Share>(m_state->options.memory);
+    const auto memory = std::make_shared<MessageMemory::Share>(m_state->options.memory);
     HttpStreamHandler handler;
     handler.memory = memory;
     handler.onPart = [&body, &obstacle, &memory, limit = request.maximumAnswerBytes > 0 ? std::min(request.maximumAnswerBytes, maximum) : maximum](std::string_view part) -> Task<bool> {
@@ -475,7 +475,7 @@
         }
     } clearOnExit { cancellation.get() };
 
-    const auto memory = handler.memory ? std::move(handler.memory) : std::make_shared<AnswerMemory::Share>(state->options.memory);
+    const auto memory = handler.memory ? std::move(handler.memory) : std::make_shared<MessageMemory::Share>(state->options.memory);
     auto connection = state->takeIdle(request.exchangeId);
     auto message = toBeast(request, state->endpoint);
     std::optional<AnswerParser> attemptParser;
--- a/packages/services/src/AnswerMemory.cpp
+++ b/packages/services/src/MessageMemory.cpp
@@ -1,29 +1,29 @@
-#include "cicadalb/services/AnswerMemory.h"
+#include "cicadalb/services/MessageMemory.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace cicadalb {
 
-const std::shared_ptr<AnswerMemory>& AnswerMemory::ofProcess()
+const std::shared_ptr<MessageMemory>& MessageMemory::ofProcess()
 {
-    static const auto memory = std::make_shared<AnswerMemory>();
+    static const auto memory = std::make_shared<MessageMemory>();
     return memory;
 }
 
-void AnswerMemory::setCapacity(std::size_t capacity)
+void MessageMemory::setCapacity(std::size_t capacity)
 {
     const std::lock_guard lock(m_mutex);
     m_capacity = capacity;
 }
 
-std::size_t AnswerMemory::used() const
+std::size_t MessageMemory::used() const
 {
     const std::lock_guard lock(m_mutex);
     return m_used;
 }
 
-bool AnswerMemory::change(std::size_t from, std::size_t to)
+bool MessageMemory::change(std::size_t from, std::size_t to)
 {
     const std::lock_guard lock(m_mutex);
     const auto used = m_used - from + to;
@@ -37,14 +37,14 @@
     return true;
 }
 
-AnswerMemory::Share::Share(std::shared_ptr<AnswerMemory> memory)
+MessageMemory::Share::Share(std::shared_ptr<MessageMemory> memory)
     : m_memory(std::move(memory))
 {
 }
 
-AnswerMemory::Share::~Share() { (void)m_memory->change(m_bytes, 0); }
+MessageMemory::Share::~Share() { (void)m_memory->change(m_bytes, 0); }
 
-bool AnswerMemory::Share::resize(std::size_t bytes)
+bool MessageMemory::Share::resize(std::size_t bytes)
 {
     if (!m_memory->change(m_bytes, bytes))
         return false;
--- a/packages/services/tests/unit-answer-memory.cpp
+++ b/packages/services/tests/unit-message-memory.cpp
@@ -1,4 +1,4 @@
-#include "cicadalb/services/AnswerMemory.h"
+#include "cicadalb/services/MessageMemory.h"
 #include "cicadalb/services/EndlessServer.h"
 #include "cicadalb/services/HttpClient.h"
 #include "cicadalb/services/ResettingServer.h"
@@ -48,12 +48,12 @@
 
     EndlessAnswersFixture()
     {
-        AnswerMemory::ofProcess()->setCapacity(capacity);
+        MessageMemory::ofProcess()->setCapacity(capacity);
         sound.body = std::string(10000, 's');
         sound.answersPerConnection = std::numeric_limits<int>::max();
     }
 
-    ~EndlessAnswersFixture() { AnswerMemory::ofProcess()->setCapacity(AnswerMemory::defaultCapacity); }
+    ~EndlessAnswersFixture() { MessageMemory::ofProcess()->setCapacity(MessageMemory::defaultCapacity); }
 
     void callAll(const std::string& begin)
     {
@@ -96,7 +96,7 @@
         CHECK(highest - before <= capacity + allowance);
         for (const auto& call : calls)
             CHECK_FALSE(call->value());
-        CHECK(AnswerMemory::ofProcess()->used() <= 2 * mebibyte);
+        CHECK(MessageMemory::ofProcess()->used() <= 2 * mebibyte);
     }
 };
 
@@ -119,9 +119,9 @@
     auto call = startTask(context.get_executor(), soundClient.send({}, std::chrono::steady_clock::now() + 30s));
     while (!call->has_value() && context.run_one() > 0) { }
     REQUIRE(call->value());
-    CHECK(AnswerMemory::ofProcess()->used() >= 3 * mebibyte);
+    CHECK(MessageMemory::ofProcess()->used() >= 3 * mebibyte);
     call->reset();
-    CHECK(AnswerMemory::ofProcess()->used() < 3 * mebibyte);
+    CHECK(MessageMemory::ofProcess()->used() < 3 * mebibyte);
 }
 
 TEST_CASE_METHOD(EndlessAnswersFixture, "HTTP client, answer longer than its request allows, is rejected")
@@ -140,12 +140,12 @@
 {
     CHECK(rc::check([] {
         constexpr std::size_t capacity = 1000;
-        const auto memory = std::make_shared<AnswerMemory>(capacity);
-        std::vector<std::pair<std::unique_ptr<AnswerMemory::Share>, std::size_t>> shares;
+        const auto memory = std::make_shared<MessageMemory>(capacity);
+        std::vector<std::pair<std::unique_ptr<MessageMemory::Share>, std::size_t>> shares;
         constexpr std::size_t answers = 8;
         shares.reserve(answers);
         for (std::size_t i = 0; i < answers; ++i)
-            shares.emplace_back(std::make_unique<AnswerMemory::Share>(memory), 0);
+            shares.emplace_back(std::make_unique<MessageMemory::Share>(memory), 0);
         const auto steps = *rc::gen::inRange(1, 200);
         for (int step = 0; step < steps; ++step) {
             auto& [share, bytes] = shares[*rc::gen::inRange<std::size_t>(0, shares.size())];
@@ -161,7 +161,7 @@
             RC_ASSERT(sum <= capacity);
         }
         // What is left when large answers have stopped growing is enough for a small one.
-        AnswerMemory::Share small(memory);
+        MessageMemory::Share small(memory);
         RC_ASSERT(memory->used() > capacity - capacity / 10 || small.resize(capacity / 20));
         for (auto& [share, bytes] : shares)
             share.reset();
--- a/packages/transport/src/EngineHttpClient.cpp
+++ b/packages/transport/src/EngineHttpClient.cpp
@@ -91,7 +91,7 @@
         onStart(std::make_shared<HttpGenerationHandle>(executor, cancellation, client, request.id));
 
     GenerationReader reader;
-    AnswerMemory::Share memory(AnswerMemory::ofProcess());
+    MessageMemory::Share memory(MessageMemory::ofProcess());
     StreamProgress streamProgress(generationStallTimeout);
     unsigned status = 0;
     bool isWellFormed = true;
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -97,7 +97,7 @@
 
         const RequestContext& m_context;
         GenerationReader m_reader;
-        AnswerMemory::Share m_memory { AnswerMemory::ofProcess() };
+        MessageMemory::Share m_memory { MessageMemory::ofProcess() };
         bool m_isStreamed;
         bool m_isWellFormed = true;
         bool m_isReportedNotRun = false;
