Hold the body of a request once, however many copies its message has

Cause: the body was copied for each attempt, and once more into the output buffer of the connection to the target, which kept it while it was idle.

Change: MessageBody, an immutable body whose copies share the bytes. HttpClient writes bodies over 16 KiB from where they are.

--- a/packages/hosting/tests/FakeSiteProtocol.h
+++ b/packages/hosting/tests/FakeSiteProtocol.h
@@ -57,7 +57,7 @@
             forwarded.fields.emplace_back("Organisation", context.organisation.value());
         return forwarded;
     }
-    std::string requestIdentity(const HttpRequest& request) const override { return request.target + "\n" + request.body; }
+    std::string requestIdentity(const HttpRequest& request) const override { return request.target + "\n" + request.body.text(); }
     HttpFields answerFields(const HttpFields& fields) const override { return fields; }
     /// A body of "submission" has one item; any other is invalid.
     Result<Submission> submission(const HttpRequest& request) const override
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -3,6 +3,7 @@
 #include "cicadalb/base/Clock.h"
 #include "cicadalb/base/Error.h"
 #include "cicadalb/base/Task.h"
+#include "cicadalb/services/MessageBody.h"
 #include "cicadalb/services/MessageMemory.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -37,7 +38,7 @@
     std::string method = "GET";
     std::string target = "/";
     HttpFields fields;
-    std::string body;
+    MessageBody body;
     /// Whether to send the request again on a new connection if the server closes a reused one before the answer begins, or does not answer on it
     /// (HttpClientOptions::reusedConnectionTimeout).
     bool mayRepeat = false;
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <deque>
 #include <functional>
@@ -40,6 +41,9 @@
     /// Maximum size of the parts in which the body of an answer is read.
     constexpr std::size_t maximumPartBytes = std::size_t { 16 } << 10U;
 
+    /// Larger bodies of requests are written from where they are; smaller ones share a write with the head.
+    constexpr std::size_t maximumCopiedBytes = std::size_t { 16 } << 10U;
+
     /// Maximum number of interim answers (1xx) before the final one.
     constexpr unsigned maximumInterimAnswers = 16;
 
@@ -144,9 +148,10 @@
 
     auto completionToken(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
-    http::request<http::string_body> toBeast(HttpRequest& request, const Endpoint& endpoint)
+    /// Head of a request; its body is written from where it is.
+    http::request<http::empty_body> headOf(const HttpRequest& request, const Endpoint& endpoint)
     {
-        http::request<http::string_body> message;
+        http::request<http::empty_body> message;
         message.method_string(request.method);
         message.target(request.target);
         message.version(11);
@@ -154,8 +159,9 @@
             message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
         for (const auto& [name, value] : request.fields)
             message.insert(name, value);
-        message.body() = std::move(request.body);
-        message.prepare_payload();
+        const auto method = message.method();
+        if (!request.body.empty() || method == http::verb::post || method == http::verb::put || method == http::verb::options)
+            message.content_length(request.body.size());
         return message;
     }
 
@@ -313,14 +319,18 @@
         return Error { ErrorCode::OutcomeUnknown, error.message(), serverAddress() };
     }
 
-    Task<beast::error_code> write(Connection& connection, http::request<http::string_body>& message)
+    Task<beast::error_code> write(Connection& connection, http::request<http::empty_body>& head, const MessageBody& body)
     {
         beast::error_code error;
         connection.output.clear();
-        detail::appendMessage(message, connection.output);
+        detail::appendMessage(head, connection.output);
+        const bool isCopied = body.size() <= maximumCopiedBytes;
+        if (isCopied)
+            connection.output.commit(asio::buffer_copy(connection.output.prepare(body.size()), asio::buffer(body.text())));
         connection.bytesWritten = 0;
         connection.hasReceivedHeader = false;
-        connection.bytesWritten = co_await asio::async_write(connection.stream, connection.output.cdata(), completionToken(error));
+        const std::array<asio::const_buffer, 2> buffers { connection.output.cdata(), isCopied ? asio::const_buffer() : asio::buffer(body.text()) };
+        connection.bytesWritten = co_await asio::async_write(connection.stream, buffers, completionToken(error));
         co_return error;
     }
 
@@ -358,10 +368,10 @@
     }
 
     /// Sends a request and reads the header of its answer. Second answers to earlier requests are skipped.
-    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::string_body>& message, const ExchangeId& id, std::optional<AnswerParser>& parser, MessageMemory::Share& memory)
+    Task<beast::error_code> sendAndReadHeader(Connection& connection, http::request<http::empty_body>& message, const MessageBody& body, const ExchangeId& id, std::optional<AnswerParser>& parser, MessageMemory::Share& memory)
     {
         parser.emplace();
-        beast::error_code error = co_await write(connection, message);
+        beast::error_code error = co_await write(connection, message, body);
         if (error)
             co_return error;
         const bool hasBody = message.method() != http::verb::head;
@@ -477,7 +487,7 @@
 
     const auto memory = handler.memory ? std::move(handler.memory) : std::make_shared<MessageMemory::Share>(state->options.memory);
     auto connection = state->takeIdle(request.exchangeId);
-    auto message = toBeast(request, state->endpoint);
+    auto message = headOf(request, state->endpoint);
     std::optional<AnswerParser> attemptParser;
     beast::error_code error;
     bool mayHaveRun = false;
@@ -498,7 +508,7 @@
         connection->stream.expires_at(mayBeSilent ? std::min(deadline, std::chrono::steady_clock::now() + silenceTimeout) : deadline);
         recordSent(*connection, request.exchangeId);
         sentAt = std::chrono::steady_clock::now();
-        error = co_await state->sendAndReadHeader(*connection, message, request.exchangeId, attemptParser, *memory);
+        error = co_await state->sendAndReadHeader(*connection, message, request.body, request.exchangeId, attemptParser, *memory);
         connection->stream.expires_at(deadline);
         if (!error)
             break;
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -23,7 +23,7 @@
     std::string path;
     std::string query;
     HttpFields fields;
-    std::string body;
+    MessageBody body;
     /// Index of the worker whose thread serves the connection.
     std::size_t worker = 0;
     /// When the complete request had been read.
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -108,7 +108,7 @@
 
 Result<GenerationRequest> parseGenerationRequest(const ServerRequest& request, const RequestId& id, Priority priority)
 {
-    const auto document = nlohmann::json::parse(request.body, nullptr, false);
+    const auto document = nlohmann::json::parse(request.body.text(), nullptr, false);
     if (!document.is_object())
         return failure(ErrorCode::RequestInvalid, "not a JSON object", "body");
     const auto prompt = document.find("prompt");
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -50,7 +50,7 @@
         request.fields.reserve(8);
         for (const auto& field : message)
             request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        request.body = std::move(message.body());
+        request.body = MessageBody(std::move(message.body()));
         request.worker = worker;
         request.receivedAt = std::chrono::steady_clock::now();
         return request;
--- a/packages/transport/src/RequestDispatcher.cpp
+++ b/packages/transport/src/RequestDispatcher.cpp
@@ -66,7 +66,7 @@
         const auto& request = context.request;
         KeyedRequest keyed;
         keyed.scopedKey = context.caller.value() + '\n' + context.route.name.value() + '\n' + key;
-        keyed.fingerprint = request.method + '\n' + request.path + '?' + request.query + '\n' + request.body;
+        keyed.fingerprint = request.method + '\n' + request.path + '?' + request.query + '\n' + request.body.text();
         return keyed;
     }
 
