One limit for the memory of requests, answers and connections

What callers saw: 24 clients with bodies of legal size, whole or one byte short of their end, with a length or in chunks, took the memory of a host, which was ended with all requests in progress. So did 1,500 heads that stop short.

Cause: each body and each head had a limit, but not their sum. Answers had a limit of their own; two limits beside each other would not bound the sum.

Change: MessageMemory, half of the process's memory, holds requests from their first byte until the last copy of the body is gone, answers, and the buffers of connections, at every listener (callers, ready, admin, mirror; native callers and admin, with the new setting limits.memory-mb). A body with a length is counted before it is read, so that it is refused at once; one in chunks as it grows. Messages over 64 KiB leave an eighth to the others. When room is short, senders that have sent nothing for 500 ms give theirs up, the first to stall first; one that keeps moving keeps it. No room: 503 with Retry-After before the request is handled, event 608, cicadalb_messages_refused. The connection then stays open for a second, in which at most 256 KiB are discarded, so that a caller that still sends can read its answer. A ready or admin request may have 64 KiB, one between hosts the operator's limit and 1 MiB. Blocks of 256 KiB or more go back to the operating system when they are released. HttpSession is the former Session of HttpListener.cpp.

Without the second for reading, the clients of the test with announced bodies saw resets instead of 413.

--- a/apps/cicadalb/main.cpp
+++ b/apps/cicadalb/main.cpp
@@ -4,6 +4,7 @@
 #include "cicadalb/base/Event.h"
 #include "cicadalb/config/Settings.h"
 #include "cicadalb/transport/HostProcess.h"
+#include "cicadalb/transport/ProcessLimits.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -61,6 +62,7 @@
     bool isSite = false;
     app.add_flag("--site", isSite, "Run as a host of a site: the targets register themselves, and submissions are kept in the platform's store");
     CLI11_PARSE(app, argc, argv);
+    cicadalb::configureAllocator();
     if (isSite)
         return runSiteHost(settingsFile, isCheckOnly);
 
--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -94,6 +94,7 @@
     PeerLinkLost = 605,
     RequestMalformed = 606,
     SettingsReloaded = 607,
+    MessageRefused = 608,
 };
 
 enum class Level : std::uint8_t { Debug,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -159,6 +159,7 @@
         { Event::PeerLinkLost, "peer-link-lost", Level::Warning },
         { Event::RequestMalformed, "request-malformed", Level::Debug },
         { Event::SettingsReloaded, "settings-reloaded", Level::Info },
+        { Event::MessageRefused, "message-refused", Level::Info },
     };
     return catalogue;
 }
--- a/packages/config/include/cicadalb/config/Settings.h
+++ b/packages/config/include/cicadalb/config/Settings.h
@@ -63,6 +63,8 @@
     std::chrono::milliseconds headerTimeout { 10000 };
     std::chrono::milliseconds bodyTimeout { 30000 };
     unsigned connections = 8192;
+    /// Memory that the process may use, in MiB. 0: the memory of the machine.
+    unsigned memoryMebibytes = 128;
     unsigned inFlight = 4096;
 };
 
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -35,6 +35,7 @@
     constexpr double maximumHeaderBytes = 1048576.0;
     constexpr double maximumBodyBytes = 1073741824.0;
     constexpr double maximumConcurrency = 1000000.0;
+    constexpr double maximumMemoryMebibytes = 1048576.0;
 
 } // namespace
 
@@ -94,6 +95,7 @@
             { "header-timeout-ms", &LimitSettings::headerTimeout, Presence::Optional, Between { 1, maximumDurationMilliseconds } },
             { "body-timeout-ms", &LimitSettings::bodyTimeout, Presence::Optional, Between { 1, maximumDurationMilliseconds } },
             { "connections", &LimitSettings::connections, Presence::Optional, Between { 1, maximumConcurrency } },
+            { "memory-mb", &LimitSettings::memoryMebibytes, Presence::Optional, Between { 0, maximumMemoryMebibytes } },
             { "in-flight", &LimitSettings::inFlight, Presence::Optional, Between { 1, maximumConcurrency } },
         };
         return fields;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -14,6 +14,7 @@
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
+#include "cicadalb/transport/ProcessLimits.h"
 #include "cicadalb/transport/WorkerPool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -48,6 +49,10 @@
     /// Longer than the 12 s (four fifths of the site's limit of 15 s) for which callers reuse idle connections.
     constexpr milliseconds callerIdleTimeout { 30000 };
     constexpr std::uint64_t maximumBodyBytes = std::uint64_t { 32 } << 20U;
+    /// Requests for readiness, metrics and state have short bodies or none.
+    constexpr std::uint64_t maximumOperationsBodyBytes = std::uint64_t { 64 } << 10U;
+    /// What a message between hosts adds to the body of the request that it carries.
+    constexpr std::uint64_t maximumHostMessageOverhead = std::uint64_t { 1 } << 20U;
     constexpr milliseconds retirementRetryDelay { 300 };
     /// Time before the end of the grace period at which requests in progress are answered without their targets.
     constexpr milliseconds answerMargin { 300 };
@@ -56,9 +61,6 @@
     /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
     constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
 
-    /// The share of the process's memory that answers of other processes may take, as a divisor. Bodies are held once, beside buffers and copies of parts.
-    constexpr std::size_t answerMemoryDivisor = 4;
-
     std::uint64_t seedOf(const HostId& host)
     {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -74,16 +76,33 @@
         return options;
     }
 
-    HttpListenerOptions listenerOptions(const SocketAddress& address)
+    HttpListenerOptions listenerOptions(std::string name, const SocketAddress& address, std::uint64_t bodyBytes, std::size_t connections)
     {
         HttpListenerOptions options;
+        options.name = std::move(name);
         options.address = address.address;
         options.port = address.port;
         options.idleTimeout = callerIdleTimeout;
-        options.maximumBodyBytes = maximumBodyBytes;
+        options.maximumBodyBytes = bodyBytes;
+        options.maximumConnections = connections;
         return options;
     }
 
+    HttpListenerOptions callerOptions(const SiteSettings& settings)
+    {
+        return listenerOptions("callers", settings.addresses.callers, maximumBodyBytes, HttpListenerOptions().maximumConnections);
+    }
+
+    HttpListenerOptions mirrorOptions(const SiteSettings& settings)
+    {
+        return listenerOptions("mirror", settings.addresses.mirrorListen, maximumBodyBytes + maximumHostMessageOverhead, HttpListenerOptions().maximumConnections);
+    }
+
+    HttpListenerOptions operationsOptions(std::string name, const SocketAddress& address)
+    {
+        return listenerOptions(std::move(name), address, maximumOperationsBodyBytes, HttpListenerOptions().maximumConnections);
+    }
+
     /// Limits of the operator, and of @p defaults where the operator sets none.
     RequestLimits requestLimits(const CallerLimits& limits, const RequestLimits& defaults)
     {
@@ -125,18 +144,17 @@
         , m_reader(m_executor, *m_store, m_clock)
         , m_streamOrigins(std::make_shared<StreamOrigins>(m_executor, *m_store, m_bootClock))
         , m_endpoints({ m_settings.host.id, m_seed, KeyValidity(m_settings.work.keyValidity) }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
-        , m_adminListener(m_workers, listenerOptions(m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
+        , m_adminListener(m_workers, operationsOptions("admin", m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
-        if (m_settings.work.memoryMebibytes > 0)
-            MessageMemory::ofProcess()->setCapacity((std::size_t { m_settings.work.memoryMebibytes } << 20U) / answerMemoryDivisor);
+        MessageMemory::ofProcess()->setCapacity(messageCapacity(std::size_t { m_settings.work.memoryMebibytes } << 20U));
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
         if (m_settings.parts.serving) {
-            m_callerListener.emplace(m_workers, listenerOptions(m_settings.addresses.callers), serve);
-            m_readyListener.emplace(m_workers, listenerOptions(m_settings.addresses.ready), serve);
+            m_callerListener.emplace(m_workers, callerOptions(m_settings), serve);
+            m_readyListener.emplace(m_workers, operationsOptions("ready", m_settings.addresses.ready), serve);
         }
         if (hasMirror(m_settings)) {
             m_mirror = std::make_shared<RecordMirror>(m_executor, m_bootClock);
-            m_mirrorListener.emplace(m_workers, listenerOptions(m_settings.addresses.mirrorListen), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
+            m_mirrorListener.emplace(m_workers, mirrorOptions(m_settings), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
         }
         if (m_settings.parts.coordinating)
             m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_executor, m_settings, m_mirrorClient, *m_reachability, m_seed));
@@ -234,8 +252,16 @@
     void applyLimits()
     {
         const auto view = m_directory.view();
-        if (m_callerListener && view)
-            m_callerListener->setLimits(requestLimits(view->configuration.limits, listenerOptions(m_settings.addresses.callers)));
+        if (!view)
+            return;
+        const auto& limits = view->configuration.limits;
+        if (m_callerListener)
+            m_callerListener->setLimits(requestLimits(limits, callerOptions(m_settings)));
+        if (!m_mirrorListener)
+            return;
+        auto hostLimits = mirrorOptions(m_settings);
+        hostLimits.maximumBodyBytes = limits.maximumBodyBytes.value_or(maximumBodyBytes) + maximumHostMessageOverhead;
+        m_mirrorListener->setLimits(hostLimits);
     }
 
     void followSuspects()
@@ -402,7 +428,8 @@
         m_metrics.setGauge("cicadalb_registry_age_seconds", "Time since the registry of targets was last known to be complete", secondsOf(m_directory.registryAge()));
         m_metrics.setGauge("cicadalb_cut_off", "1 if this host reaches no target", m_reachability->isCutOff() ? 1 : 0);
         m_metrics.setGauge("cicadalb_targets", "Targets in the registry", static_cast<double>(m_directory.registry().targets().size()));
-        m_metrics.setGauge("cicadalb_answer_bytes", "Memory of the answers and texts that are being read or have not been passed on", static_cast<double>(MessageMemory::ofProcess()->used()));
+        m_metrics.setGauge("cicadalb_message_bytes", "Memory of connections, and of the requests, answers and texts that are being read or have not been passed on", static_cast<double>(MessageMemory::ofProcess()->used()));
+        m_metrics.setGauge("cicadalb_messages_refused", "Requests and answers since the start for which there was no memory", static_cast<double>(MessageMemory::ofProcess()->refusals()));
         m_metrics.setGauge("cicadalb_limited_targets", "Targets that state a limit on requests a second", static_cast<double>(m_permits.limits().size()));
         const auto suspects = m_crashGuard->knownSuspects();
         m_metrics.setGauge("cicadalb_suspect_requests", "Requests under which two targets or more have crashed", static_cast<double>(suspects.size()));
--- a/packages/services/include/cicadalb/services/MessageMemory.h
+++ b/packages/services/include/cicadalb/services/MessageMemory.h
@@ -1,35 +1,55 @@
 #pragma once
 
+#include "cicadalb/base/Clock.h"
+
+#include <atomic>
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 /// @file
-/// Limits the memory that answers of other processes take.
+/// Limits the memory that a process holds for others: requests, answers and connections.
 
 namespace cicadalb {
 
-/// @brief Memory for all answers that a process is reading or has not passed on yet. A server that sends without end must not take the process's memory, nor
-/// must several of them together. Once three quarters are in use, an answer that is larger than its equal share may not grow; the last quarter is for the
-/// others. Thread-safe.
+/// @brief Memory for all messages that a process is receiving, or has not passed on yet, and for the connections that carry them. Neither a client nor a
+/// server that sends without end may take the process's memory, nor may several of them together. Once three quarters are in use, a message that is larger
+/// than its equal share may not grow; the last eighth is for small messages alone. Thread-safe.
 class MessageMemory {
+    struct Holder;
+
 public:
     static constexpr std::size_t defaultCapacity = std::size_t { 128 } << 20U;
+    /// Messages up to this size may use all of the memory.
+    static constexpr std::size_t smallMessageBytes = std::size_t { 64 } << 10U;
+    /// A sender that has sent nothing for this time has stalled.
+    static constexpr std::chrono::milliseconds stallTime { 500 };
 
     explicit MessageMemory(std::size_t capacity = defaultCapacity)
         : m_capacity(capacity)
     {
     }
 
-    /// @brief The memory that all clients of the process share unless they are given another one.
+    /// @brief The memory that all listeners and clients of the process share unless they are given another one.
     static const std::shared_ptr<MessageMemory>& ofProcess();
 
-    /// @brief Sets the limit in bytes. Answers that exceed a lower limit keep what they have.
+    /// @brief Sets the limit in bytes. Messages that exceed a lower limit keep what they have.
     void setCapacity(std::size_t);
     /// @brief Bytes in use.
     std::size_t used() const;
+    /// @brief Number of messages that were refused for lack of memory.
+    std::uint64_t refusals() const noexcept { return m_refusals; }
+    void countRefusal() noexcept { ++m_refusals; }
+
+    /// @brief Asks senders that have stalled to give back at least @p bytes, the one that stalled first before the others. @return whether any was asked
+    bool reclaim(std::size_t bytes, TimePoint now);
 
-    /// @brief The part of one answer, which is released when it is destroyed.
+    /// @brief The part of one message, which is released when it is destroyed.
     class Share {
     public:
         explicit Share(std::shared_ptr<MessageMemory>);
@@ -37,22 +57,41 @@
         Share(const Share&) = delete;
         Share& operator=(const Share&) = delete;
 
-        /// @brief Changes the number of bytes. @return false if the answer may not grow to this size; its share is unchanged then
+        /// @brief Changes the number of bytes. @return false if the message may not grow to this size; its share is unchanged then
         bool resize(std::size_t bytes);
+        std::size_t size() const noexcept { return m_bytes; }
+
+        /// @brief Makes the share one that reclaim() may take back until keep() is called. @p release is called at most once, on any thread, while the memory is
+        /// locked, so that it must not use the memory itself.
+        void offer(std::function<void()> release, TimePoint now);
+        /// @brief Notes that the sender has sent something.
+        void noteProgress(TimePoint now);
+        void keep();
 
     private:
+        friend class MessageMemory;
         std::shared_ptr<MessageMemory> m_memory;
-        std::size_t m_bytes = 0;
+        std::atomic<std::size_t> m_bytes { 0 };
+        std::optional<std::list<Holder>::iterator> m_holder;
     };
 
 private:
+    struct Holder {
+        Share* share = nullptr;
+        TimePoint lastProgressAt;
+        std::function<void()> release;
+    };
+
     bool change(std::size_t from, std::size_t to);
 
     mutable std::mutex m_mutex;
     std::size_t m_capacity;
     std::size_t m_used = 0;
-    /// Number of answers that take memory.
-    std::size_t m_answers = 0;
+    /// Number of messages that take memory.
+    std::size_t m_messages = 0;
+    /// Shares that may be taken back, by the time of their last progress.
+    std::list<Holder> m_offered;
+    std::atomic<std::uint64_t> m_refusals { 0 };
 };
 
 } // namespace cicadalb
--- a/packages/services/src/MessageMemory.cpp
+++ b/packages/services/src/MessageMemory.cpp
@@ -27,22 +27,41 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto used = m_used - from + to;
-    const auto answers = m_answers - (from > 0 ? 1 : 0) + (to > 0 ? 1 : 0);
+    const auto messages = m_messages - (from > 0 ? 1 : 0) + (to > 0 ? 1 : 0);
     const auto sharedCapacity = m_capacity - m_capacity / 4;
-    const bool exceedsShare = used > sharedCapacity && to > sharedCapacity / std::max<std::size_t>(1, answers);
-    if (to > from && (used > m_capacity || exceedsShare))
+    const auto capacity = to > smallMessageBytes ? m_capacity - m_capacity / 8 : m_capacity;
+    const bool exceedsShare = used > sharedCapacity && to > std::max(smallMessageBytes, sharedCapacity / std::max<std::size_t>(1, messages));
+    if (to > from && (used > capacity || exceedsShare))
         return false;
     m_used = used;
-    m_answers = answers;
+    m_messages = messages;
     return true;
 }
 
+bool MessageMemory::reclaim(std::size_t bytes, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t reclaimed = 0;
+    while (reclaimed < bytes && !m_offered.empty() && now - m_offered.front().lastProgressAt >= stallTime) {
+        auto& holder = m_offered.front();
+        reclaimed += holder.share->m_bytes;
+        holder.release();
+        holder.share->m_holder.reset();
+        m_offered.pop_front();
+    }
+    return reclaimed > 0;
+}
+
 MessageMemory::Share::Share(std::shared_ptr<MessageMemory> memory)
     : m_memory(std::move(memory))
 {
 }
 
-MessageMemory::Share::~Share() { (void)m_memory->change(m_bytes, 0); }
+MessageMemory::Share::~Share()
+{
+    keep();
+    (void)m_memory->change(m_bytes, 0);
+}
 
 bool MessageMemory::Share::resize(std::size_t bytes)
 {
@@ -52,4 +71,28 @@
     return true;
 }
 
+void MessageMemory::Share::offer(std::function<void()> release, TimePoint now)
+{
+    keep();
+    const std::lock_guard lock(m_memory->m_mutex);
+    m_holder = m_memory->m_offered.insert(m_memory->m_offered.end(), { this, now, std::move(release) });
+}
+
+void MessageMemory::Share::noteProgress(TimePoint now)
+{
+    const std::lock_guard lock(m_memory->m_mutex);
+    if (!m_holder)
+        return;
+    (*m_holder)->lastProgressAt = now;
+    m_memory->m_offered.splice(m_memory->m_offered.end(), m_memory->m_offered, *m_holder);
+}
+
+void MessageMemory::Share::keep()
+{
+    const std::lock_guard lock(m_memory->m_mutex);
+    if (m_holder)
+        m_memory->m_offered.erase(*m_holder);
+    m_holder.reset();
+}
+
 } // namespace cicadalb
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -64,6 +64,8 @@
 };
 
 struct HttpListenerOptions : RequestLimits {
+    /// Name in log lines.
+    std::string name = "listener";
     std::string address = "127.0.0.1";
     /// 0 selects any free port.
     std::uint16_t port = 0;
@@ -72,6 +74,8 @@
     /// For each write: of a complete response, of a header or of a chunk.
     std::chrono::milliseconds writeTimeout { 30000 };
     std::size_t maximumConnections = 10000;
+    /// Limits all requests, and all answers that are not counted already, together. A request without room is refused with 503 before it is handled. Not null.
+    std::shared_ptr<MessageMemory> memory = MessageMemory::ofProcess();
 };
 
 /// @brief Listens on one port and distributes connections over the workers round-robin. Thread-safe.
--- a/packages/transport/src/HostOptions.cpp
+++ b/packages/transport/src/HostOptions.cpp
@@ -18,6 +18,7 @@
 HttpListenerOptions callerOptions(const Settings& settings)
 {
     HttpListenerOptions options;
+    options.name = "callers";
     options.address = settings.listen.address;
     options.port = settings.listen.port;
     options.maximumHeaderBytes = settings.limits.headerBytes;
@@ -31,6 +32,7 @@
 HttpListenerOptions adminOptions(const Settings& settings)
 {
     HttpListenerOptions options;
+    options.name = "admin";
     options.address = settings.admin.address;
     options.port = settings.admin.port;
     return options;
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -20,6 +20,7 @@
 #include "cicadalb/services/RateLimitedKeyValueService.h"
 #include "cicadalb/transport/EngineHttpClient.h"
 #include "cicadalb/transport/PeerLink.h"
+#include "cicadalb/transport/ProcessLimits.h"
 #include "cicadalb/transport/RequestDispatcher.h"
 #include "cicadalb/transport/TargetMonitor.h"
 #include "cicadalb/transport/UdpMembership.h"
@@ -100,6 +101,7 @@
         , m_callerListener(m_workers, callerOptions(m_settings), [this](auto& request, auto& responder) { return serveCaller(request, responder); })
         , m_adminListener(m_controlWorkers, adminOptions(m_settings), [this](auto& request, auto& responder) { return m_adminEndpoints.serve(request, responder); })
     {
+        MessageMemory::ofProcess()->setCapacity(messageCapacity(std::size_t { m_settings.limits.memoryMebibytes } << 20U));
     }
 
     ~Implementation()
@@ -277,6 +279,8 @@
         m_metrics.setGauge("cicadalb_ready", "1 if the host takes work", isReady() ? 1 : 0);
         m_metrics.setGauge("cicadalb_configuration_number", "Number of the configuration in force", snapshot ? static_cast<double>(snapshot->number) : 0);
         m_metrics.setGauge("cicadalb_requests_in_flight", "Requests being served", static_cast<double>(m_dispatcher.inFlight()));
+        m_metrics.setGauge("cicadalb_message_bytes", "Memory of connections, and of the requests and answers that are being read or have not been passed on", static_cast<double>(MessageMemory::ofProcess()->used()));
+        m_metrics.setGauge("cicadalb_messages_refused", "Requests and answers since the start for which there was no memory", static_cast<double>(MessageMemory::ofProcess()->refusals()));
         m_metrics.setGauge("cicadalb_hosts_present", "Hosts that take assignments, this one included", static_cast<double>(m_membership->view()->presentCount));
         m_metrics.setGauge("cicadalb_steps_coordinated", "Steps that this host coordinates", static_cast<double>(m_steps.progress().size()));
         m_metrics.setGauge("cicadalb_claim_writes", "Writes of claims since the start", static_cast<double>(m_claimLog.counters().writes));
