Keep descriptors for a host's own work, and room for new connections

What callers saw: 400 idle connections under a limit of 256 descriptors took all of them. The host could connect neither to targets nor to the store, and accepted no other caller until its idle timeout.

Cause: each listener took up to 10,000 connections whatever the process may open, and closed those beyond that without regard to the ones that did nothing.

Change: callers get half of the descriptors, other hosts an eighth, ready and admin a sixteenth each; the rest is for targets, the store and files (descriptors, from the platform's settings, and never more than RLIMIT_NOFILE). A connection beyond the limit takes the place of the one that has waited longest for bytes of a request; it is closed only if all have requests in progress.

--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -69,8 +69,10 @@
     unsigned maximumConcurrentLoads = 0;
     /// How long a target goes on serving after it announced that it leaves.
     std::chrono::milliseconds targetDrainTime { 2000 };
-    /// Memory that the process may use, in MiB. 0: not limited.
+    /// Memory that the process may use, in MiB. 0: the memory of the machine.
     unsigned memoryMebibytes = 0;
+    /// Descriptors that the process may open. 0: the limit that the operating system states.
+    unsigned descriptors = 0;
     /// Interval at which a target renews its entry in the registry.
     std::chrono::milliseconds targetReportInterval { 1200 };
     /// Longest time from the end of a submission to the last begin of one of its samples' runs. 0: no limit.
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -25,6 +25,7 @@
     constexpr double maximumRetentionSeconds = 86400.0;
     constexpr double maximumConcurrentLoads = 1000.0;
     constexpr double maximumMemoryMebibytes = 1048576.0;
+    constexpr double maximumDescriptors = 1048576.0;
 
     const Fields<SiteHostSettings>& hostFields()
     {
@@ -72,6 +73,7 @@
             { "usage-window-s", &SiteWorkSettings::usageWindow, Presence::Optional, Between { 1, maximumUsageWindowSeconds } },
             { "usage-report-s", &SiteWorkSettings::usageReportTime, Presence::Optional, Between { 0, maximumUsageWindowSeconds } },
             { "memory-mb", &SiteWorkSettings::memoryMebibytes, Presence::Optional, Between { 0, maximumMemoryMebibytes } },
+            { "descriptors", &SiteWorkSettings::descriptors, Presence::Optional, Between { 0, maximumDescriptors } },
             { "target-report-ms", &SiteWorkSettings::targetReportInterval, Presence::Optional, Between { 1, detail::maximumDurationMilliseconds } },
             { "leaving-ms", &SiteWorkSettings::targetDrainTime, Presence::Optional, Between { 0, detail::maximumDurationMilliseconds } },
         };
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -90,17 +90,17 @@
 
     HttpListenerOptions callerOptions(const SiteSettings& settings)
     {
-        return listenerOptions("callers", settings.addresses.callers, maximumBodyBytes, HttpListenerOptions().maximumConnections);
+        return listenerOptions("callers", settings.addresses.callers, maximumBodyBytes, connectionLimits(settings.work.descriptors).callers);
     }
 
     HttpListenerOptions mirrorOptions(const SiteSettings& settings)
     {
-        return listenerOptions("mirror", settings.addresses.mirrorListen, maximumBodyBytes + maximumHostMessageOverhead, HttpListenerOptions().maximumConnections);
+        return listenerOptions("mirror", settings.addresses.mirrorListen, maximumBodyBytes + maximumHostMessageOverhead, connectionLimits(settings.work.descriptors).hosts);
     }
 
-    HttpListenerOptions operationsOptions(std::string name, const SocketAddress& address)
+    HttpListenerOptions operationsOptions(std::string name, const SocketAddress& address, const SiteSettings& settings)
     {
-        return listenerOptions(std::move(name), address, maximumOperationsBodyBytes, HttpListenerOptions().maximumConnections);
+        return listenerOptions(std::move(name), address, maximumOperationsBodyBytes, connectionLimits(settings.work.descriptors).operations);
     }
 
     /// Limits of the operator, and of @p defaults where the operator sets none.
@@ -144,13 +144,13 @@
         , m_reader(m_executor, *m_store, m_clock)
         , m_streamOrigins(std::make_shared<StreamOrigins>(m_executor, *m_store, m_bootClock))
         , m_endpoints({ m_settings.host.id, m_seed, KeyValidity(m_settings.work.keyValidity) }, m_directory, *m_protocol, m_forwarder, m_intake, m_reader, *m_streamOrigins, m_metrics, m_clock, &m_relay)
-        , m_adminListener(m_workers, operationsOptions("admin", m_settings.addresses.admin), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
+        , m_adminListener(m_workers, operationsOptions("admin", m_settings.addresses.admin, m_settings), [this](auto& request, auto& responder) { return serveAdmin(request, responder); })
     {
         MessageMemory::ofProcess()->setCapacity(messageCapacity(std::size_t { m_settings.work.memoryMebibytes } << 20U));
         const auto serve = [this](auto& request, auto& responder) { return m_endpoints.serve(request, responder); };
         if (m_settings.parts.serving) {
             m_callerListener.emplace(m_workers, callerOptions(m_settings), serve);
-            m_readyListener.emplace(m_workers, operationsOptions("ready", m_settings.addresses.ready), serve);
+            m_readyListener.emplace(m_workers, operationsOptions("ready", m_settings.addresses.ready, m_settings), serve);
         }
         if (hasMirror(m_settings)) {
             m_mirror = std::make_shared<RecordMirror>(m_executor, m_bootClock);
--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -73,6 +73,7 @@
     std::chrono::milliseconds bodyTimeout { 10000 };
     /// For each write: of a complete response, of a header or of a chunk.
     std::chrono::milliseconds writeTimeout { 30000 };
+    /// A further connection takes the place of the one that has waited longest for bytes of a request; if there is none, it is closed.
     std::size_t maximumConnections = 10000;
     /// Limits all requests, and all answers that are not counted already, together. A request without room is refused with 503 before it is handled. Not null.
     std::shared_ptr<MessageMemory> memory = MessageMemory::ofProcess();
--- a/packages/transport/include/cicadalb/transport/ProcessLimits.h
+++ b/packages/transport/include/cicadalb/transport/ProcessLimits.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 
 /// @file
-/// How the memory of a process is used.
+/// How the memory and the descriptors of a process are divided among its listeners.
 
 namespace cicadalb {
 
@@ -11,6 +11,18 @@
 /// @param processBytes memory that the process may use; 0: the memory of the machine
 std::size_t messageCapacity(std::size_t processBytes);
 
+/// @brief Largest number of connections of each listener. What is left is for connections to targets, the store and other hosts, and for files.
+struct ConnectionLimits {
+    std::size_t callers = 0;
+    /// Of other hosts.
+    std::size_t hosts = 0;
+    /// Of each listener for operations: readiness, metrics and state.
+    std::size_t operations = 0;
+};
+
+/// @param descriptors that the process may open; 0: the limit that the operating system states (RLIMIT_NOFILE), which is never exceeded
+ConnectionLimits connectionLimits(std::size_t descriptors);
+
 /// @brief Makes the allocator return the memory of large messages to the operating system as soon as they are released.
 void configureAllocator();
 
--- a/packages/transport/src/HostOptions.cpp
+++ b/packages/transport/src/HostOptions.cpp
@@ -1,5 +1,7 @@
 #include "HostOptions.h"
 
+#include "cicadalb/transport/ProcessLimits.h"
+
 #include <algorithm>
 #include <thread>
 
@@ -25,7 +27,7 @@
     options.maximumBodyBytes = settings.limits.bodyBytes;
     options.headerTimeout = settings.limits.headerTimeout;
     options.bodyTimeout = settings.limits.bodyTimeout;
-    options.maximumConnections = settings.limits.connections;
+    options.maximumConnections = std::min<std::size_t>(settings.limits.connections, connectionLimits(0).callers);
     return options;
 }
 
@@ -35,6 +37,7 @@
     options.name = "admin";
     options.address = settings.admin.address;
     options.port = settings.admin.port;
+    options.maximumConnections = connectionLimits(0).operations;
     return options;
 }
 
--- a/packages/transport/src/HttpListener.cpp
+++ b/packages/transport/src/HttpListener.cpp
@@ -79,6 +79,7 @@
     /// Sessions of one worker; accessed only on the worker's thread.
     struct WorkerSessions {
         std::set<std::shared_ptr<detail::HttpSession>> sessions;
+        detail::WaitingSessions waiting;
     };
 
     static Task<void> accept(std::shared_ptr<Implementation> self)
@@ -103,8 +104,8 @@
     static Task<void> serve(std::shared_ptr<Implementation> self, asio::ip::tcp::socket socket, std::size_t worker)
     {
         auto& sessions = self->m_workerSessions[worker];
-        if (self->m_state.connections <= self->m_options.maximumConnections) {
-            auto session = std::make_shared<detail::HttpSession>(std::move(socket), self->m_options, self->m_state, worker);
+        if (self->m_state.connections <= self->m_options.maximumConnections || closeLongestWaiting(sessions)) {
+            auto session = std::make_shared<detail::HttpSession>(std::move(socket), self->m_options, self->m_state, sessions.waiting, worker);
             sessions.sessions.insert(session);
             co_await session->run(self->m_handler);
             sessions.sessions.erase(session);
@@ -112,6 +113,15 @@
         --self->m_state.connections;
     }
 
+    /// Makes room for another connection. @return false if all connections have requests in progress
+    static bool closeLongestWaiting(WorkerSessions& sessions)
+    {
+        if (sessions.waiting.empty())
+            return false;
+        sessions.waiting.front()->close();
+        return true;
+    }
+
     void closeIdleSessions(std::size_t worker)
     {
         for (const auto& session : m_workerSessions[worker].sessions)
--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -85,10 +85,11 @@
 
 } // namespace
 
-HttpSession::HttpSession(asio::ip::tcp::socket socket, const HttpListenerOptions& options, ListenerState& state, std::size_t worker)
+HttpSession::HttpSession(asio::ip::tcp::socket socket, const HttpListenerOptions& options, ListenerState& state, WaitingSessions& waitingSessions, std::size_t worker)
     : m_stream(std::move(socket))
     , m_options(options)
     , m_state(state)
+    , m_waitingSessions(waitingSessions)
     , m_worker(worker)
     , m_memory(options.memory)
 {
@@ -116,10 +117,16 @@
         m_stream.cancel();
 }
 
+void HttpSession::close()
+{
+    endWaiting();
+    m_stream.close();
+}
+
 void HttpSession::giveUp()
 {
     // The request may have been read completely before this call.
-    if (!m_isWaiting)
+    if (!m_waiting)
         return;
     m_hasGivenUp = true;
     m_stream.cancel();
@@ -127,7 +134,7 @@
 
 void HttpSession::beginWaiting()
 {
-    m_isWaiting = true;
+    m_waiting = m_waitingSessions.insert(m_waitingSessions.end(), this);
     m_memory.offer([executor = m_stream.get_executor(), weak = weak_from_this()] {
         asio::post(executor, [weak] {
             if (const auto session = weak.lock())
@@ -139,16 +146,18 @@
 
 void HttpSession::noteProgress()
 {
-    if (!m_isWaiting)
+    if (!m_waiting)
         return;
+    m_waitingSessions.splice(m_waitingSessions.end(), m_waitingSessions, *m_waiting);
     m_memory.noteProgress(std::chrono::steady_clock::now());
 }
 
 void HttpSession::endWaiting()
 {
-    if (!m_isWaiting)
+    if (!m_waiting)
         return;
-    m_isWaiting = false;
+    m_waitingSessions.erase(*m_waiting);
+    m_waiting.reset();
     m_memory.keep();
 }
 
--- a/packages/transport/src/HttpSession.h
+++ b/packages/transport/src/HttpSession.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
+#include <list>
 #include <mutex>
 #include <optional>
 
@@ -46,9 +47,13 @@
     RequestLimits m_limits;
 };
 
+class HttpSession;
+/// @brief Sessions of one worker that wait for bytes of a request, by the time of their last ones. Accessed only on the worker's thread.
+using WaitingSessions = std::list<HttpSession*>;
+
 class HttpSession final : public ServerResponder, public std::enable_shared_from_this<HttpSession> {
 public:
-    HttpSession(boost::asio::ip::tcp::socket, const HttpListenerOptions&, ListenerState&, std::size_t worker);
+    HttpSession(boost::asio::ip::tcp::socket, const HttpListenerOptions&, ListenerState&, WaitingSessions&, std::size_t worker);
     ~HttpSession() override;
     HttpSession(const HttpSession&) = delete;
     HttpSession& operator=(const HttpSession&) = delete;
@@ -57,6 +62,8 @@
     Task<void> run(const ServerHandler&);
     /// @brief Closes the connection if it waits for a request and no byte of one has arrived.
     void closeIfIdle();
+    /// @brief Closes the connection without an answer.
+    void close();
 
     Task<bool> send(HttpResponse) override;
     Task<bool> beginStream(HttpResponse head) override;
@@ -106,12 +113,13 @@
     boost::beast::flat_buffer m_output;
     const HttpListenerOptions& m_options;
     ListenerState& m_state;
+    WaitingSessions& m_waitingSessions;
+    std::optional<WaitingSessions::iterator> m_waiting;
     std::size_t m_worker;
     MessageMemory::Share m_memory;
     /// Memory of the body that is being read, or null.
     std::shared_ptr<MessageMemory::Share> m_bodyMemory;
     bool m_isBetweenRequests = true;
-    bool m_isWaiting = false;
     bool m_hasGivenUp = false;
     bool m_hasUnreadRequest = false;
     bool m_requestKeepsAlive = false;
--- a/packages/transport/src/ProcessLimits.cpp
+++ b/packages/transport/src/ProcessLimits.cpp
@@ -1,5 +1,7 @@
 #include "cicadalb/transport/ProcessLimits.h"
 
+#include <algorithm>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #ifdef __GLIBC__
@@ -15,6 +17,17 @@
     return processBytes / 2;
 }
 
+ConnectionLimits connectionLimits(std::size_t descriptors)
+{
+    constexpr std::size_t maximumCallers = 10000;
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY)
+        descriptors = descriptors == 0 ? limit.rlim_cur : std::min<std::size_t>(descriptors, limit.rlim_cur);
+    else if (descriptors == 0)
+        descriptors = 2 * maximumCallers;
+    return { std::clamp<std::size_t>(descriptors / 2, 1, maximumCallers), std::max<std::size_t>(1, descriptors / 8), std::max<std::size_t>(1, descriptors / 16) };
+}
+
 void configureAllocator()
 {
 #ifdef __GLIBC__
--- a/packages/transport/tests/unit-http-listener.cpp
+++ b/packages/transport/tests/unit-http-listener.cpp
@@ -98,6 +98,13 @@
     HttpListener listener;
 };
 
+struct TwoConnectionsFixture : ListenerFixture {
+    TwoConnectionsFixture()
+        : ListenerFixture(2)
+    {
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(ListenerFixture, "HTTP listener, body without room, is refused with 503 that its caller can read while it sends")
@@ -202,3 +209,17 @@
         std::this_thread::sleep_for(5ms);
     CHECK(memory->used() <= 32 * kibibyte);
 }
+
+TEST_CASE_METHOD(TwoConnectionsFixture, "HTTP listener, connection beyond the maximum, takes the place of the one that has waited longest")
+{
+    const auto isServed = [](RawCaller& caller) { return caller.write(head(0)) && caller.readHead().rfind("HTTP/1.1 200", 0) == 0; };
+    RawCaller first(listener.port());
+    CHECK(isServed(first));
+    RawCaller second(listener.port());
+    CHECK(isServed(second));
+    RawCaller third(listener.port());
+    CHECK(isServed(third));
+    CHECK(isServed(second));
+    CHECK_FALSE(isServed(first));
+    CHECK(listener.connections() <= 2);
+}
