Close connections to targets that are gone, and release the buffers of idle ones

Cause: TargetClients kept a client for each address that it ever saw, and idle connections were closed only when another request to the same address looked for one. Buffers of idle connections, to targets and to callers, were never released.

Change: once a second, idle connections that are closed by their target or no longer reused are closed, and clients without connections are dropped, on both editions. Connections keep no buffer over 8 KiB while they are idle.

Evidence: the new case of unit-http-listener.cpp, in which an idle connection is closed without another request.

--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -318,6 +318,7 @@
             if (m_clock.now() < nextEvictionAt)
                 continue;
             nextEvictionAt = m_clock.now() + evictionInterval;
+            m_clients.closeUnused(0);
             m_reader.evictUnused();
             m_permits.retain(m_directory.registry());
             if (m_coordination && m_coordination->isCoordinating())
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -140,6 +140,8 @@
 
     const Endpoint& endpoint() const noexcept;
     std::size_t idleConnections() const;
+    /// @brief Closes the idle connections that are no longer reused. Called from time to time, since nothing else closes them while no request is sent.
+    void closeExpired();
 
 private:
     struct State;
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -44,6 +44,9 @@
     /// Larger bodies of requests are written from where they are; smaller ones share a write with the head.
     constexpr std::size_t maximumCopiedBytes = std::size_t { 16 } << 10U;
 
+    /// Larger buffers are not kept with an idle connection.
+    constexpr std::size_t maximumIdleBufferBytes = std::size_t { 8 } << 10U;
+
     /// Maximum number of interim answers (1xx) before the final one.
     constexpr unsigned maximumInterimAnswers = 16;
 
@@ -146,6 +149,13 @@
 
     using ConnectionPointer = std::unique_ptr<Connection>;
 
+    /// Idle connections keep only small buffers.
+    void releaseLargeBuffer(beast::flat_buffer& buffer)
+    {
+        if (buffer.capacity() > maximumIdleBufferBytes)
+            buffer = beast::flat_buffer(buffer.max_size());
+    }
+
     auto completionToken(beast::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
     /// Head of a request; its body is written from where it is.
@@ -286,6 +296,8 @@
         if (connection->sentIds.size() >= maximumRequestsPerConnection)
             return;
         connection->stream.expires_never();
+        releaseLargeBuffer(connection->output);
+        releaseLargeBuffer(connection->buffer);
         connection->usableUntil = std::chrono::steady_clock::now() + idleTime;
         const std::lock_guard lock(mutex);
         if (idle.size() < options.maximumIdleConnections)
@@ -439,6 +451,12 @@
     return m_state->idle.size();
 }
 
+void HttpClient::closeExpired()
+{
+    const std::lock_guard lock(m_state->mutex);
+    std::erase_if(m_state->idle, [](const auto& connection) { return connection->usableUntil <= std::chrono::steady_clock::now() || !isReusable(*connection); });
+}
+
 Task<Result<HttpResponse>> HttpClient::send(HttpRequest request, TimePoint deadline, std::shared_ptr<HttpCancellation> cancellation)
 {
     std::string body;
--- a/packages/transport/include/cicadalb/transport/TargetClients.h
+++ b/packages/transport/include/cicadalb/transport/TargetClients.h
@@ -19,6 +19,9 @@
     explicit TargetClients(WorkerPool&, HttpClientOptions = {});
 
     std::shared_ptr<HttpClient> client(std::size_t worker, const Endpoint&);
+    /// @brief Closes idle connections that are no longer reused, and forgets endpoints that have none left and are not in use. Called from time to time.
+    /// Runs on the worker's thread.
+    void closeUnused(std::size_t worker);
     boost::asio::io_context& context(std::size_t worker) { return m_workers.context(worker); }
 
 private:
--- a/packages/transport/src/HostProcess.cpp
+++ b/packages/transport/src/HostProcess.cpp
@@ -42,6 +42,7 @@
 
     constexpr auto subsetUpdateInterval = std::chrono::milliseconds(500);
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
+    constexpr auto unusedConnectionsInterval = std::chrono::milliseconds(1000);
 
     std::int64_t unixSeconds()
     {
@@ -129,6 +130,7 @@
         spawn(m_steps.run());
         spawn(m_weightsController.run());
         spawn(updateTargetSubsets());
+        spawn(closeUnusedConnections());
         logEvent(Event::ProcessStarted, { { "host", m_settings.host.id.value() }, { "callers", std::to_string(m_callerListener.port()) }, { "admin", std::to_string(m_adminListener.port()) } });
         return success();
     }
@@ -214,6 +216,18 @@
         }
     }
 
+    Task<void> closeUnusedConnections()
+    {
+        asio::steady_timer timer(m_controlWorkers.context(0));
+        while (!m_isStopping) {
+            timer.expires_after(unusedConnectionsInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+            m_controlClients.closeUnused(0);
+            for (std::size_t worker = 0; worker < m_workers.size(); ++worker)
+                asio::post(m_workers.context(worker), [this, worker] { m_clients.closeUnused(worker); });
+        }
+    }
+
     std::shared_ptr<const Assignment> assignment() const { return m_membership->view()->assignment; }
 
     std::optional<Endpoint> engineEndpoint(const TargetId& id) const
--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -28,6 +28,8 @@
     constexpr std::size_t firstReadBytes = 4096;
     /// Larger bodies are written from where they are.
     constexpr std::size_t maximumCopiedBytes = std::size_t { 16 } << 10U;
+    /// Larger buffers are not kept after a message.
+    constexpr std::size_t maximumIdleBufferBytes = std::size_t { 8 } << 10U;
     /// Memory of a connection besides its buffers: the session, its timers and the frames of its coroutines.
     constexpr std::size_t connectionBytes = std::size_t { 8 } << 10U;
     /// The fields of a request are held as text of the message, by the parser, and for the request that is sent on.
@@ -182,6 +184,15 @@
     return reserve(m_memory, connectionBytes + m_buffer.capacity() + m_output.capacity() + extraBytes);
 }
 
+void HttpSession::releaseLargeBuffers()
+{
+    if (m_output.capacity() > maximumIdleBufferBytes)
+        m_output = beast::flat_buffer();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > maximumIdleBufferBytes)
+        m_buffer = beast::flat_buffer();
+    (void)m_memory.resize(connectionBytes + m_buffer.capacity() + m_output.capacity());
+}
+
 Task<bool> HttpSession::serveOneRequest(const ServerHandler& handler)
 {
     m_hasBegun = false;
@@ -215,7 +226,7 @@
     m_stream.expires_never();
     co_await handler(request, *this);
     stopWatchingCaller();
-    (void)m_memory.resize(connectionBytes + m_buffer.capacity() + m_output.capacity());
+    releaseLargeBuffers();
     co_return m_isAnswered&& mayKeepAlive();
 }
 
--- a/packages/transport/src/HttpSession.h
+++ b/packages/transport/src/HttpSession.h
@@ -102,6 +102,7 @@
     Task<bool> reserve(MessageMemory::Share&, std::size_t bytes);
     /// Counts the memory of the connection and its buffers. @param extraBytes for the request in progress
     Task<bool> reserveConnection(std::size_t extraBytes);
+    void releaseLargeBuffers();
     void beginWaiting();
     void noteProgress();
     void endWaiting();
--- a/packages/transport/src/TargetClients.cpp
+++ b/packages/transport/src/TargetClients.cpp
@@ -22,6 +22,17 @@
     return entry;
 }
 
+void TargetClients::closeUnused(std::size_t worker)
+{
+    auto& shard = *m_shards[worker];
+    const std::lock_guard lock(shard.mutex);
+    for (auto entry = shard.clients.begin(); entry != shard.clients.end();) {
+        entry->second->closeExpired();
+        const bool isUnused = entry->second.use_count() == 1 && entry->second->idleConnections() == 0;
+        entry = isUnused ? shard.clients.erase(entry) : std::next(entry);
+    }
+}
+
 bool TargetClients::EndpointOrder::operator()(const Endpoint& left, const Endpoint& right) const noexcept
 {
     return std::tie(left.address, left.port) < std::tie(right.address, right.port);
--- a/packages/transport/tests/unit-http-listener.cpp
+++ b/packages/transport/tests/unit-http-listener.cpp
@@ -1,4 +1,5 @@
 #include "cicadalb/transport/HttpListener.h"
+#include "cicadalb/transport/TargetClients.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -223,3 +224,21 @@
     CHECK_FALSE(isServed(first));
     CHECK(listener.connections() <= 2);
 }
+
+TEST_CASE_METHOD(ListenerFixture, "target clients, connections that are idle for too long, are closed without another request")
+{
+    HttpClientOptions clientOptions;
+    clientOptions.idleTimeout = 50ms;
+    TargetClients clients(workers, clientOptions);
+    const Endpoint endpoint { "127.0.0.1", listener.port() };
+    REQUIRE(call(*clients.client(0, endpoint), {}));
+    CHECK(listener.connections() == 1);
+    std::this_thread::sleep_for(100ms);
+    asio::co_spawn(
+        workers.context(0), [&]() -> Task<void> { clients.closeUnused(0); co_return; }, asio::use_future)
+        .get();
+    const auto limit = std::chrono::steady_clock::now() + 5s;
+    while (listener.connections() > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(5ms);
+    CHECK(listener.connections() == 0);
+}
