Count answers that a host makes itself in the limit of all messages

Cause: an answer without memory of its own was sent without asking for any.

Change: an answer over 16 KiB takes its memory when it is sent, and keeps it until it is written. Without room the caller gets 503 with Retry-After. It does not wait for room, since the answer itself takes memory meanwhile.

--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -38,6 +38,8 @@
     constexpr std::size_t bodyStepBytes = std::size_t { 64 } << 10U;
     /// Larger bodies of unknown length are given a block of the maximum size.
     constexpr std::size_t largeBodyBytes = std::size_t { 1 } << 20U;
+    /// Answers up to this size are sent even if there is no memory left for them.
+    constexpr std::size_t maximumUncountedAnswerBytes = std::size_t { 16 } << 10U;
     /// Time allowed for stalled senders to give their memory back, and interval at which it is checked.
     constexpr milliseconds reclaimTime { 50 };
     constexpr milliseconds reclaimPollInterval { 5 };
@@ -391,6 +393,16 @@
 
 Task<bool> HttpSession::send(HttpResponse response)
 {
+    if (!response.memory && response.body.size() > maximumUncountedAnswerBytes) {
+        response.memory = std::make_shared<MessageMemory::Share>(m_options.memory);
+        // Refused at once: the answer itself takes memory while it waits.
+        if (!response.memory->resize(response.body.size())) {
+            (void)m_options.memory->reclaim(response.body.size(), std::chrono::steady_clock::now());
+            m_options.memory->countRefusal();
+            logEvent(Event::MessageRefused, { { "listener", m_options.name }, { "memory-used", std::to_string(m_options.memory->used()) }, { "answer-bytes", std::to_string(response.body.size()) } });
+            response = overloadResponse();
+        }
+    }
     http::response<http::string_body> message { http::int_to_status(response.status), 11 };
     message.result(response.status);
     for (const auto& [name, value] : response.fields)
