Read a submission once for all callers that ask for its items at the same time

What callers saw: 1,000 readers of one item at the same time made a host read the record of 1 MB 540 times (1,140 descriptors open) and take 52 to 60 MiB of 64.

Cause: the record is kept once it is read, but all callers that come before that read it as well.

Change: callers that come while the record is read wait for it, and get its error if it fails.

--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -36,6 +36,7 @@
     if (!entry) {
         entry = std::make_shared<CachedSubmission>();
         entry->changeSignal = std::make_shared<asio::steady_timer>(m_executor, asio::steady_timer::time_point::max());
+        entry->submissionSignal = std::make_shared<asio::steady_timer>(m_executor, asio::steady_timer::time_point::max());
     }
     entry->lastUsedAt = m_clock.now();
     return entry;
@@ -44,8 +45,28 @@
 Task<Result<std::shared_ptr<const Submission>>> ResultReader::readSubmission(const SubmissionId& id)
 {
     const auto entry = cacheEntry(id);
+    if (!entry->submission && entry->isReadingSubmission) {
+        boost::system::error_code error;
+        co_await entry->submissionSignal->async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (!entry->submission && entry->submissionError)
+            co_return failure(entry->submissionError->code, entry->submissionError->message, entry->submissionError->where);
+    }
     if (entry->submission)
         co_return entry->submission;
+    entry->isReadingSubmission = true;
+    auto fetched = co_await fetchSubmission(id);
+    entry->isReadingSubmission = false;
+    entry->submissionError.reset();
+    if (fetched)
+        entry->submission = fetched.value();
+    else
+        entry->submissionError = fetched.error();
+    entry->submissionSignal->cancel();
+    co_return fetched;
+}
+
+Task<Result<std::shared_ptr<const Submission>>> ResultReader::fetchSubmission(const SubmissionId& id)
+{
     // A stored submission never changes, but a stale read may not show it yet.
     auto record = co_await m_store.staleRead(submissionKey(id));
     const bool isFound = record && record.value() && !isRefusalRecord(record.value()->value);
@@ -58,8 +79,7 @@
     auto decoded = decodeSubmission(record.value()->value);
     if (!decoded)
         co_return failure(ErrorCode::Unavailable, decoded.error().message, id.value());
-    entry->submission = std::make_shared<const Submission>(std::move(decoded.value()));
-    co_return entry->submission;
+    co_return std::make_shared<const Submission>(std::move(decoded.value()));
 }
 
 void ResultReader::appendResults(const SubmissionId& id, CachedSubmission& entry, const std::vector<KeyValueEntry>& records)
--- a/packages/hosting/src/ResultReader.h
+++ b/packages/hosting/src/ResultReader.h
@@ -25,6 +25,9 @@
     OrganisationName organisation;
     /// Read on the first request for an item's body.
     std::shared_ptr<const Submission> submission;
+    /// Whether the submission's record is being read, and why the last read of it failed; one read serves all waiting callers.
+    bool isReadingSubmission = false;
+    std::optional<Error> submissionError;
     std::vector<SampleResult> results;
     std::size_t segments = 0;
     /// Revision from which a watch reports the next segment.
@@ -35,6 +38,7 @@
     /// Number of reads that were not stale: each returned everything stored when it began.
     std::size_t consistentReads = 0;
     std::shared_ptr<boost::asio::steady_timer> changeSignal;
+    std::shared_ptr<boost::asio::steady_timer> submissionSignal;
 };
 
 /// @brief Bound to one event loop.
@@ -54,6 +58,7 @@
 
 private:
     std::shared_ptr<CachedSubmission> cacheEntry(const SubmissionId&);
+    Task<Result<std::shared_ptr<const Submission>>> fetchSubmission(const SubmissionId&);
     /// Reads the results after the cached ones. @param mayBeStale whether the read may show the state of some seconds ago
     Task<Result<void>> readMore(const SubmissionId&, CachedSubmission&, std::chrono::milliseconds maximumWait, bool mayBeStale);
     Task<Result<WatchResult>> readRecords(const SubmissionId&, const CachedSubmission&, std::chrono::milliseconds maximumWait, bool mayBeStale);
