Count what a parsed document can take before it is parsed

What callers saw: one submission of 8 MiB that holds millions of empty arrays took a host to 211 MiB, one message of 8 MiB to the mirror's port to 915 MiB, one step of the native edition over 128 MiB (220 MiB). A body within all limits is enough to end a host.

Cause: each value of a parsed document takes some dozen bytes, an empty array in CBOR one byte. Depth was limited, the number of values was not.

Change: before a submission, a step, a weight announcement, a generation request or a message of another host is parsed, memory for all values that it can hold is taken (128 bytes each), with the copies that are made of a submission and of a relayed request. Calls for submissions with ids that no submission can have are not looked up, since the reader keeps what it has looked up.

--- a/packages/base/include/cicadalb/base/CborNesting.h
+++ b/packages/base/include/cicadalb/base/CborNesting.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 /// @file
-/// Nesting depth of CBOR (RFC 8949). Uses no C++20 features, so that sources compiled as C++17 can include it.
+/// Nesting depth and size of CBOR (RFC 8949). Uses no C++20 features, so that sources compiled as C++17 can include it.
 
 namespace cicadalb {
 
@@ -14,4 +15,7 @@
 /// Bytes that are not valid CBOR may give either result; the library refuses them.
 bool isCborNestedTooDeeply(std::string_view bytes);
 
+/// @brief Number of data items, those within arrays and maps included.
+std::size_t cborItemCount(std::string_view bytes);
+
 } // namespace cicadalb
--- a/packages/base/src/CborNesting.cpp
+++ b/packages/base/src/CborNesting.cpp
@@ -104,4 +104,16 @@
     return false;
 }
 
+std::size_t cborItemCount(std::string_view bytes)
+{
+    std::size_t items = 0;
+    HeadReader head(bytes);
+    while (head.next()) {
+        ++items;
+        if ((head.type == MajorType::Bytes || head.type == MajorType::Text) && !head.isIndefinite)
+            head.skip(head.argument);
+    }
+    return items;
+}
+
 } // namespace cicadalb
--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -2,6 +2,8 @@
 
 #include "HostCall.h"
 
+#include "cicadalb/services/DocumentMemory.h"
+
 #include <algorithm>
 
 namespace cicadalb {
@@ -19,6 +21,10 @@
 
     Task<Result<RelayReply>> exchange(std::shared_ptr<HttpClient> client, RelayRequest request, std::shared_ptr<HttpCancellation> cancellation)
     {
+        // The body is copied into the message, and once more when that is encoded.
+        const auto memory = reserveDocument("relayed request", 2 * request.message.body.size());
+        if (!memory)
+            co_return failure(ErrorCode::NotSent, "there is no memory left for the message", "relay");
         const auto path = request.organisation.isEmpty() ? relayPath : organisationRelayPath;
         HostCall call { path, encodeRelayRequest(request), request.remainingTime, false, std::move(cancellation) };
         const auto answer = co_await callHost(std::move(client), std::move(call));
--- a/packages/hosting/src/SiteEndpoints.cpp
+++ b/packages/hosting/src/SiteEndpoints.cpp
@@ -2,6 +2,7 @@
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
+#include "cicadalb/services/DocumentMemory.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <algorithm>
@@ -31,6 +32,10 @@
     constexpr milliseconds stoppingRetryAfter { 1 };
     /// A repeatable request is taken while this host stops if so many times the route's target latency are left.
     constexpr int latencyObjectivesBeforeEnd = 2;
+    /// Retry-After of submissions for which there is no memory.
+    constexpr milliseconds overloadRetryAfter { 1000 };
+    /// A submission is held as decoded items and, until the store has answered, as the record, in the transaction, and in the call's body in base64.
+    constexpr std::size_t copiesOfSubmission = 6;
     /// Limit on the text in one page of results; the platform allows 1 MB of results.
     constexpr std::size_t maximumPageBytes = std::size_t { 900 } << 10U;
 
@@ -207,6 +212,9 @@
     const auto view = m_directory.view();
     if (!view)
         co_return makeRefusal(statusUnavailable, "this host has not received a configuration yet", dependencyRetryAfter);
+    // No submission has such an id. It is not looked up, since the reader keeps what it has looked up for a while.
+    if (call.submission.value().size() > maximumIdLength)
+        co_return makeRefusal(statusNotFound, std::string(noSubmission), {});
     KeyCheck key;
     if (auto refusal = checkKeys(*view, hasPublicSubmissions(*view, authorityOf(request)), request.fields, key))
         co_return std::move(*refusal);
@@ -351,6 +359,9 @@
 
 Task<SiteEndpoints::EndpointResult> SiteEndpoints::submit(const HttpRequest& request, const SiteView& view, const SiteRoute& route, const KeyCheck& key)
 {
+    const auto memory = reserveDocument("submission", jsonDocumentBytes(request.body) + copiesOfSubmission * request.body.size());
+    if (!memory)
+        co_return makeRefusal(statusUnavailable, "this host has no memory left for the submission", overloadRetryAfter);
     auto submission = m_protocol.submission(request);
     if (!submission)
         co_return makeRefusal(statusBadRequest, submission.error().message, {});
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -14,6 +14,7 @@
 
 #include "cicadalb/base/Event.h"
 #include "cicadalb/base/Hash.h"
+#include "cicadalb/services/DocumentMemory.h"
 #include "cicadalb/transport/ProcessLimits.h"
 #include "cicadalb/transport/WorkerPool.h"
 
@@ -355,7 +356,15 @@
     /// Answers requests of other hosts.
     Task<void> serveHosts(ServerRequest& request, ServerResponder& responder)
     {
-        if (request.path == relayPath || request.path == organisationRelayPath) {
+        const bool isRelayed = request.path == relayPath || request.path == organisationRelayPath;
+        const auto memory = reserveDocument("message of a host", cborDocumentBytes(request.body) + (isRelayed ? request.body.size() : 0));
+        if (!memory) {
+            HttpResponse refusal;
+            refusal.status = 503;
+            co_await responder.send(std::move(refusal));
+            co_return;
+        }
+        if (isRelayed) {
             co_await m_relayEndpoint.serve(request, responder);
             co_return;
         }
--- a/packages/services/tests/unit-message-memory.cpp
+++ b/packages/services/tests/unit-message-memory.cpp
@@ -1,9 +1,11 @@
-#include "cicadalb/services/MessageMemory.h"
+#include "cicadalb/services/DocumentMemory.h"
 #include "cicadalb/services/EndlessServer.h"
 #include "cicadalb/services/HttpClient.h"
+#include "cicadalb/services/MessageMemory.h"
 #include "cicadalb/services/ResettingServer.h"
 #include "cicadalb/services/RunTask.h"
 
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
@@ -167,3 +169,63 @@
             share.reset();
     }));
 }
+
+TEST_CASE("document memory, values that need few bytes of text, are counted one by one")
+{
+    constexpr std::size_t valueBytes = 128;
+    CHECK(jsonDocumentBytes("[[],[],[]]") >= 4 * valueBytes);
+    CHECK(jsonDocumentBytes(R"({"a":0,"b":{}})") >= 3 * valueBytes);
+    CHECK(jsonDocumentBytes(R"("no other value")") < 2 * valueBytes);
+    CHECK(cborDocumentBytes("\x83\x80\x80\x80") >= 4 * valueBytes);
+    // A byte string is one value, whatever it holds.
+    CHECK(cborDocumentBytes("\x44\x80\x80\x80\x80") < 2 * valueBytes);
+}
+
+TEST_CASE("document memory, random documents, is no less than what their values take")
+{
+    CHECK(rc::check([] {
+        const auto members = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+        nlohmann::json document = nlohmann::json::array();
+        std::size_t values = 1;
+        for (const auto member : members) {
+            ++values;
+            if (member == 0)
+                document.push_back(nlohmann::json::array());
+            else if (member == 1)
+                document.push_back(nlohmann::json::object());
+            else if (member == 2)
+                document.push_back("a text, with a comma");
+            else if (member == 3)
+                document.push_back(17);
+            else
+                document = nlohmann::json::array({ std::move(document) });
+        }
+        constexpr std::size_t valueBytes = 128;
+        RC_ASSERT(jsonDocumentBytes(document.dump()) >= values * valueBytes);
+        const auto cbor = nlohmann::json::to_cbor(document);
+        RC_ASSERT(cborDocumentBytes({ reinterpret_cast<const char*>(cbor.data()), cbor.size() }) >= values * valueBytes);
+    }));
+}
+
+TEST_CASE("message memory, shares that are offered, are taken back in the order of their last progress and only once they have stalled")
+{
+    const auto memory = std::make_shared<MessageMemory>(10 * mebibyte);
+    const TimePoint start {};
+    std::vector<int> released;
+    MessageMemory::Share first(memory);
+    MessageMemory::Share second(memory);
+    MessageMemory::Share third(memory);
+    for (auto* share : { &first, &second, &third })
+        REQUIRE(share->resize(mebibyte));
+    first.offer([&] { released.push_back(1); }, start);
+    second.offer([&] { released.push_back(2); }, start);
+    third.offer([&] { released.push_back(3); }, start);
+    first.noteProgress(start + 100ms);
+    third.keep();
+    CHECK_FALSE(memory->reclaim(mebibyte, start + MessageMemory::stallTime - 1ms));
+    CHECK(memory->reclaim(mebibyte, start + MessageMemory::stallTime));
+    CHECK(released == std::vector<int> { 2 });
+    CHECK_FALSE(memory->reclaim(mebibyte, start + MessageMemory::stallTime));
+    CHECK(memory->reclaim(3 * mebibyte, start + MessageMemory::stallTime + 100ms));
+    CHECK(released == std::vector<int> { 2, 1 });
+}
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -5,6 +5,7 @@
 #include "Problem.h"
 
 #include "cicadalb/base/Hash.h"
+#include "cicadalb/services/DocumentMemory.h"
 
 #include <nlohmann/json.hpp>
 
@@ -132,6 +133,9 @@
 
 Result<void> GenerateCall::check(const RequestContext& context)
 {
+    const auto memory = reserveDocument("generation request", jsonDocumentBytes(context.request.body));
+    if (!memory)
+        return failure(ErrorCode::Overloaded, "there is no memory left for the request", "body");
     auto generation = parseGenerationRequest(context.request, context.id, context.route.priority);
     if (!generation)
         return generation.as_failure();
--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -43,7 +43,6 @@
     /// Time allowed for stalled senders to give their memory back, and interval at which it is checked.
     constexpr milliseconds reclaimTime { 50 };
     constexpr milliseconds reclaimPollInterval { 5 };
-    constexpr std::chrono::seconds overloadRetryAfter { 1 };
     /// Time for which a refused caller may read its answer, and bytes of its request that are discarded meanwhile.
     constexpr milliseconds lingerTime { 1000 };
     constexpr std::size_t maximumLingerBytes = std::size_t { 256 } << 10U;
@@ -64,13 +63,6 @@
         return error == outOfMemory() ? 503 : 400;
     }
 
-    HttpResponse overloadResponse()
-    {
-        ProblemDetails details;
-        details.retryAfter = overloadRetryAfter;
-        return problemResponse(Error { ErrorCode::Overloaded, "this host has no memory left for the message", "host" }, details);
-    }
-
     /// Counts an object as one more for as long as it exists.
     class InFlightGuard {
     public:
--- a/packages/transport/src/Problem.cpp
+++ b/packages/transport/src/Problem.cpp
@@ -56,6 +56,14 @@
     return row == statusRows.end() ? internalServerError : row->status;
 }
 
+HttpResponse overloadResponse()
+{
+    constexpr std::chrono::seconds retryAfter { 1 };
+    ProblemDetails details;
+    details.retryAfter = retryAfter;
+    return problemResponse(Error { ErrorCode::Overloaded, "this host has no memory left for the message", "host" }, details);
+}
+
 HttpResponse problemResponse(const Error& error, const ProblemDetails& details)
 {
     HttpResponse response;
--- a/packages/transport/src/Problem.h
+++ b/packages/transport/src/Problem.h
@@ -31,6 +31,9 @@
 /// @brief HTTP status for an error code; 500 for a code without an assigned status.
 unsigned httpStatus(ErrorCode) noexcept;
 
+/// @brief Refusal of a message for which there is no memory; it has not run.
+HttpResponse overloadResponse();
+
 /// @brief Builds the HTTP response that reports @p error to a caller.
 HttpResponse problemResponse(const Error& error, const ProblemDetails& details);
 
--- a/packages/transport/src/StepEndpoints.cpp
+++ b/packages/transport/src/StepEndpoints.cpp
@@ -4,6 +4,7 @@
 #include "RunOn.h"
 
 #include "cicadalb/rollout/StepJson.h"
+#include "cicadalb/services/DocumentMemory.h"
 #include "cicadalb/transport/RequestDispatcher.h"
 
 #include <boost/algorithm/string/classification.hpp>
@@ -96,6 +97,11 @@
 
 Task<void> StepEndpoints::serve(ServerRequest& request, ServerResponder& responder)
 {
+    const auto memory = reserveDocument("step", jsonDocumentBytes(request.body) + request.body.size());
+    if (!memory) {
+        co_await responder.send(overloadResponse());
+        co_return;
+    }
     auto step = parseRequest(request);
     Result<std::string> body = std::string();
     if (step)
--- a/packages/transport/src/WeightEndpoint.cpp
+++ b/packages/transport/src/WeightEndpoint.cpp
@@ -3,6 +3,7 @@
 #include "Problem.h"
 #include "RunOn.h"
 
+#include "cicadalb/services/DocumentMemory.h"
 #include "cicadalb/transport/RequestDispatcher.h"
 
 namespace cicadalb {
@@ -49,6 +50,11 @@
 
 Task<void> WeightEndpoint::serve(ServerRequest& request, ServerResponder& responder)
 {
+    const auto memory = reserveDocument("weight announcement", jsonDocumentBytes(request.body));
+    if (!memory) {
+        co_await responder.send(overloadResponse());
+        co_return;
+    }
     const auto announcement = parseAnnouncement(request);
     Result<WeightRecord> record = WeightRecord {};
     if (announcement) {
--- a/testing/clients/process-native-clients.cpp
+++ b/testing/clients/process-native-clients.cpp
@@ -96,6 +96,18 @@
     checkHost();
 }
 
+TEST_CASE_METHOD(NativeClientsFixture, "clients: native, callers, step with millions of values, host stays within its memory")
+{
+    std::string values;
+    while (values.size() < partBytes)
+        values += "[],";
+    const auto length = std::to_string(10 + (partsOfLargestBody - 1) * values.size() + 4);
+    Crowd crowd(host().callerPort, 1, { "PUT /v1/trainers/invoice-draft/steps/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer trainer-token\r\nContent-Length: " + length + "\r\n\r\n{\"items\":[", values, partsOfLargestBody - 1, "[]]}" });
+    sendFrom(crowd);
+    crowd.readAnswers([this] { return isOverMemory(); });
+    checkHost();
+}
+
 TEST_CASE_METHOD(NativeClientsFixture, "clients: native, admin, trailers without end, host stays within its memory")
 {
     Crowd crowd(host().adminPort, 4, endlessTrailer());
