Limit the connections to the peers' port whose handshake is not complete

What callers saw: 6,000 connections whose websocket handshake stops short took a native host to 228 MiB of 128.

Cause: only links that had completed the handshake counted towards the limit of 256 unauthenticated links. One in the handshake holds some 40 KiB for up to 1.5 s, and there was no limit on their number.

Change: at most 256 connections may be in the handshake; others are closed when they are accepted.

--- a/packages/transport/src/websocket/PeerListener.cpp
+++ b/packages/transport/src/websocket/PeerListener.cpp
@@ -18,6 +18,8 @@
     /// Longer than the longest request timeout, so that a request that is sent again is still recognised.
     constexpr std::chrono::minutes senderRetentionTime { 10 };
     constexpr std::size_t maximumUnauthenticatedLinks = 256;
+    /// Connections whose websocket handshake is not complete; each holds some 40 KiB.
+    constexpr std::size_t maximumHandshakes = 256;
 
     TimePoint steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -44,7 +46,21 @@
 {
     m_server.init_asio(&context);
     m_server.set_reuse_addr(true);
-    m_server.set_open_handler([this](const PeerSocketHandle& handle) { handleOpen(handle); });
+    m_server.set_tcp_pre_init_handler([this](const PeerSocketHandle& handle) { handleAccept(handle); });
+    m_server.set_open_handler([this](const PeerSocketHandle& handle) {
+        --m_handshakes;
+        handleOpen(handle);
+    });
+    m_server.set_fail_handler([this](const PeerSocketHandle&) { --m_handshakes; });
+}
+
+void PeerListener::handleAccept(const PeerSocketHandle& handle)
+{
+    if (++m_handshakes <= maximumHandshakes)
+        return;
+    // The handshake then fails, which takes it out of the count.
+    boost::system::error_code ignored;
+    m_server.get_con_from_hdl(handle)->get_raw_socket().close(ignored);
 }
 
 bool PeerListener::listen(std::string& error)
--- a/packages/transport/src/websocket/PeerListener.h
+++ b/packages/transport/src/websocket/PeerListener.h
@@ -69,6 +69,7 @@
         TimePoint lastUsed;
     };
 
+    void handleAccept(const PeerSocketHandle&);
     void handleOpen(const PeerSocketHandle&);
     void handleClose(const LinkPointer&);
     void handleMessage(const LinkPointer&, const std::string& bytes);
@@ -86,6 +87,7 @@
     PeerSocketServer m_server;
     std::uint16_t m_port = 0;
     bool m_isStopping = false;
+    std::size_t m_handshakes = 0;
     std::set<LinkPointer> m_links;
     std::map<SenderKey, Sender> m_senders;
     PeerListenerCounters m_counters;
--- a/testing/clients/process-native-clients.cpp
+++ b/testing/clients/process-native-clients.cpp
@@ -132,6 +132,14 @@
     checkHost();
 }
 
+TEST_CASE_METHOD(NativeClientsFixture, "clients: native, peers, handshakes that stop short on very many connections, host stays within its memory")
+{
+    constexpr std::size_t clients = 6000;
+    Crowd crowd(host().peerPort, clients, { "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nX-Long: " + std::string(15000, 'a') });
+    sendFrom(crowd);
+    checkHost();
+}
+
 TEST_CASE_METHOD(NativeClientsFixture, "clients: native, peers, messages without end before the proof, host stays within its memory")
 {
     // A binary frame of 1 TiB.
