Promise with 503 only that a read has not happened

What callers would see: an answer that a host had made for a request other than a read, and for which there was no room, was replaced by 503, which says that the request has not run.

Change: GET and HEAD are answered with 503; for other requests the connection is closed, which promises nothing.

Evidence: the new case of unit-http-listener.cpp passes.

--- a/packages/transport/include/cicadalb/transport/HttpListener.h
+++ b/packages/transport/include/cicadalb/transport/HttpListener.h
@@ -37,7 +37,8 @@
 class ServerResponder {
 public:
     virtual ~ServerResponder() = default;
-    /// @brief Sends a complete response.
+    /// @brief Sends a complete response. If there is no room for a body without memory of its own, GET and HEAD are answered with 503 instead, and for
+    /// other requests the connection is closed. The answer of a request that has run elsewhere has to bring its memory (HttpResponse::memory).
     virtual Task<bool> send(HttpResponse) = 0;
     /// @brief Starts a chunked response.
     virtual Task<bool> beginStream(HttpResponse head) = 0;
--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -215,6 +215,7 @@
     }
     m_requestKeepsAlive = parser->get().keep_alive();
     m_isHeadRequest = parser->get().method() == http::verb::head;
+    m_isSafeRequest = m_isHeadRequest || parser->get().method() == http::verb::get;
     auto request = toServerRequest(*parser);
     parser.reset();
     m_stream.expires_never();
@@ -392,6 +393,11 @@
             (void)m_options.memory->reclaim(response.body.size(), std::chrono::steady_clock::now());
             m_options.memory->countRefusal();
             logEvent(Event::MessageRefused, { { "listener", m_options.name }, { "memory-used", std::to_string(m_options.memory->used()) }, { "answer-bytes", std::to_string(response.body.size()) } });
+            // Another request than a read may have had an effect, so that 503 would promise too much.
+            if (!m_isSafeRequest) {
+                close();
+                co_return false;
+            }
             response = overloadResponse();
         }
     }
--- a/packages/transport/src/HttpSession.h
+++ b/packages/transport/src/HttpSession.h
@@ -125,6 +125,8 @@
     bool m_hasUnreadRequest = false;
     bool m_requestKeepsAlive = false;
     bool m_isHeadRequest = false;
+    /// Whether the request only reads (RFC 9110, section 9.2.1).
+    bool m_isSafeRequest = false;
     bool m_hasBegun = false;
     bool m_isAnswered = false;
     /// Callback registered with onCallerDisconnected(), or null.
--- a/packages/transport/tests/unit-http-listener.cpp
+++ b/packages/transport/tests/unit-http-listener.cpp
@@ -77,6 +77,8 @@
         response.status = 200;
         if (request.path == "/echo")
             response.body = request.body;
+        if (request.path == "/large")
+            response.body = std::string(2048 * kibibyte, 'a');
         co_await responder.send(std::move(response));
     }
 
@@ -211,6 +213,17 @@
     CHECK(memory->used() <= 32 * kibibyte);
 }
 
+TEST_CASE_METHOD(ListenerFixture, "HTTP listener, answer without room, is replaced by 503 for a read, and by the end of the connection for another request")
+{
+    RawCaller reader(listener.port());
+    reader.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(reader.readHead().rfind("HTTP/1.1 503", 0) == 0);
+    RawCaller writer(listener.port());
+    writer.write("POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    CHECK(writer.readHead().empty());
+    CHECK(requests == 2);
+}
+
 TEST_CASE_METHOD(TwoConnectionsFixture, "HTTP listener, connection beyond the maximum, takes the place of the one that has waited longest")
 {
     const auto isServed = [](RawCaller& caller) { return caller.write(head(0)) && caller.readHead().rfind("HTTP/1.1 200", 0) == 0; };
