--- a/testing/process/Crowd.cpp
+++ b/testing/process/Crowd.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -118,6 +119,10 @@
     : m_port(port)
     , m_script(std::move(script))
 {
+    rlimit descriptors {};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = descriptors.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
     for (std::size_t i = 0; i < clientCount; ++i)
         m_clients.push_back(std::make_unique<Client>());
     reconnect();
