Count responses that are buffered by the native edition, and relayed ones once

What callers would see: a native host buffers up to 256 KiB of each of 4,096 responses, 1 GiB, uncounted; a host that forwards requests of another one held each answer twice, with the memory of one. Found by reading; not run against.

Change: the buffered body is counted with the copy that is kept for an idempotency key; without room the response is streamed. Generations count the reader's text and the response. Both bring their memory to the response, so that it is not refused after it has run. Cached responses have their own limit and count no more.

Evidence: the tests of transport, services and the relay pass.

--- a/packages/hosting/src/RequestRelay.cpp
+++ b/packages/hosting/src/RequestRelay.cpp
@@ -130,9 +130,11 @@
         RelayReply refusal;
         refusal.outcome.cause = obstacle(decoded.value());
         if (refusal.outcome.cause.empty()) {
-            const auto reply = co_await forward(std::move(decoded.value()), receivedAt, responder);
+            auto reply = co_await forward(std::move(decoded.value()), receivedAt, responder);
             response.body = encodeRelayReply(reply);
             response.memory = reply.outcome.answer.memory;
+            // The memory is that of one body; the encoded one may wait long for the other host.
+            reply.outcome.answer.body = std::string();
         } else {
             response.body = encodeRelayReply(refusal);
         }
--- a/packages/transport/src/ForwardCall.cpp
+++ b/packages/transport/src/ForwardCall.cpp
@@ -67,7 +67,8 @@
         {
             if (m_isStreaming)
                 return m_context.responder.endStream({});
-            m_head.body = m_body;
+            m_head.body = std::move(m_body);
+            m_head.memory = m_memory;
             return m_context.responder.send(m_head);
         }
 
@@ -94,7 +95,9 @@
         {
             if (m_isReportedNotRun)
                 co_return true;
-            if (!m_isStreaming && !m_isChunked && m_body.size() + part.size() <= maximumBufferedBytes) {
+            // Without memory for it, the response is streamed instead.
+            const auto size = m_body.size() + part.size();
+            if (!m_isStreaming && !m_isChunked && size <= maximumBufferedBytes && m_memory->resize(copiesOfBody * size)) {
                 m_body.append(part);
                 co_return true;
             }
@@ -119,6 +122,9 @@
         const RequestContext& m_context;
         HttpResponse m_head;
         std::string m_body;
+        /// The response is kept for the caller's idempotency key while it is sent.
+        static constexpr std::size_t copiesOfBody = 2;
+        std::shared_ptr<MessageMemory::Share> m_memory = std::make_shared<MessageMemory::Share>(MessageMemory::ofProcess());
         bool m_isReportedNotRun = false;
         bool m_isChunked = false;
         bool m_isStreaming = false;
--- a/packages/transport/src/GenerateCall.cpp
+++ b/packages/transport/src/GenerateCall.cpp
@@ -75,6 +75,7 @@
             auto response = responseHead(m_context, "application/json");
             response.fields.emplace_back(weightVersionsField, versions);
             response.body = nlohmann::json { { "text", generation.text }, { "tokens", generation.tokens }, { "weight-versions", generation.versions } }.dump();
+            response.memory = m_memory;
             return m_context.responder.send(std::move(response));
         }
 
@@ -83,7 +84,7 @@
         {
             if (m_status != statusOk)
                 co_return true;
-            m_isWellFormed = m_isWellFormed && m_reader.append(part) && m_memory.resize(m_reader.memoryBytes());
+            m_isWellFormed = m_isWellFormed && m_reader.append(part) && m_memory->resize(copiesOfText * m_reader.memoryBytes());
             if (!m_isWellFormed || !m_isStreamed)
                 co_return m_isWellFormed;
             if (!m_context.responder.hasBegun()) {
@@ -98,7 +99,9 @@
 
         const RequestContext& m_context;
         GenerationReader m_reader;
-        MessageMemory::Share m_memory { MessageMemory::ofProcess() };
+        /// The text is held by the reader and in the response.
+        static constexpr std::size_t copiesOfText = 2;
+        std::shared_ptr<MessageMemory::Share> m_memory = std::make_shared<MessageMemory::Share>(MessageMemory::ofProcess());
         bool m_isStreamed;
         bool m_isWellFormed = true;
         bool m_isReportedNotRun = false;
--- a/packages/transport/src/KeyedRequests.cpp
+++ b/packages/transport/src/KeyedRequests.cpp
@@ -17,6 +17,8 @@
 {
     if (response.body.size() > maximumBodyBytes)
         return;
+    // The cache has limits of its own.
+    response.memory = nullptr;
     if (m_responses.insert_or_assign(scopedKey, std::move(response)).second)
         m_insertionOrder.push_back(scopedKey);
     if (m_insertionOrder.size() <= maximumResponses)
