--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -242,7 +242,7 @@
 Task<HttpSession::ErrorCodeType> HttpSession::readRequest(RequestParser& parser, const RequestLimits& limits)
 {
     // Bounds what has to be buffered as a whole: the head, the header of a chunk, and the trailer.
-    m_buffer.max_size(std::max<std::size_t>(firstReadBytes, std::size_t { 2 } * limits.maximumHeaderBytes));
+    m_buffer.max_size(std::max({ firstReadBytes, std::size_t { 2 } * limits.maximumHeaderBytes, m_buffer.size() }));
     m_stream.expires_after(limits.headerTimeout);
     auto error = co_await readHead(parser);
     if (error)
