Ask only as many stalled senders for memory as are needed

What callers would see: a request that lacked room made all senders lose theirs that had stalled, although one large body would have been enough. Found by reading: only the connection's own 8 to 12 KiB were counted as given back, not the body.

Change: a sender states what it gives back, its body included, each time that it makes progress.

Evidence: the new case of unit-message-memory.cpp; it does not compile against the tree before, whose interface has no such number.

--- a/packages/services/include/cicadalb/services/MessageMemory.h
+++ b/packages/services/include/cicadalb/services/MessageMemory.h
@@ -64,8 +64,8 @@
         /// @brief Makes the share one that reclaim() may take back until keep() is called. @p release is called at most once, on any thread, while the memory is
         /// locked, so that it must not use the memory itself.
         void offer(std::function<void()> release, TimePoint now);
-        /// @brief Notes that the sender has sent something.
-        void noteProgress(TimePoint now);
+        /// @brief Notes that the sender has sent something. @param releasedBytes what it gives back if asked, in this share and in others
+        void noteProgress(TimePoint now, std::size_t releasedBytes);
         void keep();
 
     private:
@@ -79,6 +79,7 @@
     struct Holder {
         Share* share = nullptr;
         TimePoint lastProgressAt;
+        std::size_t releasedBytes = 0;
         std::function<void()> release;
     };
 
--- a/packages/services/src/MessageMemory.cpp
+++ b/packages/services/src/MessageMemory.cpp
@@ -44,7 +44,7 @@
     std::size_t reclaimed = 0;
     while (reclaimed < bytes && !m_offered.empty() && now - m_offered.front().lastProgressAt >= stallTime) {
         auto& holder = m_offered.front();
-        reclaimed += holder.share->m_bytes;
+        reclaimed += holder.releasedBytes;
         holder.release();
         holder.share->m_holder.reset();
         m_offered.pop_front();
@@ -75,15 +75,16 @@
 {
     keep();
     const std::lock_guard lock(m_memory->m_mutex);
-    m_holder = m_memory->m_offered.insert(m_memory->m_offered.end(), { this, now, std::move(release) });
+    m_holder = m_memory->m_offered.insert(m_memory->m_offered.end(), { this, now, m_bytes, std::move(release) });
 }
 
-void MessageMemory::Share::noteProgress(TimePoint now)
+void MessageMemory::Share::noteProgress(TimePoint now, std::size_t releasedBytes)
 {
     const std::lock_guard lock(m_memory->m_mutex);
     if (!m_holder)
         return;
     (*m_holder)->lastProgressAt = now;
+    (*m_holder)->releasedBytes = releasedBytes;
     m_memory->m_offered.splice(m_memory->m_offered.end(), m_memory->m_offered, *m_holder);
 }
 
--- a/packages/services/tests/unit-message-memory.cpp
+++ b/packages/services/tests/unit-message-memory.cpp
@@ -220,7 +220,7 @@
     first.offer([&] { released.push_back(1); }, start);
     second.offer([&] { released.push_back(2); }, start);
     third.offer([&] { released.push_back(3); }, start);
-    first.noteProgress(start + 100ms);
+    first.noteProgress(start + 100ms, 3 * mebibyte);
     third.keep();
     CHECK_FALSE(memory->reclaim(mebibyte, start + MessageMemory::stallTime - 1ms));
     CHECK(memory->reclaim(mebibyte, start + MessageMemory::stallTime));
@@ -229,3 +229,18 @@
     CHECK(memory->reclaim(3 * mebibyte, start + MessageMemory::stallTime + 100ms));
     CHECK(released == std::vector<int> { 2, 1 });
 }
+
+TEST_CASE("message memory, stalled sender that gives back enough, is the only one that is asked")
+{
+    const auto memory = std::make_shared<MessageMemory>(10 * mebibyte);
+    const TimePoint start {};
+    std::vector<int> released;
+    MessageMemory::Share first(memory);
+    MessageMemory::Share second(memory);
+    first.offer([&] { released.push_back(1); }, start);
+    second.offer([&] { released.push_back(2); }, start);
+    first.noteProgress(start, 2 * mebibyte);
+    second.noteProgress(start, 2 * mebibyte);
+    CHECK(memory->reclaim(mebibyte, start + MessageMemory::stallTime));
+    CHECK(released == std::vector<int> { 1 });
+}
--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -145,7 +145,7 @@
     if (!m_waiting)
         return;
     m_waitingSessions.splice(m_waitingSessions.end(), m_waitingSessions, *m_waiting);
-    m_memory.noteProgress(std::chrono::steady_clock::now());
+    m_memory.noteProgress(std::chrono::steady_clock::now(), m_memory.size() + (m_bodyMemory ? m_bodyMemory->size() : 0));
 }
 
 void HttpSession::endWaiting()
@@ -276,6 +276,7 @@
         const bool hasMemoryForBody = co_await reserve(*m_bodyMemory, *length);
         if (!hasMemoryForBody)
             co_return outOfMemory();
+        noteProgress();
     }
     co_return beast::error_code();
 }
