Look up a submission again that was absent when another caller asked

What callers would see: a caller that waits for the read of another one would get its 404, although the submission may have been accepted after that read began. Found by reading.

Change: waiting callers share the record and errors of the store, but not the answer that there is no such submission.

Evidence: the tests of clients and of the endpoints pass; no test forces this order.

--- a/packages/hosting/src/ResultReader.cpp
+++ b/packages/hosting/src/ResultReader.cpp
@@ -48,8 +48,10 @@
     if (!entry->submission && entry->isReadingSubmission) {
         boost::system::error_code error;
         co_await entry->submissionSignal->async_wait(asio::redirect_error(asio::use_awaitable, error));
-        if (!entry->submission && entry->submissionError)
-            co_return failure(entry->submissionError->code, entry->submissionError->message, entry->submissionError->where);
+        // A submission that the store did not have when that read began may have been accepted since.
+        const auto& shared = entry->submissionError;
+        if (!entry->submission && shared && shared->code != ErrorCode::StepUnknown)
+            co_return failure(shared->code, shared->message, shared->where);
     }
     if (entry->submission)
         co_return entry->submission;
