Do not take the fields of a trailer for header fields

What callers saw: 200 chunked requests with 7,000 short trailer fields each, within the limit of the trailer, took a host to 115 MiB of 64 while their target did not read. The fields were also sent on as header fields, which RFC 9110 (section 6.5.1) forbids without knowledge of the field.

Cause: the fields of the request were taken from the parser after the body, which then holds those of the trailer as well; they were not counted.

Change: the head is taken before the body is read, and the parser is released with the trailer.

--- a/packages/transport/src/HttpSession.cpp
+++ b/packages/transport/src/HttpSession.cpp
@@ -212,21 +212,20 @@
     std::optional<RequestParser> parser(std::in_place);
     parser->header_limit(limits.maximumHeaderBytes);
     parser->body_limit(limits.maximumBodyBytes);
-    auto error = co_await readRequest(*parser, limits);
+    ServerRequest request;
+    auto error = co_await readRequest(*parser, limits, request);
     endWaiting();
     if (m_hasGivenUp)
         error = outOfMemory();
     if (error) {
         parser.reset();
+        request.body = MessageBody();
         m_bodyMemory.reset();
+        m_requestKeepsAlive = false;
         m_hasUnreadRequest = true;
         co_await refuse(error);
         co_return false;
     }
-    m_requestKeepsAlive = parser->get().keep_alive();
-    m_isHeadRequest = parser->get().method() == http::verb::head;
-    m_isSafeRequest = m_isHeadRequest || parser->get().method() == http::verb::get;
-    auto request = toServerRequest(*parser);
     parser.reset();
     m_stream.expires_never();
     co_await handler(request, *this);
@@ -249,7 +248,7 @@
     co_return !error;
 }
 
-Task<HttpSession::ErrorCodeType> HttpSession::readRequest(RequestParser& parser, const RequestLimits& limits)
+Task<HttpSession::ErrorCodeType> HttpSession::readRequest(RequestParser& parser, const RequestLimits& limits, ServerRequest& request)
 {
     // Bounds what has to be buffered as a whole: the head, the header of a chunk, and the trailer.
     m_buffer.max_size(std::max({ firstReadBytes, std::size_t { 2 } * limits.maximumHeaderBytes, m_buffer.size() }));
@@ -257,6 +256,11 @@
     auto error = co_await readHead(parser);
     if (error)
         co_return error;
+    m_requestKeepsAlive = parser.get().keep_alive();
+    m_isHeadRequest = parser.get().method() == http::verb::head;
+    m_isSafeRequest = m_isHeadRequest || parser.get().method() == http::verb::get;
+    // Without the fields of a trailer, which are not counted, and are not header fields (RFC 9110, section 6.5.1).
+    takeHead(parser, request);
     m_stream.expires_after(m_options.bodyTimeout);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> continueResponse { http::status::continue_, 11 };
@@ -264,6 +268,8 @@
     }
     if (!error)
         error = co_await readBody(parser, limits);
+    request.body = MessageBody(std::move(parser.get().body()), std::move(m_bodyMemory));
+    request.receivedAt = std::chrono::steady_clock::now();
     co_return error;
 }
 
@@ -341,10 +347,9 @@
     co_return error;
 }
 
-ServerRequest HttpSession::toServerRequest(RequestParser& parser)
+void HttpSession::takeHead(const RequestParser& parser, ServerRequest& request) const
 {
-    auto& message = parser.get();
-    ServerRequest request;
+    const auto& message = parser.get();
     request.method = std::string(message.method_string());
     const std::string_view target(message.target().data(), message.target().size());
     const auto queryStart = target.find('?');
@@ -354,10 +359,7 @@
     request.fields.reserve(8);
     for (const auto& field : message)
         request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    request.body = MessageBody(std::move(message.body()), std::move(m_bodyMemory));
     request.worker = m_worker;
-    request.receivedAt = std::chrono::steady_clock::now();
-    return request;
 }
 
 Task<void> HttpSession::refuse(ErrorCodeType error)
--- a/packages/transport/src/HttpSession.h
+++ b/packages/transport/src/HttpSession.h
@@ -80,12 +80,12 @@
     Task<bool> serveOneRequest(const ServerHandler&);
     /// Waits for the first bytes of a request. @return false if the connection ended or the idle timeout passed
     Task<bool> waitForRequest(const RequestLimits&);
-    Task<ErrorCodeType> readRequest(RequestParser&, const RequestLimits&);
+    Task<ErrorCodeType> readRequest(RequestParser&, const RequestLimits&, ServerRequest&);
     Task<ErrorCodeType> readHead(RequestParser&);
     Task<ErrorCodeType> readBody(RequestParser&, const RequestLimits&);
     /// Passes buffered bytes to the parser, and reads more if it needs them.
     Task<ErrorCodeType> readSome(RequestParser&);
-    ServerRequest toServerRequest(RequestParser&);
+    void takeHead(const RequestParser&, ServerRequest&) const;
     /// Answers a request that could not be read.
     Task<void> refuse(ErrorCodeType);
     /// Lets a caller that still sends read its answer: a connection that is closed with unread bytes is reset.
--- a/packages/transport/tests/unit-http-listener.cpp
+++ b/packages/transport/tests/unit-http-listener.cpp
@@ -73,6 +73,7 @@
     Task<void> serve(ServerRequest& request, ServerResponder& responder)
     {
         ++requests;
+        lastFields = request.fields.size();
         HttpResponse response;
         response.status = 200;
         if (request.path == "/echo")
@@ -97,6 +98,8 @@
 
     std::shared_ptr<MessageMemory> memory = std::make_shared<MessageMemory>(1024 * kibibyte);
     std::atomic<unsigned> requests = 0;
+    /// Number of header fields of the last request.
+    std::atomic<std::size_t> lastFields = 0;
     WorkerPool workers { 1 };
     HttpListener listener;
 };
@@ -224,6 +227,14 @@
     CHECK(requests == 2);
 }
 
+TEST_CASE_METHOD(ListenerFixture, "HTTP listener, trailer, does not become part of the header")
+{
+    RawCaller caller(listener.port());
+    caller.write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nLate: field\r\n\r\n");
+    CHECK(caller.readHead().rfind("HTTP/1.1 200", 0) == 0);
+    CHECK(lastFields == 2);
+}
+
 TEST_CASE_METHOD(TwoConnectionsFixture, "HTTP listener, connection beyond the maximum, takes the place of the one that has waited longest")
 {
     const auto isServed = [](RawCaller& caller) { return caller.write(head(0)) && caller.readHead().rfind("HTTP/1.1 200", 0) == 0; };
