Keep smaller blocks in the heap, and up to 8 MiB of it

Suspected cause: blocks of 256 KiB or more were mapped and unmapped each time, and the top of the heap was returned beyond 128 KiB. Large bodies, for which that was made, are larger.

Change: blocks of 2 MiB or more are mapped, and 8 MiB of the heap may be kept.

--- a/packages/transport/include/cicadalb/transport/ProcessLimits.h
+++ b/packages/transport/include/cicadalb/transport/ProcessLimits.h
@@ -23,7 +23,7 @@
 /// @param descriptors that the process may open; 0: the limit that the operating system states (RLIMIT_NOFILE), which is never exceeded
 ConnectionLimits connectionLimits(std::size_t descriptors);
 
-/// @brief Makes the allocator return the memory of large messages to the operating system as soon as they are released.
+/// @brief Makes the allocator return the memory of blocks of 2 MiB or more to the operating system as soon as they are released, and keep 8 MiB at most.
 void configureAllocator();
 
 } // namespace cicadalb
--- a/packages/transport/src/ProcessLimits.cpp
+++ b/packages/transport/src/ProcessLimits.cpp
@@ -31,9 +31,11 @@
 void configureAllocator()
 {
 #ifdef __GLIBC__
-    // glibc raises this threshold with each larger block that is released, and keeps blocks below it in the heap.
-    constexpr int mappedBlockBytes = 256 << 10;
+    // By default, glibc raises both thresholds with each larger block that is released, up to 32 and 64 MiB.
+    constexpr int mappedBlockBytes = 2 << 20;
+    constexpr int keptBytes = 8 << 20;
     ::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    ::mallopt(M_TRIM_THRESHOLD, keptBytes);
 #endif
 }
 
