Let every host coordinate when no candidate can, and confirm a retirement after that

Usage reports, engine orders and weight loads stopped too.

Cause: only a process with `coordinating` set could take the lease, and SiteHost::retire() handed over and wrote "succeeded" without asking whether anybody could take over. The added machines run no process, since the role's share selects the first machine of each zone.

Change: every other process is a standby (StandbyCandidacy). While its mirror states that its process would request the lease, it makes no call; otherwise it watches the holder, requests the lease once it has been vacant for longer than a candidate needs, and gives it back when a candidate is reachable again. The lease and its fencing stay the only authority. A retirement (Retirement) releases the lease and is confirmed only once another process coordinates; if none does within 4 s, the host coordinates again and tries later. Usage counts and permits reach a standby at the address in the holder's record.

Why it works: whichever processes are candidates, one that lives and reaches the store and the targets takes the lease once it is vacant, and the last one that coordinates cannot confirm its own removal.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -86,6 +86,9 @@
     VersionNamed = 517,
     ResultsServed = 518,
     EngineAssigned = 519,
+    RetirementBegun = 520,
+    RetirementDelayed = 521,
+    RetirementDone = 522,
     // 6xx: process and links
     ProcessStarted = 601,
     ProcessStopping = 602,
--- a/packages/config/include/cicadalb/config/SiteSettings.h
+++ b/packages/config/include/cicadalb/config/SiteSettings.h
@@ -35,6 +35,8 @@
     /// Addresses of mirrors from which this process reads the store's records. A mirror may be down, or another process may have its
     /// address by now.
     std::vector<SocketAddress> mirrorSources;
+    /// Address at which a process without a mirror answers other hosts while it coordinates as a standby; empty: it does not answer them.
+    SocketAddress standbyListen;
 };
 
 /// @brief Calls to the platform that one host at a time makes for the whole site.
@@ -49,7 +51,7 @@
 struct SitePartSettings {
     /// True if the process takes callers' requests.
     bool serving = false;
-    /// True if the process is a candidate for coordinating submissions and weights.
+    /// True if the process is a candidate for coordinating submissions and weights. Otherwise it is a standby, which coordinates only while no candidate can.
     bool coordinating = false;
     /// Duties that the coordinator has for the whole site.
     std::vector<Duty> duties;
--- a/packages/config/src/SiteSettings.cpp
+++ b/packages/config/src/SiteSettings.cpp
@@ -47,6 +47,7 @@
             { "duties", &SiteAddressSettings::duties, Presence::Optional },
             { "mirror", &SiteAddressSettings::mirrorListen, Presence::Optional },
             { "mirrors", &SiteAddressSettings::mirrorSources, Presence::Optional },
+            { "standby", &SiteAddressSettings::standbyListen, Presence::Optional },
         };
         return fields;
     }
@@ -103,7 +104,7 @@
             errors.push_back({ ErrorCode::ValueInvalid, "parts: neither serving nor coordinating is true, so that the process would do nothing", fileName });
         if (settings.parts.serving && (settings.addresses.callers.address.empty() || settings.addresses.ready.address.empty()))
             errors.push_back({ ErrorCode::ValueMissing, "addresses.callers or addresses.ready is missing: a process that serves needs both", fileName });
-        if (settings.parts.coordinating && !settings.parts.duties.empty() && settings.addresses.duties.address.empty())
+        if (!settings.parts.duties.empty() && settings.addresses.duties.address.empty())
             errors.push_back({ ErrorCode::ValueMissing, "addresses.duties is missing: the calls of parts.duties are sent there", fileName });
     }
 
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -1,7 +1,6 @@
 #include "Coordination.h"
 
-#include "Pause.h"
-
+#include "cicadalb/base/ClockTimer.h"
 #include "cicadalb/base/Event.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,29 +30,36 @@
     constexpr milliseconds incumbentGracePeriod { 350 };
     /// Time for which a holder tries to reacquire its lapsed lease before it stops its work.
     constexpr milliseconds leaseRegainTimeout { 2500 };
-    /// Time for which a coordinator is cut off from all targets before it asks the other candidates whether they reach them ...
-    constexpr milliseconds minimumCutOffTime { 1000 };
-    /// ... the interval between these questions ...
-    constexpr milliseconds yieldQueryInterval { 500 };
-    /// ... and the time for which it then leaves the lease to them.
-    constexpr milliseconds yieldPeriod { 5000 };
     /// Five renewals within the lease time, so that lost answers do not end the lease.
     constexpr double renewalShare = 0.2;
     /// Time for which samples continue without a valid lease. Nobody can take over while the store is unavailable, and the result log is safe with
     /// two writers in any case.
     constexpr milliseconds maximumLeaseLapse { 8000 };
+    /// A candidate that has seen the lease vacant for this long cannot acquire it.
+    constexpr milliseconds longestCandidateVacancy { 3000 };
 
     LeaseSettings leaseSettings(const CoordinationSettings& settings)
     {
         LeaseSettings lease;
         lease.key = holderKey;
-        lease.holder = settings.host.value();
+        lease.holder = settings.host.value() + (settings.address.empty() ? "" : " " + settings.address);
         lease.timeToLive = settings.leaseTimeToLive;
         lease.renewalShare = renewalShare;
         lease.backoff = { milliseconds(30), milliseconds(300) };
         return lease;
     }
 
+    /// @param record "HOST ATTEMPT", or "HOST ADDRESS ATTEMPT" of a process that states its address
+    LeaseHolder holderFrom(const std::string& record, FencingNumber fence)
+    {
+        const auto hostEnd = record.find(' ');
+        const auto addressEnd = record.rfind(' ');
+        LeaseHolder holder { HostId(record.substr(0, hostEnd)), fence };
+        if (hostEnd < addressEnd)
+            holder.address = record.substr(hostEnd + 1, addressEnd - hostEnd - 1);
+        return holder;
+    }
+
 } // namespace
 
 TimePoint BootClock::now() const noexcept
@@ -76,24 +82,84 @@
     , m_leaseClock(m_settings.leaseClock ? *m_settings.leaseClock : m_bootClock)
     , m_lease(store, m_leaseClock, leaseSettings(m_settings), m_settings.seed)
 {
+    if (m_settings.standbyDelay)
+        m_standby.emplace(*m_settings.standbyDelay, m_leaseClock.now());
 }
 
 void Coordination::start()
 {
+    if (!m_standby)
+        activate();
+}
+
+void Coordination::activate()
+{
+    if (m_isActive || m_isLeaving)
+        return;
+    m_isActive = true;
     m_watch = std::make_shared<RecordWatch>(m_executor, m_store, m_leaseClock, RecordWatchSettings { std::string(holderPrefix) },
         RecordWatchHandler { [this](const auto& result, Duration) { applyHolderRecords(result, true); }, [this](const auto& result, Duration) { applyHolderRecords(result, false); }, {} });
     m_watch->start();
-    asio::co_spawn(
-        m_executor, [self = shared_from_this()]() { return self->maintainLease(); }, asio::detached);
-    asio::co_spawn(
-        m_executor, [self = shared_from_this()]() { return self->tickPeriodically(); }, asio::detached);
+    if (!std::exchange(m_isMaintainingLease, true)) {
+        asio::co_spawn(
+            m_executor, [self = shared_from_this()]() { return self->maintainLease(); }, asio::detached);
+    }
+    if (!std::exchange(m_isTicking, true)) {
+        asio::co_spawn(
+            m_executor, [self = shared_from_this()]() { return self->tickPeriodically(); }, asio::detached);
+    }
+}
+
+void Coordination::deactivate()
+{
+    if (!m_isActive)
+        return;
+    m_isActive = false;
+    m_watch->stop();
+    m_watch.reset();
+    m_isHolderKnown = false;
+    m_holder.clear();
+    m_recentHolders.clear();
+    m_vacantSince.reset();
+}
+
+void Coordination::observeCandidates()
+{
+    if (!m_standby)
+        return;
+    const auto now = m_leaseClock.now();
+    m_standby->observe(m_settings.mirrors && m_settings.mirrors->isCandidateReachable(), now);
+    if (m_standby->shouldWatch(now))
+        activate();
+    else if (!m_sampleRunner && !m_lease.fencingNumber())
+        deactivate();
+}
+
+bool Coordination::isCandidate() const
+{
+    if (m_standby || m_isLeaving || m_isRetiring || isCutOff())
+        return false;
+    return vacantFor().value_or(Duration::zero()) < longestCandidateVacancy;
+}
+
+std::optional<Duration> Coordination::vacantFor() const
+{
+    const bool isVacant = !m_sampleRunner && m_isHolderKnown && m_holder.empty() && m_vacantSince;
+    return isVacant ? std::optional(m_leaseClock.now() - *m_vacantSince) : std::nullopt;
+}
+
+Task<void> Coordination::wait(Duration duration) const
+{
+    ClockTimer timer(m_executor, m_clock);
+    (void)co_await timer.waitFor(duration);
 }
 
 std::string Coordination::holderKeyPrefix() { return std::string(holderPrefix); }
 
 void Coordination::restartWatches()
 {
-    m_watch->restart();
+    if (m_watch)
+        m_watch->restart();
     if (m_sampleRunner) {
         m_sampleRunner->restartWatch();
         m_weightOrders->restartWatch();
@@ -105,10 +171,10 @@
 std::optional<LeaseHolder> Coordination::holder() const
 {
     if (m_sampleRunner)
-        return LeaseHolder { m_settings.host, m_fence };
+        return LeaseHolder { m_settings.host, m_fence, m_settings.address };
     if (m_holder.empty())
         return std::nullopt;
-    return LeaseHolder { HostId(m_holder.substr(0, m_holder.find(' '))), m_holderRevision };
+    return holderFrom(m_holder, m_holderRevision);
 }
 
 void Coordination::recordHolder(const std::string& holder, Revision revision)
@@ -163,10 +229,15 @@
 
 bool Coordination::mayCampaign()
 {
+    // The lease is renewed until the work has ended.
+    if (m_isRetiring && !m_sampleRunner)
+        return false;
     if (m_sampleRunner || m_lease.fencingNumber())
         return true;
     if (isYielding())
         return false;
+    if (m_standby)
+        return mayCampaignAsStandby();
     // The record was left by an earlier process of this host, whose work ended with that process.
     if (isOwnRecord(m_holder)) {
         m_lease.allowReplacing(m_holderRevision);
@@ -176,48 +247,34 @@
     return isVacant && m_leaseClock.now() >= m_vacantSince.value_or(TimePoint()) + incumbentGracePeriod;
 }
 
+bool Coordination::mayCampaignAsStandby() const
+{
+    const auto now = m_leaseClock.now();
+    const auto vacancy = vacantFor();
+    return !isCutOff() && m_standby->mayRequest(vacancy ? std::optional(now - *vacancy) : std::nullopt, now);
+}
+
 Task<void> Coordination::maintainLease()
 {
     const auto self = shared_from_this();
-    while (!m_isLeaving) {
+    while (isActive()) {
         co_await yieldIfCutOff();
-        if (m_isLeaving)
+        co_await giveBackIfCandidateReturned();
+        if (!isActive())
             break;
         if (mayCampaign())
             (void)co_await m_lease.step();
         updateLeaseState();
-        co_await pause(m_executor, leaseStepInterval);
+        co_await wait(leaseStepInterval);
     }
-}
-
-Task<bool> Coordination::isOtherCandidateReachingTargets()
-{
-    bool isReached = false;
-    for (std::size_t candidate = 0; candidate < m_settings.mirrors->mirrorCount() && !isReached; ++candidate)
-        isReached = co_await m_settings.reachesTargets(candidate);
-    co_return isReached;
-}
-
-Task<void> Coordination::yieldIfCutOff()
-{
-    const auto* reachability = m_settings.samples.reachability;
-    const bool canAsk = reachability && m_settings.mirrors && m_settings.reachesTargets;
-    const auto now = m_leaseClock.now();
-    if (!m_sampleRunner || !canAsk || reachability->cutOffTime() < minimumCutOffTime || now < m_nextYieldQueryAt)
-        co_return;
-    m_nextYieldQueryAt = now + yieldQueryInterval;
-    const auto canBeReplaced = co_await isOtherCandidateReachingTargets();
-    if (!canBeReplaced || !m_sampleRunner || m_isLeaving)
-        co_return;
-    m_yieldsUntil = m_leaseClock.now() + yieldPeriod;
-    co_await releaseLease("this host is cut off from the targets, and another candidate is not");
+    m_isMaintainingLease = false;
 }
 
 /// Keeps running while maintainLease() waits for an answer from the store.
 Task<void> Coordination::tickPeriodically()
 {
     const auto self = shared_from_this();
-    while (!m_isLeaving) {
+    while (isActive()) {
         updateLeaseState();
         if (m_sampleRunner) {
             m_sampleRunner->tick();
@@ -230,8 +287,9 @@
         const bool mayBeReplaced = m_sampleRunner && m_settings.mirrors && !m_lease.mayAct(Duration::zero());
         if (mayBeReplaced && m_leaseClock.now() >= m_nextQueryAt)
             queryCandidates();
-        co_await pause(m_executor, tickInterval);
+        co_await wait(tickInterval);
     }
+    m_isTicking = false;
 }
 
 /// Queries all candidates at once, since some of them may be cut off as well.
@@ -277,7 +335,7 @@
     else if (m_sampleRunner && isIsolated(now))
         endWork("neither the store nor another candidate can be reached");
     const auto number = m_lease.fencingNumber();
-    if (!m_sampleRunner && number && !isYielding() && m_lease.mayAct(Duration::zero()))
+    if (!m_sampleRunner && number && !isYielding() && !m_isRetiring && m_lease.mayAct(Duration::zero()))
         beginWork(*number);
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
@@ -318,7 +376,7 @@
     m_lapseNoticedAt.reset();
     m_lastReplyAt.reset();
     m_wasFenced = false;
-    logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) } });
+    logEvent(Event::CoordinationBegun, { { "host", m_settings.host.value() }, { "fence", std::to_string(fence) }, { "standby", m_standby ? "yes" : "no" } });
     m_permits.beginGranting();
     m_sampleRunner = std::make_shared<SampleRunner>(m_executor, m_store, m_protocol, m_directory, m_clients, m_permits, m_crashGuard, m_clock, m_settings.samples);
     WeightOrderHooks hooks;
@@ -404,7 +462,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !isYielding() && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
+    return !m_isLeaving && !isYielding() && !m_isRetiring && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::onSiteChanged()
@@ -415,32 +473,4 @@
     m_weightOrders->updateEngines();
 }
 
-Task<void> Coordination::handOver()
-{
-    const auto self = shared_from_this();
-    m_isLeaving = true;
-    m_watch->stop();
-    co_await releaseLease("the host hands coordination over");
-}
-
-std::optional<TimePoint> Coordination::lastOrderAt() const
-{
-    const auto ofWeights = m_weightOrders ? m_weightOrders->lastOrderAt() : std::nullopt;
-    const auto ofUsage = m_usageReports ? m_usageReports->lastCallAt() : std::nullopt;
-    const auto ofCapacity = m_capacityOrders ? m_capacityOrders->lastOrderAt() : std::nullopt;
-    return std::max({ ofWeights, ofUsage, ofCapacity });
-}
-
-Task<void> Coordination::releaseLease(std::string_view reason)
-{
-    const auto now = m_clock.now();
-    const auto lastOrder = lastOrderAt();
-    if (lastOrder && now < *lastOrder + orderMargin)
-        co_await pause(m_executor, *lastOrder + orderMargin - now);
-    if (m_sampleRunner)
-        endWork(reason);
-    if (m_lease.fencingNumber())
-        co_await m_lease.release();
-}
-
 } // namespace cicadalb
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -3,6 +3,7 @@
 #include "CapacityOrders.h"
 #include "DefaultReleases.h"
 #include "SampleRunner.h"
+#include "StandbyCandidacy.h"
 #include "UsageReports.h"
 #include "WeightOrders.h"
 
@@ -24,6 +25,10 @@
 
 struct CoordinationSettings {
     HostId host;
+    /// Address, as "IP:PORT", at which other hosts reach this process while it coordinates, if they do not know it as a candidate; empty: none.
+    std::string address;
+    /// Set if this process is not a candidate but a standby: how long the lease has to be vacant before it is requested.
+    std::optional<Duration> standbyDelay;
     std::chrono::milliseconds leaseTimeToLive { 1600 };
     /// Time without weight orders between two holders of the lease.
     std::chrono::milliseconds orderQuietPeriod { 3000 };
@@ -49,12 +54,15 @@
 struct LeaseHolder {
     HostId host;
     FencingNumber fence = 0;
+    /// See CoordinationSettings::address.
+    std::string address {};
 };
 
 /// @brief A candidate for the coordinator's lease. It requests the lease only while its watch shows that nobody, or an earlier process of this
 /// host, holds it. After the lease has lapsed because the store was unavailable, the previous holder requests it first and continues its work
 /// if no other host has held it in between. A holder that cannot reach the store asks the other candidates who holds the lease, since the
 /// store may be refusing this host only. A holder that is cut off from all targets gives the lease up once another candidate states that it reaches them.
+/// A standby does nothing until observeCandidates() shows that no candidate can coordinate (see StandbyCandidacy).
 /// Bound to one event loop.
 class Coordination : public std::enable_shared_from_this<Coordination> {
 public:
@@ -66,6 +74,13 @@
     static constexpr std::chrono::milliseconds orderMargin { 900 };
     /// @brief Gives up coordination for good. The lease is released no earlier than orderMargin after the last order.
     Task<void> handOver();
+    /// @brief Gives up coordination once another process has it. The lease is released first, since only then another process can acquire it.
+    /// @return whether another process coordinates; if none does within @p maximumWait, this one is a candidate again
+    Task<bool> retire(Duration maximumWait);
+    /// @brief Lets a standby see whether a candidate can coordinate. Called at short intervals; without effect on a candidate.
+    void observeCandidates();
+    /// @brief Whether this process can be expected to acquire the lease when it is vacant.
+    bool isCandidate() const;
     void onSiteChanged();
     /// @brief Key prefix of the record that names the lease holder.
     static std::string holderKeyPrefix();
@@ -75,6 +90,9 @@
     void restartWatches();
     /// @brief Time as of which the copy of the holder's record is known to be complete, on the lease's clock.
     std::optional<TimePoint> holderCompleteAsOf() const { return m_watch ? m_watch->completeAsOf() : std::nullopt; }
+    bool isStandby() const noexcept { return m_standby.has_value(); }
+    /// @brief Time for which the lease has been seen vacant; empty if somebody holds it or that is not known here.
+    std::optional<Duration> vacantFor() const;
     bool isCoordinating() const noexcept { return m_sampleRunner != nullptr; }
     /// @brief Stops the work now if the lease was lost, instead of at the next periodic check.
     void checkLease() { updateLeaseState(); }
@@ -101,11 +119,25 @@
     std::uint64_t prefillWaits() const { return m_sampleRunner ? m_sampleRunner->scheduler().prefillWaits() : 0; }
 
 private:
+    /// Begins to watch the lease and to request it; without effect if that goes on.
+    void activate();
+    /// Ends both. A lease that is being requested is left to expire.
+    void deactivate();
+    bool isActive() const noexcept { return m_isActive && !m_isLeaving; }
+    Task<void> wait(Duration) const;
     Task<void> maintainLease();
     /// Gives the lease up if this host is cut off from the targets and another candidate is not.
     Task<void> yieldIfCutOff();
     Task<bool> isOtherCandidateReachingTargets();
     bool isYielding() const { return m_leaseClock.now() < m_yieldsUntil; }
+    Task<void> giveBackIfCandidateReturned();
+    /// Whether another process is known to have acquired the lease after @p baseline.
+    bool hasSuccessor(Revision baseline) const;
+    /// Whether the store names another process as the holder. @param baseline revision of the last holder's record that is known
+    Task<bool> readsOtherHolder(Revision baseline);
+    /// Waits until another process that is alive holds the lease.
+    Task<bool> awaitSuccessor(Revision baseline, TimePoint until);
+    bool isCutOff() const { return m_settings.samples.reachability && m_settings.samples.reachability->isCutOff(); }
     /// Ends the work and releases the lease, no earlier than orderMargin after the last order.
     Task<void> releaseLease(std::string_view reason);
     Task<void> tickPeriodically();
@@ -118,6 +150,7 @@
     void shortenQuietPeriod();
     /// Whether to request the lease now.
     bool mayCampaign();
+    bool mayCampaignAsStandby() const;
     /// Reads the current holder of the lease from another candidate's mirror.
     Task<void> queryCandidate(std::size_t mirror);
     void queryCandidates();
@@ -144,6 +177,8 @@
     BootClock m_bootClock;
     const Clock& m_leaseClock;
     LeaseCandidate m_lease;
+    /// Empty on a candidate.
+    std::optional<StandbyCandidacy> m_standby;
     std::shared_ptr<RecordWatch> m_watch;
     /// Holder of the lease as last reported by the store or another candidate; empty if nobody holds it.
     std::string m_holder;
@@ -157,6 +192,10 @@
     /// When this host, while coordinating, noticed that its lease had lapsed.
     std::optional<TimePoint> m_lapseNoticedAt;
     bool m_isLeaving = false;
+    bool m_isRetiring = false;
+    bool m_isActive = false;
+    bool m_isMaintainingLease = false;
+    bool m_isTicking = false;
     bool m_wasFenced = false;
     TimePoint m_ordersAllowedFrom;
     TimePoint m_workBeganAt;
--- a/packages/hosting/src/HostCall.cpp
+++ b/packages/hosting/src/HostCall.cpp
@@ -19,6 +19,22 @@
     co_return HostAnswer { std::move(response.value().body), std::move(response.value().memory) };
 }
 
+ChangingHostClient::ChangingHostClient(boost::asio::any_io_executor executor, EndpointSource source)
+    : m_executor(std::move(executor))
+    , m_source(std::move(source))
+{
+}
+
+std::shared_ptr<HttpClient> ChangingHostClient::client()
+{
+    auto endpoint = m_source ? m_source() : std::nullopt;
+    if (endpoint != m_endpoint) {
+        m_endpoint = std::move(endpoint);
+        m_client = m_endpoint ? std::make_shared<HttpClient>(m_executor, *m_endpoint) : nullptr;
+    }
+    return m_client;
+}
+
 std::vector<std::shared_ptr<HttpClient>> makeHostClients(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, const HttpClientOptions& options)
 {
     std::vector<std::shared_ptr<HttpClient>> clients;
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -55,6 +55,8 @@
     std::size_t mirrorCount() const noexcept { return m_mirrorCount; }
     /// @brief Whether a failed query is retried at a mirror instead of the store, because this host started recently and no mirror has replied yet.
     bool isInStartupGracePeriod() const { return m_mirrorCount > 0 && !m_hasBeenConnected && m_clock.now() < m_startedAt + startupGracePeriod; }
+    /// @brief Whether the last query was answered with recent records, by a process that requests the coordinator's lease when it is vacant.
+    bool isCandidateReachable() const noexcept { return m_isConnected && m_isMirrorCandidate; }
     /// @brief Makes mirrors usable at once, since the store cannot be reached either.
     void endStoreFallback() noexcept { m_storeFallbackUntil.reset(); }
 
@@ -71,6 +73,8 @@
     std::optional<TimePoint> m_storeFallbackUntil;
     TimePoint m_startedAt;
     bool m_isConnected = false;
+    /// What the last reply states.
+    bool m_isMirrorCandidate = false;
     bool m_hasBeenConnected = false;
 };
 
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -50,6 +50,8 @@
     std::chrono::milliseconds waited { 0 };
     /// Set if it is newer than the host's.
     std::optional<SuspectList> suspects {};
+    /// Whether the mirror's process requests the coordinator's lease when it is vacant.
+    bool isCandidate = true;
 };
 
 std::string encodeMirrorQuery(const MirrorQuery&);
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -118,6 +118,7 @@
     if (reply.records.entries.empty() && !reply.isSnapshot && mayWait)
         return std::optional<MirrorReply>();
     reply.records.revision = cache.revision;
+    reply.isCandidate = !m_isCandidate || m_isCandidate();
     reply.mayReturnWithin = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(cache.mayReturnUntil - now));
     reply.waited = std::chrono::duration_cast<milliseconds>(now - receivedAt);
     return std::optional(std::move(reply));
--- a/packages/hosting/src/RequestPermits.cpp
+++ b/packages/hosting/src/RequestPermits.cpp
@@ -1,7 +1,5 @@
 #include "RequestPermits.h"
 
-#include "HostCall.h"
-
 #include "cicadalb/base/Event.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,11 +26,17 @@
         co_return decodePermitReply(answer.value().body);
     }
 
+    Task<Result<PermitReply>> answerForNone() { co_return PermitReply {}; }
+
 } // namespace
 
-PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints)
+PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, EndpointSource standby)
 {
-    return [clients = makeHostClients(executor, endpoints)](std::size_t candidate, PermitRequest request) { return sendRequest(clients[candidate], std::move(request)); };
+    const auto standbyClient = std::make_shared<ChangingHostClient>(executor, std::move(standby));
+    return [clients = makeHostClients(executor, endpoints), standbyClient](std::size_t candidate, PermitRequest request) {
+        auto client = candidate < clients.size() ? clients[candidate] : standbyClient->client();
+        return client ? sendRequest(std::move(client), std::move(request)) : answerForNone();
+    };
 }
 
 RequestPermits::RequestPermits(boost::asio::any_io_executor executor, RequestPermitsSettings settings, PermitExchange exchange, const SiteProtocol& protocol, const Clock& clock)
--- a/packages/hosting/src/RequestPermits.h
+++ b/packages/hosting/src/RequestPermits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HostCall.h"
 #include "PermitMessages.h"
 
 #include "cicadalb/base/Task.h"
@@ -20,12 +21,12 @@
 /// @brief Sends one request for permits to one candidate for coordination and returns its reply.
 using PermitExchange = std::function<Task<Result<PermitReply>>(std::size_t candidate, PermitRequest)>;
 
-/// @brief Returns an exchange that asks the candidates over HTTP.
-PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&);
+/// @brief Returns an exchange that asks the candidates over HTTP. @param standby a standby that coordinates, the candidate after the last of the endpoints
+PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, EndpointSource standby);
 
 struct RequestPermitsSettings {
     HostId host;
-    /// Number of other processes that may coordinate.
+    /// Number of other processes that may be asked.
     std::size_t candidateCount = 0;
 };
 
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -7,6 +7,7 @@
 #include "Pause.h"
 #include "RecordMirror.h"
 #include "RequestRelay.h"
+#include "Retirement.h"
 #include "SiteEndpoints.h"
 #include "SiteParts.h"
 #include "SiteState.h"
@@ -54,7 +55,6 @@
     constexpr std::uint64_t maximumOperationsBodyBytes = std::uint64_t { 64 } << 10U;
     /// What a message between hosts adds to the body of the request that it carries.
     constexpr std::uint64_t maximumHostMessageOverhead = std::uint64_t { 1 } << 20U;
-    constexpr milliseconds retirementRetryDelay { 300 };
     /// Time before the end of the grace period at which requests in progress are answered without their targets.
     constexpr milliseconds answerMargin { 300 };
     /// Longest time for which a host that stops sends the usage counts that the coordinator does not have yet.
@@ -94,9 +94,10 @@
         return listenerOptions("callers", settings.addresses.callers, maximumBodyBytes, connectionLimits(settings.work.descriptors).callers);
     }
 
-    HttpListenerOptions mirrorOptions(const SiteSettings& settings)
+    HttpListenerOptions hostOptions(const SiteSettings& settings)
     {
-        return listenerOptions("mirror", settings.addresses.mirrorListen, maximumBodyBytes + maximumHostMessageOverhead, connectionLimits(settings.work.descriptors).hosts);
+        const auto& address = hasMirror(settings) ? settings.addresses.mirrorListen : settings.addresses.standbyListen;
+        return listenerOptions(hasMirror(settings) ? "mirror" : "standby", address, maximumBodyBytes + maximumHostMessageOverhead, connectionLimits(settings.work.descriptors).hosts);
     }
 
     HttpListenerOptions operationsOptions(std::string name, const SocketAddress& address, const SiteSettings& settings)
@@ -133,12 +134,12 @@
         , m_clients(m_workers, targetOptions())
         , m_mirrorClient(makeMirrorClient(m_executor, m_settings, m_clock))
         , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed, m_bootClock))
-        , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings)), *m_protocol, m_clock)
+        , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() + 1 }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings), [this] { return standbyEndpoint(); }), *m_protocol, m_clock)
         , m_crashGuard(std::make_shared<CrashGuard>(m_executor, *m_store, m_settings.host.id))
         , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
         , m_usageCounter(usageSettings(m_settings).windows, [] { return std::chrono::system_clock::now(); })
-        , m_usageSender(std::make_shared<UsageSender>(m_executor, m_usageCounter, makeHttpUsageExchange(m_executor, otherCandidates(m_settings), [this](const auto& message) { return collectUsage(message); }), m_clock, deliverySettings(m_settings, m_seed)))
+        , m_usageSender(std::make_shared<UsageSender>(m_executor, m_usageCounter, makeUsageExchange(), m_clock, deliverySettings(m_settings, m_seed)))
         , m_relay(makeRelay(m_executor, m_settings, m_clock))
         , m_relayEndpoint(m_directory, *m_protocol, m_forwarder, *m_reachability, KeyValidity(m_settings.work.keyValidity))
         , m_intake(*m_store)
@@ -153,12 +154,11 @@
             m_callerListener.emplace(m_workers, callerOptions(m_settings), serve);
             m_readyListener.emplace(m_workers, operationsOptions("ready", m_settings.addresses.ready, m_settings), serve);
         }
-        if (hasMirror(m_settings)) {
+        if (hasMirror(m_settings))
             m_mirror = std::make_shared<RecordMirror>(m_executor, m_bootClock);
-            m_mirrorListener.emplace(m_workers, mirrorOptions(m_settings), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
-        }
-        if (m_settings.parts.coordinating)
-            m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_executor, m_settings, m_mirrorClient, *m_reachability, m_seed));
+        if (hasMirror(m_settings) || !m_settings.addresses.standbyListen.address.empty())
+            m_hostListener.emplace(m_workers, hostOptions(m_settings), [this](auto& request, auto& responder) { return serveHosts(request, responder); });
+        m_coordination = std::make_shared<Coordination>(m_executor, *m_store, *m_protocol, m_directory, m_clients, m_permits, *m_crashGuard, m_clock, coordinationSettings(m_executor, m_settings, m_mirrorClient, *m_reachability, m_seed));
     }
 
     ~Implementation() { m_workers.stop(); }
@@ -170,8 +170,8 @@
             started = m_readyListener->start();
         if (started && m_callerListener)
             started = m_callerListener->start();
-        if (started && m_mirrorListener)
-            started = m_mirrorListener->start();
+        if (started && m_hostListener)
+            started = m_hostListener->start();
         if (!started)
             return started;
         asio::post(m_executor, [this] { startWork(); });
@@ -197,8 +197,7 @@
         });
         if (m_callerListener)
             m_callerListener->beginDraining();
-        if (m_coordination)
-            asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
+        asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
         if (m_callerListener) {
             std::this_thread::sleep_until(std::min(begunAt + m_settings.shutdown.unreadyPeriod, endsAt));
             m_callerListener->stopAccepting();
@@ -222,16 +221,15 @@
         m_forwarder.setUsageCounter(m_usageCounter);
         m_directory.setChangeHandler([this] {
             applyLimits();
-            if (m_coordination)
-                m_coordination->onSiteChanged();
+            m_coordination->onSiteChanged();
         });
         if (m_mirror) {
             m_mirror->setCompleteAsOfSource([this](const auto& prefix) { return completeAsOf(prefix); });
             const auto apply = [this](const auto& update) { m_mirror->apply(update); };
             m_mirror->setOutdatedCheck([this](const auto& entry) { return m_directory.isOutdated(entry); });
             m_directory.setUpdateHandler(apply);
-            if (m_coordination)
-                m_coordination->setUpdateHandler(apply);
+            m_coordination->setUpdateHandler(apply);
+            m_mirror->setCandidateCheck([this] { return m_coordination->isCandidate(); });
             m_directory.setRestoredHandler([this] { restartWatches(); });
             m_mirror->setSuspectsSource([this]() -> const SuspectList& { return m_crashGuard->suspects(); });
             m_crashGuard->setChangeHandler([this] { m_mirror->onSuspectsChanged(); });
@@ -242,12 +240,11 @@
             followSuspects();
         m_directory.start();
         asio::co_spawn(m_executor, tickPeriodically(), asio::detached);
-        if (!m_coordination)
-            return;
         m_coordination->start();
-        const auto apply = [this](const WatchResult& result, Duration) { applyRetirements(result.entries); };
-        m_retirementWatch = std::make_shared<RecordWatch>(m_executor, *m_store, m_clock, RecordWatchSettings { m_protocol->keys().retirements }, RecordWatchHandler { apply, apply, {} });
-        m_retirementWatch->start();
+        if (m_coordination->isStandby())
+            return;
+        m_retirement = std::make_shared<Retirement>(m_executor, *m_store, *m_protocol, m_coordination, m_clock, m_settings.host.id);
+        m_retirement->start();
     }
 
     void applyLimits()
@@ -258,11 +255,11 @@
         const auto& limits = view->configuration.limits;
         if (m_callerListener)
             m_callerListener->setLimits(requestLimits(limits, callerOptions(m_settings)));
-        if (!m_mirrorListener)
+        if (!m_hostListener)
             return;
-        auto hostLimits = mirrorOptions(m_settings);
+        auto hostLimits = hostOptions(m_settings);
         hostLimits.maximumBodyBytes = limits.maximumBodyBytes.value_or(maximumBodyBytes) + maximumHostMessageOverhead;
-        m_mirrorListener->setLimits(hostLimits);
+        m_hostListener->setLimits(hostLimits);
     }
 
     void followSuspects()
@@ -283,10 +280,9 @@
     /// Repeats the calls that wait for long; they may have been made before or during the outage, and then may never be answered.
     void restartWatches()
     {
-        if (m_coordination)
-            m_coordination->restartWatches();
-        if (m_retirementWatch)
-            m_retirementWatch->restart();
+        m_coordination->restartWatches();
+        if (m_retirement)
+            m_retirement->restartWatch();
         if (m_crashWatch)
             m_crashWatch->restart();
     }
@@ -294,7 +290,7 @@
     std::optional<TimePoint> completeAsOf(const std::string& prefix) const
     {
         if (prefix == Coordination::holderKeyPrefix())
-            return m_coordination ? m_coordination->holderCompleteAsOf() : std::nullopt;
+            return m_coordination->holderCompleteAsOf();
         return m_directory.completeAsOf(prefix);
     }
 
@@ -315,6 +311,7 @@
         while (true) {
             co_await pause(m_executor, tickInterval);
             m_directory.tick();
+            m_coordination->observeCandidates();
             m_usageSender->tick();
             if (m_clock.now() < nextEvictionAt)
                 continue;
@@ -322,37 +319,11 @@
             m_clients.closeUnused(0);
             m_reader.evictUnused();
             m_permits.retain(m_directory.registry());
-            if (m_coordination && m_coordination->isCoordinating())
+            if (m_coordination->isCoordinating())
                 asio::co_spawn(m_executor, m_crashGuard->deleteExpiredRecords(), asio::detached);
         }
     }
 
-    /// Retires this host when the operator orders it. Coordination is the only work that has to be handed over.
-    void applyRetirements(const std::vector<KeyValueEntry>& entries)
-    {
-        const auto own = m_protocol->keys().retirements + m_settings.host.id.value();
-        for (const auto& entry : entries) {
-            if (entry.key != own || entry.isDeleted || m_isRetiring)
-                continue;
-            m_isRetiring = true;
-            asio::co_spawn(m_executor, retire(), asio::detached);
-        }
-    }
-
-    Task<void> retire()
-    {
-        co_await m_coordination->handOver();
-        while (true) {
-            Transaction done;
-            done.writes.push_back(m_protocol->retirementStatus(m_settings.host.id, true));
-            const auto written = co_await m_store->commit(std::move(done));
-            if (written)
-                break;
-            co_await pause(m_executor, retirementRetryDelay);
-        }
-        logEvent(Event::ProcessStopping, { { "host", m_settings.host.id.value() }, { "reason", "retired by the operator" } });
-    }
-
     /// Answers requests of other hosts.
     Task<void> serveHosts(ServerRequest& request, ServerResponder& responder)
     {
@@ -381,11 +352,10 @@
             co_return;
         }
         if (request.path != permitPath) {
-            co_await m_mirror->serve(request, responder);
+            co_await serveRecords(request, responder);
             co_return;
         }
-        if (m_coordination)
-            m_coordination->checkLease();
+        m_coordination->checkLease();
         const auto question = decodePermitRequest(request.body);
         HttpResponse response;
         response.status = question ? 200 : 400;
@@ -393,10 +363,35 @@
         co_await responder.send(std::move(response));
     }
 
+    Task<void> serveRecords(ServerRequest& request, ServerResponder& responder)
+    {
+        if (m_mirror) {
+            co_await m_mirror->serve(request, responder);
+            co_return;
+        }
+        HttpResponse response;
+        response.status = 404;
+        co_await responder.send(std::move(response));
+    }
+
+    /// Address of the standby that coordinates, if another host does and states one.
+    std::optional<Endpoint> standbyEndpoint() const
+    {
+        return m_coordination->isCoordinating() ? std::nullopt : endpointOf(m_coordination->holder());
+    }
+
+    UsageExchange makeUsageExchange()
+    {
+        const auto own = [this](const auto& message) { return collectUsage(message); };
+        const auto standby = [this] { return standbyEndpoint(); };
+        return makeHttpUsageExchange(m_executor, otherCandidates(m_settings), own, standby);
+    }
+
     UsageReply collectUsage(const UsageMessage& message)
     {
-        auto reply = m_coordination ? m_coordination->collectUsage(message) : UsageReply {};
-        reply.isReporting = m_settings.parts.hasDuty(Duty::Metering);
+        auto reply = m_coordination->collectUsage(message);
+        // A standby may lack the duties that the candidates have.
+        reply.isReporting = m_coordination->isStandby() || m_settings.parts.hasDuty(Duty::Metering);
         return reply;
     }
 
@@ -446,13 +441,15 @@
         m_metrics.setGauge("cicadalb_blocked_requests", "Requests that are refused because targets crash under them", static_cast<double>(std::count_if(suspects.begin(), suspects.end(), [](const auto& suspect) { return suspect.isBlocked; })));
         m_metrics.setGauge("cicadalb_stream_records_waiting", "Records of streams that the store has not accepted yet", static_cast<double>(m_streamOrigins->waitingRecords()));
         m_metrics.setGauge("cicadalb_stream_records_stored", "Records of streams stored since the start", static_cast<double>(m_streamOrigins->storedRecords()));
-        m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination && m_coordination->isCoordinating() ? 1 : 0);
-        m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", m_coordination ? static_cast<double>(m_coordination->runningSamples()) : 0);
-        m_metrics.setGauge("cicadalb_prompt_waits", "Times that a sample waited although an engine had a free slot, because of the prompts that it reads", m_coordination ? static_cast<double>(m_coordination->prefillWaits()) : 0);
-        m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", m_coordination ? static_cast<double>(m_coordination->waitingSamples()) : 0);
-        m_metrics.setGauge("cicadalb_placement_paused", "1 if the coordinator places no samples because it is behind", m_coordination && m_coordination->isPlacementPaused() ? 1 : 0);
-        m_metrics.setGauge("cicadalb_coordinator_loop_delay_seconds", "Time that the coordinator's event loop last took to get to an action that was ready", m_coordination ? std::chrono::duration<double>(m_coordination->loopDelay()).count() : 0);
-        const auto* usage = m_coordination ? m_coordination->usageReports() : nullptr;
+        m_metrics.setGauge("cicadalb_coordinating", "1 if the host coordinates submissions", m_coordination->isCoordinating() ? 1 : 0);
+        // -1: somebody holds the lease, or this host does not watch it.
+        m_metrics.setGauge("cicadalb_coordinator_vacant_seconds", "Time for which this host has seen nobody hold the coordinator's lease", secondsOf(m_coordination->vacantFor()));
+        m_metrics.setGauge("cicadalb_samples_running", "Samples running on engines", static_cast<double>(m_coordination->runningSamples()));
+        m_metrics.setGauge("cicadalb_prompt_waits", "Times that a sample waited although an engine had a free slot, because of the prompts that it reads", static_cast<double>(m_coordination->prefillWaits()));
+        m_metrics.setGauge("cicadalb_samples_waiting", "Samples waiting for an engine", static_cast<double>(m_coordination->waitingSamples()));
+        m_metrics.setGauge("cicadalb_placement_paused", "1 if the coordinator places no samples because it is behind", m_coordination->isPlacementPaused() ? 1 : 0);
+        m_metrics.setGauge("cicadalb_coordinator_loop_delay_seconds", "Time that the coordinator's event loop last took to get to an action that was ready", std::chrono::duration<double>(m_coordination->loopDelay()).count());
+        const auto* usage = m_coordination->usageReports();
         m_metrics.setGauge("cicadalb_usage_windows_reported", "Usage reports accepted since this host began to coordinate", usage ? static_cast<double>(usage->totals().accepted) : 0);
         m_metrics.setGauge("cicadalb_usage_windows_late", "Usage reports accepted after they were due", usage ? static_cast<double>(usage->totals().late) : 0);
         m_metrics.setGauge("cicadalb_usage_windows_unsent", "Usage reports that are fixed and not accepted yet", usage ? static_cast<double>(usage->unsentReports()) : 0);
@@ -461,11 +458,11 @@
         m_metrics.setGauge("cicadalb_usage_last_requests", "Requests in the usage report that was sent last", last ? static_cast<double>(last->requests) : 0);
         m_metrics.setGauge("cicadalb_usage_last_hosts_missing", "Hosts whose last counts may be missing in it; -1 if not known", last && last->sources ? static_cast<double>(last->sources->missing.size()) : -1);
         m_metrics.setGauge("cicadalb_usage_counts_unsent", "1 if the coordinator does not have all counts of this host", m_usageSender->isDelivered() ? 0 : 1);
-        const auto capacity = m_coordination ? m_coordination->capacity() : CapacitySummary {};
+        const auto capacity = m_coordination->capacity();
         m_metrics.setGauge("cicadalb_engines_needed", "Engines that the work needs in pools whose engines this host orders", capacity.needed);
         m_metrics.setGauge("cicadalb_engines_ordered", "Engines that this host has ordered", capacity.ordered);
         m_metrics.setGauge("cicadalb_engines_registered", "Registered engines of these pools that do not leave", capacity.registered);
-        setOrderMetrics(m_coordination && m_coordination->capacityOrders() ? m_coordination->capacityOrders()->totals() : CapacityTotals {});
+        setOrderMetrics(m_coordination->capacityOrders() ? m_coordination->capacityOrders()->totals() : CapacityTotals {});
         return m_metrics.text();
     }
 
@@ -505,8 +502,9 @@
             { "cut-off", m_reachability->isCutOff() },
             { "request-limits", requestLimits },
             { "suspect-requests", suspects },
-            { "coordinating", m_coordination && m_coordination->isCoordinating() },
-            { "open-submissions", m_coordination ? m_coordination->openSubmissions() : 0 },
+            { "coordinating", m_coordination->isCoordinating() },
+            { "standby", m_coordination->isStandby() },
+            { "open-submissions", m_coordination->openSubmissions() },
             { "site", toJson(observeSite(m_directory, m_permits, m_coordination.get(), m_usageSender->isDelivered())) },
         };
     }
@@ -537,13 +535,13 @@
     SiteEndpoints m_endpoints;
     HttpListener m_adminListener;
     std::shared_ptr<RecordMirror> m_mirror;
-    std::optional<HttpListener> m_mirrorListener;
+    /// Serves other hosts.
+    std::optional<HttpListener> m_hostListener;
     std::optional<HttpListener> m_callerListener;
     std::optional<HttpListener> m_readyListener;
     std::shared_ptr<Coordination> m_coordination;
-    std::shared_ptr<RecordWatch> m_retirementWatch;
+    std::shared_ptr<Retirement> m_retirement;
     std::shared_ptr<RecordWatch> m_crashWatch;
-    bool m_isRetiring = false;
 };
 
 SiteHost::SiteHost(SiteSettings settings, std::unique_ptr<SiteProtocol> protocol, const StoreFactory& makeStore)
--- a/packages/hosting/src/SiteParts.cpp
+++ b/packages/hosting/src/SiteParts.cpp
@@ -76,6 +76,14 @@
     };
 }
 
+std::optional<Endpoint> endpointOf(const std::optional<LeaseHolder>& holder)
+{
+    if (!holder || holder->address.empty())
+        return std::nullopt;
+    const auto address = socketAddressFromText(holder->address);
+    return address ? std::optional(Endpoint { address.value().address, address.value().port }) : std::nullopt;
+}
+
 UsageReportingSettings usageSettings(const SiteSettings& settings)
 {
     return { { settings.work.usageWindow }, settings.work.usageReportTime };
@@ -83,15 +91,20 @@
 
 UsageDeliverySettings deliverySettings(const SiteSettings& settings, std::uint64_t seed)
 {
-    const auto others = otherCandidates(settings).size();
-    const auto candidates = settings.parts.coordinating ? others + 1 : others;
-    return { settings.host.id, seed, candidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
+    // This process, and a standby that coordinates.
+    constexpr std::size_t furtherCandidates = 2;
+    return { settings.host.id, seed, otherCandidates(settings).size() + furtherCandidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
 }
 
 CoordinationSettings coordinationSettings(const asio::any_io_executor& executor, const SiteSettings& settings, MirrorClient& mirrors, TargetReachability& reachability, std::uint64_t seed)
 {
     CoordinationSettings coordination;
     coordination.host = settings.host.id;
+    if (!settings.parts.coordinating)
+        coordination.standbyDelay = StandbyCandidacy::vacancyDelay(settings.work.memoryMebibytes, seed);
+    const auto& address = settings.addresses.standbyListen;
+    if (!address.address.empty())
+        coordination.address = address.address + ":" + std::to_string(address.port);
     coordination.leaseTimeToLive = settings.work.leaseTimeToLive;
     coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
     coordination.isFirstStart = settings.host.isFirstStart;
--- a/packages/hosting/src/SiteParts.h
+++ b/packages/hosting/src/SiteParts.h
@@ -28,7 +28,9 @@
 RequestRelay makeRelay(const boost::asio::any_io_executor&, const SiteSettings&, const Clock&);
 TargetProbe makeTargetProbe(TargetClients&);
 UsageReportingSettings usageSettings(const SiteSettings&);
-/// @brief The candidates for coordination that usage counts may be sent to: the other ones and, if it is one, this process.
+/// @brief The address that the holder of the coordinator's lease states, if any.
+std::optional<Endpoint> endpointOf(const std::optional<LeaseHolder>&);
+/// @brief The processes that usage counts may be sent to: the other candidates for coordination, this process, and a standby that coordinates.
 UsageDeliverySettings deliverySettings(const SiteSettings&, std::uint64_t seed);
 CoordinationSettings coordinationSettings(const boost::asio::any_io_executor&, const SiteSettings&, MirrorClient&, TargetReachability&, std::uint64_t seed);
 
--- a/packages/hosting/src/UsageSender.cpp
+++ b/packages/hosting/src/UsageSender.cpp
@@ -1,7 +1,5 @@
 #include "UsageSender.h"
 
-#include "HostCall.h"
-
 #include "cicadalb/base/ClockTimer.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,14 +18,17 @@
         co_return decodeUsageReply(answer.value().body);
     }
 
-    Task<Result<UsageReply>> answerOwn(UsageReply reply) { co_return reply; }
+    Task<Result<UsageReply>> answerAtOnce(UsageReply reply) { co_return reply; }
 
 } // namespace
 
-UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, std::function<UsageReply(const UsageMessage&)> own)
+UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, std::function<UsageReply(const UsageMessage&)> own, EndpointSource standby)
 {
-    return [clients = makeHostClients(executor, endpoints), own = std::move(own)](std::size_t candidate, UsageMessage message) {
-        return candidate < clients.size() ? sendMessage(clients[candidate], std::move(message)) : answerOwn(own(message));
+    const auto standbyClient = std::make_shared<ChangingHostClient>(executor, std::move(standby));
+    return [clients = makeHostClients(executor, endpoints), own = std::move(own), standbyClient](std::size_t candidate, UsageMessage message) {
+        const bool isOwn = candidate == clients.size();
+        auto client = candidate < clients.size() ? clients[candidate] : standbyClient->client();
+        return client && !isOwn ? sendMessage(std::move(client), std::move(message)) : answerAtOnce(own(message));
     };
 }
 
--- a/packages/hosting/src/UsageSender.h
+++ b/packages/hosting/src/UsageSender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HostCall.h"
 #include "UsageDelivery.h"
 
 #include "cicadalb/base/Task.h"
@@ -19,8 +20,9 @@
 /// @brief Sends a message to one candidate for coordination and returns its reply.
 using UsageExchange = std::function<Task<Result<UsageReply>>(std::size_t candidate, UsageMessage)>;
 
-/// @brief Returns an exchange over HTTP. @param own answers messages to this process, the candidate after the last of the endpoints; empty if it is none
-UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, std::function<UsageReply(const UsageMessage&)> own = {});
+/// @brief Returns an exchange over HTTP. @param own answers messages to this process, the candidate after the last of the endpoints
+/// @param standby a standby that coordinates, the candidate after this process
+UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, std::function<UsageReply(const UsageMessage&)> own, EndpointSource standby);
 
 /// @brief Makes the calls that UsageDelivery decides on. Bound to one event loop.
 class UsageSender : public std::enable_shared_from_this<UsageSender> {
