Let hosts find a coordinator that their settings do not list

What callers saw: usage reports without any requests, for as long as a candidate or standby coordinated that the hosts' settings do not list (at most three candidates are listed). Permits for targets with a limit were not given out either.

A host that reaches a mirror watches no holder.

Change: every coordinator states the address at which it serves hosts in the holder's record, and mirrors pass it on with their replies. A host uses it unless its settings list it.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -142,6 +142,12 @@
     return vacantFor().value_or(Duration::zero()) < longestCandidateVacancy;
 }
 
+CoordinationState Coordination::state() const
+{
+    const auto current = holder();
+    return { isCandidate(), current ? current->address : std::string() };
+}
+
 std::optional<Duration> Coordination::vacantFor() const
 {
     const bool isVacant = !m_sampleRunner && m_isHolderKnown && m_holder.empty() && m_vacantSince;
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -25,7 +25,7 @@
 
 struct CoordinationSettings {
     HostId host;
-    /// Address, as "IP:PORT", at which other hosts reach this process while it coordinates, if they do not know it as a candidate; empty: none.
+    /// Address, as "IP:PORT", at which other hosts reach this process while it coordinates; empty: none.
     std::string address;
     /// Set if this process is not a candidate but a standby: how long the lease has to be vacant before it is requested.
     std::optional<Duration> standbyDelay;
@@ -81,6 +81,8 @@
     void observeCandidates();
     /// @brief Whether this process can be expected to acquire the lease when it is vacant.
     bool isCandidate() const;
+    /// @brief What mirrors pass on about coordination.
+    CoordinationState state() const;
     void onSiteChanged();
     /// @brief Key prefix of the record that names the lease holder.
     static std::string holderKeyPrefix();
--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -69,7 +69,7 @@
             logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) } });
         m_isConnected = true;
         m_hasBeenConnected = true;
-        m_isMirrorCandidate = reply.value().isCandidate;
+        m_coordination = reply.value().coordination;
         const auto& suspects = reply.value().suspects;
         if (suspects && m_suspectsHandler && suspects->revision > m_suspectsRevision) {
             m_suspectsRevision = suspects->revision;
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -56,7 +56,9 @@
     /// @brief Whether a failed query is retried at a mirror instead of the store, because this host started recently and no mirror has replied yet.
     bool isInStartupGracePeriod() const { return m_mirrorCount > 0 && !m_hasBeenConnected && m_clock.now() < m_startedAt + startupGracePeriod; }
     /// @brief Whether the last query was answered with recent records, by a process that requests the coordinator's lease when it is vacant.
-    bool isCandidateReachable() const noexcept { return m_isConnected && m_isMirrorCandidate; }
+    bool isCandidateReachable() const noexcept { return m_isConnected && m_coordination.isCandidate; }
+    /// @brief Address of the process that coordinates, as the last query was answered; empty if it was not, or the mirror knows none.
+    std::string coordinatorAddress() const { return m_isConnected ? m_coordination.coordinatorAddress : std::string(); }
     /// @brief Makes mirrors usable at once, since the store cannot be reached either.
     void endStoreFallback() noexcept { m_storeFallbackUntil.reset(); }
 
@@ -74,7 +76,7 @@
     TimePoint m_startedAt;
     bool m_isConnected = false;
     /// What the last reply states.
-    bool m_isMirrorCandidate = false;
+    CoordinationState m_coordination;
     bool m_hasBeenConnected = false;
 };
 
--- a/packages/hosting/src/MirrorMessages.cpp
+++ b/packages/hosting/src/MirrorMessages.cpp
@@ -69,7 +69,7 @@
     for (const auto& entry : reply.records.entries)
         entries.push_back(toJson(entry));
     return toCbor({ { "entries", std::move(entries) }, { "revision", reply.records.revision }, { "snapshot", reply.isSnapshot },
-        { "after-outage", reply.mayReturnWithin.count() > 0 }, { "return-ms", reply.mayReturnWithin.count() }, { "age-ms", reply.age.count() }, { "waited-ms", reply.waited.count() }, { "suspects", reply.suspects ? toJson(*reply.suspects) : Json() }, { "candidate", reply.isCandidate } });
+        { "after-outage", reply.mayReturnWithin.count() > 0 }, { "return-ms", reply.mayReturnWithin.count() }, { "age-ms", reply.age.count() }, { "waited-ms", reply.waited.count() }, { "suspects", reply.suspects ? toJson(*reply.suspects) : Json() }, { "candidate", reply.coordination.isCandidate }, { "coordinator", reply.coordination.coordinatorAddress } });
 }
 
 Result<MirrorReply> decodeMirrorReply(std::string_view body)
@@ -88,7 +88,8 @@
         reply.waited = std::chrono::milliseconds(json.value("waited-ms", std::int64_t { 0 }));
         if (const auto suspects = json.find("suspects"); suspects != json.end() && !suspects->is_null())
             reply.suspects = suspectsFrom(*suspects);
-        reply.isCandidate = json.value("candidate", true);
+        reply.coordination.isCandidate = json.value("candidate", true);
+        reply.coordination.coordinatorAddress = json.value("coordinator", std::string());
         return reply;
     });
 }
--- a/packages/hosting/src/MirrorMessages.h
+++ b/packages/hosting/src/MirrorMessages.h
@@ -37,6 +37,13 @@
     std::chrono::milliseconds responseTimeout { 250 };
 };
 
+struct CoordinationState {
+    /// Whether the mirror's process requests the coordinator's lease when it is vacant.
+    bool isCandidate = true;
+    /// Address, as "IP:PORT", at which hosts reach the process that coordinates; empty if none is known.
+    std::string coordinatorAddress {};
+};
+
 struct MirrorReply {
     /// Each record once, in its latest state.
     WatchResult records;
@@ -50,8 +57,7 @@
     std::chrono::milliseconds waited { 0 };
     /// Set if it is newer than the host's.
     std::optional<SuspectList> suspects {};
-    /// Whether the mirror's process requests the coordinator's lease when it is vacant.
-    bool isCandidate = true;
+    CoordinationState coordination {};
 };
 
 std::string encodeMirrorQuery(const MirrorQuery&);
--- a/packages/hosting/src/RecordMirror.cpp
+++ b/packages/hosting/src/RecordMirror.cpp
@@ -118,7 +118,8 @@
     if (reply.records.entries.empty() && !reply.isSnapshot && mayWait)
         return std::optional<MirrorReply>();
     reply.records.revision = cache.revision;
-    reply.isCandidate = !m_isCandidate || m_isCandidate();
+    if (m_coordination)
+        reply.coordination = m_coordination();
     reply.mayReturnWithin = std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(cache.mayReturnUntil - now));
     reply.waited = std::chrono::duration_cast<milliseconds>(now - receivedAt);
     return std::optional(std::move(reply));
--- a/packages/hosting/src/RecordMirror.h
+++ b/packages/hosting/src/RecordMirror.h
@@ -38,8 +38,8 @@
     /// @brief Sets the source of the suspects that replies include. Call onSuspectsChanged() after each change of them.
     void setSuspectsSource(std::function<const SuspectList&()> source) { m_suspects = std::move(source); }
     void onSuspectsChanged() { wakeWaiters(); }
-    /// @brief Sets the check whether this process requests the coordinator's lease when it is vacant. Without one, replies state that it does.
-    void setCandidateCheck(std::function<bool()> check) { m_isCandidate = std::move(check); }
+    /// @brief Sets the source of what replies state about coordination. Without one, they state that this process is a candidate.
+    void setCoordinationSource(std::function<CoordinationState()> source) { m_coordination = std::move(source); }
 
     /// @brief Returns the next changes. Waits for them if necessary, while the cache is at most MirrorClient::maximumAge old. Errors: Unavailable if
     /// the records are unknown.
@@ -71,7 +71,7 @@
     std::function<std::optional<TimePoint>(const std::string&)> m_completeAsOf;
     std::function<const SuspectList&()> m_suspects;
     std::function<bool(const KeyValueEntry&)> m_isOutdated;
-    std::function<bool()> m_isCandidate;
+    std::function<CoordinationState()> m_coordination;
     std::map<std::string, PrefixCache> m_caches;
     std::set<ClockTimer*> m_waitingTimers;
     bool m_isStopped = false;
--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -170,7 +170,7 @@
         co_return MirrorOutcome::Failed;
     if (reply.value().isSnapshot && reply.value().records.revision < m_revision)
         co_return MirrorOutcome::Lagging;
-    const auto& [records, isSnapshot, mirrorReturnTime, age, waited, suspects, isCandidate] = reply.value();
+    const auto& [records, isSnapshot, mirrorReturnTime, age, waited, suspects, coordination] = reply.value();
     raiseCompleteAsOf(sentAt + waited - age);
     const bool wasFailing = m_hasFailed;
     recordOutcome(success());
--- a/packages/hosting/src/RequestPermits.cpp
+++ b/packages/hosting/src/RequestPermits.cpp
@@ -30,11 +30,11 @@
 
 } // namespace
 
-PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, EndpointSource standby)
+PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, EndpointSource unlisted)
 {
-    const auto standbyClient = std::make_shared<ChangingHostClient>(executor, std::move(standby));
-    return [clients = makeHostClients(executor, endpoints), standbyClient](std::size_t candidate, PermitRequest request) {
-        auto client = candidate < clients.size() ? clients[candidate] : standbyClient->client();
+    const auto unlistedClient = std::make_shared<ChangingHostClient>(executor, std::move(unlisted));
+    return [clients = makeHostClients(executor, endpoints), unlistedClient](std::size_t candidate, PermitRequest request) {
+        auto client = candidate < clients.size() ? clients[candidate] : unlistedClient->client();
         return client ? sendRequest(std::move(client), std::move(request)) : answerForNone();
     };
 }
--- a/packages/hosting/src/RequestPermits.h
+++ b/packages/hosting/src/RequestPermits.h
@@ -21,8 +21,8 @@
 /// @brief Sends one request for permits to one candidate for coordination and returns its reply.
 using PermitExchange = std::function<Task<Result<PermitReply>>(std::size_t candidate, PermitRequest)>;
 
-/// @brief Returns an exchange that asks the candidates over HTTP. @param standby a standby that coordinates, the candidate after the last of the endpoints
-PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, EndpointSource standby);
+/// @brief Returns an exchange that asks the candidates over HTTP. @param unlisted the coordinator if it is none of these, the candidate after the last of the endpoints
+PermitExchange makeHttpPermitExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, EndpointSource unlisted);
 
 struct RequestPermitsSettings {
     HostId host;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -134,7 +134,7 @@
         , m_clients(m_workers, targetOptions())
         , m_mirrorClient(makeMirrorClient(m_executor, m_settings, m_clock))
         , m_directory(m_executor, *m_store, *m_protocol, m_clock, directorySettings(m_settings, m_mirrorClient, m_seed, m_bootClock))
-        , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() + 1 }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings), [this] { return standbyEndpoint(); }), *m_protocol, m_clock)
+        , m_permits(m_executor, { m_settings.host.id, otherCandidates(m_settings).size() + 1 }, makeHttpPermitExchange(m_executor, otherCandidates(m_settings), [this] { return unlistedCoordinator(); }), *m_protocol, m_clock)
         , m_crashGuard(std::make_shared<CrashGuard>(m_executor, *m_store, m_settings.host.id))
         , m_reachability(std::make_shared<TargetReachability>(m_executor, m_directory, makeTargetProbe(m_clients), m_clock, m_seed))
         , m_forwarder(m_directory, *m_protocol, m_clients, m_permits, *m_crashGuard, m_clock, m_reachability.get())
@@ -229,7 +229,7 @@
             m_mirror->setOutdatedCheck([this](const auto& entry) { return m_directory.isOutdated(entry); });
             m_directory.setUpdateHandler(apply);
             m_coordination->setUpdateHandler(apply);
-            m_mirror->setCandidateCheck([this] { return m_coordination->isCandidate(); });
+            m_mirror->setCoordinationSource([this] { return m_coordination->state(); });
             m_directory.setRestoredHandler([this] { restartWatches(); });
             m_mirror->setSuspectsSource([this]() -> const SuspectList& { return m_crashGuard->suspects(); });
             m_crashGuard->setChangeHandler([this] { m_mirror->onSuspectsChanged(); });
@@ -374,17 +374,20 @@
         co_await responder.send(std::move(response));
     }
 
-    /// Address of the standby that coordinates, if another host does and states one.
-    std::optional<Endpoint> standbyEndpoint() const
+    /// Address of the coordinator, if it is another process that the settings do not list.
+    std::optional<Endpoint> unlistedCoordinator() const
     {
-        return m_coordination->isCoordinating() ? std::nullopt : endpointOf(m_coordination->holder());
+        if (m_coordination->isCoordinating())
+            return std::nullopt;
+        const auto holder = m_coordination->holder();
+        return unlistedEndpoint(m_settings, holder ? holder->address : m_mirrorClient.coordinatorAddress());
     }
 
     UsageExchange makeUsageExchange()
     {
         const auto own = [this](const auto& message) { return collectUsage(message); };
-        const auto standby = [this] { return standbyEndpoint(); };
-        return makeHttpUsageExchange(m_executor, otherCandidates(m_settings), own, standby);
+        const auto unlisted = [this] { return unlistedCoordinator(); };
+        return makeHttpUsageExchange(m_executor, otherCandidates(m_settings), own, unlisted);
     }
 
     UsageReply collectUsage(const UsageMessage& message)
--- a/packages/hosting/src/SiteParts.cpp
+++ b/packages/hosting/src/SiteParts.cpp
@@ -76,12 +76,20 @@
     };
 }
 
-std::optional<Endpoint> endpointOf(const std::optional<LeaseHolder>& holder)
+std::optional<Endpoint> unlistedEndpoint(const SiteSettings& settings, std::string_view coordinatorAddress)
 {
-    if (!holder || holder->address.empty())
+    const auto address = socketAddressFromText(coordinatorAddress);
+    if (!address)
         return std::nullopt;
-    const auto address = socketAddressFromText(holder->address);
-    return address ? std::optional(Endpoint { address.value().address, address.value().port }) : std::nullopt;
+    Endpoint endpoint { address.value().address, address.value().port };
+    const auto listed = otherCandidates(settings);
+    return std::find(listed.begin(), listed.end(), endpoint) == listed.end() ? std::optional(std::move(endpoint)) : std::nullopt;
+}
+
+std::string addressForHosts(const SiteSettings& settings)
+{
+    const auto& address = hasMirror(settings) ? settings.addresses.mirrorListen : settings.addresses.standbyListen;
+    return address.address.empty() ? std::string() : address.address + ":" + std::to_string(address.port);
 }
 
 UsageReportingSettings usageSettings(const SiteSettings& settings)
@@ -91,7 +99,7 @@
 
 UsageDeliverySettings deliverySettings(const SiteSettings& settings, std::uint64_t seed)
 {
-    // This process, and a standby that coordinates.
+    // This process, and a coordinator that the settings do not list.
     constexpr std::size_t furtherCandidates = 2;
     return { settings.host.id, seed, otherCandidates(settings).size() + furtherCandidates, static_cast<std::size_t>(placementHash(settings.host.id.value())), usageSettings(settings).settleTime() };
 }
@@ -102,9 +110,7 @@
     coordination.host = settings.host.id;
     if (!settings.parts.coordinating)
         coordination.standbyDelay = StandbyCandidacy::vacancyDelay(settings.work.memoryMebibytes, seed);
-    const auto& address = settings.addresses.standbyListen;
-    if (!address.address.empty())
-        coordination.address = address.address + ":" + std::to_string(address.port);
+    coordination.address = addressForHosts(settings);
     coordination.leaseTimeToLive = settings.work.leaseTimeToLive;
     coordination.orderQuietPeriod = settings.work.orderQuietPeriod;
     coordination.isFirstStart = settings.host.isFirstStart;
--- a/packages/hosting/src/SiteParts.h
+++ b/packages/hosting/src/SiteParts.h
@@ -28,9 +28,11 @@
 RequestRelay makeRelay(const boost::asio::any_io_executor&, const SiteSettings&, const Clock&);
 TargetProbe makeTargetProbe(TargetClients&);
 UsageReportingSettings usageSettings(const SiteSettings&);
-/// @brief The address that the holder of the coordinator's lease states, if any.
-std::optional<Endpoint> endpointOf(const std::optional<LeaseHolder>&);
-/// @brief The processes that usage counts may be sent to: the other candidates for coordination, this process, and a standby that coordinates.
+/// @brief Address, as "IP:PORT", at which this process serves other hosts; empty if it does not.
+std::string addressForHosts(const SiteSettings&);
+/// @brief The address that a coordinator states, unless it states none or is one of otherCandidates().
+std::optional<Endpoint> unlistedEndpoint(const SiteSettings&, std::string_view coordinatorAddress);
+/// @brief The processes that usage counts may be sent to: the other candidates for coordination, this process, and a coordinator that the settings do not list.
 UsageDeliverySettings deliverySettings(const SiteSettings&, std::uint64_t seed);
 CoordinationSettings coordinationSettings(const boost::asio::any_io_executor&, const SiteSettings&, MirrorClient&, TargetReachability&, std::uint64_t seed);
 
--- a/packages/hosting/src/UsageSender.cpp
+++ b/packages/hosting/src/UsageSender.cpp
@@ -22,12 +22,12 @@
 
 } // namespace
 
-UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, std::function<UsageReply(const UsageMessage&)> own, EndpointSource standby)
+UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor& executor, const std::vector<Endpoint>& endpoints, std::function<UsageReply(const UsageMessage&)> own, EndpointSource unlisted)
 {
-    const auto standbyClient = std::make_shared<ChangingHostClient>(executor, std::move(standby));
-    return [clients = makeHostClients(executor, endpoints), own = std::move(own), standbyClient](std::size_t candidate, UsageMessage message) {
+    const auto unlistedClient = std::make_shared<ChangingHostClient>(executor, std::move(unlisted));
+    return [clients = makeHostClients(executor, endpoints), own = std::move(own), unlistedClient](std::size_t candidate, UsageMessage message) {
         const bool isOwn = candidate == clients.size();
-        auto client = candidate < clients.size() ? clients[candidate] : standbyClient->client();
+        auto client = candidate < clients.size() ? clients[candidate] : unlistedClient->client();
         return client && !isOwn ? sendMessage(std::move(client), std::move(message)) : answerAtOnce(own(message));
     };
 }
--- a/packages/hosting/src/UsageSender.h
+++ b/packages/hosting/src/UsageSender.h
@@ -21,8 +21,8 @@
 using UsageExchange = std::function<Task<Result<UsageReply>>(std::size_t candidate, UsageMessage)>;
 
 /// @brief Returns an exchange over HTTP. @param own answers messages to this process, the candidate after the last of the endpoints
-/// @param standby a standby that coordinates, the candidate after this process
-UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, std::function<UsageReply(const UsageMessage&)> own, EndpointSource standby);
+/// @param unlisted the coordinator if it is none of these, the candidate after this process
+UsageExchange makeHttpUsageExchange(const boost::asio::any_io_executor&, const std::vector<Endpoint>&, std::function<UsageReply(const UsageMessage&)> own, EndpointSource unlisted);
 
 /// @brief Makes the calls that UsageDelivery decides on. Bound to one event loop.
 class UsageSender : public std::enable_shared_from_this<UsageSender> {
--- a/packages/hosting/tests/SimulatedCoordinators.h
+++ b/packages/hosting/tests/SimulatedCoordinators.h
@@ -80,10 +80,9 @@
         settings.seed = ++m_lastSeed;
         settings.mirrors = process.mirrorClient.get();
         settings.leaseClock = &m_clock;
-        if (isStandby) {
+        settings.address = "10.0.0.1:" + std::to_string(m_lastSeed);
+        if (isStandby)
             settings.standbyDelay = StandbyCandidacy::vacancyDelay(0, m_lastSeed);
-            settings.address = "10.0.0.1:" + std::to_string(m_lastSeed);
-        }
         process.coordination = std::make_shared<Coordination>(executor, *process.store, m_protocol, *process.directory, m_clients, *process.permits, *process.crashGuard, m_clock, settings);
         if (!isStandby)
             startMirror(process);
@@ -186,7 +185,7 @@
         process.mirror->setCompleteAsOfSource([&process](const auto& prefix) {
             return prefix == Coordination::holderKeyPrefix() ? process.coordination->holderCompleteAsOf() : process.directory->completeAsOf(prefix);
         });
-        process.mirror->setCandidateCheck([&process] { return process.coordination->isCandidate(); });
+        process.mirror->setCoordinationSource([&process] { return process.coordination->state(); });
         const auto apply = [mirror = process.mirror](const auto& update) { mirror->apply(update); };
         process.directory->setUpdateHandler(apply);
         process.coordination->setUpdateHandler(apply);
--- a/packages/hosting/tests/unit-standby-candidacy.cpp
+++ b/packages/hosting/tests/unit-standby-candidacy.cpp
@@ -69,11 +69,11 @@
 TEST_CASE("mirror reply, of a process that does not request the lease, says so, and one of an earlier build counts as a candidate's")
 {
     MirrorReply reply;
-    reply.isCandidate = false;
+    reply.coordination.isCandidate = false;
     const auto text = encodeMirrorReply(reply);
-    CHECK_FALSE(decodeMirrorReply(text).value().isCandidate);
+    CHECK_FALSE(decodeMirrorReply(text).value().coordination.isCandidate);
     auto json = nlohmann::json::from_cbor(text);
     json.erase("candidate");
     const auto earlier = nlohmann::json::to_cbor(json);
-    CHECK(decodeMirrorReply(std::string(earlier.begin(), earlier.end())).value().isCandidate);
+    CHECK(decodeMirrorReply(std::string(earlier.begin(), earlier.end())).value().coordination.isCandidate);
 }
