--- a/packages/hosting/tests/unit-standby-coordination.cpp
+++ b/packages/hosting/tests/unit-standby-coordination.cpp
@@ -324,6 +324,8 @@
     for (auto seed = first; seed < first + environmentNumber("COORDINATORS_COUNT", 30); ++seed) {
         INFO("seed " << seed);
         RandomChanges changes(static_cast<std::uint64_t>(seed));
-        CHECK(changes.run(changesPerSeed) == "");
+        const auto violation = changes.run(changesPerSeed);
+        INFO(violation);
+        CHECK(violation.empty());
     }
 }
