--- a/packages/hosting/src/UsageSender.cpp
+++ b/packages/hosting/src/UsageSender.cpp
@@ -28,6 +28,7 @@
     return [clients = makeHostClients(executor, endpoints), own = std::move(own), unlistedClient](std::size_t candidate, UsageMessage message) {
         const bool isOwn = candidate == clients.size();
         auto client = candidate < clients.size() ? clients[candidate] : unlistedClient->client();
+        // Without an unlisted coordinator this process answers once more.
         return client && !isOwn ? sendMessage(std::move(client), std::move(message)) : answerAtOnce(own(message));
     };
 }
