Log requests for the coordinator's lease and what an assignment of engines follows from

Cause: after a slow change of coordinator the events did not tell when a process saw the lease vacant, which calls it made and what the store answered, nor why engines were assigned to other models.

Change: events 210 to 212 (lease-vacant, lease-requested, lease-refused); 519 states cause, measured time per event and demand.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -29,6 +29,9 @@
     MirrorLost = 207,
     RecordsOutdated = 208,
     RecordsCurrent = 209,
+    LeaseVacant = 210,
+    LeaseRequested = 211,
+    LeaseRefused = 212,
     // 3xx: membership
     HostJoined = 301,
     HostSuspected = 302,
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -223,6 +223,7 @@
         if (wasVacant && !isSnapshot)
             return;
         m_vacantSince = m_leaseClock.now();
+        logEvent(Event::LeaseVacant, { { "host", m_settings.host.value() }, { "revision", std::to_string(m_holderRevision) } });
         if (m_sampleRunner)
             m_lease.skipDelay();
         return;
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -70,7 +70,7 @@
     const auto measured = std::count_if(m_engines.begin(), m_engines.end(), [this](const auto& entry) { return m_scheduler.hasMeasuredTimePerEvent(entry.first); });
     m_isAssignedBySpeed = !m_engines.empty() && static_cast<std::size_t>(measured) * enginesPerUnmeasured >= m_engines.size() * (enginesPerUnmeasured - 1);
     if (m_isAssignedBySpeed)
-        assignHomeModels();
+        assignHomeModels("most engines are measured");
 }
 
 void WeightOrders::applyNamedVersions(const std::vector<KeyValueEntry>& entries)
@@ -122,6 +122,13 @@
     logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "assigned-model", assignedModelOf(order.engine) }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.expectedAcceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
 }
 
+void WeightOrders::logAssignment(const TargetId& engine, const ModelName& model, std::size_t models, std::string_view cause) const
+{
+    const std::chrono::duration<double, std::milli> timePerEvent = m_scheduler.timePerEvent(engine);
+    const auto demand = m_scheduler.demand().find(model);
+    logEvent(Event::EngineAssigned, { { "engine", engine.value() }, { "model", model.value() }, { "models", std::to_string(models) }, { "cause", std::string(cause) }, { "milliseconds-per-event", std::to_string(timePerEvent.count()) }, { "measured", m_scheduler.hasMeasuredTimePerEvent(engine) ? "yes" : "no" }, { "demand", demand == m_scheduler.demand().end() ? "" : std::to_string(demand->second) } });
+}
+
 void WeightOrders::updateEngines()
 {
     std::set<TargetId> present;
@@ -140,7 +147,7 @@
     std::erase_if(m_engines, [&](const auto& entry) { return !present.contains(entry.first) && entry.second.loadingModel.isEmpty(); });
     if (auto input = assignmentInput(); input != m_assigned) {
         m_assigned = std::move(input);
-        assignHomeModels();
+        assignHomeModels("engines or models have changed");
     }
     tick();
 }
@@ -178,7 +185,7 @@
     return engines;
 }
 
-void WeightOrders::assignHomeModels()
+void WeightOrders::assignHomeModels(std::string_view cause)
 {
     const auto view = m_directory.view();
     if (!view)
@@ -197,7 +204,7 @@
         for (const auto& [id, model] : assignModels(std::move(engines), models, m_scheduler.demand())) {
             auto& assignedModel = m_engines[id].assignedModel;
             if (assignedModel != model)
-                logEvent(Event::EngineAssigned, { { "engine", id.value() }, { "model", model.value() }, { "models", std::to_string(models.size()) } });
+                logAssignment(id, model, models.size(), cause);
             assignedModel = model;
             m_scheduler.setAssignedModel(id, model);
         }
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -85,7 +85,7 @@
     };
 
     AssignmentInput assignmentInput() const;
-    void assignHomeModels();
+    void assignHomeModels(std::string_view cause);
     void assignWhenMeasured();
     std::vector<LoadableEngine> loadableEngines(const PoolName&) const;
     Task<void> load(LoadDecision);
@@ -98,6 +98,7 @@
     void updateVersions(const TargetId&, const std::map<std::string, WeightVersion>&);
     void addLoadedVersion(const LoadDecision&);
     std::string assignedModelOf(const TargetId&) const;
+    void logAssignment(const TargetId&, const ModelName&, std::size_t models, std::string_view cause) const;
     void logOrder(const LoadOrder&, std::optional<OrderOutcome>) const;
 
     boost::asio::any_io_executor m_executor;
--- a/packages/services/include/cicadalb/services/LeaseCandidate.h
+++ b/packages/services/include/cicadalb/services/LeaseCandidate.h
@@ -46,6 +46,8 @@
 
 private:
     Task<void> makeCall(LeaseCall);
+    void logRequest(std::string_view call) const;
+    void logRefusal(std::string_view call, const Error&) const;
     template <typename Value>
     Value readLocked(Value (LeaseStateMachine::*accessor)() const) const;
     template <typename Event>
--- a/packages/services/src/LeaseCandidate.cpp
+++ b/packages/services/src/LeaseCandidate.cpp
@@ -12,6 +12,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    constexpr std::string_view grantCall = "grant";
+    constexpr std::string_view writeCall = "write";
+
+} // namespace
+
 LeaseCandidate::LeaseCandidate(KeyValueService& service, const Clock& clock, LeaseSettings settings, std::uint64_t randomSeed)
     : m_service(service)
     , m_clock(clock)
@@ -114,19 +121,35 @@
         logEvent(cicadalb::Event::LeaseLost, { { "key", m_settings.key }, { "holder", m_settings.holder } });
 }
 
+void LeaseCandidate::logRequest(std::string_view call) const
+{
+    logEvent(cicadalb::Event::LeaseRequested, { { "key", m_settings.key }, { "holder", m_settings.holder }, { "call", std::string(call) } });
+}
+
+void LeaseCandidate::logRefusal(std::string_view call, const Error& error) const
+{
+    logEvent(cicadalb::Event::LeaseRefused, { { "key", m_settings.key }, { "holder", m_settings.holder }, { "call", std::string(call) }, { "cause", error.message } });
+}
+
 Task<void> LeaseCandidate::makeCall(LeaseCall dueCall)
 {
     switch (dueCall) {
     case LeaseCall::None:
         co_return;
     case LeaseCall::Grant: {
+        logRequest(grantCall);
         const auto result = co_await m_service.grantLease(m_settings.timeToLive);
+        if (!result)
+            logRefusal(grantCall, result.error());
         applyEvent([&](LeaseStateMachine& machine, TimePoint now) { machine.onGrant(result, now); });
         co_return;
     }
     case LeaseCall::WriteKey: {
+        logRequest(writeCall);
         auto write = readLocked(&LeaseStateMachine::keyWrite);
         const auto result = co_await m_service.compareAndSwap(std::move(write));
+        if (!result)
+            logRefusal(writeCall, result.error());
         applyEvent([&](LeaseStateMachine& machine, TimePoint now) { machine.onKeyWritten(result, now); });
         co_return;
     }
