Begin a request for a lease anew once the lease that it names has expired

Cause: a candidate stops its calls while another host holds the lease, and went on where it had stopped at the next vacancy: it wrote the key with a lease of the earlier vacancy, was refused, released it and waited 0.25 to 0.75 of the lease time before it asked for a new one. Standbys, which wait 1.0 s, were then faster than candidates.

Change: LeaseStateMachine::next() starts with Grant if the lease of a begun request (write, read or release pending) has expired. The key can neither be written nor still be held with such a lease, so nothing is given up.

--- a/packages/services/include/cicadalb/services/LeaseStateMachine.h
+++ b/packages/services/include/cicadalb/services/LeaseStateMachine.h
@@ -41,7 +41,8 @@
 public:
     LeaseStateMachine(LeaseSettings, std::uint64_t randomSeed);
 
-    /// @brief The call to make now. The validity of a lease granted or renewed by it counts from @p now.
+    /// @brief The call to make now. The validity of a lease granted or renewed by it counts from @p now. A request that has not ended by the time its lease
+    /// expires, for example since its candidate left the key to another one, begins anew.
     LeaseCall next(TimePoint now);
     /// @brief Makes the next call due immediately, for example because the key was seen to be removed.
     void skipDelay(TimePoint now) { m_nextCallAt = std::min(m_nextCallAt, now); }
@@ -68,6 +69,8 @@
 
 private:
     Duration usableTime() const;
+    bool isRequestExpired(TimePoint now) const;
+    void restartRequest();
     void retryLater(TimePoint now);
     void recordAcquisition(Revision, TimePoint now);
     void recordLoss(TimePoint now);
--- a/packages/services/src/LeaseStateMachine.cpp
+++ b/packages/services/src/LeaseStateMachine.cpp
@@ -23,6 +23,8 @@
 {
     if (now < m_nextCallAt)
         return LeaseCall::None;
+    if (isRequestExpired(now))
+        restartRequest();
     m_calledAt = now;
     if (m_nextCall == LeaseCall::Grant)
         m_keyValue = m_settings.holder + " " + std::to_string(m_candidateNonce) + "-" + std::to_string(++m_attemptCount);
@@ -109,6 +111,19 @@
     return CompareAndSwap { m_settings.key, m_keyValue, m_replaceableRevision, m_lease };
 }
 
+bool LeaseStateMachine::isRequestExpired(TimePoint now) const
+{
+    const bool hasBegunRequest = m_nextCall == LeaseCall::WriteKey || m_nextCall == LeaseCall::ReadKey || m_nextCall == LeaseCall::Release;
+    return hasBegunRequest && now >= m_validUntil;
+}
+
+/// The key can neither be written with an expired lease nor still be held with it.
+void LeaseStateMachine::restartRequest()
+{
+    m_lease = 0;
+    m_nextCall = LeaseCall::Grant;
+}
+
 Duration LeaseStateMachine::usableTime() const
 {
     return partOf(m_settings.timeToLive, 1.0 - m_settings.clockMargin);
