Make the calls of one request for the coordinator's lease without pauses

Callers saw runs cut and nobody coordinating for longer than the 600 ms that standbys count on.

Cause: a candidate made one call for the lease in each round of 150 ms, so that the write of the key came a round after the grant. A delay that was left from an earlier request was cut short for a process that still works, but not for a candidate that sees a vacancy.

Change: the calls of a request follow each other until one has to wait; each candidate that sees the lease become vacant ends its delay.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -224,8 +224,7 @@
             return;
         m_vacantSince = m_leaseClock.now();
         logEvent(Event::LeaseVacant, { { "host", m_settings.host.value() }, { "revision", std::to_string(m_holderRevision) } });
-        if (m_sampleRunner)
-            m_lease.skipDelay();
+        m_lease.skipDelay();
         return;
     }
     if (isSnapshot)
@@ -269,14 +268,24 @@
         co_await giveBackIfCandidateReturned();
         if (!isActive())
             break;
-        if (mayCampaign())
-            (void)co_await m_lease.step();
+        co_await makeLeaseCalls();
         updateLeaseState();
         co_await wait(leaseStepInterval);
     }
     m_isMaintainingLease = false;
 }
 
+/// The calls of one request follow each other without a pause.
+Task<void> Coordination::makeLeaseCalls()
+{
+    auto nextCallAt = m_leaseClock.now();
+    while (isActive() && mayCampaign() && nextCallAt <= m_leaseClock.now()) {
+        nextCallAt = co_await m_lease.step();
+        if (m_lease.fencingNumber())
+            break;
+    }
+}
+
 /// Keeps running while maintainLease() waits for an answer from the store.
 Task<void> Coordination::tickPeriodically()
 {
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -128,6 +128,7 @@
     bool isActive() const noexcept { return m_isActive && !m_isLeaving; }
     Task<void> wait(Duration) const;
     Task<void> maintainLease();
+    Task<void> makeLeaseCalls();
     /// Gives the lease up if this host is cut off from the targets and another candidate is not.
     Task<void> yieldIfCutOff();
     Task<bool> isOtherCandidateReachingTargets();
