Offer coordination to another process before a planned change, and go on working until one has it

Cause: the holder released the lease first and looked for a successor afterwards. Everybody then waited for a delay that is made for holders that crash: 350 ms at candidates, 1.0 to 1.4 s at standbys. What had been received in the last 0.4 s was lost.

Change: the holder stops its orders, lets the margin after the last one pass and writes coordinator/offer under its lease, naming the revision of its record. A candidate (a standby after its delay, if no candidate is reachable) that reaches the targets replaces the record in one write on that revision, so that lease and fencing stay the only authority. The holder works on until it sees the new record; then it stores results and incomplete texts and releases its lease. That removes the offer, whereupon the new holder begins, 700 ms later at most. If nobody accepts within 3 s, the lease is released as before. SIGTERM hands over beside the draining of callers. The quiet period between orders counts from the offer, which is as old as a release as far as orders are concerned.

--- a/packages/base/include/cicadalb/base/Event.h
+++ b/packages/base/include/cicadalb/base/Event.h
@@ -92,6 +92,7 @@
     RetirementBegun = 520,
     RetirementDelayed = 521,
     RetirementDone = 522,
+    CoordinationOffered = 523,
     // 6xx: process and links
     ProcessStarted = 601,
     ProcessStopping = 602,
--- a/packages/base/src/Event.cpp
+++ b/packages/base/src/Event.cpp
@@ -158,6 +158,7 @@
         { Event::RetirementBegun, "retirement-begun", Level::Info },
         { Event::RetirementDelayed, "retirement-delayed", Level::Warning },
         { Event::RetirementDone, "retirement-done", Level::Info },
+        { Event::CoordinationOffered, "coordination-offered", Level::Info },
         { Event::ProcessStarted, "process-started", Level::Info },
         { Event::ProcessStopping, "process-stopping", Level::Info },
         { Event::ProcessStopped, "process-stopped", Level::Info },
--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -20,6 +20,7 @@
 
     constexpr std::string_view holderPrefix = "coordinator/";
     constexpr std::string_view holderKey = "coordinator/holder";
+    constexpr std::string_view offerKey = "coordinator/offer";
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseStepInterval { 150 };
     /// Interval between queries to the other candidates.
@@ -121,6 +122,7 @@
     m_holder.clear();
     m_recentHolders.clear();
     m_vacantSince.reset();
+    m_offeredRevision = 0;
 }
 
 void Coordination::observeCandidates()
@@ -137,7 +139,7 @@
 
 bool Coordination::isCandidate() const
 {
-    if (m_standby || m_isLeaving || m_isRetiring || isCutOff())
+    if (m_standby || m_isLeaving || m_isRetiring || isOffering() || isCutOff())
         return false;
     return vacantFor().value_or(Duration::zero()) < longestCandidateVacancy;
 }
@@ -208,9 +210,12 @@
     if (isSnapshot && !isOlderSnapshot) {
         m_holder.clear();
         m_recentHolders.clear();
+        m_offeredRevision = 0;
     }
     m_isHolderKnown = true;
     for (const auto& entry : records.entries) {
+        if (entry.key == offerKey)
+            applyOffer(entry);
         if (entry.key != holderKey || entry.revision < m_holderRevision)
             continue;
         m_holder = entry.isDeleted ? std::string() : entry.value;
@@ -229,28 +234,42 @@
     }
     if (isSnapshot)
         m_vacantSince.reset();
+    // The holder sent its last order at least orderMargin before its offer, as before a release.
+    if (isLeaseOffered())
+        m_vacantSince = m_leaseClock.now();
     if (m_sampleRunner)
         shortenQuietPeriod();
+    else if (m_lease.fencingNumber())
+        updateLeaseState();
 }
 
 bool Coordination::mayCampaign()
 {
     // The lease is renewed until the work has ended.
-    if (m_isRetiring && !m_sampleRunner)
+    if ((m_isRetiring || isOffering()) && !m_sampleRunner)
         return false;
     if (m_sampleRunner || m_lease.fencingNumber())
         return true;
     if (isYielding())
         return false;
+    const auto replaceable = replaceableRevision();
+    if (replaceable)
+        m_lease.allowReplacing(*replaceable);
+    return replaceable.has_value();
+}
+
+std::optional<Revision> Coordination::replaceableRevision() const
+{
+    if (isLeaseOffered())
+        return mayAcceptOffer() ? std::optional(m_holderRevision) : std::nullopt;
     if (m_standby)
-        return mayCampaignAsStandby();
+        return mayCampaignAsStandby() ? std::optional<Revision>(0) : std::nullopt;
     // The record was left by an earlier process of this host, whose work ended with that process.
-    if (isOwnRecord(m_holder)) {
-        m_lease.allowReplacing(m_holderRevision);
-        return true;
-    }
+    if (isOwnRecord(m_holder))
+        return m_holderRevision;
     const bool isVacant = m_isHolderKnown && m_holder.empty();
-    return isVacant && m_leaseClock.now() >= m_vacantSince.value_or(TimePoint()) + incumbentGracePeriod;
+    const bool mayRequest = isVacant && m_leaseClock.now() >= m_vacantSince.value_or(TimePoint()) + incumbentGracePeriod;
+    return mayRequest ? std::optional<Revision>(0) : std::nullopt;
 }
 
 bool Coordination::mayCampaignAsStandby() const
@@ -265,7 +284,7 @@
     const auto self = shared_from_this();
     while (isActive()) {
         co_await yieldIfCutOff();
-        co_await giveBackIfCandidateReturned();
+        giveBackIfCandidateReturned();
         if (!isActive())
             break;
         co_await makeLeaseCalls();
@@ -351,7 +370,12 @@
     else if (m_sampleRunner && isIsolated(now))
         endWork("neither the store nor another candidate can be reached");
     const auto number = m_lease.fencingNumber();
-    if (!m_sampleRunner && number && !isYielding() && !m_isRetiring && m_lease.mayAct(Duration::zero()))
+    if (!number)
+        m_acquiredAt.reset();
+    else if (!m_acquiredAt)
+        m_acquiredAt = now;
+    const bool mayWork = number && !isOffering() && !isYielding() && !m_isRetiring && !isHeldByOther(*number) && !isPredecessorWorking(now);
+    if (!m_sampleRunner && mayWork && m_lease.mayAct(Duration::zero()))
         beginWork(*number);
     if (m_sampleRunner && number && *number != m_fence) {
         m_fence = *number;
@@ -367,14 +391,20 @@
 /// Whether the work has to stop: another host holds the lease, or it could not be reacquired or renewed in time.
 bool Coordination::isLeaseLost(TimePoint now)
 {
-    const bool isHeldByOther = !m_holder.empty() && !isOwnRecord(m_holder);
+    // An offer that was accepted ends the work by itself.
+    const bool isReplaced = isHeldByOther(m_fence) && !isOffering();
     if (m_lease.fencingNumber()) {
         m_lapseNoticedAt.reset();
-        return isHeldByOther || now >= m_leaseLastValidAt + maximumLeaseLapse;
+        return isReplaced || now >= m_leaseLastValidAt + maximumLeaseLapse;
     }
     if (!m_lapseNoticedAt)
         m_lapseNoticedAt = now;
-    return isHeldByOther || now >= *m_lapseNoticedAt + leaseRegainTimeout;
+    return isReplaced || now >= *m_lapseNoticedAt + leaseRegainTimeout;
+}
+
+bool Coordination::isHeldByOther(Revision own) const
+{
+    return !m_holder.empty() && !isOwnRecord(m_holder) && m_holderRevision > own;
 }
 
 bool Coordination::isIsolated(TimePoint now) const
@@ -478,7 +508,7 @@
 
 bool Coordination::mayOrder() const
 {
-    return !m_isLeaving && !isYielding() && !m_isRetiring && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
+    return !m_isLeaving && !isOffering() && !isYielding() && !m_isRetiring && !m_wasFenced && m_sampleRunner && m_leaseClock.now() >= m_ordersAllowedFrom && m_lease.mayAct(orderMargin);
 }
 
 void Coordination::onSiteChanged()
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -62,6 +62,8 @@
 /// host, holds it. After the lease has lapsed because the store was unavailable, the previous holder requests it first and continues its work
 /// if no other host has held it in between. A holder that cannot reach the store asks the other candidates who holds the lease, since the
 /// store may be refusing this host only. A holder that is cut off from all targets gives the lease up once another candidate states that it reaches them.
+/// A planned change of coordinator begins with an offer: the holder gives no more orders, but goes on working until another process has replaced its
+/// record. Then it stores what it has received and releases its own lease, whereupon the new holder begins.
 /// A standby does nothing until observeCandidates() shows that no candidate can coordinate (see StandbyCandidacy).
 /// Bound to one event loop.
 class Coordination : public std::enable_shared_from_this<Coordination> {
@@ -72,10 +74,12 @@
     /// No order is sent with less than this time left on the lease, so that the last order is at least this old when another host can acquire
     /// the lease. A call that sends an order takes at most 600 ms.
     static constexpr std::chrono::milliseconds orderMargin { 900 };
-    /// @brief Gives up coordination for good. The lease is released no earlier than orderMargin after the last order.
+    /// Longest time for which the lease is offered: a standby needs to notice that there is no candidate, and its delay.
+    static constexpr std::chrono::milliseconds offerTime { 3000 };
+    /// @brief Gives up coordination for good. Neither an offer nor the release of the lease comes earlier than orderMargin after the last order.
     Task<void> handOver();
-    /// @brief Gives up coordination once another process has it. The lease is released first, since only then another process can acquire it.
-    /// @return whether another process coordinates; if none does within @p maximumWait, this one is a candidate again
+    /// @brief Gives up coordination once another process has it. If none accepts the offer within offerTime, the lease is released.
+    /// @return whether another process coordinates; if none does within @p maximumWait of the release, this one is a candidate again
     Task<bool> retire(Duration maximumWait);
     /// @brief Lets a standby see whether a candidate can coordinate. Called at short intervals; without effect on a candidate.
     void observeCandidates();
@@ -133,9 +137,21 @@
     Task<void> yieldIfCutOff();
     Task<bool> isOtherCandidateReachingTargets();
     bool isYielding() const { return m_leaseClock.now() < m_yieldsUntil; }
-    Task<void> giveBackIfCandidateReturned();
-    /// Whether another process is known to have acquired the lease after @p baseline.
-    bool hasSuccessor(Revision baseline) const;
+    void giveBackIfCandidateReturned();
+    /// Lets another process take over while this one goes on working. @return whether one has; the work has ended then
+    Task<bool> offerLease(std::string_view reason, TimePoint until);
+    Task<bool> writeOffer();
+    Task<void> endAcceptedWork(std::string_view reason);
+    /// Offers the lease and, if nobody accepts it, releases it and leaves it to others for a while.
+    Task<void> yieldLease(std::string_view reason);
+    Task<void> awaitOrderMargin();
+    bool isOffering() const noexcept { return m_offersInProgress > 0; }
+    void applyOffer(const KeyValueEntry&);
+    /// Whether the holder, another process, lets this one replace its record.
+    bool isLeaseOffered() const;
+    bool mayAcceptOffer() const;
+    /// Whether the holder whose offer was accepted may still be at work.
+    bool isPredecessorWorking(TimePoint now) const;
     /// Whether the store names another process as the holder. @param baseline revision of the last holder's record that is known
     Task<bool> readsOtherHolder(Revision baseline);
     /// Waits until another process that is alive holds the lease.
@@ -153,12 +169,16 @@
     void shortenQuietPeriod();
     /// Whether to request the lease now.
     bool mayCampaign();
+    /// Revision of the record that a request may replace, 0 if there is none; empty if the lease must not be requested now.
+    std::optional<Revision> replaceableRevision() const;
     bool mayCampaignAsStandby() const;
     /// Reads the current holder of the lease from another candidate's mirror.
     Task<void> queryCandidate(std::size_t mirror);
     void queryCandidates();
     void updateLeaseState();
     bool isLeaseLost(TimePoint now);
+    /// Whether another process is known to have acquired the lease after the revision @p own.
+    bool isHeldByOther(Revision own) const;
     /// Whether neither the store nor any other candidate can be reached, so that another host may have taken over.
     bool isIsolated(TimePoint now) const;
     void beginWork(FencingNumber);
@@ -189,8 +209,13 @@
     /// The most recent holders by the revision of their record. Cleared by a snapshot, which does not show earlier holders.
     std::map<Revision, std::string> m_recentHolders;
     bool m_isHolderKnown = false;
-    /// When the lease was seen to become vacant before the current holder acquired it; empty after a snapshot that names a holder.
+    /// When the lease was seen to become vacant, or to be offered, before the current holder acquired it; empty after a snapshot that names a holder.
     std::optional<TimePoint> m_vacantSince;
+    /// Revision of the holder's record that the store's offer names; 0 if there is no offer.
+    Revision m_offeredRevision = 0;
+    /// When this process acquired the lease that it holds; empty if it holds none.
+    std::optional<TimePoint> m_acquiredAt;
+    unsigned m_offersInProgress = 0;
     FencingNumber m_fence = 0;
     /// When this host, while coordinating, noticed that its lease had lapsed.
     std::optional<TimePoint> m_lapseNoticedAt;
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -34,8 +34,6 @@
     constexpr milliseconds storeRetryDelay { 200 };
     /// Texts with fewer events are not stored, since generating them again is cheaper.
     constexpr std::size_t minimumStoredEvents = 12;
-    /// A value of the store holds at most 1 MB, a quarter of which is base64 overhead.
-    constexpr std::size_t maximumStoredTextBytes = std::size_t { 600 } << 10U;
     /// A longer text could not be stored as a result: a value of the store holds at most 1 MB in base64.
     constexpr std::size_t maximumTextBytes = std::size_t { 700 } << 10U;
     /// Interval between searches for expired submissions ...
@@ -163,10 +161,7 @@
 {
     m_isStopped = true;
     m_watch->stop();
-    for (const auto& [key, run] : m_runs)
-        run->cancellation->cancel();
-    for (const auto& [key, cancellation] : m_rewardCalls)
-        cancellation->cancel();
+    cancelRuns();
     for (const auto& [id, open] : m_openSubmissions)
         open->isClosed = true;
     m_openSubmissions.clear();
@@ -326,7 +321,7 @@
 
 void SampleRunner::schedulePlacement()
 {
-    if (m_isPlacementScheduled || m_isStopped)
+    if (m_isPlacementScheduled || m_isStopped || m_isFinishing)
         return;
     m_isPlacementScheduled = true;
     asio::post(m_executor, [self = shared_from_this(), requestedAt = m_clock.now()] { self->placeItems(requestedAt); });
@@ -336,7 +331,7 @@
 {
     m_isPlacementScheduled = false;
     // During a pause, tick() requests the next placement.
-    if (m_isStopped || !updatePlacementPause(requestedAt))
+    if (m_isStopped || m_isFinishing || !updatePlacementPause(requestedAt))
         return;
     for (const auto& placement : m_scheduler.place(m_clock.now()))
         asio::co_spawn(m_executor, runItem(placement), asio::detached);
@@ -344,6 +339,8 @@
 
 void SampleRunner::tick()
 {
+    if (m_isFinishing)
+        return;
     const auto now = m_clock.now();
     for (const auto& key : m_scheduler.expiredItems(now)) {
         const auto found = m_openSubmissions.find(key.submission);
@@ -534,14 +531,23 @@
     }
 }
 
+/// One call of ResultLog::append() at a time.
+Task<Result<std::size_t>> SampleRunner::appendOnce(OpenSubmissionPointer entry)
+{
+    entry->isWriting = true;
+    auto appended = co_await entry->log->append();
+    entry->isWriting = false;
+    co_return appended;
+}
+
 Task<void> SampleRunner::append(OpenSubmissionPointer entry)
 {
     const auto self = shared_from_this();
     while (entry->log->hasPending() && !m_isStopped && !entry->isClosed) {
         co_await pause(m_executor, m_settings.appendInterval);
-        if (m_isStopped || entry->isClosed)
+        if (m_isStopped || m_isFinishing || entry->isClosed)
             break;
-        const auto appended = co_await entry->log->append();
+        const auto appended = co_await appendOnce(entry);
         if (!appended) {
             logAppend(*entry, 0, appended.error().message);
             co_await pause(m_executor, storeRetryDelay);
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -38,6 +38,8 @@
 
     /// @brief Loads the stored submissions and watches for changes.
     void start();
+    /// @brief Cancels all runs, and stores the results and incomplete texts that have been received. Takes at most @p maximumWait.
+    Task<void> finish(Duration maximumWait);
     /// @brief Cancels all runs at once and starts no further writes.
     void stop();
     /// @brief See RecordWatch::restart().
@@ -62,6 +64,8 @@
         SubmissionPolicy policy;
         std::shared_ptr<ResultLog> log;
         bool isAppending = false;
+        /// Whether a call of ResultLog::append() is in progress.
+        bool isWriting = false;
         bool isClosed = false;
         Revision revision = 0;
     };
@@ -84,6 +88,9 @@
         bool isEnded = false;
     };
 
+    /// A value of the store holds at most 1 MB, a quarter of which is base64 overhead.
+    static constexpr std::size_t maximumStoredTextBytes = std::size_t { 600 } << 10U;
+
     void placeItems(TimePoint requestedAt);
     /// Notes begin and end of a pause of placement. @return whether items may be placed now
     bool updatePlacementPause(TimePoint requestedAt);
@@ -100,6 +107,9 @@
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
     void settle(const OpenSubmissionPointer&, const ItemKey&, ResultState, std::string rewardSignature, std::string_view reason);
     Task<void> append(OpenSubmissionPointer);
+    Task<void> appendLast(OpenSubmissionPointer);
+    Task<Result<std::size_t>> appendOnce(OpenSubmissionPointer);
+    void cancelRuns();
     /// Stops the run or the reward call of an item.
     void stopRun(const ItemKey&);
     void stopRewardCalls(const SubmissionId&);
@@ -137,6 +147,7 @@
     TimePoint m_nextExpirySearchAt;
     TimePoint m_nextPartialTextsAt;
     bool m_isStoringPartialTexts = false;
+    bool m_isFinishing = false;
     bool m_isStopped = false;
     bool m_isPlacementScheduled = false;
     PlacementGate m_placementGate;
--- a/packages/hosting/src/SiteHost.cpp
+++ b/packages/hosting/src/SiteHost.cpp
@@ -59,8 +59,8 @@
     constexpr milliseconds answerMargin { 300 };
     /// Longest time for which a host that stops sends the usage counts that the coordinator does not have yet.
     constexpr milliseconds usageFlushTimeout { 600 };
-    /// Longest time for a coordinator's hand-over at shutdown, including a call to the store.
-    constexpr milliseconds handOverTimeout = Coordination::orderMargin + milliseconds(600);
+    /// Longest time for a coordinator's hand-over at shutdown, including calls to the store.
+    constexpr milliseconds handOverTimeout = Coordination::offerTime + Coordination::orderMargin + milliseconds(600);
 
     std::uint64_t seedOf(const HostId& host)
     {
@@ -197,12 +197,13 @@
         });
         if (m_callerListener)
             m_callerListener->beginDraining();
-        asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future).wait_for(handOverTimeout);
+        const auto handedOver = asio::co_spawn(m_executor, m_coordination->handOver(), asio::use_future);
         if (m_callerListener) {
             std::this_thread::sleep_until(std::min(begunAt + m_settings.shutdown.unreadyPeriod, endsAt));
             m_callerListener->stopAccepting();
         }
         awaitRequests(endsAt);
+        handedOver.wait_until(std::min(begunAt + handOverTimeout, endsAt));
         asio::post(m_executor, [this] {
             m_endpoints.endRequests();
             m_relayEndpoint.endRequests();
--- a/packages/hosting/tests/SimulatedCoordinators.h
+++ b/packages/hosting/tests/SimulatedCoordinators.h
@@ -168,6 +168,7 @@
         m_context.poll();
     }
 
+    boost::asio::any_io_executor executor() { return m_context.get_executor(); }
     FakeKeyValueService& store() { return m_store; }
     TimePoint now() const { return m_clock.now(); }
     const std::vector<std::unique_ptr<Process>>& processes() const { return m_processes; }
--- a/packages/hosting/tests/unit-late-coordinator.cpp
+++ b/packages/hosting/tests/unit-late-coordinator.cpp
@@ -2,6 +2,7 @@
 #include "SampleRunner.h"
 
 #include "cicadalb/services/FakeKeyValueService.h"
+#include "cicadalb/services/RunTask.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <catch2/catch.hpp>
@@ -64,6 +65,12 @@
         context.run_for(60ms);
     }
 
+    Task<bool> finish()
+    {
+        co_await runner->finish(300ms);
+        co_return true;
+    }
+
     /// Works off what is ready. @return the largest number of runs at a time
     std::size_t mostRuns()
     {
@@ -110,3 +117,33 @@
     start(0s);
     CHECK(runsAfterEnd(2500ms) == 1);
 }
+
+// Guards against results and texts of the last moments before a planned change that the next coordinator has to generate again.
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, finishes with a result that is not stored yet, stores it")
+{
+    start(0s);
+    store.advance(1h);
+    runner->tick();
+    const auto key = resultSegmentKey(submission.id, 0);
+    REQUIRE_FALSE(store.entries().contains(key));
+    const auto finished = startTask(context.get_executor(), finish());
+    runLoop();
+    CHECK(finished->has_value());
+    CHECK(store.entries().contains(key));
+}
+
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, finishes with an incomplete text, stores it")
+{
+    start(0s);
+    runner->updateEngines();
+    const auto placed = runner->scheduler().place(clock.now());
+    REQUIRE(placed.size() == 1);
+    runner->scheduler().onEvent(placed.front().item, 0, "text", 1, clock.now());
+    const auto finished = startTask(context.get_executor(), finish());
+    runLoop();
+    CHECK(finished->has_value());
+    REQUIRE(store.entries().contains(std::string(partialTextsKey)));
+    const auto texts = decodePartialTexts(store.entries().at(std::string(partialTextsKey)).value);
+    REQUIRE(texts);
+    CHECK(texts.value().size() == 1);
+}
--- a/packages/services/include/cicadalb/services/LeaseCandidate.h
+++ b/packages/services/include/cicadalb/services/LeaseCandidate.h
@@ -42,6 +42,8 @@
     /// @brief Like mayAct(), for targets that ignore fencing numbers: also false while an action of an earlier holder may still be running.
     bool mayActUnfenced(Duration longestAction) const;
     std::optional<FencingNumber> fencingNumber() const;
+    /// @brief The granted lease; 0 if there is none.
+    LeaseId leaseId() const;
     LeaseState state() const;
 
 private:
--- a/packages/services/src/LeaseCandidate.cpp
+++ b/packages/services/src/LeaseCandidate.cpp
@@ -94,6 +94,11 @@
     return readLocked(&LeaseStateMachine::fencingNumber);
 }
 
+LeaseId LeaseCandidate::leaseId() const
+{
+    return readLocked(&LeaseStateMachine::lease);
+}
+
 LeaseState LeaseCandidate::state() const
 {
     return LeaseState { m_settings.key, m_settings.holder, fencingNumber() };
