Assign engines to models by averages over a second, not by single intervals between events

Cause: after each change of coordinator the engines were assigned anew as soon as four fifths of them had one measured interval. The first interval became the average as it was, and the next ones changed it by 4 % each. It was not the set of engines that had changed, as supposed.

Change: the first intervals count equally, in the average for placement too; assignments use an average over 100 intervals and 1 s at least. Engines without one count as fast as the average of the others, instead of 40 ms.

--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -30,6 +30,22 @@
     /// Engines are assigned by speed once at most one in this many has not been measured.
     constexpr std::size_t enginesPerUnmeasured = 5;
 
+    /// Lets engines that are not measured count as fast as the average of the others.
+    void assumeAverageSpeed(std::vector<LoadableEngine>& engines)
+    {
+        double sum = 0;
+        std::size_t measured = 0;
+        for (const auto& engine : engines) {
+            sum += engine.secondsPerEvent;
+            measured += engine.secondsPerEvent > 0 ? 1 : 0;
+        }
+        const auto average = measured > 0 ? sum / static_cast<double>(measured) : std::chrono::duration<double>(SampleScheduler::assumedTimePerEvent).count();
+        for (auto& engine : engines) {
+            if (engine.secondsPerEvent <= 0)
+                engine.secondsPerEvent = average;
+        }
+    }
+
 } // namespace
 
 WeightOrders::WeightOrders(asio::any_io_executor executor, TransactionalStore& store, const SiteProtocol& protocol, SiteDirectory& directory, TargetClients& clients, SampleScheduler& scheduler, const Clock& clock, WeightOrderSettings settings, WeightOrderHooks hooks)
@@ -67,7 +83,7 @@
 {
     if (m_isAssignedBySpeed)
         return;
-    const auto measured = std::count_if(m_engines.begin(), m_engines.end(), [this](const auto& entry) { return m_scheduler.hasMeasuredTimePerEvent(entry.first); });
+    const auto measured = std::count_if(m_engines.begin(), m_engines.end(), [this](const auto& entry) { return m_scheduler.averageTimePerEvent(entry.first).has_value(); });
     m_isAssignedBySpeed = !m_engines.empty() && static_cast<std::size_t>(measured) * enginesPerUnmeasured >= m_engines.size() * (enginesPerUnmeasured - 1);
     if (m_isAssignedBySpeed)
         assignHomeModels("most engines are measured");
@@ -124,9 +140,10 @@
 
 void WeightOrders::logAssignment(const TargetId& engine, const ModelName& model, std::size_t models, std::string_view cause) const
 {
-    const std::chrono::duration<double, std::milli> timePerEvent = m_scheduler.timePerEvent(engine);
+    const auto measured = m_scheduler.averageTimePerEvent(engine);
+    const std::chrono::duration<double, std::milli> timePerEvent = measured.value_or(SampleScheduler::assumedTimePerEvent);
     const auto demand = m_scheduler.demand().find(model);
-    logEvent(Event::EngineAssigned, { { "engine", engine.value() }, { "model", model.value() }, { "models", std::to_string(models) }, { "cause", std::string(cause) }, { "milliseconds-per-event", std::to_string(timePerEvent.count()) }, { "measured", m_scheduler.hasMeasuredTimePerEvent(engine) ? "yes" : "no" }, { "demand", demand == m_scheduler.demand().end() ? "" : std::to_string(demand->second) } });
+    logEvent(Event::EngineAssigned, { { "engine", engine.value() }, { "model", model.value() }, { "models", std::to_string(models) }, { "cause", std::string(cause) }, { "milliseconds-per-event", std::to_string(timePerEvent.count()) }, { "measured", measured ? "yes" : "no" }, { "demand", demand == m_scheduler.demand().end() ? "" : std::to_string(demand->second) } });
 }
 
 void WeightOrders::updateEngines()
@@ -178,10 +195,12 @@
         loadableEngine.isLoadOverdue = loadableEngine.isLoading() && now - engine.loadStartedAt > overdueLoadTime;
         loadableEngine.isBackingOff = engine.backoffUntil > now;
         loadableEngine.assignedModel = engine.assignedModel;
-        loadableEngine.secondsPerEvent = std::chrono::duration<double>(m_scheduler.timePerEvent(id)).count();
+        if (const auto measured = m_scheduler.averageTimePerEvent(id))
+            loadableEngine.secondsPerEvent = std::chrono::duration<double>(*measured).count();
         loadableEngine.running = m_scheduler.runningCountOn(id, engine.assignedModel);
         engines.push_back(std::move(loadableEngine));
     }
+    assumeAverageSpeed(engines);
     return engines;
 }
 
--- a/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
+++ b/packages/submissions/include/cicadalb/submissions/SampleScheduler.h
@@ -165,8 +165,8 @@
     std::size_t waitingCount(const ModelName&) const;
     /// @brief Expected events per submission of each model, as a moving average.
     const std::map<ModelName, double>& demand() const noexcept { return m_demand; }
-    /// @brief Whether the time per event of an engine was measured.
-    bool hasMeasuredTimePerEvent(const TargetId&) const;
+    /// @brief Time per event of an engine as an average over a second or more; empty until so much was measured.
+    std::optional<Duration> averageTimePerEvent(const TargetId&) const;
     /// @brief Number of runs of a model on an engine.
     std::size_t runningCountOn(const TargetId&, const ModelName&) const;
     /// @brief Number of runs on an engine.
@@ -233,6 +233,18 @@
 
     void keepReusableText(const ItemId&, PartialText);
 
+    /// Intervals between the events of an engine's runs. Single ones say little, since several events may arrive at once.
+    struct EventTiming {
+        std::size_t intervals = 0;
+        TimePoint firstAt;
+        TimePoint lastAt;
+        /// Averages in seconds: of the latest intervals, and over a longer time.
+        double recentAverage = 0;
+        double longAverage = 0;
+
+        void add(double seconds, TimePoint now);
+    };
+
     struct Engine {
         SoftwareRelease release;
         Incarnation startedAt = 0;
@@ -246,8 +258,7 @@
         /// Model that the engine is assigned to, or empty.
         ModelName assignedModel;
         TimePoint pausedUntil;
-        /// 0 if not measured.
-        double measuredSecondsPerEvent = 0;
+        EventTiming timing;
         PrefillLoad prefill;
     };
 
--- a/packages/submissions/src/SampleScheduler.cpp
+++ b/packages/submissions/src/SampleScheduler.cpp
@@ -14,6 +14,8 @@
     /// Moving-average weight of the newest event in an engine's time per event; the average covers some 25 events, which is a quarter of a
     /// second of a busy engine.
     constexpr double timePerEventWeight = 0.04;
+    /// The same for the average over a longer time.
+    constexpr double longTimePerEventWeight = 0.005;
     /// Moving-average weight of the newest submission in a model's demand.
     constexpr double demandWeight = 0.3;
     /// Expected events of an item without a length hint.
@@ -233,7 +235,7 @@
 
 double SampleScheduler::secondsPerEvent(const Engine& engine) const
 {
-    return engine.measuredSecondsPerEvent > 0 ? engine.measuredSecondsPerEvent : Seconds(assumedTimePerEvent).count();
+    return engine.timing.recentAverage > 0 ? engine.timing.recentAverage : Seconds(assumedTimePerEvent).count();
 }
 
 void SampleScheduler::onEvent(const ItemKey& key, std::uint64_t eventId, std::string_view data, WeightVersion version, TimePoint now)
@@ -288,9 +290,19 @@
     // The time to the first event includes the wait for a slot and the processing of the prompt.
     if (found == m_engines.end() || item.text.eventCount <= item.eventsAtStart)
         return;
-    auto& average = found->second.measuredSecondsPerEvent;
-    const auto elapsed = Seconds(now - item.lastEventAt).count();
-    average = average > 0 ? average + timePerEventWeight * (elapsed - average) : elapsed;
+    found->second.timing.add(Seconds(now - item.lastEventAt).count(), now);
+}
+
+void SampleScheduler::EventTiming::add(double seconds, TimePoint now)
+{
+    if (intervals == 0)
+        firstAt = now;
+    lastAt = now;
+    ++intervals;
+    // The first intervals count equally, so that none of them stands for all.
+    const auto equalWeight = 1.0 / static_cast<double>(intervals);
+    recentAverage += std::max(timePerEventWeight, equalWeight) * (seconds - recentAverage);
+    longAverage += std::max(longTimePerEventWeight, equalWeight) * (seconds - longAverage);
 }
 
 /// Drops text that was generated with weights that the submission does not allow.
--- a/packages/submissions/src/SampleSchedulerQueries.cpp
+++ b/packages/submissions/src/SampleSchedulerQueries.cpp
@@ -11,6 +11,10 @@
 
     using Seconds = std::chrono::duration<double>;
 
+    /// Intervals, and time, that an average of an engine's time per event covers at least.
+    constexpr std::size_t minimumAveragedIntervals = 100;
+    constexpr std::chrono::milliseconds minimumAveragedTime { 1000 };
+
 } // namespace
 
 const PartialText* SampleScheduler::partialText(const ItemKey& key) const
@@ -84,10 +88,12 @@
     return count;
 }
 
-bool SampleScheduler::hasMeasuredTimePerEvent(const TargetId& id) const
+std::optional<Duration> SampleScheduler::averageTimePerEvent(const TargetId& id) const
 {
     const auto* found = findEngine(id);
-    return found && found->measuredSecondsPerEvent > 0;
+    if (!found || found->timing.intervals < minimumAveragedIntervals || found->timing.lastAt - found->timing.firstAt < minimumAveragedTime)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(Seconds(found->timing.longAverage));
 }
 
 std::size_t SampleScheduler::runningCountOn(const TargetId& id, const ModelName& model) const
