Assign engines anew once a model has waited with far fewer engines than its share

Cause: shares of engines were looked at only when an engine or a model came or went, or the engines had been measured, with the demand and the speeds of that instant. A share that was lopsided then stayed.

Change: each 500 ms the shares are compared with those that demand and speeds call for. Once samples of a model have waited for 1 s while its engines have less than 0.6 of its share of the speed, and an assignment exists that gives it more, the engines are assigned anew. Where nothing waits, or engines are too few for all models, nothing changes, so that no weights are loaded needlessly.

A property over any engines and shares: a relieved assignment is final.

--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -29,6 +29,10 @@
     constexpr milliseconds overdueLoadTime { 3600 };
     /// Engines are assigned by speed once at most one in this many has not been measured.
     constexpr std::size_t enginesPerUnmeasured = 5;
+    /// Interval at which the shares of the models are checked ...
+    constexpr milliseconds starvationCheckInterval { 500 };
+    /// ... and the time for which one is starved before the engines are assigned anew.
+    constexpr milliseconds starvationTime { 1000 };
 
     /// Lets engines that are not measured count as fast as the average of the others.
     void assumeAverageSpeed(std::vector<LoadableEngine>& engines)
@@ -89,6 +93,39 @@
         assignHomeModels("most engines are measured");
 }
 
+bool WeightOrders::isAnyModelStarved() const
+{
+    const auto view = m_directory.view();
+    return std::any_of(view->configuration.pools.begin(), view->configuration.pools.end(), [this](const auto& pool) {
+        std::vector<ModelName> models;
+        std::set<ModelName> waiting;
+        for (const auto& name : pool.models) {
+            const auto& model = models.emplace_back(name);
+            if (m_scheduler.waitingCount(model) > 0)
+                waiting.insert(model);
+        }
+        return !waiting.empty() && cicadalb::relieveStarvedModels(loadableEngines(pool.name), models, m_scheduler.demand(), waiting);
+    });
+}
+
+void WeightOrders::relieveStarvedModels()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextStarvationCheckAt)
+        return;
+    m_nextStarvationCheckAt = now + starvationCheckInterval;
+    if (!isAnyModelStarved()) {
+        m_starvedSince.reset();
+        return;
+    }
+    if (!m_starvedSince)
+        m_starvedSince = now;
+    if (now < *m_starvedSince + starvationTime)
+        return;
+    m_starvedSince.reset();
+    assignHomeModels("a model has waited with too few engines");
+}
+
 void WeightOrders::applyNamedVersions(const std::vector<KeyValueEntry>& entries)
 {
     for (const auto& entry : entries) {
@@ -127,15 +164,15 @@
     updateVersions(decision.engine, { { decision.model.value(), decision.version } });
 }
 
-std::string WeightOrders::assignedModelOf(const TargetId& id) const
+ModelName WeightOrders::assignedModel(const TargetId& id) const
 {
     const auto found = m_engines.find(id);
-    return found == m_engines.end() ? std::string() : found->second.assignedModel.value();
+    return found == m_engines.end() ? ModelName() : found->second.assignedModel;
 }
 
 void WeightOrders::logOrder(const LoadOrder& order, std::optional<OrderOutcome> outcome) const
 {
-    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "assigned-model", assignedModelOf(order.engine) }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.expectedAcceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
+    logEvent(Event::WeightOrderGiven, { { "engine", order.engine.value() }, { "model", order.model.value() }, { "version", std::to_string(order.version) }, { "assigned-model", assignedModel(order.engine).value() }, { "fence", std::to_string(order.fence) }, { "accepted-orders", std::to_string(order.expectedAcceptedOrders) }, { "outcome", outcome ? std::string(name(*outcome)) : "no answer" } });
 }
 
 void WeightOrders::logAssignment(const TargetId& engine, const ModelName& model, std::size_t models, std::string_view cause) const
@@ -236,6 +273,7 @@
     if (m_isStopped || !view)
         return;
     assignWhenMeasured();
+    relieveStarvedModels();
     if (!m_hooks.mayOrder())
         return;
     for (const auto& pool : view->configuration.pools) {
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -51,6 +51,8 @@
     void setFence(FencingNumber fence) noexcept { m_settings.fence = fence; }
     /// @brief When the last order was sent; empty if none was.
     std::optional<TimePoint> lastOrderAt() const noexcept { return m_lastOrderAt; }
+    /// @brief Model that an engine is assigned to; empty if there is none.
+    ModelName assignedModel(const TargetId&) const;
     /// @brief Begins the loads that are due.
     void tick();
 
@@ -87,6 +89,9 @@
     AssignmentInput assignmentInput() const;
     void assignHomeModels(std::string_view cause);
     void assignWhenMeasured();
+    /// Assigns the engines anew once samples of a model have waited for a while with far fewer engines than its share.
+    void relieveStarvedModels();
+    bool isAnyModelStarved() const;
     std::vector<LoadableEngine> loadableEngines(const PoolName&) const;
     Task<void> load(LoadDecision);
     void finishLoad(const Load&);
@@ -97,7 +102,6 @@
     Task<Result<EngineReport>> fetchReport(const TargetId&, const Endpoint&);
     void updateVersions(const TargetId&, const std::map<std::string, WeightVersion>&);
     void addLoadedVersion(const LoadDecision&);
-    std::string assignedModelOf(const TargetId&) const;
     void logAssignment(const TargetId&, const ModelName&, std::size_t models, std::string_view cause) const;
     void logOrder(const LoadOrder&, std::optional<OrderOutcome>) const;
 
@@ -117,6 +121,9 @@
     bool m_isAssignedBySpeed = false;
     /// Input of the last assignment.
     AssignmentInput m_assigned;
+    TimePoint m_nextStarvationCheckAt;
+    /// Since when a model is starved, as far as the checks have seen it.
+    std::optional<TimePoint> m_starvedSince;
     std::optional<TimePoint> m_lastOrderAt;
     bool m_isStopped = false;
 };
--- a/packages/submissions/include/cicadalb/submissions/LoadPlan.h
+++ b/packages/submissions/include/cicadalb/submissions/LoadPlan.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// @file
@@ -55,6 +56,11 @@
 /// @param demand expected events per submission of each model; a model without an entry counts like the one with the lowest demand
 std::map<TargetId, ModelName> assignModels(std::vector<LoadableEngine>, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand);
 
+/// @brief Assigns the engines anew if a model has far less than its share of the total speed and would get much more of it.
+/// @param waiting models with waiting samples; the others do not count as starved
+/// @return the assignments of all engines, or nothing if the present ones may stay
+std::optional<std::map<TargetId, ModelName>> relieveStarvedModels(const std::vector<LoadableEngine>&, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand, const std::set<ModelName>& waiting);
+
 /// @brief Weight versions that one model's submissions require, and the number of its waiting samples.
 struct ModelRequirement {
     ModelName model;
--- a/packages/submissions/src/LoadPlan.cpp
+++ b/packages/submissions/src/LoadPlan.cpp
@@ -23,6 +23,9 @@
 
     double speedOf(const LoadableEngine& engine) { return engine.secondsPerEvent > 0 ? 1.0 / engine.secondsPerEvent : 1.0; }
 
+    /// A model with less than this part of its share of the total speed is starved.
+    constexpr double starvedShare = 0.6;
+
     /// Share of the engines' total speed that each model should get, in events per second.
     std::map<ModelName, double> speedShares(const std::vector<LoadableEngine>& engines, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand)
     {
@@ -165,6 +168,25 @@
     return assignments;
 }
 
+std::optional<std::map<TargetId, ModelName>> relieveStarvedModels(const std::vector<LoadableEngine>& engines, const std::vector<ModelName>& models, const std::map<ModelName, double>& demand, const std::set<ModelName>& waiting)
+{
+    const auto shares = speedShares(engines, models, demand);
+    std::map<ModelName, double> speeds;
+    for (const auto& engine : engines)
+        speeds[engine.assignedModel] += speedOf(engine);
+    const auto isStarved = [&](const ModelName& model) { return waiting.contains(model) && speeds[model] < shares.at(model) * starvedShare; };
+    if (std::none_of(models.begin(), models.end(), isStarved))
+        return std::nullopt;
+    auto assignments = assignModels(engines, models, demand);
+    std::map<ModelName, double> newSpeeds;
+    for (const auto& engine : engines)
+        newSpeeds[assignments.at(engine.id)] += speedOf(engine);
+    const auto isRelieved = [&](const ModelName& model) { return isStarved(model) && newSpeeds[model] >= shares.at(model) * starvedShare; };
+    if (std::none_of(models.begin(), models.end(), isRelieved))
+        return std::nullopt;
+    return assignments;
+}
+
 std::vector<LoadDecision> planLoads(const std::vector<LoadableEngine>& engines, const std::vector<ModelRequirement>& requirements, const LoadPlanSettings& settings)
 {
     const auto loading = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return engine.isLoading() && engine.canLoad(); }));
--- a/packages/submissions/tests/unit-load-plan.cpp
+++ b/packages/submissions/tests/unit-load-plan.cpp
@@ -173,6 +173,72 @@
     CHECK(loads[0].engine.value() == "c");
 }
 
+namespace {
+
+/// Nine equally fast engines; the first @p shortEngines are assigned to the short texts.
+std::vector<LoadableEngine> assignedEngines(int shortEngines)
+{
+    std::vector<LoadableEngine> engines;
+    engines.reserve(9);
+    for (int i = 0; i < 9; ++i)
+        engines.push_back(engine("e" + std::to_string(i), fastSecondsPerEvent, 1, i < shortEngines ? shortTexts : longTexts));
+    return engines;
+}
+
+} // namespace
+
+// Guards against a model that keeps one engine of nine although its samples wait.
+TEST_CASE("engine assignment, model with waiting samples has one engine of nine, relieves it and moves no more engines than needed")
+{
+    const auto relieved = relieveStarvedModels(assignedEngines(1), { shortTexts, longTexts }, {}, { shortTexts });
+    REQUIRE(relieved);
+    CHECK(engineCount(*relieved, shortTexts) >= 4);
+    CHECK(engineCount(*relieved, longTexts) >= 4);
+    CHECK(relieved->at(TargetId("e0")) == shortTexts);
+}
+
+TEST_CASE("engine assignment, model without waiting samples or with most of its share, is left as it is")
+{
+    CHECK_FALSE(relieveStarvedModels(assignedEngines(1), { shortTexts, longTexts }, {}, { longTexts }));
+    CHECK_FALSE(relieveStarvedModels(assignedEngines(1), { shortTexts, longTexts }, {}, {}));
+    CHECK_FALSE(relieveStarvedModels(assignedEngines(3), { shortTexts, longTexts }, {}, { shortTexts }));
+}
+
+TEST_CASE("engine assignment, fewer engines than models, is not changed again and again")
+{
+    const std::vector<ModelName> models { shortTexts, longTexts, ModelName("other") };
+    const std::vector<LoadableEngine> engines { engine("e0", fastSecondsPerEvent, 1, shortTexts), engine("e1", fastSecondsPerEvent, 1, longTexts) };
+    CHECK_FALSE(relieveStarvedModels(engines, models, {}, { models.begin(), models.end() }));
+}
+
+TEST_CASE("engine assignment, any engines and shares, relieving a starved model leaves it unstarved and is final")
+{
+    CHECK(rc::check("a relieved assignment stays", [] {
+        std::vector<LoadableEngine> engines(*rc::gen::inRange<std::size_t>(1, 12));
+        std::vector<ModelName> models;
+        const auto modelCount = *rc::gen::inRange<std::size_t>(1, 5);
+        for (std::size_t i = 0; i < modelCount; ++i)
+            models.emplace_back("m" + std::to_string(i));
+        std::map<ModelName, double> demand;
+        for (const auto& model : models)
+            demand[model] = *rc::gen::inRange(1, 2000);
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            engines[i].id = TargetId("e" + std::to_string(i));
+            engines[i].secondsPerEvent = *rc::gen::element(fastSecondsPerEvent, slowSecondsPerEvent);
+            engines[i].assignedModel = models[*rc::gen::inRange<std::size_t>(0, modelCount)];
+        }
+        const std::set<ModelName> waiting(models.begin(), models.end());
+        for (unsigned round = 0; round < 3; ++round) {
+            const auto relieved = relieveStarvedModels(engines, models, demand, waiting);
+            if (!relieved)
+                return;
+            RC_ASSERT(round < 2U);
+            for (auto& assigned : engines)
+                assigned.assignedModel = relieved->at(assigned.id);
+        }
+    }));
+}
+
 TEST_CASE("load plan, any engines and models, never leaves a model without an engine")
 {
     CHECK(rc::check("each model has useful weights on an engine after some loads", [] {
