Let a new coordinator open submissions by their deadlines, the nearest first

Callers saw the step that was nearest to its deadline taken up last, up to 0.8 s after a change of coordinator.

Cause: a new coordinator opened the stored submissions in the order of their keys, which are random. On an entry host each takes some 60 ms, and the items of those that are open are placed meanwhile.

Change: submissions that one update of the store's records adds are opened in the order of their due times.

Result: "sample runner, several submissions stored, opens the one nearest to its deadline first" fails without the order and passes.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -196,6 +196,7 @@
         m_storedSubmissions[key.id].isEnded = true;
         close(key.id, "ended by its trainer");
     }
+    std::vector<NewSubmission> added;
     for (const auto& entry : entries) {
         const auto key = parseSubmissionKey(entry.key);
         if (key.kind != SubmissionKeyKind::Submission)
@@ -203,12 +204,18 @@
         if (entry.isDeleted)
             m_storedSubmissions.erase(key.id);
         else if (!isRefusalRecord(entry.value))
-            applySubmissionRecord(entry);
+            applySubmissionRecord(entry, added);
+    }
+    // A new coordinator opens many at once, one after the other, and places items meanwhile.
+    std::stable_sort(added.begin(), added.end(), [](const auto& left, const auto& right) { return left.dueAt < right.dueAt; });
+    for (auto& entry : added) {
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), submission = std::move(entry.submission), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
     }
     schedulePlacement();
 }
 
-void SampleRunner::applySubmissionRecord(const KeyValueEntry& entry)
+void SampleRunner::applySubmissionRecord(const KeyValueEntry& entry, std::vector<NewSubmission>& added)
 {
     // Most records of a snapshot are of submissions that have ended; their items are not decoded.
     const auto id = parseSubmissionKey(entry.key).id;
@@ -227,8 +234,15 @@
         return;
     }
     known.submittedAt = submission.value().submittedAt;
-    asio::co_spawn(
-        m_executor, [self = shared_from_this(), submission = std::move(submission.value()), revision = entry.revision]() mutable { return self->open(std::move(submission), revision); }, asio::detached);
+    const auto dueAt = dueTime(submission.value());
+    added.push_back({ std::move(submission.value()), entry.revision, dueAt });
+}
+
+/// When the submission has to be finished, by the terms that are known now.
+UnixTime SampleRunner::dueTime(const Submission& submission) const
+{
+    const auto terms = m_directory.view() ? termsOf(submission) : submission.acceptedTerms;
+    return submission.submittedAt + (terms ? std::chrono::duration_cast<UnixTime>(terms->finishWithin) : UnixTime(0));
 }
 
 /// Whether the configuration in force is at least as new as the one under which the submission was accepted: an older one may lack its
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -83,6 +83,13 @@
         std::size_t eventsAtStart = 0;
     };
 
+    /// A submission to open.
+    struct NewSubmission {
+        Submission submission;
+        Revision revision = 0;
+        UnixTime dueAt { 0 };
+    };
+
     struct StoredSubmission {
         UnixTime submittedAt { 0 };
         bool isEnded = false;
@@ -95,7 +102,8 @@
     /// Notes begin and end of a pause of placement. @return whether items may be placed now
     bool updatePlacementPause(TimePoint requestedAt);
     void applyRecords(const std::vector<KeyValueEntry>&);
-    void applySubmissionRecord(const KeyValueEntry&);
+    void applySubmissionRecord(const KeyValueEntry&, std::vector<NewSubmission>& added);
+    UnixTime dueTime(const Submission&) const;
     bool hasConfigurationFor(const Submission&) const;
     std::optional<SubmissionTerms> termsOf(const Submission&) const;
     Task<void> open(Submission, Revision);
--- a/packages/hosting/tests/unit-late-coordinator.cpp
+++ b/packages/hosting/tests/unit-late-coordinator.cpp
@@ -147,3 +147,34 @@
     REQUIRE(texts);
     CHECK(texts.value().size() == 1);
 }
+
+// Guards against the step that is nearest to its deadline being taken up last by a new coordinator.
+TEST_CASE_METHOD(LateCoordinatorFixture, "sample runner, several submissions stored, opens the one nearest to its deadline first")
+{
+    using std::chrono::system_clock;
+    const auto submittedAt = std::chrono::duration_cast<UnixTime>(system_clock::now().time_since_epoch());
+    std::vector<SubmissionId> ids;
+    for (const auto* id : { "a", "b", "c" }) {
+        Submission stored;
+        stored.id = ids.emplace_back(id);
+        stored.authority = "train.example";
+        stored.path = "/drafts/";
+        stored.model = ModelName("draft");
+        stored.submittedAt = submittedAt - std::chrono::seconds(ids.size());
+        stored.items.emplace_back();
+        store.put(itemCountKey(stored.id), encodeItemCount(1));
+        store.put(submissionKey(stored.id), encodeSubmission(stored));
+    }
+    store.put("site/configuration", "4 drafts draft train.example/drafts/");
+    directory.start();
+    runLoop();
+    // Of the calls that read, those for the texts, the submissions and the results of one submission succeed.
+    unsigned reads = 0;
+    store.selectFault = [&reads](CallKind kind) { return kind == CallKind::Read && ++reads > 3 ? CallFault::Unavailable : CallFault::None; };
+    runner = std::make_shared<SampleRunner>(context.get_executor(), store, protocol, directory, clients, permits, *crashGuard, clock, SampleRunnerSettings {});
+    runner->start();
+    runLoop();
+    CHECK(runner->scheduler().isOpen({ ids[2], 0 }));
+    CHECK_FALSE(runner->scheduler().isOpen({ ids[0], 0 }));
+    CHECK_FALSE(runner->scheduler().isOpen({ ids[1], 0 }));
+}
