Split the runner's file, and name the offer's key and the check of shares once

Change: storing and restoring of incomplete texts stands in SampleRunnerFinish.cpp; applyOffer() checks the key; reassignIfStarved(). Comments on what the new private functions do. Nothing else is different.

Result: test_hosting: the cases of runner, coordination and weight orders pass.

--- a/packages/hosting/src/Coordination.cpp
+++ b/packages/hosting/src/Coordination.cpp
@@ -20,7 +20,6 @@
 
     constexpr std::string_view holderPrefix = "coordinator/";
     constexpr std::string_view holderKey = "coordinator/holder";
-    constexpr std::string_view offerKey = "coordinator/offer";
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds leaseStepInterval { 150 };
     /// Interval between queries to the other candidates.
@@ -214,8 +213,7 @@
     }
     m_isHolderKnown = true;
     for (const auto& entry : records.entries) {
-        if (entry.key == offerKey)
-            applyOffer(entry);
+        applyOffer(entry);
         if (entry.key != holderKey || entry.revision < m_holderRevision)
             continue;
         m_holder = entry.isDeleted ? std::string() : entry.value;
--- a/packages/hosting/src/Coordination.h
+++ b/packages/hosting/src/Coordination.h
@@ -141,11 +141,14 @@
     /// Lets another process take over while this one goes on working. @return whether one has; the work has ended then
     Task<bool> offerLease(std::string_view reason, TimePoint until);
     Task<bool> writeOffer();
+    /// Ends the work once another process has accepted the offer.
     Task<void> endAcceptedWork(std::string_view reason);
     /// Offers the lease and, if nobody accepts it, releases it and leaves it to others for a while.
     Task<void> yieldLease(std::string_view reason);
+    /// Waits until the last order is orderMargin old.
     Task<void> awaitOrderMargin();
     bool isOffering() const noexcept { return m_offersInProgress > 0; }
+    /// Takes note of the offer, if the record is one.
     void applyOffer(const KeyValueEntry&);
     /// Whether the holder, another process, lets this one replace its record.
     bool isLeaseOffered() const;
@@ -215,6 +218,7 @@
     Revision m_offeredRevision = 0;
     /// When this process acquired the lease that it holds; empty if it holds none.
     std::optional<TimePoint> m_acquiredAt;
+    /// Number of offerLease() calls in progress; a retirement and a stop by a signal may overlap.
     unsigned m_offersInProgress = 0;
     FencingNumber m_fence = 0;
     /// When this host, while coordinating, noticed that its lease had lapsed.
--- a/packages/hosting/src/CoordinationHandOver.cpp
+++ b/packages/hosting/src/CoordinationHandOver.cpp
@@ -82,6 +82,8 @@
 
 void Coordination::applyOffer(const KeyValueEntry& entry)
 {
+    if (entry.key != offerKey)
+        return;
     m_offeredRevision = 0;
     if (!entry.isDeleted)
         (void)std::from_chars(entry.value.data(), entry.value.data() + entry.value.size(), m_offeredRevision);
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -137,26 +137,6 @@
     m_watch->start();
 }
 
-void SampleRunner::restorePartialTexts(const KeyValueEntry& record)
-{
-    auto texts = decodePartialTexts(record.value);
-    if (!texts)
-        return logIgnoredRecord(record.key, record.revision, texts.error());
-    m_scheduler.addPartialTexts(std::move(texts.value()));
-}
-
-Task<void> SampleRunner::storePartialTexts(std::vector<ItemText> texts)
-{
-    const auto self = shared_from_this();
-    Transaction write;
-    write.writes.push_back({ std::string(partialTextsKey), encodePartialTexts(texts) });
-    const auto written = co_await m_store.commit(std::move(write));
-    m_isStoringPartialTexts = false;
-    // A missing record only costs the next coordinator some work, and the next write follows soon.
-    if (!written)
-        logIgnoredRecord(std::string(partialTextsKey), 0, written.error());
-}
-
 void SampleRunner::stop()
 {
     m_isStopped = true;
@@ -545,15 +525,6 @@
     }
 }
 
-/// One call of ResultLog::append() at a time.
-Task<Result<std::size_t>> SampleRunner::appendOnce(OpenSubmissionPointer entry)
-{
-    entry->isWriting = true;
-    auto appended = co_await entry->log->append();
-    entry->isWriting = false;
-    co_return appended;
-}
-
 Task<void> SampleRunner::append(OpenSubmissionPointer entry)
 {
     const auto self = shared_from_this();
--- a/packages/hosting/src/SampleRunnerFinish.cpp
+++ b/packages/hosting/src/SampleRunnerFinish.cpp
@@ -1,12 +1,13 @@
 #include "SampleRunner.h"
 
 #include "cicadalb/base/ClockTimer.h"
+#include "cicadalb/submissions/SubmissionRecords.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 /// @file
-/// What a coordinator stores for its successor when it hands over.
+/// What a coordinator stores for its successor, and takes over from its predecessor.
 
 namespace cicadalb {
 
@@ -55,6 +56,26 @@
 
 } // namespace
 
+void SampleRunner::restorePartialTexts(const KeyValueEntry& record)
+{
+    auto texts = decodePartialTexts(record.value);
+    if (!texts)
+        return logIgnoredRecord(record.key, record.revision, texts.error());
+    m_scheduler.addPartialTexts(std::move(texts.value()));
+}
+
+Task<void> SampleRunner::storePartialTexts(std::vector<ItemText> texts)
+{
+    const auto self = shared_from_this();
+    Transaction write;
+    write.writes.push_back({ std::string(partialTextsKey), encodePartialTexts(texts) });
+    const auto written = co_await m_store.commit(std::move(write));
+    m_isStoringPartialTexts = false;
+    // A missing record only costs the next coordinator some work, and the next write follows soon.
+    if (!written)
+        logIgnoredRecord(std::string(partialTextsKey), 0, written.error());
+}
+
 void SampleRunner::cancelRuns()
 {
     for (const auto& [key, run] : m_runs)
@@ -80,6 +101,15 @@
     co_await writes->waitUntil(limit);
 }
 
+/// One call of ResultLog::append() at a time.
+Task<Result<std::size_t>> SampleRunner::appendOnce(OpenSubmissionPointer entry)
+{
+    entry->isWriting = true;
+    auto appended = co_await entry->log->append();
+    entry->isWriting = false;
+    co_return appended;
+}
+
 /// Stores what append() has not written yet.
 Task<void> SampleRunner::appendLast(OpenSubmissionPointer entry)
 {
--- a/packages/hosting/src/WeightOrders.cpp
+++ b/packages/hosting/src/WeightOrders.cpp
@@ -104,11 +104,11 @@
             if (m_scheduler.waitingCount(model) > 0)
                 waiting.insert(model);
         }
-        return !waiting.empty() && cicadalb::relieveStarvedModels(loadableEngines(pool.name), models, m_scheduler.demand(), waiting);
+        return !waiting.empty() && relieveStarvedModels(loadableEngines(pool.name), models, m_scheduler.demand(), waiting);
     });
 }
 
-void WeightOrders::relieveStarvedModels()
+void WeightOrders::reassignIfStarved()
 {
     const auto now = m_clock.now();
     if (now < m_nextStarvationCheckAt)
@@ -273,7 +273,7 @@
     if (m_isStopped || !view)
         return;
     assignWhenMeasured();
-    relieveStarvedModels();
+    reassignIfStarved();
     if (!m_hooks.mayOrder())
         return;
     for (const auto& pool : view->configuration.pools) {
--- a/packages/hosting/src/WeightOrders.h
+++ b/packages/hosting/src/WeightOrders.h
@@ -90,7 +90,7 @@
     void assignHomeModels(std::string_view cause);
     void assignWhenMeasured();
     /// Assigns the engines anew once samples of a model have waited for a while with far fewer engines than its share.
-    void relieveStarvedModels();
+    void reassignIfStarved();
     bool isAnyModelStarved() const;
     std::vector<LoadableEngine> loadableEngines(const PoolName&) const;
     Task<void> load(LoadDecision);
