Revert "Ask the other mirrors before a host counts as without a candidate for coordination"

Hosts would have been busy with queries to mirrors after a retirement.

Where one mirror is gone and the other one's process is no candidate, each query went to the mirror that is gone and, without a wait, to the other one, about 1,000 times a second, as long as that lasts (logs of a run of the new process test: mirror-lost and mirror-followed in turn each 0.5 ms from the kill of the first mirror on).

--- a/packages/hosting/src/MirrorClient.cpp
+++ b/packages/hosting/src/MirrorClient.cpp
@@ -69,7 +69,7 @@
             logEvent(Event::MirrorFollowed, { { "mirror", std::to_string(mirror) }, { "prefix", prefix }, { "revision", std::to_string(reply.value().records.revision) }, { "age-ms", std::to_string(reply.value().age.count()) } });
         m_isConnected = true;
         m_hasBeenConnected = true;
-        recordCoordination(mirror, reply.value().coordination);
+        m_coordination = reply.value().coordination;
         const auto& suspects = reply.value().suspects;
         if (suspects && m_suspectsHandler && suspects->revision > m_suspectsRevision) {
             m_suspectsRevision = suspects->revision;
@@ -77,7 +77,6 @@
         }
         co_return reply;
     }
-    m_mirrorsWithoutCandidate.insert(mirror);
     // Two watches share this client: only the first failure at a mirror selects the next one.
     if (m_nextMirror == mirror)
         m_nextMirror = (mirror + 1) % m_mirrorCount;
@@ -87,32 +86,9 @@
     co_return failure(ErrorCode::Unavailable, reply.error().message, reply.error().where);
 }
 
-/// While mirrors state that their processes are no candidates, each query goes to another one.
-void MirrorClient::recordCoordination(std::size_t mirror, const CoordinationState& state)
-{
-    m_coordination = state;
-    if (state.isCandidate) {
-        m_mirrorsWithoutCandidate.clear();
-        return;
-    }
-    m_mirrorsWithoutCandidate.insert(mirror);
-    if (m_nextMirror == mirror)
-        m_nextMirror = (mirror + 1) % m_mirrorCount;
-}
-
-bool MirrorClient::isSearchingCandidate() const
-{
-    return !m_mirrorsWithoutCandidate.empty() && m_mirrorsWithoutCandidate.size() < m_mirrorCount;
-}
-
-bool MirrorClient::isCandidateReachable() const
-{
-    return m_isConnected && (m_coordination.isCandidate || isSearchingCandidate());
-}
-
 Task<Result<MirrorReply>> MirrorClient::waitForChanges(std::string prefix, std::optional<Revision> after, milliseconds wait)
 {
-    MirrorQuery query { prefix, after, isSearchingCandidate() ? milliseconds(0) : std::min(wait, maximumWait) };
+    MirrorQuery query { prefix, after, std::min(wait, maximumWait) };
     query.responseTimeout = responseTimeout;
     auto reply = co_await queryNext(std::move(query));
     if (reply || isInStartupGracePeriod())
--- a/packages/hosting/src/MirrorClient.h
+++ b/packages/hosting/src/MirrorClient.h
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <vector>
 
 /// @file
@@ -56,9 +55,8 @@
     std::size_t mirrorCount() const noexcept { return m_mirrorCount; }
     /// @brief Whether a failed query is retried at a mirror instead of the store, because this host started recently and no mirror has replied yet.
     bool isInStartupGracePeriod() const { return m_mirrorCount > 0 && !m_hasBeenConnected && m_clock.now() < m_startedAt + startupGracePeriod; }
-    /// @brief Whether the last query was answered with recent records, and not all mirrors state that their processes would not request the coordinator's
-    /// lease. Mirrors that do not answer count as none.
-    bool isCandidateReachable() const;
+    /// @brief Whether the last query was answered with recent records, by a process that requests the coordinator's lease when it is vacant.
+    bool isCandidateReachable() const noexcept { return m_isConnected && m_coordination.isCandidate; }
     /// @brief Address of the process that coordinates, as the last query was answered; empty if it was not, or the mirror knows none.
     std::string coordinatorAddress() const { return m_isConnected ? m_coordination.coordinatorAddress : std::string(); }
     /// @brief Makes mirrors usable at once, since the store cannot be reached either.
@@ -67,8 +65,6 @@
 private:
     /// Queries the next mirror, and selects another one if it fails.
     Task<Result<MirrorReply>> queryNext(MirrorQuery);
-    void recordCoordination(std::size_t mirror, const CoordinationState&);
-    bool isSearchingCandidate() const;
 
     std::size_t m_mirrorCount;
     std::size_t m_nextMirror;
@@ -81,8 +77,6 @@
     bool m_isConnected = false;
     /// What the last reply states.
     CoordinationState m_coordination;
-    /// Mirrors that have stated, since the last candidate was found, that their processes are none.
-    std::set<std::size_t> m_mirrorsWithoutCandidate;
     bool m_hasBeenConnected = false;
 };
 
