--- a/packages/hosting/tests/unit-starved-model.cpp
+++ b/packages/hosting/tests/unit-starved-model.cpp
@@ -105,7 +105,7 @@
 
 } // namespace
 
-// Guards against shares that follow the demand of one instant: a model kept one engine of nine for the rest of the day, with samples that waited for 9 s.
+// Guards against shares of engines that follow the demand of one instant and stay.
 TEST_CASE_METHOD(StarvedModelFixture, "weight orders, demand evens out after an assignment and a model waits with one engine, gives it its share within a step")
 {
     (void)submit(first, manyTokens);
--- a/packages/submissions/tests/unit-engine-timing.cpp
+++ b/packages/submissions/tests/unit-engine-timing.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-// Guards against engines that are assigned by one interval: one of 4 ms made an engine all that a model got, of nine engines for three models.
+// Guards against an assignment of engines that follows from single intervals between events.
 TEST_CASE_METHOD(EngineTimingFixture, "engine timing, few events, has no average")
 {
     reportGroups(20, 1, 4ms);
