Log how old a coordinator's records are when it sends, and runs that the end of their submission stops

Cause: for an item that arrives after the end of its submission, the log could not tell old records, a late write and bytes under way apart. A run that was stopped left no line.

Change: sample-run-ended and reward-call-ended state when the request was sent and the age of the records then; submission-closed states the revision of the end and the age of the records before it; a stopped run is logged as cancelled. HttpRequest::mayBeSent is called directly before each write.

Result: test_services passes, with a case for a request that may no longer be sent. The libraries build; the commit changes no decision.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -174,7 +174,7 @@
         if (key.kind != SubmissionKeyKind::End || entry.isDeleted)
             continue;
         m_storedSubmissions[key.id].isEnded = true;
-        close(key.id, "ended by its trainer");
+        close(key.id, "ended by its trainer", entry.revision);
     }
     std::vector<NewSubmission> added;
     for (const auto& entry : entries) {
@@ -285,7 +285,7 @@
     schedulePlacement();
 }
 
-void SampleRunner::close(const SubmissionId& id, std::string_view reason)
+void SampleRunner::close(const SubmissionId& id, std::string_view reason, Revision revision)
 {
     const auto found = m_openSubmissions.find(id);
     if (found == m_openSubmissions.end())
@@ -297,7 +297,7 @@
         stopRun(key);
     stopRewardCalls(id);
     m_textMemory.erase(m_textMemory.lower_bound({ id, 0 }), m_textMemory.upper_bound({ id, std::numeric_limits<std::size_t>::max() }));
-    logSubmissionClosed(id, reason, entry->log->stored().size());
+    logSubmissionClosed(id, reason, entry->log->stored().size(), revision);
     schedulePlacement();
 }
 
@@ -372,20 +372,21 @@
     const auto entry = found->second;
     const auto run = std::make_shared<Run>();
     m_runs[key] = run;
-    const auto startedAt = m_clock.now();
     auto end = RunOutcome::NotRun;
-    std::string cause = "the engine left the registry or has restarted";
     const auto* initialText = m_scheduler.partialText(key);
-    RunRecord record { placement.engine, {}, initialText ? initialText->eventCount : 0 };
+    RunRecord record { placement.engine, {}, initialText ? initialText->eventCount : 0, m_clock.now() };
+    record.cause = "the engine left the registry or has restarted";
     const auto* registered = m_directory.registry().find(placement.engine);
     if (registered && registered->startedAt == placement.engineStartedAt) {
         const auto target = *registered;
         record.softwareVersion = target.softwareVersion;
-        cause.clear();
-        end = co_await stream(entry, key, target, run->cancellation, cause);
+        record.cause.clear();
+        end = co_await stream(entry, key, target, run->cancellation, record);
     }
     if (const auto own = m_runs.find(key); own != m_runs.end() && own->second == run)
         m_runs.erase(own);
+    if (entry->isClosed && !m_isStopped && record.sent.delay)
+        logRunEnded(*entry, key, record, RunOutcome::Cancelled, 0, {});
     if (m_isStopped || entry->isClosed)
         co_return;
     const auto* text = m_scheduler.partialText(key);
@@ -396,7 +397,7 @@
     const auto nextAction = m_scheduler.onRunEnd(key, end, m_clock.now());
     if (!m_scheduler.partialText(key) || m_scheduler.partialText(key)->eventCount == 0)
         m_textMemory.erase(key);
-    logRunEnded(*entry, key, record, end, events, versions, m_clock.now() - startedAt, cause);
+    logRunEnded(*entry, key, record, end, events, versions);
     if (nextAction == ItemAction::RequestReward)
         asio::co_spawn(m_executor, runRewardCall(entry, key), asio::detached);
     else if (nextAction == ItemAction::GiveUp)
@@ -434,8 +435,9 @@
     return share->second.resize(text->text.capacity() + parser.memoryBytes());
 }
 
-Task<RunOutcome> SampleRunner::stream(const OpenSubmissionPointer& entry, ItemKey key, const RegisteredTarget& target, std::shared_ptr<HttpCancellation> cancellation, std::string& cause)
+Task<RunOutcome> SampleRunner::stream(const OpenSubmissionPointer& entry, ItemKey key, const RegisteredTarget& target, std::shared_ptr<HttpCancellation> cancellation, RunRecord& record)
 {
+    auto& cause = record.cause;
     const auto& item = entry->submission.items[key.index];
     SampleAttempt attempt;
     attempt.context.expectedTarget = target.id;
@@ -481,6 +483,7 @@
     auto request = m_protocol.sampleRequest(entry->submission, item, attempt);
     // A repeat on another connection would be a second request to the engine, which the scheduler has not counted.
     request.mayRepeat = !m_permits.isLimited(target);
+    request.mayBeSent = sendCondition(record.placedAt, record.sent);
     const auto response = co_await client->stream(std::move(request), entry->policy.expiresAt, std::move(handler), cancellation);
     if (cancellation->isCancelled()) {
         cause.clear();
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -75,12 +75,23 @@
         std::shared_ptr<HttpCancellation> cancellation = std::make_shared<HttpCancellation>();
     };
 
+    /// What the log states about the time at which a request was sent.
+    struct SendRecord {
+        /// Time from the placement of the run, or the begin of the call, until its request was last permitted to be sent; empty if it was not.
+        std::optional<Duration> delay;
+        /// Time since the submissions were known to be complete, at that moment.
+        std::optional<Duration> recordAge;
+    };
+
     /// What the log states about a run, apart from its result.
     struct RunRecord {
         TargetId engine;
         SoftwareVersion softwareVersion;
         /// Events that the text had when the run began; 0: the run began the text.
         std::size_t eventsAtStart = 0;
+        TimePoint placedAt {};
+        SendRecord sent {};
+        std::string cause {};
     };
 
     /// A submission to open.
@@ -101,15 +112,20 @@
     void placeItems(TimePoint requestedAt);
     /// Notes begin and end of a pause of placement. @return whether items may be placed now
     bool updatePlacementPause(TimePoint requestedAt);
+    /// Time since the submissions were known to be complete.
+    std::optional<Duration> recordAge() const;
+    /// Returns a function for HttpRequest::mayBeSent, which refers to @p record.
+    std::function<bool()> sendCondition(TimePoint begunAt, SendRecord& record) const;
     void applyRecords(const std::vector<KeyValueEntry>&);
     void applySubmissionRecord(const KeyValueEntry&, std::vector<NewSubmission>& added);
     UnixTime dueTime(const Submission&) const;
     bool hasConfigurationFor(const Submission&) const;
     std::optional<SubmissionTerms> termsOf(const Submission&) const;
     Task<void> open(Submission, Revision);
-    void close(const SubmissionId&, std::string_view reason);
+    /// @param revision of the record that ends the submission, or 0
+    void close(const SubmissionId&, std::string_view reason, Revision revision = 0);
     Task<void> runItem(Placement);
-    Task<RunOutcome> stream(const OpenSubmissionPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, std::string& cause);
+    Task<RunOutcome> stream(const OpenSubmissionPointer&, ItemKey, const RegisteredTarget&, std::shared_ptr<HttpCancellation>, RunRecord&);
     RunOutcome processEvents(const ItemKey&, std::string_view bytes, EventStreamParser&, WeightVersion& version, WeightVersion oldest, std::size_t& eventCount);
     bool hasMemoryFor(const ItemKey&, const EventStreamParser&);
     Task<void> runRewardCall(OpenSubmissionPointer, ItemKey);
@@ -122,7 +138,7 @@
     void stopRun(const ItemKey&);
     void stopRewardCalls(const SubmissionId&);
     /// Makes one reward call. It is not sent any more once it is cancelled, even if it waits for a target then.
-    Task<ForwardOutcome> callReward(const RewardCall&, const SiteRoute&, std::shared_ptr<HttpCancellation>);
+    Task<ForwardOutcome> callReward(const RewardCall&, const SiteRoute&, std::shared_ptr<HttpCancellation>, SendRecord&);
     Task<void> deleteExpiredSubmissions();
     Task<void> takeOver();
     Task<void> storePartialTexts(std::vector<ItemText>);
@@ -130,9 +146,9 @@
     void restorePartialTexts(const KeyValueEntry&);
     static void logIgnoredRecord(const std::string& key, Revision, const Error&);
     void logSubmissionOpened(const OpenSubmission&, UnixTime age) const;
-    void logSubmissionClosed(const SubmissionId&, std::string_view reason, std::size_t results) const;
-    void logRunEnded(const OpenSubmission&, const ItemKey&, const RunRecord&, RunOutcome, std::size_t events, const std::string& versions, Duration, const std::string& cause) const;
-    void logRewardCall(const RewardCall&, const SampleItem&, const ItemKey&, const ForwardOutcome&) const;
+    void logSubmissionClosed(const SubmissionId&, std::string_view reason, std::size_t results, Revision) const;
+    void logRunEnded(const OpenSubmission&, const ItemKey&, const RunRecord&, RunOutcome, std::size_t events, const std::string& versions) const;
+    void logRewardCall(const RewardCall&, const SampleItem&, const ItemKey&, const ForwardOutcome&, const SendRecord&) const;
     void logAppend(const OpenSubmission&, std::size_t results, const std::string& failure) const;
 
     boost::asio::any_io_executor m_executor;
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -12,25 +12,39 @@
     /// Shorter pauses of placement cost nothing that is worth a line.
     constexpr std::chrono::milliseconds loggedPause { 500 };
 
-    std::string millisecondsText(Duration duration)
+    /// @return an empty text for no duration
+    std::string millisecondsText(std::optional<Duration> duration)
     {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+        return duration ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count()) : std::string();
     }
 
 } // namespace
 
+std::optional<Duration> SampleRunner::recordAge() const
+{
+    const auto completeAsOf = m_watch ? m_watch->completeAsOf() : std::nullopt;
+    return completeAsOf ? std::optional(m_clock.now() - *completeAsOf) : std::nullopt;
+}
+
+std::function<bool()> SampleRunner::sendCondition(TimePoint begunAt, SendRecord& record) const
+{
+    return [this, begunAt, &record] {
+        record = { m_clock.now() - begunAt, recordAge() };
+        return true;
+    };
+}
+
 bool SampleRunner::updatePlacementPause(TimePoint requestedAt)
 {
     const auto now = m_clock.now();
     m_placementGate.recordLoopDelay(now - requestedAt, now);
-    const auto completeAsOf = m_watch ? m_watch->completeAsOf() : std::nullopt;
-    const auto permission = m_placementGate.permission(completeAsOf, now);
+    const auto permission = m_placementGate.permission(m_watch ? m_watch->completeAsOf() : std::nullopt, now);
     const bool isPaused = permission != PlacementPermission::Granted;
     if (isPaused && !m_placementPausedSince)
         m_placementPausedSince = now;
     if (isPaused && !m_isPlacementPauseLogged && now - *m_placementPausedSince >= loggedPause) {
         m_isPlacementPauseLogged = true;
-        logEvent(Event::PlacementPaused, { { "cause", std::string(name(permission)) }, { "loop-delay-ms", millisecondsText(m_placementGate.loopDelay()) }, { "age-ms", millisecondsText(now - *completeAsOf) }, { "waiting", std::to_string(m_scheduler.waitingCount()) }, { "running", std::to_string(m_scheduler.runningCount()) } });
+        logEvent(Event::PlacementPaused, { { "cause", std::string(name(permission)) }, { "loop-delay-ms", millisecondsText(m_placementGate.loopDelay()) }, { "age-ms", millisecondsText(recordAge()) }, { "waiting", std::to_string(m_scheduler.waitingCount()) }, { "running", std::to_string(m_scheduler.runningCount()) } });
     }
     if (isPaused)
         return false;
@@ -52,19 +66,19 @@
     logEvent(Event::SubmissionOpened, { { "id", submission.id.value() }, { "revision", std::to_string(entry.revision) }, { "model", submission.model.value() }, { "step", std::to_string(submission.step) }, { "items", std::to_string(submission.items.size()) }, { "stored", std::to_string(entry.log->stored().size()) }, { "oldest-version", std::to_string(submission.oldestVersion) }, { "age-ms", std::to_string(age.count()) }, { "accepted-under", std::to_string(submission.acceptedUnder) }, { "configuration", std::to_string(m_directory.view()->configuration.version) }, { "pools", std::to_string(entry.policy.pools.size()) } });
 }
 
-void SampleRunner::logSubmissionClosed(const SubmissionId& id, std::string_view reason, std::size_t results) const
+void SampleRunner::logSubmissionClosed(const SubmissionId& id, std::string_view reason, std::size_t results, Revision revision) const
 {
-    logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) } });
+    logEvent(Event::SubmissionClosed, { { "id", id.value() }, { "reason", std::string(reason) }, { "results", std::to_string(results) }, { "revision", std::to_string(revision) }, { "records-age-ms", millisecondsText(recordAge()) } });
 }
 
-void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const RunRecord& run, RunOutcome end, std::size_t events, const std::string& versions, Duration time, const std::string& cause) const
+void SampleRunner::logRunEnded(const OpenSubmission& entry, const ItemKey& key, const RunRecord& run, RunOutcome end, std::size_t events, const std::string& versions) const
 {
-    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) }, { "cause", cause } });
+    logEvent(Event::SampleRunEnded, { { "id", entry.submission.items[key.index].id.value() }, { "submission", key.submission.value() }, { "engine", run.engine.value() }, { "software", run.softwareVersion.value() }, { "from-event", std::to_string(run.eventsAtStart) }, { "registry", std::to_string(m_directory.registryRevision()) }, { "end", std::string(name(end)) }, { "events", std::to_string(events) }, { "versions", versions }, { "ms", millisecondsText(m_clock.now() - run.placedAt) }, { "sent-after-ms", millisecondsText(run.sent.delay) }, { "records-age-ms", millisecondsText(run.sent.recordAge) }, { "cause", run.cause } });
 }
 
-void SampleRunner::logRewardCall(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome) const
+void SampleRunner::logRewardCall(const RewardCall& reward, const SampleItem& item, const ItemKey& key, const ForwardOutcome& outcome, const SendRecord& sent) const
 {
-    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "cause", outcome.cause } });
+    logEvent(Event::RewardCallEnded, { { "id", reward.id.value() }, { "item", item.id.value() }, { "submission", key.submission.value() }, { "state", std::string(name(outcome.state)) }, { "status", std::to_string(outcome.answer.status) }, { "attempts", std::to_string(outcome.attempts) }, { "sent-after-ms", millisecondsText(sent.delay) }, { "records-age-ms", millisecondsText(sent.recordAge) }, { "cause", outcome.cause } });
 }
 
 void SampleRunner::logAppend(const OpenSubmission& entry, std::size_t results, const std::string& failure) const
--- a/packages/hosting/src/SampleRunnerRewards.cpp
+++ b/packages/hosting/src/SampleRunnerRewards.cpp
@@ -51,10 +51,11 @@
             co_await pause(m_executor, rewardRetryDelay);
             continue;
         }
-        const auto outcome = co_await callReward(reward, *route, cancellation);
+        SendRecord sent;
+        const auto outcome = co_await callReward(reward, *route, cancellation, sent);
         // Without a permit the call is repeated every few hundred milliseconds.
         if (outcome.attempts > 0)
-            logRewardCall(reward, item, key, outcome);
+            logRewardCall(reward, item, key, outcome, sent);
         if (!isWanted())
             break;
         if (outcome.state == ForwardState::Answered && outcome.answer.status >= 200 && outcome.answer.status < 300) {
@@ -74,7 +75,7 @@
         m_rewardCalls.erase(own);
 }
 
-Task<ForwardOutcome> SampleRunner::callReward(const RewardCall& reward, const SiteRoute& route, std::shared_ptr<HttpCancellation> cancellation)
+Task<ForwardOutcome> SampleRunner::callReward(const RewardCall& reward, const SiteRoute& route, std::shared_ptr<HttpCancellation> cancellation, SendRecord& sent)
 {
     // One attempt per call, so that the caller counts each failure.
     SiteRoute singleAttemptRoute = route;
@@ -85,6 +86,7 @@
     request.pool = choosePool(route, splitFractionOf(reward.id));
     request.deadline = m_clock.now() + (route.timeout.count() > 0 ? route.timeout : defaultRewardTimeout);
     request.buildMessage = [&](const AttemptContext& context) { return m_protocol.rewardRequest(reward, context); };
+    request.mayBeSent = sendCondition(m_clock.now(), sent);
     request.cancellation = std::move(cancellation);
     co_return co_await m_forwarder.forward(std::move(request));
 }
--- a/packages/services/include/cicadalb/services/HttpClient.h
+++ b/packages/services/include/cicadalb/services/HttpClient.h
@@ -45,6 +45,8 @@
     /// A server may send an answer twice, the second time where the answer to a later request is expected. Therefore a request is sent only on a
     /// connection that has carried neither a request with the same id nor one without an id.
     ExchangeId exchangeId {};
+    /// Whether the request may still be sent; called directly before each write to a connection. Empty: always.
+    std::function<bool()> mayBeSent {};
     /// Limit on the body of the answer below HttpClientOptions::maximumBodyBytes, for answers that are parsed as a whole and are short; 0: none.
     std::size_t maximumAnswerBytes = 0;
 };
@@ -114,6 +116,7 @@
 /// @brief Client for one server. Thread-safe; the connection pool has its own lock.
 /// The error of an exchange says what is known about the request: NotSent (no byte of it was written), OutcomeUnknown (it may have run:
 /// the connection broke or the deadline passed after the first byte, or the answer was truncated), Cancelled, AnswerInvalid.
+/// An exchange whose HttpRequest::mayBeSent returns false fails with NotSent, or with OutcomeUnknown if an earlier connection has carried it.
 /// An answer that does not conform to RFC 9110 and RFC 9112 (status code, field names and values, framing) fails with OutcomeUnknown and closes its
 /// connection. Interim answers (1xx) are skipped.
 /// An answer with neither a Content-Length nor chunked encoding cannot be told from a truncated one and fails with OutcomeUnknown.
--- a/packages/services/src/HttpClient.cpp
+++ b/packages/services/src/HttpClient.cpp
@@ -517,8 +517,11 @@
                 co_return failure(mayHaveRun ? ErrorCode::OutcomeUnknown : connected.error().code, connected.error().message, connected.error().where);
             connection = std::move(connected.value());
         }
+        const auto unsentCode = mayHaveRun ? ErrorCode::OutcomeUnknown : ErrorCode::NotSent;
         if (isCancelled())
-            co_return failure(ErrorCode::NotSent, "cancelled before it was sent", state->serverAddress());
+            co_return failure(unsentCode, "cancelled before it was sent", state->serverAddress());
+        if (request.mayBeSent && !request.mayBeSent())
+            co_return failure(unsentCode, "its sender no longer permits it to be sent", state->serverAddress());
         if (cancellation)
             cancellation->m_cancelStream = [stream = &connection->stream] { stream->cancel(); };
         const auto silenceTimeout = state->options.reusedConnectionTimeout;
--- a/packages/services/tests/unit-http-client.cpp
+++ b/packages/services/tests/unit-http-client.cpp
@@ -49,6 +49,19 @@
         CHECK(server.connections == 1);
     }
 
+    TEST_CASE_METHOD(HttpClientFixture, "HttpClient: request that may no longer be sent once its connection is open, is not sent", "[http-client]")
+    {
+        const auto subject = client(std::chrono::seconds(30));
+        HttpRequest request;
+        request.mayBeSent = [] { return false; };
+        const auto result = startTask(context.get_executor(), subject->send(std::move(request), std::chrono::steady_clock::now() + std::chrono::seconds(30)));
+        while (!result->has_value() && context.run_one() > 0) { }
+        REQUIRE(result->has_value());
+        REQUIRE_FALSE(**result);
+        CHECK((*result)->error().code == ErrorCode::NotSent);
+        CHECK(server.requests == 0);
+    }
+
     TEST_CASE_METHOD(HttpClientFixture, "HttpClient: server states a Keep-Alive timeout below the margin, next request uses a new connection", "[http-client]")
     {
         server.keepAlive = "Keep-Alive: timeout=0\r\n";
