Begin no run or reward call on records of submissions that are old, whatever made them old

Callers saw an item reach a target later than submission-end-ms after its submission's end was acknowledged.

Cause: PlacementGate was open however old the records were, as long as the event loop was in time, on the ground that nobody can end a submission while the store is away. The store may refuse one process and serve the others, and a watch may go silent while all other calls pass.

Change: the gate is open only while the records were complete at most three fifths of the end time ago. A reward call asks it at each attempt instead of the last placement.

Two cases of unit-placement-gate.cpp stated the fault as intended (open after 20 s without the store); those that replace them state the bound, and one is new for records that were never complete.

--- a/packages/hosting/src/PlacementGate.h
+++ b/packages/hosting/src/PlacementGate.h
@@ -8,20 +8,20 @@
 #include <string_view>
 
 /// @file
-/// When a coordinator may begin runs. Load: more work than its processor can follow, so that it learns late that a submission has ended.
+/// When a coordinator may begin runs: only while it knows of all ends of submissions up to a short time ago.
 
 namespace cicadalb {
 
 enum class PlacementPermission : std::uint8_t { Granted,
     /// The event loop is behind: what has arrived is worked off late.
     LoopIsLate,
-    /// The event loop was behind, and the submissions are not known to be up to date since.
+    /// The submissions have not been known to be complete for too long.
     RecordsAreLate };
 
 std::string_view name(PlacementPermission) noexcept;
 
-/// @brief Keeps a coordinator that is behind from beginning runs of submissions that may have ended in the meantime. Runs that have begun go on.
-/// A store that does not answer is no reason to wait as long as this process is in time: nobody can end a submission without the store.
+/// @brief Keeps a coordinator from beginning runs, and calls for their rewards, of submissions that may have ended in the meantime. Runs that have
+/// begun go on. What makes the records old does not matter: the store may refuse this process while it serves the host that ends a submission.
 class PlacementGate {
 public:
     /// @param endTime longest time from the end of a submission to the last begin of one of its runs; zero: the gate is always open
@@ -32,9 +32,12 @@
 
     /// @brief Interval at which the submissions have to be known to be complete, or zero.
     Duration recordInterval() const noexcept { return m_endTime / 3; }
+    /// @brief Longest time since the submissions were known to be complete. What is left of the end time is for the way to the target, and for a
+    /// watch that reports no change although there are some, which the store permits for a moment before it drops its history.
+    Duration maximumRecordAge() const noexcept { return m_endTime * 3 / 5; }
     /// @brief Records how long the event loop took to get to an action that was ready.
-    void recordLoopDelay(Duration, TimePoint now) noexcept;
-    /// @param completeAsOf time as of which the submissions are known to be complete
+    void recordLoopDelay(Duration delay) noexcept { m_loopDelay = delay; }
+    /// @param completeAsOf time as of which the submissions are known to be complete; empty: they are not known
     PlacementPermission permission(std::optional<TimePoint> completeAsOf, TimePoint now) const noexcept;
 
     /// @brief The last recorded delay of the event loop.
@@ -43,7 +46,6 @@
 private:
     Duration m_endTime;
     Duration m_loopDelay {};
-    std::optional<TimePoint> m_lateAt;
 };
 
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -114,6 +114,8 @@
     bool updatePlacementPause(TimePoint requestedAt);
     /// Time since the submissions were known to be complete.
     std::optional<Duration> recordAge() const;
+    /// Whether a request may be sent for an item now, as far as the age of the records is concerned.
+    PlacementPermission sendPermission() const;
     /// Returns a function for HttpRequest::mayBeSent, which refers to @p record.
     std::function<bool()> sendCondition(TimePoint begunAt, SendRecord& record) const;
     void applyRecords(const std::vector<KeyValueEntry>&);
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -26,6 +26,11 @@
     return completeAsOf ? std::optional(m_clock.now() - *completeAsOf) : std::nullopt;
 }
 
+PlacementPermission SampleRunner::sendPermission() const
+{
+    return m_placementGate.permission(m_watch ? m_watch->completeAsOf() : std::nullopt, m_clock.now());
+}
+
 std::function<bool()> SampleRunner::sendCondition(TimePoint begunAt, SendRecord& record) const
 {
     return [this, begunAt, &record] {
@@ -37,8 +42,8 @@
 bool SampleRunner::updatePlacementPause(TimePoint requestedAt)
 {
     const auto now = m_clock.now();
-    m_placementGate.recordLoopDelay(now - requestedAt, now);
-    const auto permission = m_placementGate.permission(m_watch ? m_watch->completeAsOf() : std::nullopt, now);
+    m_placementGate.recordLoopDelay(now - requestedAt);
+    const auto permission = sendPermission();
     const bool isPaused = permission != PlacementPermission::Granted;
     if (isPaused && !m_placementPausedSince)
         m_placementPausedSince = now;
--- a/packages/hosting/src/SampleRunnerRewards.cpp
+++ b/packages/hosting/src/SampleRunnerRewards.cpp
@@ -47,7 +47,7 @@
         const auto view = m_directory.view();
         const auto* route = view->routes.find(reward.authority, reward.path);
         // Like a run, a call does not begin while this process may not know yet that the submission has ended.
-        if (!route || isPlacementPaused()) {
+        if (!route || sendPermission() != PlacementPermission::Granted) {
             co_await pause(m_executor, rewardRetryDelay);
             continue;
         }
--- a/packages/hosting/tests/unit-placement-gate.cpp
+++ b/packages/hosting/tests/unit-placement-gate.cpp
@@ -16,7 +16,7 @@
     void recordLoopDelay(Duration delay)
     {
         clock.advance(delay);
-        gate.recordLoopDelay(delay, clock.now());
+        gate.recordLoopDelay(delay);
     }
 };
 
@@ -54,29 +54,44 @@
     CHECK(permission() == PlacementPermission::RecordsAreLate);
 }
 
-TEST_CASE_METHOD(GateFixture, "placement gate, store away while the event loop is in time, is open")
+TEST_CASE_METHOD(GateFixture, "placement gate, records old while the event loop is in time, is closed until they are complete again")
 {
     recordLoopDelay(1ms);
+    clock.advance(1799ms);
+    CHECK(permission() == PlacementPermission::Granted);
+    clock.advance(1ms);
+    CHECK(permission() == PlacementPermission::RecordsAreLate);
     clock.advance(20s);
     recordLoopDelay(1ms);
+    CHECK(permission() == PlacementPermission::RecordsAreLate);
+    completeAsOf = clock.now();
     CHECK(permission() == PlacementPermission::Granted);
 }
 
-TEST_CASE_METHOD(GateFixture, "placement gate, records complete after a late round, is open however long the store is away")
+TEST_CASE_METHOD(GateFixture, "placement gate, records complete after a late round, is open until they are old")
 {
     recordLoopDelay(250ms);
     clock.advance(1ms);
     completeAsOf = clock.now();
-    clock.advance(20s);
     recordLoopDelay(1ms);
     CHECK(permission() == PlacementPermission::Granted);
+    clock.advance(20s);
+    recordLoopDelay(1ms);
+    CHECK(permission() == PlacementPermission::RecordsAreLate);
+}
+
+TEST_CASE("placement gate, records never complete, is closed")
+{
+    const ManualClock clock;
+    const PlacementGate gate { 3s };
+    CHECK(gate.permission(std::nullopt, clock.now()) == PlacementPermission::RecordsAreLate);
 }
 
 TEST_CASE("placement gate, no limit on the time after an end, is always open")
 {
     const ManualClock clock;
     PlacementGate gate { Duration::zero() };
-    gate.recordLoopDelay(10s, clock.now());
+    gate.recordLoopDelay(10s);
     CHECK(gate.permission(clock.now() - 60s, clock.now()) == PlacementPermission::Granted);
     CHECK(gate.recordInterval() == Duration::zero());
 }
