Check directly before each write whether a run, a reward call or a keyed request may still be sent

Callers could see an item, or a request with a key that was taken away, reach a target after the permitted time.

Cause: the age of the records was looked at when an item was placed, and that of the key when a target was chosen. A connection that is opened (up to 1 s) and an event loop that stalls come after that.

Change: HttpClient asks HttpRequest::mayBeSent before each write; SampleRunner and RequestForwarder set it. A request that is withheld has not run, and says nothing about the target.

--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -38,8 +38,8 @@
     constexpr std::chrono::seconds blockedRetryAfter { 60 };
     /// Time allowed for the connection that shows whether a target still listens.
     constexpr milliseconds crashProbeTimeout { 100 };
-    /// Retry-After of a request whose key cannot be checked; this host looks for a newer configuration several times a second.
-    constexpr milliseconds uncheckedKeyRetryAfter { 300 };
+    /// Retry-After of a request that may not be sent; this host looks for newer records several times a second.
+    constexpr milliseconds withheldRetryAfter { 300 };
     constexpr unsigned firstServerErrorStatus = 500;
     constexpr unsigned firstNormalPriority = 1;
 
@@ -104,6 +104,8 @@
     AnswerKind answer = AnswerKind::Unusable;
     HttpResponse response;
     std::string cause;
+    /// Whether ForwardRequest::mayBeSent prevented the write.
+    bool isWithheld = false;
 };
 
 ForwardRequest makeForwardRequest(const HttpRequest& message, const SiteRoute& route, const SiteProtocol& protocol, const OrganisationName& organisation)
@@ -169,15 +171,20 @@
     return isPossible && progress.run.mayAttempt() && request.deadline - m_clock.now() >= minimumAttemptTime;
 }
 
-bool RequestForwarder::isKeyReliable(const ForwardRequest& request, Progress& progress) const
+bool RequestForwarder::mayBeSent(const ForwardRequest& request, Progress& progress)
 {
     if (!request.mayBeSent || request.mayBeSent())
         return true;
-    progress.outcome.cause = "this host cannot know whether the caller's key is still valid";
-    progress.outcome.retryAfter = uncheckedKeyRetryAfter;
+    recordWithheld(request, progress);
     return false;
 }
 
+void RequestForwarder::recordWithheld(const ForwardRequest& request, Progress& progress)
+{
+    progress.outcome.cause = std::string(request.withheldCause);
+    progress.outcome.retryAfter = withheldRetryAfter;
+}
+
 Task<bool> RequestForwarder::relay(const ForwardRequest& request, Progress& progress)
 {
     const auto attemptsUsed = progress.run.attempts() - progress.attemptsNotRun;
@@ -187,7 +194,7 @@
         co_return false;
     }
     progress.hasRelayed = true;
-    if (!isKeyReliable(request, progress))
+    if (!mayBeSent(request, progress))
         co_return false;
     progress.run.beginAttempt();
     auto relayed = co_await request.relay(maximumAttempts - attemptsUsed);
@@ -393,7 +400,7 @@
         balancer->recordCompletion(admission.target, abandoned);
         co_return check == ReleaseCheck::OtherTarget;
     }
-    if (!isKeyReliable(request, progress)) {
+    if (!mayBeSent(request, progress)) {
         balancer->recordCompletion(admission.target, abandoned);
         co_return false;
     }
@@ -415,6 +422,16 @@
     const bool hasTimedOut = m_clock.now() >= timeout;
     const Completion completion { result.kind, latency, m_clock.now() >= request.deadline };
     logAttempt(request, target, result, latency);
+    if (result.isWithheld) {
+        // This says nothing about the target.
+        balancer->recordCompletion(target.id, abandoned);
+        if (result.kind == CompletionKind::NotRun)
+            progress.run.recordNotRun();
+        else
+            progress.run.recordLoss();
+        recordWithheld(request, progress);
+        co_return false;
+    }
     const bool isCutOff = co_await updateReachability(target, result, request.deadline);
     balancer->recordCompletion(target.id, isCutOff ? abandoned : completion);
     if (result.answer == AnswerKind::Answered && request.fingerprint && m_crashGuard.hasSuspects())
@@ -471,6 +488,12 @@
     auto message = request.buildMessage(context);
     // A repeat on another connection would be a second request to the target, for which there is no permit.
     message.mayRepeat = isIdempotent(*request.route) && !m_permits.isLimited(target);
+    if (request.mayBeSent) {
+        message.mayBeSent = [&request, &attempt] {
+            attempt.isWithheld = !request.mayBeSent();
+            return !attempt.isWithheld;
+        };
+    }
     const auto sentAt = m_clock.now();
     auto response = co_await client->send(std::move(message), deadline, request.cancellation);
     if (!response) {
--- a/packages/hosting/src/RequestForwarder.h
+++ b/packages/hosting/src/RequestForwarder.h
@@ -58,8 +58,10 @@
     OrganisationName organisation;
     /// Takes precedence over the priority of the route.
     std::optional<unsigned> priority;
-    /// Whether the key under which the request came may still be relied on; asked directly before the request leaves this host. Empty: it needs none.
+    /// Whether the request may still leave this host; asked directly before each write to a target. Empty: always.
     std::function<bool()> mayBeSent;
+    /// Why the request does not leave this host once @c mayBeSent returns false.
+    std::string_view withheldCause = "this host cannot know whether the caller's key is still valid";
     /// Software that the target must run, if the request continues the answer of another target.
     std::optional<SoftwareRelease> requiredRelease;
     /// Hash that selects two preferred targets of the pool, so that their connections are reused.
@@ -93,8 +95,9 @@
     struct Progress;
     struct Attempt;
     Task<bool> attempt(const ForwardRequest&, Progress&);
-    /// Whether the request may leave this host, as far as its key is concerned.
-    bool isKeyReliable(const ForwardRequest&, Progress&) const;
+    static bool mayBeSent(const ForwardRequest&, Progress&);
+    /// Notes that the request ends since it may no longer be sent.
+    static void recordWithheld(const ForwardRequest&, Progress&);
     bool shouldRelay(const ForwardRequest&, const Progress&) const;
     /// Has the request forwarded by another host. @return whether an attempt from this host makes sense
     Task<bool> relay(const ForwardRequest&, Progress&);
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -34,6 +34,8 @@
 std::function<bool()> SampleRunner::sendCondition(TimePoint begunAt, SendRecord& record) const
 {
     return [this, begunAt, &record] {
+        if (sendPermission() != PlacementPermission::Granted)
+            return false;
         record = { m_clock.now() - begunAt, recordAge() };
         return true;
     };
--- a/packages/hosting/tests/unit-caller-keys.cpp
+++ b/packages/hosting/tests/unit-caller-keys.cpp
@@ -141,6 +141,22 @@
     CHECK(requestsRun() == 0);
 }
 
+TEST_CASE_METHOD(CallerKeysFixture, "forwarded request, whose key becomes too old while its connection is opened, is not sent")
+{
+    ForwardRequest request;
+    request.id = RequestId("7c41");
+    request.route = &route;
+    request.pool = PoolName("ledger");
+    request.deadline = clock.now() + 10s;
+    request.buildMessage = [](const AttemptContext&) { return HttpRequest(); };
+    request.mayBeSent = [checks = 0]() mutable { return ++checks == 1; };
+    const auto outcome = boost::asio::co_spawn(executor, keyForwarder.forward(std::move(request)), boost::asio::use_future).get();
+    CHECK(outcome.state == ForwardState::NotRun);
+    CHECK(outcome.isKnownNotRun);
+    CHECK(outcome.retryAfter > Duration::zero());
+    CHECK(requestsRun() == 0);
+}
+
 TEST_CASE_METHOD(CallerKeysFixture, "submission, calls with other keys of its organisation, are served")
 {
     CHECK(send("/batch/", { { "Key", "n1" } }, "submission").status == 202);
--- a/packages/hosting/tests/unit-outdated-records.cpp
+++ b/packages/hosting/tests/unit-outdated-records.cpp
@@ -194,6 +194,17 @@
     CHECK(runUntil([this] { return runs == 1; }));
 }
 
+TEST_CASE_METHOD(OutdatedRecordsFixture, "sample runner, submission ended while the connection to its engine is opened, sends no run once the records are old")
+{
+    registerEngine();
+    runUntilPlaced();
+    isWatchSilent = true;
+    store.put(endKey(submission), "");
+    store.advance(4s);
+    settle();
+    CHECK(runs == 0);
+}
+
 TEST_CASE_METHOD(OutdatedRecordsFixture, "sample runner, submission ended while its reward call waits for a route and the watch is silent, does not send the call after the end time")
 {
     store.put("site/configuration", "5 drafts draft train.example/drafts/");
