Read the ends of open submissions while the watch of all submissions proves nothing

Callers saw items and reward calls of ended submissions go on for seconds after the store had dropped its history.

Cause: a coordinator learnt of ends only with all records of submissions. After a watch that heard nothing for a second and was then cut (410), it reads all texts again, of ended submissions too. That takes longer the more submissions the store holds; meanwhile items were placed on the old records.

Change: once the records are half of the end time old, SampleRunner reads the end records of the open submissions, a read for each, at most twice a second. An end is applied at once, and if all reads were answered, runs may begin on that knowledge.

--- a/packages/hosting/src/PlacementGate.h
+++ b/packages/hosting/src/PlacementGate.h
@@ -35,6 +35,9 @@
     /// @brief Longest time since the submissions were known to be complete. What is left of the end time is for the way to the target, and for a
     /// watch that reports no change although there are some, which the store permits for a moment before it drops its history.
     Duration maximumRecordAge() const noexcept { return m_endTime * 3 / 5; }
+    /// @brief Time since the submissions were known to be complete from which the ends of the open ones are read, or zero: a watch whose answer is
+    /// overdue is noticed before, and the read is answered before maximumRecordAge().
+    Duration endCheckAge() const noexcept { return m_endTime / 2; }
     /// @brief Records how long the event loop took to get to an action that was ready.
     void recordLoopDelay(Duration delay) noexcept { m_loopDelay = delay; }
     /// @param completeAsOf time as of which the submissions are known to be complete; empty: they are not known
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -173,8 +173,7 @@
         const auto key = parseSubmissionKey(entry.key);
         if (key.kind != SubmissionKeyKind::End || entry.isDeleted)
             continue;
-        m_storedSubmissions[key.id].isEnded = true;
-        close(key.id, "ended by its trainer", entry.revision);
+        applyEnd(key.id, entry.revision);
     }
     std::vector<NewSubmission> added;
     for (const auto& entry : entries) {
@@ -245,6 +244,8 @@
     const auto id = submission.id;
     auto entry = std::make_shared<OpenSubmission>();
     m_openSubmissions.emplace(id, entry);
+    ++m_openings;
+    m_endsCheckedAsOf.reset();
     entry->log = std::make_shared<ResultLog>(m_store, id);
     while (!m_isStopped && !entry->isClosed && !hasConfigurationFor(submission))
         co_await pause(m_executor, configurationPollInterval);
@@ -354,6 +355,8 @@
         if (m_isStoringPartialTexts)
             asio::co_spawn(m_executor, storePartialTexts(std::move(texts)), asio::detached);
     }
+    if (shouldCheckEnds(now))
+        checkEnds();
     if (now >= m_nextExpirySearchAt) {
         m_nextExpirySearchAt = now + expirySearchInterval;
         asio::co_spawn(
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -79,7 +79,7 @@
     struct SendRecord {
         /// Time from the placement of the run, or the begin of the call, until its request was last permitted to be sent; empty if it was not.
         std::optional<Duration> delay;
-        /// Time since the submissions were known to be complete, at that moment.
+        /// Time since the ends of open submissions were known, at that moment.
         std::optional<Duration> recordAge;
     };
 
@@ -112,8 +112,16 @@
     void placeItems(TimePoint requestedAt);
     /// Notes begin and end of a pause of placement. @return whether items may be placed now
     bool updatePlacementPause(TimePoint requestedAt);
-    /// Time since the submissions were known to be complete.
+    /// Time as of which all ends of open submissions are known, from the watch or from checkEnds().
+    std::optional<TimePoint> endsKnownAsOf() const;
     std::optional<Duration> recordAge() const;
+    bool shouldCheckEnds(TimePoint now) const;
+    /// Reads the end records of all open submissions. Unlike a read of all submissions, after a watch that has missed changes, it does not take longer
+    /// the more submissions the store holds.
+    void checkEnds();
+    struct EndCheck;
+    Task<void> readEnd(SubmissionId, std::shared_ptr<EndCheck>);
+    void applyEnd(const SubmissionId&, Revision);
     /// Whether a request may be sent for an item now, as far as the age of the records is concerned.
     PlacementPermission sendPermission() const;
     /// Returns a function for HttpRequest::mayBeSent, which refers to @p record.
@@ -173,6 +181,12 @@
     TimePoint m_nextExpirySearchAt;
     TimePoint m_nextPartialTextsAt;
     bool m_isStoringPartialTexts = false;
+    /// Time as of which checkEnds() has found the ends of all submissions that are open now.
+    std::optional<TimePoint> m_endsCheckedAsOf;
+    TimePoint m_nextEndCheckAt;
+    bool m_isCheckingEnds = false;
+    /// Number of submissions that were opened.
+    std::uint64_t m_openings = 0;
     bool m_isFinishing = false;
     bool m_isStopped = false;
     bool m_isPlacementScheduled = false;
--- /dev/null
+++ b/packages/hosting/src/SampleRunnerEnds.cpp
@@ -0,0 +1,98 @@
+#include "SampleRunner.h"
+
+#include "cicadalb/submissions/SubmissionRecords.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+/// @file
+/// What SampleRunner knows of the ends of submissions, and whether it may send on that knowledge.
+
+namespace cicadalb {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /// Interval at which the ends are read while the watch proves nothing.
+    constexpr std::chrono::milliseconds endCheckInterval { 500 };
+
+} // namespace
+
+struct SampleRunner::EndCheck {
+    TimePoint requestedAt;
+    std::uint64_t openings = 0;
+    std::size_t pendingReads = 0;
+    bool hasFailed = false;
+};
+
+std::optional<TimePoint> SampleRunner::endsKnownAsOf() const
+{
+    const auto completeAsOf = m_watch ? m_watch->completeAsOf() : std::nullopt;
+    return std::max(completeAsOf, m_endsCheckedAsOf);
+}
+
+std::optional<Duration> SampleRunner::recordAge() const
+{
+    const auto knownAsOf = endsKnownAsOf();
+    return knownAsOf ? std::optional(m_clock.now() - *knownAsOf) : std::nullopt;
+}
+
+PlacementPermission SampleRunner::sendPermission() const
+{
+    return m_placementGate.permission(endsKnownAsOf(), m_clock.now());
+}
+
+std::function<bool()> SampleRunner::sendCondition(TimePoint begunAt, SendRecord& record) const
+{
+    return [this, begunAt, &record] {
+        if (sendPermission() != PlacementPermission::Granted)
+            return false;
+        record = { m_clock.now() - begunAt, recordAge() };
+        return true;
+    };
+}
+
+bool SampleRunner::shouldCheckEnds(TimePoint now) const
+{
+    const auto maximumAge = m_placementGate.endCheckAge();
+    const auto age = recordAge();
+    return maximumAge > Duration::zero() && age && *age >= maximumAge && !m_isCheckingEnds && now >= m_nextEndCheckAt && !m_openSubmissions.empty();
+}
+
+void SampleRunner::checkEnds()
+{
+    const auto check = std::make_shared<EndCheck>(EndCheck { m_clock.now(), m_openings, m_openSubmissions.size() });
+    m_isCheckingEnds = true;
+    m_nextEndCheckAt = check->requestedAt + endCheckInterval;
+    for (const auto& [id, entry] : m_openSubmissions)
+        asio::co_spawn(m_executor, readEnd(id, check), asio::detached);
+}
+
+Task<void> SampleRunner::readEnd(SubmissionId id, std::shared_ptr<EndCheck> check)
+{
+    const auto self = shared_from_this();
+    const auto record = co_await m_store.read(endKey(id));
+    if (m_isStopped)
+        co_return;
+    check->hasFailed = check->hasFailed || !record;
+    if (record && record.value())
+        applyEnd(id, record.value()->revision);
+    if (--check->pendingReads > 0)
+        co_return;
+    m_isCheckingEnds = false;
+    // A submission that was opened meanwhile was not read.
+    if (!check->hasFailed && check->openings == m_openings)
+        m_endsCheckedAsOf = check->requestedAt;
+    schedulePlacement();
+}
+
+void SampleRunner::applyEnd(const SubmissionId& id, Revision revision)
+{
+    m_storedSubmissions[id].isEnded = true;
+    close(id, "ended by its trainer", revision);
+}
+
+} // namespace cicadalb
--- a/packages/hosting/src/SampleRunnerLog.cpp
+++ b/packages/hosting/src/SampleRunnerLog.cpp
@@ -20,27 +20,6 @@
 
 } // namespace
 
-std::optional<Duration> SampleRunner::recordAge() const
-{
-    const auto completeAsOf = m_watch ? m_watch->completeAsOf() : std::nullopt;
-    return completeAsOf ? std::optional(m_clock.now() - *completeAsOf) : std::nullopt;
-}
-
-PlacementPermission SampleRunner::sendPermission() const
-{
-    return m_placementGate.permission(m_watch ? m_watch->completeAsOf() : std::nullopt, m_clock.now());
-}
-
-std::function<bool()> SampleRunner::sendCondition(TimePoint begunAt, SendRecord& record) const
-{
-    return [this, begunAt, &record] {
-        if (sendPermission() != PlacementPermission::Granted)
-            return false;
-        record = { m_clock.now() - begunAt, recordAge() };
-        return true;
-    };
-}
-
 bool SampleRunner::updatePlacementPause(TimePoint requestedAt)
 {
     const auto now = m_clock.now();
