Send the end of a submission to the store once more if no answer arrives

Callers who ended a submission got 504 after 1.5 s when the store's answer to this one write was lost, although the store was there and would have taken the write again.

Cause: a transaction is never sent again, since most have conditions under which a second try says something else. The end mark has none, and a mark that is written twice is one mark.

Change: Transaction::mayRepeat, set for the end mark.

--- a/packages/hosting/src/SubmissionIntake.cpp
+++ b/packages/hosting/src/SubmissionIntake.cpp
@@ -94,6 +94,7 @@
         co_return success();
     Transaction transaction;
     transaction.writes.push_back({ endKey(id), "ended" });
+    transaction.mayRepeat = true;
     const auto written = co_await m_store.commit(std::move(transaction));
     if (!written)
         co_return written.as_failure();
--- a/packages/hosting/tests/unit-submission-intake.cpp
+++ b/packages/hosting/tests/unit-submission-intake.cpp
@@ -29,6 +29,15 @@
         return **pending;
     }
 
+    bool end()
+    {
+        const auto pending = startTask(context.get_executor(), intake.end(submission.id));
+        context.restart();
+        context.poll();
+        REQUIRE(*pending);
+        return (**pending).has_value();
+    }
+
     /// Applies @p fault to writes number @p first (from 0) up to, but not including, @p last.
     void failWrites(CallFault fault, int first, int last)
     {
@@ -113,3 +122,26 @@
     failWrites(CallFault::AnswerLost, 0, 1);
     CHECK(accept() != IntakeOutcome::Accepted);
 }
+
+TEST_CASE_METHOD(IntakeFixture, "submission intake, first answer to an end lost, acknowledges the end in the same call")
+{
+    failWrites(CallFault::FirstAnswerLost, 0, 1);
+    CHECK(end());
+    CHECK(store.entries().contains(endKey(submission.id)));
+}
+
+TEST_CASE_METHOD(IntakeFixture, "submission intake, end refused by the store, does not acknowledge it and marks it at the next call")
+{
+    failWrites(CallFault::Unavailable, 0, 1);
+    CHECK_FALSE(end());
+    CHECK_FALSE(store.entries().contains(endKey(submission.id)));
+    CHECK(end());
+    CHECK(store.entries().contains(endKey(submission.id)));
+}
+
+TEST_CASE_METHOD(IntakeFixture, "submission intake, first answer to a submission lost, does not send the write again")
+{
+    failWrites(CallFault::FirstAnswerLost, 0, 1);
+    CHECK(accept() == IntakeOutcome::Accepted);
+    CHECK(store.counts().writes == 1);
+}
--- a/packages/services/include/cicadalb/services/TransactionalStore.h
+++ b/packages/services/include/cicadalb/services/TransactionalStore.h
@@ -28,6 +28,8 @@
     std::vector<RevisionCondition> conditions;
     std::vector<StoreWrite> writes;
     std::vector<std::string> removals;
+    /// Whether the changes do no harm if they are made twice, now or later. If no answer arrives, the client then sends them again.
+    bool mayRepeat = false;
 };
 
 /// @brief Adds transactions and snapshots to KeyValueService. watch() also reports removals, and fails with HistoryLost if the service no
--- a/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -31,7 +31,9 @@
     /// The request is lost in transit and has no effect; the client cannot tell this from AnswerLost.
     RequestLost,
     /// Writes only: the answer is lost, and the write takes effect some seconds later if its conditions hold then.
-    AppliedLate };
+    AppliedLate,
+    /// As AnswerLost; of a transaction that may be repeated, only the first answer is lost.
+    FirstAnswerLost };
 
 enum class CallKind : std::uint8_t { Read,
     Write,
@@ -129,7 +131,7 @@
         }
         auto result = apply(toTransaction(std::move(swap)));
         co_await delayAnswer(answerDelay);
-        if (fault == CallFault::AnswerLost)
+        if (fault == CallFault::AnswerLost || fault == CallFault::FirstAnswerLost)
             co_return failure(ErrorCode::OutcomeUnknown, "injected fault: answer lost");
         co_return std::move(result);
     }
@@ -143,9 +145,10 @@
             m_delayedWrites.push_back({ m_clock.now() + lateWriteDelay, std::move(transaction) });
             co_return failure(ErrorCode::OutcomeUnknown, "injected fault: write applied late");
         }
+        const bool isAnswerLost = fault == CallFault::AnswerLost || (fault == CallFault::FirstAnswerLost && !transaction.mayRepeat);
         auto result = apply(std::move(transaction));
         co_await delayAnswer(answerDelay);
-        if (fault == CallFault::AnswerLost)
+        if (isAnswerLost)
             co_return failure(ErrorCode::OutcomeUnknown, "injected fault: answer lost");
         co_return std::move(result);
     }
