Advance a watch only to revisions that it has heard, or that a later answer proves

What callers could see: a change that never reaches a host, such as the end of a submission at the coordinator, although its watch works and calls its records complete.

Cause: an answer of a watch without entries moved the watch to the revision that the answer states. The store's watches may hear nothing for a second while changes are made, until the history is dropped. If such an answer states a revision newer than the unheard change, and nothing is written before the history is dropped, the next call asks from the newest revision: it is neither refused nor told of the change. An unheard change that was delivered late was taken for a repeated one.

Change: a watch moves to the newest revision among the entries that it got. The revision that an answer states counts when an answer given at least 1.5 s later, to a call from an older revision, was not refused. No call is added, and an idle prefix is at most two waits behind, so that the history lasts. The claim to be complete is wrong by at most the silent second, which fits into the time that PlacementGate leaves (1.8 s of 3 s). Configurations, registry and mirrors use the same watch.

--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -21,6 +21,9 @@
     constexpr std::chrono::milliseconds maximumWaitWithMirrors { 600 };
     /// Shortest wait of a call.
     constexpr std::chrono::milliseconds minimumWait { 50 };
+    /// Time that an answer has to stand before the revision that it states counts: a watch may hear nothing for a second while changes are made, until the
+    /// store drops its history and cuts the watch, or refuses the next one.
+    constexpr std::chrono::milliseconds revisionProofTime { 1500 };
     /// Pause before, and wait of, a watch that has failed and was replaced by a read.
     constexpr std::chrono::milliseconds waitAfterFailedWatch { 300 };
     /// Limit on the doublings of the retry delay.
@@ -105,11 +108,28 @@
     if (result) {
         // The store sends an answer without entries only after the whole wait.
         const bool hasWaited = result.value().entries.empty() && m_clock.now() >= requestedAt + maximumWait;
-        raiseCompleteAsOf(hasWaited ? requestedAt + maximumWait : requestedAt);
+        accept(result.value(), hasWaited ? requestedAt + maximumWait : requestedAt);
     }
     co_return std::move(result);
 }
 
+/// @param answeredAt time at which the store gave the answer, or an earlier one
+void RecordWatch::accept(WatchResult& answer, TimePoint answeredAt)
+{
+    // An answer that repeats earlier changes must not replace later ones.
+    std::erase_if(answer.entries, [this](const auto& entry) { return entry.revision <= m_revision; });
+    for (const auto& entry : answer.entries)
+        m_revision = std::max(m_revision, entry.revision);
+    if (m_unproven && answeredAt >= m_unproven->statedAt + revisionProofTime) {
+        m_revision = std::max(m_revision, m_unproven->revision);
+        m_unproven.reset();
+    }
+    if (!m_unproven)
+        m_unproven = StatedRevision { answer.revision, m_clock.now() };
+    answer.revision = m_revision;
+    raiseCompleteAsOf(answeredAt);
+}
+
 void RecordWatch::setCoalescingDelay(std::chrono::milliseconds coalescingDelay)
 {
     m_settings.coalescingDelay = coalescingDelay;
@@ -204,6 +224,7 @@
     recordOutcome(success());
     m_hasSnapshot = true;
     m_shouldReadAll = false;
+    m_unproven.reset();
     m_revision = std::max(m_revision, snapshot.value().revision);
     m_handler.onSnapshot(snapshot.value(), remainingReturnTime());
     if (m_hasWatchFailed)
@@ -216,6 +237,7 @@
     auto changes = co_await awaitChanges();
     m_hasWatchFailed = !changes;
     if (!changes) {
+        m_unproven.reset();
         if (changes.error().code == ErrorCode::HistoryLost) {
             m_hasSnapshot = false;
             m_hasWatchFailed = false;
@@ -226,9 +248,6 @@
     if (m_isStopped)
         co_return success();
     recordOutcome(success());
-    // An answer that repeats earlier changes must not replace later ones.
-    std::erase_if(changes.value().entries, [this](const auto& entry) { return entry.revision <= m_revision; });
-    m_revision = std::max(m_revision, changes.value().revision);
     if (changes.value().entries.empty())
         co_return success();
     m_handler.onChanges(changes.value(), remainingReturnTime());
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -69,7 +69,7 @@
     /// @brief Whether the last call to the store or a mirror succeeded.
     bool isConnected() const noexcept { return m_isConnected; }
     const std::string& prefix() const noexcept { return m_settings.prefix; }
-    /// @brief Revision of the newest change received.
+    /// @brief Revision up to which all changes have been received.
     Revision revision() const noexcept { return m_revision; }
     /// @brief Time as of which the records are known to be complete; empty before the first answer. Only answers to this watch's own calls count.
     std::optional<TimePoint> completeAsOf() const noexcept { return m_completeAsOf; }
@@ -89,6 +89,8 @@
     /// Waits for changes; returns none after restart().
     Task<Result<WatchResult>> awaitChanges();
     Task<MirrorOutcome> pollMirror();
+    /// Applies what an answer of the store proves: changes that it repeats are removed from it.
+    void accept(WatchResult& answer, TimePoint answeredAt);
     void recordOutcome(const Result<void>&);
     void raiseCompleteAsOf(TimePoint);
     /// Time for which records that lapsed in the last outage may still return.
@@ -116,7 +118,14 @@
     boost::asio::any_io_executor m_executor;
     ClockTimer m_timer;
     std::shared_ptr<PendingCall> m_pending;
+    /// A revision that an answer has stated, which may be newer than what the watch has heard.
+    struct StatedRevision {
+        Revision revision = 0;
+        TimePoint statedAt;
+    };
+
     Revision m_revision = 0;
+    std::optional<StatedRevision> m_unproven;
     std::optional<TimePoint> m_completeAsOf;
     bool m_hasSnapshot = false;
     bool m_shouldReadAll = false;
--- a/packages/hosting/tests/FaultyStore.h
+++ b/packages/hosting/tests/FaultyStore.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,12 @@
     Delayed,
     /// Watches report no change, and end without one when their wait is over.
     Deaf,
+    /// Like Deaf, but the answers state the store's current revision.
+    DeafAhead,
+    /// The call never returns.
+    Endless,
+    /// The call throws.
+    Throwing,
     /// Watches report earlier changes again, after newer ones.
     Repeated };
 
@@ -88,11 +95,18 @@
 
     Task<Result<WatchResult>> watch(std::string prefix, Revision after, std::chrono::milliseconds maximumWait) override
     {
-        if (m_selectDisruption(CallKind::Watch) == CallDisruption::Deaf)
-            co_return co_await hearNothing(after, maximumWait);
+        if (m_selectDisruption(CallKind::Watch) == CallDisruption::Throwing)
+            throw std::runtime_error("the call cannot be made");
+        if (m_selectDisruption(CallKind::Watch) == CallDisruption::Endless)
+            co_await ClockTimer(m_executor, m_clock).waitUntil(TimePoint::max());
+        const auto until = m_clock.now() + maximumWait;
+        if (isDeaf())
+            co_return co_await hearNothing(after, until);
         auto result = co_await call(CallKind::Watch, maximumWait + watchAnswerTimeout, m_store.watch(prefix, after, maximumWait));
         if (!result)
             co_return result;
+        if (isDeaf())
+            co_return co_await hearNothing(after, until);
         auto& entries = result.value().entries;
         const auto news = entries;
         if (m_selectDisruption(CallKind::Watch) == CallDisruption::Repeated && !news.empty())
@@ -105,18 +119,23 @@
     static constexpr std::chrono::milliseconds callTimeout { 1500 };
     static constexpr std::chrono::milliseconds renewalTimeout { 350 };
 
+    bool isDeaf() const
+    {
+        const auto disruption = m_selectDisruption(CallKind::Watch);
+        return disruption == CallDisruption::Deaf || disruption == CallDisruption::DeafAhead;
+    }
+
     /// Waits while the disruption lasts, and then fails as if the call had been cut.
-    Task<Result<WatchResult>> hearNothing(Revision after, std::chrono::milliseconds maximumWait)
+    Task<Result<WatchResult>> hearNothing(Revision after, TimePoint until)
     {
-        const auto until = m_clock.now() + maximumWait;
         ClockTimer timer(m_executor, m_clock);
         while (m_clock.now() < until) {
             co_await timer.waitFor(std::chrono::milliseconds(10));
-            if (m_selectDisruption(CallKind::Watch) != CallDisruption::Deaf)
+            if (!isDeaf())
                 co_return failure(ErrorCode::Unavailable, "the watch was cut");
         }
         WatchResult unchanged;
-        unchanged.revision = after;
+        unchanged.revision = m_selectDisruption(CallKind::Watch) == CallDisruption::DeafAhead ? m_store.revision() : after;
         co_return unchanged;
     }
 
--- a/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
+++ b/packages/services/tests/support/cicadalb/services/FakeKeyValueService.h
@@ -80,13 +80,19 @@
     }
 
     /// @brief Discards the history of changes: watches from earlier revisions fail with HistoryLost.
-    void forgetHistory()
+    void forgetHistory() { forgetHistory(m_revision); }
+
+    /// @brief Discards the history of changes up to a revision.
+    void forgetHistory(Revision upTo)
     {
-        m_oldestWatchableRevision = m_revision;
-        m_removalRevisions.clear();
+        m_oldestWatchableRevision = std::max(m_oldestWatchableRevision, upTo);
+        std::erase_if(m_removalRevisions, [upTo](const auto& removal) { return removal.second <= upTo; });
         wakeWaitingCalls();
     }
 
+    /// @brief Revision of the newest change.
+    Revision revision() const { return m_revision; }
+
     /// @brief Writes a key directly, as another client would; no fault or delay applies.
     Revision put(std::string key, std::string value) { return storeEntry(std::move(key), std::move(value), 0); }
 
