Let the pauses of SampleRunner follow its clock

Tests of runs and reward calls in simulated time waited for pauses of the system's clock, so that repeated reward calls and writes of results could not be simulated.

Cause: SampleRunner paused with a timer of the system, unlike Coordination.

Change: its pauses use the clock that it is given. On the steady clock nothing changes.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -1,7 +1,6 @@
 #include "SampleRunner.h"
 
-#include "Pause.h"
-
+#include "cicadalb/base/ClockTimer.h"
 #include "cicadalb/base/Event.h"
 #include "cicadalb/services/StreamProgress.h"
 #include "cicadalb/submissions/SubmissionRecords.h"
@@ -147,6 +146,12 @@
     m_openSubmissions.clear();
 }
 
+Task<void> SampleRunner::wait(Duration duration) const
+{
+    ClockTimer timer(m_executor, m_clock);
+    (void)co_await timer.waitFor(duration);
+}
+
 void SampleRunner::updateEngines()
 {
     std::vector<SchedulableEngine> engines;
@@ -248,16 +253,16 @@
     m_endsCheckedAsOf.reset();
     entry->log = std::make_shared<ResultLog>(m_store, id);
     while (!m_isStopped && !entry->isClosed && !hasConfigurationFor(submission))
-        co_await pause(m_executor, configurationPollInterval);
+        co_await wait(configurationPollInterval);
     while (!m_isStopped && !entry->isClosed) {
         if (co_await entry->log->load())
             break;
-        co_await pause(m_executor, storeRetryDelay);
+        co_await wait(storeRetryDelay);
     }
     // A record of an earlier build has no terms, so that its submission waits for the route.
     auto accepted = m_isStopped || entry->isClosed ? std::nullopt : termsOf(submission);
     while (!m_isStopped && !entry->isClosed && !accepted) {
-        co_await pause(m_executor, configurationPollInterval);
+        co_await wait(configurationPollInterval);
         accepted = termsOf(submission);
     }
     if (m_isStopped || entry->isClosed)
@@ -535,13 +540,13 @@
 {
     const auto self = shared_from_this();
     while (entry->log->hasPending() && !m_isStopped && !entry->isClosed) {
-        co_await pause(m_executor, m_settings.appendInterval);
+        co_await wait(m_settings.appendInterval);
         if (m_isStopped || m_isFinishing || entry->isClosed)
             break;
         const auto appended = co_await appendOnce(entry);
         if (!appended) {
             logAppend(*entry, 0, appended.error().message);
-            co_await pause(m_executor, storeRetryDelay);
+            co_await wait(storeRetryDelay);
             continue;
         }
         logAppend(*entry, appended.value(), {});
--- a/packages/hosting/src/SampleRunner.h
+++ b/packages/hosting/src/SampleRunner.h
@@ -109,6 +109,7 @@
     /// A value of the store holds at most 1 MB, a quarter of which is base64 overhead.
     static constexpr std::size_t maximumStoredTextBytes = std::size_t { 600 } << 10U;
 
+    Task<void> wait(Duration) const;
     void placeItems(TimePoint requestedAt);
     /// Notes begin and end of a pause of placement. @return whether items may be placed now
     bool updatePlacementPause(TimePoint requestedAt);
--- a/packages/hosting/src/SampleRunnerRewards.cpp
+++ b/packages/hosting/src/SampleRunnerRewards.cpp
@@ -1,7 +1,5 @@
 #include "SampleRunner.h"
 
-#include "Pause.h"
-
 #include "cicadalb/base/Hash.h"
 
 #include <algorithm>
@@ -48,7 +46,7 @@
         const auto* route = view->routes.find(reward.authority, reward.path);
         // Like a run, a call does not begin while this process may not know yet that the submission has ended.
         if (!route || sendPermission() != PlacementPermission::Granted) {
-            co_await pause(m_executor, rewardRetryDelay);
+            co_await wait(rewardRetryDelay);
             continue;
         }
         SendRecord sent;
@@ -68,7 +66,7 @@
             break;
         }
         if (!hasFailed)
-            co_await pause(m_executor, std::max<Duration>(rewardRetryDelay, outcome.retryAfter));
+            co_await wait(std::max<Duration>(rewardRetryDelay, outcome.retryAfter));
     }
     // A submission that is opened again has calls of its own under the same keys.
     if (const auto own = m_rewardCalls.find(key); own != m_rewardCalls.end() && own->second == cancellation)
--- a/packages/hosting/tests/unit-late-coordinator.cpp
+++ b/packages/hosting/tests/unit-late-coordinator.cpp
@@ -46,6 +46,8 @@
         runLoop();
         directory.start();
         runLoop();
+        store.advance(25ms);
+        runLoop();
         REQUIRE(runner->scheduler().waitingCount() == 1);
         REQUIRE(runner->scheduler().runningCount() == 0);
     }
