Read the ends of submissions from a list that a read cannot change

A coordinator could crash while it read the ends of open submissions.

Cause: SampleRunner::checkEnds() goes over the open submissions and starts a read for each. A read that is answered without waiting closes its submission, and so removes it from that map, before the next one begins. Stores that are reached over the network always wait; the fake of the tests does not.

Change: it goes over a copy.

--- a/packages/hosting/src/SampleRunnerEnds.cpp
+++ b/packages/hosting/src/SampleRunnerEnds.cpp
@@ -67,7 +67,9 @@
     const auto check = std::make_shared<EndCheck>(EndCheck { m_clock.now(), m_openings, m_openSubmissions.size() });
     m_isCheckingEnds = true;
     m_nextEndCheckAt = check->requestedAt + endCheckInterval;
-    for (const auto& [id, entry] : m_openSubmissions)
+    // A read that is answered at once closes its submission before the next one begins.
+    const auto submissions = m_openSubmissions;
+    for (const auto& [id, entry] : submissions)
         asio::co_spawn(m_executor, readEnd(id, check), asio::detached);
 }
 
