Keep a watch alive when a call, its client or a handler fails without saying so

What callers could see: a host that follows no change any more, without a line in its log. A coordinator whose watch of the submissions is dead would now begin no run at all.

Cause: the loop of a watch is a detached coroutine, whose exceptions are dropped. One that a handler threw ended the loop; one that the store's client threw left it waiting for a call that was over; a call that never returned was awaited without a limit. A restart during an outage counted as an answer: the watch claimed to be connected and logged its return.

Change: an exception counts as a failed call. After one, the watch no longer claims to be complete and reads all records again after its longest retry delay. Only answers count as successes.

--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace cicadalb {
@@ -24,6 +25,9 @@
     /// Time that an answer has to stand before the revision that it states counts: a watch may hear nothing for a second while changes are made, until the
     /// store drops its history and cuts the watch, or refuses the next one.
     constexpr std::chrono::milliseconds revisionProofTime { 1500 };
+    /// Time after the wait of a call at which the watch gives it up. The store's client has a shorter limit, which does not count the time in which the
+    /// machine is suspended.
+    constexpr std::chrono::seconds longestAnswerTime { 10 };
     /// Pause before, and wait of, a watch that has failed and was replaced by a read.
     constexpr std::chrono::milliseconds waitAfterFailedWatch { 300 };
     /// Limit on the doublings of the retry delay.
@@ -67,8 +71,11 @@
 
 Task<void> RecordWatch::watchStore(TransactionalStore& store, std::string prefix, Revision after, std::chrono::milliseconds maximumWait, std::shared_ptr<PendingCall> pending)
 {
-    auto result = co_await store.watch(std::move(prefix), after, maximumWait);
-    pending->result.emplace(std::move(result));
+    try {
+        pending->result.emplace(co_await store.watch(prefix, after, maximumWait));
+    } catch (const std::exception& error) {
+        pending->result.emplace(failure(ErrorCode::Unavailable, error.what(), prefix));
+    }
     pending->done.cancel();
 }
 
@@ -96,14 +103,12 @@
     const auto requestedAt = m_clock.now();
     asio::co_spawn(m_executor, watchStore(m_store, m_settings.prefix, m_revision, maximumWait, pending), asio::detached);
     // The call may have ended before this coroutine waits.
-    if (!pending->result)
-        co_await pending->done.waitUntil(TimePoint::max());
+    const bool isOverdue = !pending->result && co_await pending->done.waitUntil(requestedAt + maximumWait + longestAnswerTime);
     m_pending.reset();
-    if (!pending->result) {
-        WatchResult unchanged;
-        unchanged.revision = m_revision;
-        co_return unchanged;
-    }
+    if (!pending->result && isOverdue)
+        co_return failure(ErrorCode::Unavailable, "the call has not returned within its time limit", m_settings.prefix);
+    if (!pending->result)
+        co_return failure(ErrorCode::Cancelled, "the call was abandoned", m_settings.prefix);
     auto& result = *pending->result;
     if (result) {
         // The store sends an answer without entries only after the whole wait.
@@ -145,12 +150,27 @@
 {
     const auto self = shared_from_this();
     while (!m_isStopped) {
-        const auto outcome = co_await poll();
+        Result<void> outcome = success();
+        bool hasThrown = false;
+        try {
+            outcome = co_await poll();
+        } catch (const std::exception& error) {
+            outcome = failure(ErrorCode::Unavailable, error.what(), m_settings.prefix);
+            hasThrown = true;
+        }
         if (m_isStopped)
             co_return;
-        recordOutcome(outcome);
         if (outcome)
             continue;
+        recordOutcome(outcome);
+        if (hasThrown) {
+            // Which records have been applied is unknown: all are read again.
+            m_hasSnapshot = false;
+            m_unproven.reset();
+            m_completeAsOf.reset();
+            co_await wait(m_settings.maximumRetryDelay);
+            continue;
+        }
         const bool isFirstFailure = m_consecutiveFailures == 1;
         m_shouldReadAll = m_settings.readsAfterFailure;
         if (!m_shouldReadAll || !isFirstFailure)
@@ -235,12 +255,15 @@
 Task<Result<void>> RecordWatch::readChanges()
 {
     auto changes = co_await awaitChanges();
+    if (!changes && changes.error().code == ErrorCode::Cancelled)
+        co_return success();
     m_hasWatchFailed = !changes;
     if (!changes) {
         m_unproven.reset();
         if (changes.error().code == ErrorCode::HistoryLost) {
             m_hasSnapshot = false;
             m_hasWatchFailed = false;
+            recordOutcome(success());
             co_return success();
         }
         co_return changes.as_failure();
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -86,7 +86,7 @@
     Task<Result<void>> pollStore();
     Task<Result<void>> readSnapshot();
     Task<Result<void>> readChanges();
-    /// Waits for changes; returns none after restart().
+    /// Waits for changes. Errors: Cancelled after restart().
     Task<Result<WatchResult>> awaitChanges();
     Task<MirrorOutcome> pollMirror();
     /// Applies what an answer of the store proves: changes that it repeats are removed from it.
