Let answers of a watch without changes prove nothing about a time in which its calls failed

Callers could see items of an ended submission begin more than the permitted time after the acknowledgement.

Cause: an answer without changes counted as proof that the records were complete up to its end. A watch that hears nothing for a second, right after calls that failed, knows nothing of the changes made while they failed.

Change: such an answer counts only if the records were known to be complete at most one wait and one answer time before. After a longer gap they are complete again with an answer that has changes, with a read of all records, or once the revision of the first answer is proven.

--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -92,9 +92,13 @@
     auto wait = hasMirrors ? std::min(m_settings.maximumWait, maximumWaitWithMirrors) : m_settings.maximumWait;
     if (m_hasWatchFailed && m_settings.readsAfterFailure)
         wait = std::min(wait, waitAfterFailedWatch);
-    return m_settings.keepsCurrent ? std::clamp(timeUntilAge(wait), minimumWait, wait) : wait;
+    const bool isOld = m_completeAsOf && m_clock.now() - *m_completeAsOf > longestAnswerGap();
+    const auto shortestWait = isOld ? std::min(wait, waitAfterFailedWatch) : minimumWait;
+    return m_settings.keepsCurrent ? std::clamp(timeUntilAge(wait), shortestWait, wait) : wait;
 }
 
+Duration RecordWatch::longestAnswerGap() const { return m_settings.maximumWait + TransactionalStore::watchAnswerTimeout; }
+
 Task<Result<WatchResult>> RecordWatch::awaitChanges()
 {
     const auto pending = std::make_shared<PendingCall>(m_executor, m_clock);
@@ -127,12 +131,16 @@
         m_revision = std::max(m_revision, entry.revision);
     if (m_unproven && answeredAt >= m_unproven->statedAt + revisionProofTime) {
         m_revision = std::max(m_revision, m_unproven->revision);
+        raiseCompleteAsOf(m_unproven->statedAt);
         m_unproven.reset();
     }
     if (!m_unproven)
         m_unproven = StatedRevision { answer.revision, m_clock.now() };
     answer.revision = m_revision;
-    raiseCompleteAsOf(answeredAt);
+    // A watch that hears nothing does not report changes that were made while earlier calls failed either.
+    const bool isCurrent = m_completeAsOf && answeredAt - *m_completeAsOf <= longestAnswerGap();
+    if (!answer.entries.empty() || isCurrent)
+        raiseCompleteAsOf(answeredAt);
 }
 
 void RecordWatch::setCoalescingDelay(std::chrono::milliseconds coalescingDelay)
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -96,6 +96,8 @@
     /// Time for which records that lapsed in the last outage may still return.
     Duration remainingReturnTime() const;
     std::chrono::milliseconds nextWait() const;
+    /// Longest time between two answers if no call fails.
+    Duration longestAnswerGap() const;
     /// Time until completeAsOf() has the age @p maximum.
     std::chrono::milliseconds timeUntilAge(std::chrono::milliseconds maximum) const;
     Task<void> wait(Duration);
--- a/packages/hosting/tests/unit-record-watch.cpp
+++ b/packages/hosting/tests/unit-record-watch.cpp
@@ -84,6 +84,27 @@
     CHECK(hasSeen("records/changed"));
 }
 
+TEST_CASE_METHOD(SilentWatchFixture, "record watch, change while calls fail and watches that hear nothing afterwards, does not claim to be complete")
+{
+    startWatch();
+    pass(3s);
+    disruption = CallDisruption::Silent;
+    pass(500ms);
+    store.put("records/changed", "");
+    const auto changedAt = clock.now();
+    pass(2s);
+    disruption = CallDisruption::DeafAhead;
+    for (Duration passed {}; passed < silence - step; passed += step) {
+        pass(step);
+        CHECK(*watch->completeAsOf() <= changedAt);
+    }
+    store.forgetHistory();
+    disruption = CallDisruption::None;
+    pass(3s);
+    CHECK(hasSeen("records/changed"));
+    CHECK(*watch->completeAsOf() > changedAt);
+}
+
 TEST_CASE_METHOD(SilentWatchFixture, "record watch, no change of its records while others change for longer than the history lasts, reads all records once")
 {
     const auto maximumWait = GENERATE(1000ms, 4000ms);
