Move no run to another engine while placement is paused

Cause: SampleRunner::tick() looks for runs to move without asking whether items may be placed.

Change: runs are moved only while items may be placed.

--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -348,10 +348,13 @@
         if (found != m_openSubmissions.end())
             settle(found->second, key, ResultState::GivenUp, {}, "its time to live has ended");
     }
-    for (const auto& key : m_scheduler.itemsToMove(now)) {
-        const auto found = m_runs.find(key);
-        if (found != m_runs.end())
-            found->second->cancellation->cancel();
+    // A run that is moved during a pause could not be placed again.
+    if (!isPlacementPaused()) {
+        for (const auto& key : m_scheduler.itemsToMove(now)) {
+            const auto found = m_runs.find(key);
+            if (found != m_runs.end())
+                found->second->cancellation->cancel();
+        }
     }
     if (now >= m_nextPartialTextsAt && !m_isStoringPartialTexts) {
         m_nextPartialTextsAt = now + m_settings.partialTextsInterval;
