Tests: the clock of outdated records begins at the time of the system's clock

HttpClient compares deadlines with the system's clock, so that on a machine that has been up for over an hour the fixture's requests would have timed out at once. Found by reading; not run on such a machine before. The checks are unchanged.

--- a/packages/hosting/tests/unit-outdated-records.cpp
+++ b/packages/hosting/tests/unit-outdated-records.cpp
@@ -60,6 +60,8 @@
     OutdatedRecordsFixture()
     {
         REQUIRE(target.start());
+        // HttpClient compares deadlines with the clock of the system.
+        clock.advance(std::chrono::steady_clock::now().time_since_epoch());
         SampleRunnerSettings settings;
         settings.endTime = 3s;
         runner = std::make_shared<SampleRunner>(context.get_executor(), coordinatorStore, protocol, directory, clients, permits, *crashGuard, clock, settings);
