Tests: calls that fail for several lengths of time before watches that hear nothing

The case did not judge: with one length the deaf second ended before a call was answered. Over ten or more lengths, 275 of its 1515 assertions fail with the rule of 'Let answers of a watch without changes prove nothing ...' switched off, and all pass with it.

--- a/packages/hosting/tests/unit-record-watch.cpp
+++ b/packages/hosting/tests/unit-record-watch.cpp
@@ -86,13 +86,14 @@
 
 TEST_CASE_METHOD(SilentWatchFixture, "record watch, change while calls fail and watches that hear nothing afterwards, does not claim to be complete")
 {
+    const auto silentFor = GENERATE(range(1000, 2500, 100));
     startWatch();
     pass(3s);
     disruption = CallDisruption::Silent;
     pass(500ms);
     store.put("records/changed", "");
     const auto changedAt = clock.now();
-    pass(2s);
+    pass(silentFor * 1ms);
     disruption = CallDisruption::DeafAhead;
     for (Duration passed {}; passed < silence - step; passed += step) {
         pass(step);
