Let a watch that needs proof become current again on a quiet prefix

Found in review, by arithmetic.

Change: a failed call marks the watch as needing proof; changes, a read of all records or the proof of a stated revision clear the mark.

--- a/packages/hosting/src/RecordWatch.cpp
+++ b/packages/hosting/src/RecordWatch.cpp
@@ -92,13 +92,10 @@
     auto wait = hasMirrors ? std::min(m_settings.maximumWait, maximumWaitWithMirrors) : m_settings.maximumWait;
     if (m_hasWatchFailed && m_settings.readsAfterFailure)
         wait = std::min(wait, waitAfterFailedWatch);
-    const bool isOld = m_completeAsOf && m_clock.now() - *m_completeAsOf > longestAnswerGap();
-    const auto shortestWait = isOld ? std::min(wait, waitAfterFailedWatch) : minimumWait;
+    const auto shortestWait = m_needsProof ? std::min(wait, waitAfterFailedWatch) : minimumWait;
     return m_settings.keepsCurrent ? std::clamp(timeUntilAge(wait), shortestWait, wait) : wait;
 }
 
-Duration RecordWatch::longestAnswerGap() const { return m_settings.maximumWait + TransactionalStore::watchAnswerTimeout; }
-
 Task<Result<WatchResult>> RecordWatch::awaitChanges()
 {
     const auto pending = std::make_shared<PendingCall>(m_executor, m_clock);
@@ -132,14 +129,15 @@
     if (m_unproven && answeredAt >= m_unproven->statedAt + revisionProofTime) {
         m_revision = std::max(m_revision, m_unproven->revision);
         raiseCompleteAsOf(m_unproven->statedAt);
+        m_needsProof = false;
         m_unproven.reset();
     }
     if (!m_unproven)
         m_unproven = StatedRevision { answer.revision, m_clock.now() };
     answer.revision = m_revision;
     // A watch that hears nothing does not report changes that were made while earlier calls failed either.
-    const bool isCurrent = m_completeAsOf && answeredAt - *m_completeAsOf <= longestAnswerGap();
-    if (!answer.entries.empty() || isCurrent)
+    m_needsProof = m_needsProof && answer.entries.empty();
+    if (!m_needsProof)
         raiseCompleteAsOf(answeredAt);
 }
 
@@ -253,6 +251,7 @@
     m_hasSnapshot = true;
     m_shouldReadAll = false;
     m_unproven.reset();
+    m_needsProof = false;
     m_revision = std::max(m_revision, snapshot.value().revision);
     m_handler.onSnapshot(snapshot.value(), remainingReturnTime());
     if (m_hasWatchFailed)
@@ -268,6 +267,7 @@
     m_hasWatchFailed = !changes;
     if (!changes) {
         m_unproven.reset();
+        m_needsProof = true;
         if (changes.error().code == ErrorCode::HistoryLost) {
             m_hasSnapshot = false;
             m_hasWatchFailed = false;
--- a/packages/hosting/src/RecordWatch.h
+++ b/packages/hosting/src/RecordWatch.h
@@ -96,8 +96,6 @@
     /// Time for which records that lapsed in the last outage may still return.
     Duration remainingReturnTime() const;
     std::chrono::milliseconds nextWait() const;
-    /// Longest time between two answers if no call fails.
-    Duration longestAnswerGap() const;
     /// Time until completeAsOf() has the age @p maximum.
     std::chrono::milliseconds timeUntilAge(std::chrono::milliseconds maximum) const;
     Task<void> wait(Duration);
@@ -128,6 +126,8 @@
 
     Revision m_revision = 0;
     std::optional<StatedRevision> m_unproven;
+    /// Whether an answer without changes proves nothing, since calls have failed before it.
+    bool m_needsProof = false;
     std::optional<TimePoint> m_completeAsOf;
     bool m_hasSnapshot = false;
     bool m_shouldReadAll = false;
--- a/packages/hosting/tests/unit-record-watch.cpp
+++ b/packages/hosting/tests/unit-record-watch.cpp
@@ -106,6 +106,23 @@
     CHECK(*watch->completeAsOf() > changedAt);
 }
 
+TEST_CASE_METHOD(SilentWatchFixture, "record watch, quiet prefix after calls that failed, is known to be complete again and makes no more calls than before")
+{
+    const auto silentFor = GENERATE(range(1000, 2500, 100));
+    startWatch();
+    pass(3s);
+    disruption = CallDisruption::Silent;
+    pass(silentFor * 1ms);
+    disruption = CallDisruption::None;
+    pass(5s);
+    const auto watches = store.counts().watches;
+    for (Duration passed {}; passed < 10s; passed += step) {
+        pass(step);
+        CHECK(clock.now() - *watch->completeAsOf() <= 1100ms);
+    }
+    CHECK(store.counts().watches - watches <= 11);
+}
+
 TEST_CASE_METHOD(SilentWatchFixture, "record watch, no change of its records while others change for longer than the history lasts, reads all records once")
 {
     const auto maximumWait = GENERATE(1000ms, 4000ms);
