--- a/packages/hosting/src/RequestForwarder.cpp
+++ b/packages/hosting/src/RequestForwarder.cpp
@@ -425,10 +425,12 @@
     if (result.isWithheld) {
         // This says nothing about the target.
         balancer->recordCompletion(target.id, abandoned);
-        if (result.kind == CompletionKind::NotRun)
+        if (result.kind == CompletionKind::NotRun) {
             progress.run.recordNotRun();
-        else
+            ++progress.attemptsNotRun;
+        } else {
             progress.run.recordLoss();
+        }
         recordWithheld(request, progress);
         co_return false;
     }
--- a/packages/hosting/src/SampleRunner.cpp
+++ b/packages/hosting/src/SampleRunner.cpp
@@ -307,18 +307,6 @@
     schedulePlacement();
 }
 
-void SampleRunner::stopRun(const ItemKey& key)
-{
-    if (const auto call = m_rewardCalls.find(key); call != m_rewardCalls.end())
-        call->second->cancel();
-    const auto found = m_runs.find(key);
-    if (found == m_runs.end())
-        return;
-    const auto run = found->second;
-    m_runs.erase(found);
-    run->cancellation->cancel();
-}
-
 void SampleRunner::schedulePlacement()
 {
     if (m_isPlacementScheduled || m_isStopped || m_isFinishing)
@@ -378,7 +366,7 @@
     const auto self = shared_from_this();
     const auto& key = placement.item;
     const auto found = m_openSubmissions.find(key.submission);
-    if (found == m_openSubmissions.end() || !m_scheduler.isOpen(key))
+    if (m_isStopped || m_isFinishing || found == m_openSubmissions.end() || !m_scheduler.isOpen(key))
         co_return;
     const auto entry = found->second;
     const auto run = std::make_shared<Run>();
@@ -494,7 +482,11 @@
     auto request = m_protocol.sampleRequest(entry->submission, item, attempt);
     // A repeat on another connection would be a second request to the engine, which the scheduler has not counted.
     request.mayRepeat = !m_permits.isLimited(target);
-    request.mayBeSent = sendCondition(record.placedAt, record.sent);
+    bool isWithheld = false;
+    request.mayBeSent = [&isWithheld, mayBeSent = sendCondition(record.placedAt, record.sent)] {
+        isWithheld = !mayBeSent();
+        return !isWithheld;
+    };
     const auto response = co_await client->stream(std::move(request), entry->policy.expiresAt, std::move(handler), cancellation);
     if (cancellation->isCancelled()) {
         cause.clear();
@@ -506,6 +498,9 @@
         m_settings.reachability->recordAnswer();
     if (!response) {
         cause = response.error().message;
+        // This says nothing about the engine.
+        if (isWithheld)
+            co_return RunOutcome::Cancelled;
         if (m_settings.reachability && status == 0)
             (void)co_await m_settings.reachability->examineFailure(target.id);
         co_return response.error().code == ErrorCode::NotSent ? RunOutcome::NotRun : RunOutcome::Interrupted;
--- a/packages/hosting/src/SampleRunnerEnds.cpp
+++ b/packages/hosting/src/SampleRunnerEnds.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <exception>
 
 /// @file
 /// What SampleRunner knows of the ends of submissions, and whether it may send on that knowledge.
@@ -59,7 +60,8 @@
 {
     const auto maximumAge = m_placementGate.endCheckAge();
     const auto age = recordAge();
-    return maximumAge > Duration::zero() && age && *age >= maximumAge && !m_isCheckingEnds && now >= m_nextEndCheckAt && !m_openSubmissions.empty();
+    const bool isOld = !age || *age >= maximumAge;
+    return maximumAge > Duration::zero() && isOld && !m_isCheckingEnds && now >= m_nextEndCheckAt && !m_openSubmissions.empty();
 }
 
 void SampleRunner::checkEnds()
@@ -76,7 +78,12 @@
 Task<void> SampleRunner::readEnd(SubmissionId id, std::shared_ptr<EndCheck> check)
 {
     const auto self = shared_from_this();
-    const auto record = co_await m_store.read(endKey(id));
+    Result<std::optional<KeyValueEntry>> record = failure(ErrorCode::Unavailable, "not read");
+    try {
+        record = co_await m_store.read(endKey(id));
+    } catch (const std::exception& error) {
+        record = failure(ErrorCode::Unavailable, error.what());
+    }
     if (m_isStopped)
         co_return;
     check->hasFailed = check->hasFailed || !record;
@@ -97,4 +104,16 @@
     close(id, "ended by its trainer", revision);
 }
 
+void SampleRunner::stopRun(const ItemKey& key)
+{
+    if (const auto call = m_rewardCalls.find(key); call != m_rewardCalls.end())
+        call->second->cancel();
+    const auto found = m_runs.find(key);
+    if (found == m_runs.end())
+        return;
+    const auto run = found->second;
+    m_runs.erase(found);
+    run->cancellation->cancel();
+}
+
 } // namespace cicadalb
--- a/packages/hosting/src/SampleRunnerRewards.cpp
+++ b/packages/hosting/src/SampleRunnerRewards.cpp
@@ -85,6 +85,7 @@
     request.deadline = m_clock.now() + (route.timeout.count() > 0 ? route.timeout : defaultRewardTimeout);
     request.buildMessage = [&](const AttemptContext& context) { return m_protocol.rewardRequest(reward, context); };
     request.mayBeSent = sendCondition(m_clock.now(), sent);
+    request.withheldCause = "this host cannot know whether the submission has ended";
     request.cancellation = std::move(cancellation);
     co_return co_await m_forwarder.forward(std::move(request));
 }
